--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# `make test` and `make demo` do everything on a machine with Python 3.11 and make.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test demo prove measure bench slopes check format lock
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -qq --disable-pip-version-check --requirement requirements.lock
+	$(BIN)/pip install -qq --disable-pip-version-check --no-deps --editable .
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest
+
+check: setup
+	$(BIN)/black --check --quiet src scaffolding
+	$(BIN)/ruff check src scaffolding
+	$(BIN)/mypy src scaffolding
+	$(BIN)/lint-imports --no-cache
+
+format: setup
+	$(BIN)/black --quiet src scaffolding
+	$(BIN)/ruff check --fix src scaffolding
+
+demo: setup
+	$(BIN)/python -m scaffolding.demo
+
+lock:
+	$(BIN)/pip freeze --exclude-editable > requirements.lock
--- /dev/null
+++ b/scaffolding/demo.py
@@ -0,0 +1,1 @@
+"""Replays a recorded trace against real processes."""
--- /dev/null
+++ b/src/egretrail/__init__.py
@@ -0,0 +1,1 @@
+"""egretrail: a proxy fleet for upstreams that fail partially and quietly."""
--- /dev/null
+++ b/src/egretrail/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operators command-line tool, ``egretrail``."""
+
+
+def main() -> None:
+    """Run the tool."""
--- /dev/null
+++ b/src/egretrail/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The entry instance's process, ``egretraild``."""
+
+
+def main() -> None:
+    """Run an entry instance."""
--- /dev/null
+++ b/src/egretrail/floor/__init__.py
@@ -0,0 +1,1 @@
+"""The floor package."""
--- /dev/null
+++ b/src/egretrail/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""The idempotency package."""
--- /dev/null
+++ b/src/egretrail/identity/__init__.py
@@ -0,0 +1,26 @@
+"""Names and value types that every other package shares."""
+
+from egretrail.identity._names import (
+    AvailabilityZone,
+    CallerId,
+    Incarnation,
+    InstanceName,
+    RouteName,
+    ServiceName,
+    TeamName,
+    UpstreamName,
+)
+from egretrail.identity._rendezvous import rendezvous_order, rendezvous_score
+
+__all__ = [
+    "AvailabilityZone",
+    "CallerId",
+    "Incarnation",
+    "InstanceName",
+    "RouteName",
+    "ServiceName",
+    "TeamName",
+    "UpstreamName",
+    "rendezvous_order",
+    "rendezvous_score",
+]
--- /dev/null
+++ b/src/egretrail/peer/__init__.py
@@ -0,0 +1,14 @@
+"""Authenticated streams between the fleet's instances."""
+
+from egretrail.peer._errors import PeerFailure, PeerSilent, PeerUnreachable
+from egretrail.peer._network import Handler, PeerNetwork
+from egretrail.peer._tcp import TcpPeerNetwork
+
+__all__ = [
+    "Handler",
+    "PeerFailure",
+    "PeerNetwork",
+    "PeerSilent",
+    "PeerUnreachable",
+    "TcpPeerNetwork",
+]
--- /dev/null
+++ b/src/egretrail/peer/_errors.py
@@ -0,0 +1,34 @@
+"""Failures of exchanges with peers."""
+
+from dataclasses import dataclass
+
+from egretrail.identity import InstanceName
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnreachable:
+    """No stream to the peer could be opened: the message was certainly not delivered."""
+
+    #: The peer that was addressed.
+    peer: InstanceName
+    #: The transport's own account of the failure.
+    cause: str
+
+    def __str__(self) -> str:
+        return f"{self.peer} cannot be reached: {self.cause}"
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSilent:
+    """The message was sent and no reply came: the peer may or may not have acted on it."""
+
+    #: The peer that was addressed.
+    peer: InstanceName
+    #: How long the reply was waited for.
+    waited_s: float
+
+    def __str__(self) -> str:
+        return f"{self.peer} did not reply within {self.waited_s:.3f} s"
+
+
+PeerFailure = PeerUnreachable | PeerSilent
--- /dev/null
+++ b/src/egretrail/report/__init__.py
@@ -0,0 +1,1 @@
+"""The report package."""
--- /dev/null
+++ b/src/egretrail/route/__init__.py
@@ -0,0 +1,1 @@
+"""The route package."""
--- /dev/null
+++ b/src/egretrail/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The runtime package."""
--- /dev/null
+++ b/src/egretrail/service/__init__.py
@@ -0,0 +1,1 @@
+"""The service package."""
--- /dev/null
+++ b/src/egretrail/testing/_fake_store.py
@@ -0,0 +1,156 @@
+"""An in-memory store with outages, slowness and writes whose reply is lost."""
+
+import asyncio
+from collections import Counter
+
+from result import Err, Ok, Result
+
+from egretrail.platform import (
+    Entry,
+    PlatformFailure,
+    RevisionConflict,
+    Snapshot,
+    Store,
+    StoreRefused,
+    StoreUnavailable,
+    WatchEvents,
+    WriteUnknown,
+)
+
+
+class FakeStore(Store):
+    """The platform's store as the tests see it; several clients may share one."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.entries: dict[str, Entry] = {}
+        self.history: list[Entry] = []
+        #: Calls by kind, a waiting watch as one.
+        self.calls: Counter[str] = Counter()
+        #: While set, every call fails without effect.
+        self.out = False
+        #: Each call takes this long.
+        self.delay_s = 0.0
+        #: This many next writes take effect and lose their reply.
+        self.lose_replies = 0
+        self._leases: dict[str, tuple[float, float]] = {}
+        self._lease_of: dict[str, str] = {}
+        self._changed = asyncio.Event()
+
+    async def get(self, path: str) -> Result[Entry | None, PlatformFailure]:
+        """Read one path; None when it does not exist."""
+        if not await self._admit("get"):
+            return Err(StoreUnavailable(f"get {path}", "outage"))
+        return Ok(self.entries.get(path))
+
+    async def put(
+        self, path: str, value: str, expected_revision: int, lease_id: str | None = None
+    ) -> Result[int, PlatformFailure]:
+        """Write a path if it is at ``expected_revision`` (0: absent); return its new revision."""
+        written = await self._write("put", path, value, expected_revision)
+        if lease_id is not None:
+            self._lease_of[path] = lease_id
+        return written
+
+    async def delete(self, path: str, expected_revision: int) -> Result[int, PlatformFailure]:
+        """Delete a path if it is at ``expected_revision``; return the revision of the deletion."""
+        return await self._write("delete", path, None, expected_revision)
+
+    async def snapshot(self, prefix: str) -> Result[Snapshot, PlatformFailure]:
+        """Read all paths under a prefix."""
+        if not await self._admit("snapshot"):
+            return Err(StoreUnavailable(f"snapshot {prefix}", "outage"))
+        found = [e for path, e in sorted(self.entries.items()) if path.startswith(prefix)]
+        return Ok(Snapshot(found, self.revision))
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Result[WatchEvents, PlatformFailure]:
+        """Wait for changes under a prefix after a revision, for at most ``wait_s``."""
+        if not await self._admit("watch"):
+            return Err(StoreUnavailable(f"watch {prefix}", "outage"))
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + wait_s
+        while True:
+            if self.out:
+                return Err(StoreUnavailable(f"watch {prefix}", "outage"))
+            events = [
+                entry
+                for entry in self.history
+                if entry.revision > after_revision and entry.path.startswith(prefix)
+            ]
+            left_s = deadline_s - loop.time()
+            if events or left_s <= 0:
+                return Ok(WatchEvents(events, self.revision))
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    async def grant_lease(self, ttl_s: float) -> Result[str, PlatformFailure]:
+        """Open a lease: paths written under it are deleted when it is not renewed in time."""
+        if not await self._admit("lease"):
+            return Err(StoreUnavailable("lease", "outage"))
+        lease_id = f"lease-{len(self._leases) + 1}"
+        self._leases[lease_id] = (ttl_s, asyncio.get_running_loop().time() + ttl_s)
+        return Ok(lease_id)
+
+    async def renew_lease(self, lease_id: str) -> Result[None, PlatformFailure]:
+        """Renew a lease for its full time."""
+        if not await self._admit("renew"):
+            return Err(StoreUnavailable("renew", "outage"))
+        if lease_id not in self._leases:
+            return Err(StoreRefused("renew", 404))
+        ttl_s, _ = self._leases[lease_id]
+        self._leases[lease_id] = (ttl_s, asyncio.get_running_loop().time() + ttl_s)
+        return Ok(None)
+
+    def set_out(self, out: bool) -> None:
+        """Begin or end an outage; waiting watches fail at once."""
+        self.out = out
+        self._notify()
+
+    async def _admit(self, kind: str) -> bool:
+        self.calls[kind] += 1
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        self._expire_leases()
+        return not self.out
+
+    def _expire_leases(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for lease_id, (_, until_s) in list(self._leases.items()):
+            if until_s < now_s:
+                del self._leases[lease_id]
+                for path, owner in list(self._lease_of.items()):
+                    if owner == lease_id and path in self.entries:
+                        self._apply(path, None)
+
+    async def _write(
+        self, kind: str, path: str, value: str | None, expected_revision: int
+    ) -> Result[int, PlatformFailure]:
+        if not await self._admit(kind):
+            return Err(StoreUnavailable(f"{kind} {path}", "outage"))
+        current = self.entries[path].revision if path in self.entries else 0
+        if current != expected_revision:
+            return Err(RevisionConflict(path, expected_revision, current))
+        self._apply(path, value)
+        if self.lose_replies > 0:
+            self.lose_replies -= 1
+            return Err(WriteUnknown(path, "the reply was lost"))
+        return Ok(self.revision)
+
+    def _apply(self, path: str, value: str | None) -> None:
+        self.revision += 1
+        entry = Entry(path, value, self.revision)
+        self.history.append(entry)
+        if value is None:
+            self.entries.pop(path, None)
+        else:
+            self.entries[path] = entry
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/src/egretrail/testing/_paused_loop.py
@@ -0,0 +1,45 @@
+"""An event loop whose clock stands still and moves only when there is nothing left to run."""
+
+import asyncio
+import selectors
+from collections.abc import Mapping
+from typing import Any
+
+
+class _SkippingSelector(selectors.BaseSelector):
+    """Moves the loop's clock ahead where a real selector would wait."""
+
+    def __init__(self) -> None:
+        self._inner = selectors.DefaultSelector()
+        self.now_s = 0.0
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        return self._inner.register(fileobj, events, data)
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        return self._inner.unregister(fileobj)
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        ready = self._inner.select(0)
+        if ready or timeout is None:
+            return ready or self._inner.select(None)
+        self.now_s += max(timeout, 0.0)
+        return ready
+
+    def get_map(self) -> Mapping[Any, selectors.SelectorKey]:
+        return self._inner.get_map()
+
+    def close(self) -> None:
+        self._inner.close()
+
+
+class PausedLoop(asyncio.SelectorEventLoop):
+    """A loop on which an hour of timers passes at once, in order, deterministically."""
+
+    def __init__(self) -> None:
+        self._skipping = _SkippingSelector()
+        super().__init__(self._skipping)
+
+    def time(self) -> float:
+        """Return the paused clock, in seconds from the loop's start."""
+        return self._skipping.now_s
--- /dev/null
+++ b/src/egretrail/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""The upstream package."""
