--- a/src/egretrail/idempotency/__init__.py
+++ b/src/egretrail/idempotency/__init__.py
@@ -1,1 +1,97 @@
-"""The idempotency package."""
+"""At-most-once work under idempotency keys: pure state machines of homes and witnesses."""
+
+from egretrail.idempotency._binding import request_binding
+from egretrail.idempotency._home import (
+    AskWitness,
+    Dispatch,
+    Home,
+    Join,
+    Reply,
+    RequestStep,
+    Settled,
+    SettledKey,
+    VerdictStep,
+)
+from egretrail.idempotency._key import (
+    ForgedKey,
+    IdempotencyKey,
+    InvalidKeySuffix,
+    KeyFailure,
+    KeyPrefix,
+    MalformedKey,
+    issue_prefix,
+    parse_key,
+)
+from egretrail.idempotency._limits import KeyLimits
+from egretrail.idempotency._messages import (
+    AskPrefix,
+    AwaitKeyed,
+    CloseGeneration,
+    GenerationOpened,
+    KeepOutcome,
+    KeyedReply,
+    KeyStanding,
+    OpenGeneration,
+    PrefixReply,
+    QueryWitness,
+    RecordKey,
+    RecordReply,
+    RecordVerdict,
+    RunKeyed,
+)
+from egretrail.idempotency._records import ANSWER_DROPPED, Generation, Phase, Record, RecordStore
+from egretrail.idempotency._refusals import (
+    DISPATCH_FAILED,
+    HOME_UNREACHABLE,
+    KEY_REUSED,
+    RECORD_LOST,
+    STILL_RUNNING,
+)
+from egretrail.idempotency._witness import Witness
+
+__all__ = [
+    "ANSWER_DROPPED",
+    "DISPATCH_FAILED",
+    "HOME_UNREACHABLE",
+    "KEY_REUSED",
+    "RECORD_LOST",
+    "STILL_RUNNING",
+    "AskPrefix",
+    "AskWitness",
+    "AwaitKeyed",
+    "CloseGeneration",
+    "Dispatch",
+    "ForgedKey",
+    "Generation",
+    "GenerationOpened",
+    "Home",
+    "IdempotencyKey",
+    "InvalidKeySuffix",
+    "Join",
+    "KeepOutcome",
+    "KeyFailure",
+    "KeyLimits",
+    "KeyPrefix",
+    "KeyStanding",
+    "KeyedReply",
+    "MalformedKey",
+    "OpenGeneration",
+    "Phase",
+    "PrefixReply",
+    "QueryWitness",
+    "Record",
+    "RecordKey",
+    "RecordReply",
+    "RecordStore",
+    "RecordVerdict",
+    "Reply",
+    "RequestStep",
+    "RunKeyed",
+    "Settled",
+    "SettledKey",
+    "VerdictStep",
+    "Witness",
+    "issue_prefix",
+    "parse_key",
+    "request_binding",
+]
