Explore the key protocol exhaustively, with every guard removed in turn

17,181 states over eleven cases (one and two keys, two callers, restarts, planned stops, generations closing, dropped and full, answers displaced, crossed roles); the network is the set of all messages ever sent, so losses, doubles, reordering and pauses are all covered. No violation.

--- a/src/egretrail/idempotency/tests/exploration.py
+++ b/src/egretrail/idempotency/tests/exploration.py
@@ -47,8 +47,8 @@
 class Case:
     """What may happen in one exploration."""
 
-    #: Home and witness of each key; both roles of an instance die with it.
-    keys: Sequence[tuple[str, str]] = (("a", "b"),)
+    #: Home and witness of each key, None: the home is alone; both roles of an instance die with it.
+    keys: Sequence[tuple[str, str | None]] = (("a", "b"),)
     #: Each request names its key by index, and its caller's binding.
     requests: Sequence[tuple[int, bytes]] = ((0, b"x"),)
     #: Instances that may be killed, and those that may then start again.
@@ -99,7 +99,7 @@
     dispatched: frozenset[IdempotencyKey] = frozenset()
     may_have_run: frozenset[IdempotencyKey] = frozenset()
     told_not_run: frozenset[IdempotencyKey] = frozenset()
-    violation: Violation | None = None
+    violations: frozenset[Violation] = frozenset()
 
     def own(self, name: str) -> Incarnation:
         """Return the present incarnation of an instance."""
@@ -112,7 +112,7 @@
     def dispatch(self, key: IdempotencyKey, binding: bytes) -> None:
         """Start the work of a key."""
         if key in self.dispatched:
-            self.violation = Violation.SECOND_DISPATCH
+            self.violations |= {Violation.SECOND_DISPATCH}
         self.dispatched |= {key}
         self.may_have_run |= {key}
         self.executing |= {(key, binding)}
@@ -122,16 +122,16 @@
         """Tell a caller what the answer to its request is."""
         if isinstance(answer, RecordedAnswer):
             if answer.body != binding:
-                self.violation = Violation.CROSSED_ANSWER
+                self.violations |= {Violation.CROSSED_ANSWER}
         elif answer.outcome is Outcome.NOT_RUN:
             self.told_not_run |= {key}
         elif answer.outcome is Outcome.RAN and key not in self.may_have_run:
-            self.violation = Violation.FALSE_RAN
+            self.violations |= {Violation.FALSE_RAN}
         self._check_not_run(key)
 
     def _check_not_run(self, key: IdempotencyKey) -> None:
         if key in self.told_not_run and key in self.may_have_run:
-            self.violation = Violation.FALSE_NOT_RUN
+            self.violations |= {Violation.FALSE_NOT_RUN}
 
 
 #: One thing that may happen next: its name, and how it changes a world.
@@ -146,14 +146,15 @@
     states_count: int
     #: Steps between them.
     steps_count: int
-    #: The shortest way to a violation; empty when there is none.
+    #: The shortest way to the violation; empty when there is none.
     counter_example: Sequence[str]
-    #: What was violated.
-    violation: Violation | None
 
 
-def explore(case: Case, guards: Guards | None = None, limit_count: int = 2_000_000) -> Explored:
-    """Visit every reachable state, nearest first, until one violates a promise."""
+def explore(case: Case, guards: Guards | None = None, sought: Violation | None = None) -> Explored:
+    """Visit every reachable state, nearest first, until a step violates a promise.
+
+    With ``sought`` only that promise counts: a missing guard often breaks several.
+    """
     kinds = guards or Guards()
     first = _first_world(case, kinds)
     parents: dict[Hashable, tuple[Hashable, str] | None] = {_fingerprint(first): None}
@@ -167,21 +168,19 @@
                 world = _clone(state)
                 act(world)
                 steps_count += 1
-                if world.violation is not None:
-                    way = [*_way(parents, here), name]
-                    return Explored(len(parents), steps_count, way, world.violation)
+                if sought in world.violations or (sought is None and world.violations):
+                    return Explored(len(parents), steps_count, [*_way(parents, here), name])
+                world.violations = frozenset()
                 reached = _fingerprint(world)
                 if reached not in parents:
                     parents[reached] = (here, name)
                     following.append(world)
-        if len(parents) > limit_count:
-            raise MemoryError(f"more than {limit_count} states")
         layer = following
-    return Explored(len(parents), steps_count, [], None)
+    return Explored(len(parents), steps_count, [])
 
 
 def _first_world(case: Case, guards: Guards) -> World:
-    names = sorted({name for pair in case.keys for name in pair})
+    names = sorted({name for pair in case.keys for name in pair if name is not None})
     numbers = dict.fromkeys(names, 1)
     homes: dict[str, Home | None] = {}
     witnesses: dict[str, Witness | None] = {}
@@ -190,7 +189,7 @@
         homes[name] = guards.home(own, case.limits)
         witnesses[name] = guards.witness(own, case.limits)
     world = World(homes, witnesses, numbers, ())
-    prefixes: dict[tuple[str, str], KeyPrefix] = {}
+    prefixes: dict[tuple[str, str | None], KeyPrefix] = {}
     for home, witness in case.keys:
         if (home, witness) not in prefixes:
             prefixes[home, witness] = _open(world, home, witness, case.generations_end)
@@ -200,9 +199,14 @@
     return world
 
 
-def _open(world: World, home: str, witness: str, doubled: bool) -> KeyPrefix:
-    at_home, at_witness = world.homes[home], world.witnesses[witness]
+def _open(world: World, home: str, witness: str | None, doubled: bool) -> KeyPrefix:
+    at_home = world.homes[home]
     assert at_home is not None
+    if witness is None:
+        alone = at_home.open_alone(_NOW_S)
+        assert alone is not None
+        return alone
+    at_witness = world.witnesses[witness]
     assert at_witness is not None
     opening = at_home.ask_generation()
     prefix = at_witness.open(world.own(home), _NOW_S)
@@ -259,7 +263,8 @@
         if isinstance(step, AskWitness):
             assert key.prefix.witness is not None
             to = key.prefix.witness.instance
-            world.send(Sent(to, "record", key.prefix.home, key, binding))
+            sender = world.own(key.prefix.home.instance)
+            world.send(Sent(to, "record", sender, key, binding))
 
     return act
 
--- /dev/null
+++ b/src/egretrail/idempotency/tests/test_exploration.py
@@ -0,0 +1,232 @@
+"""The protocol holds in every reachable state, and each guard is needed."""
+
+from dataclasses import dataclass
+
+from egretrail.idempotency import (
+    AskWitness,
+    Dispatch,
+    Home,
+    IdempotencyKey,
+    KeyLimits,
+    Phase,
+    Record,
+    RecordVerdict,
+    RequestStep,
+    Settled,
+    Witness,
+)
+from egretrail.idempotency.tests.exploration import Case, Guards, Violation, explore
+from egretrail.identity import Incarnation
+from egretrail.request import Answer, Outcome, Refusal, RefusalCause
+from egretrail.testing import EgretrailTestCase, cases
+
+_SEALED = Refusal(Outcome.NOT_RUN, RefusalCause.KEY_SEALED)
+_X, _Y = (0, b"x"), (0, b"y")
+_SAME_HOME = (("a", "b"), ("a", "b"))
+_CROSSED = (("a", "b"), ("b", "a"))
+_TWO = ((0, b"x"), (1, b"y"))
+_BOTH = ("a", "b")
+_RESTARTS = Case(restarted=_BOTH)
+_GENERATIONS = Case(generations_end=True, stops=True, restarted=_BOTH)
+_TWO_CALLERS = Case(requests=(_X, _Y), restarted=_BOTH)
+_FULL = Case(_SAME_HOME, _TWO, limits=KeyLimits(generation_keys=1))
+
+
+@dataclass(frozen=True, slots=True)
+class Expected:
+    """An exploration and the number of states it visits."""
+
+    case: Case
+    states_count: int
+
+
+class ExplorationTest(EgretrailTestCase):
+    @cases(
+        {
+            "one_key": Expected(Case(), 98),
+            "one_key_restarts": Expected(_RESTARTS, 274),
+            "one_key_without_a_witness": Expected(
+                Case((("a", None),), (_X, _Y), ("a",), ("a",), True, True), 58
+            ),
+            "answers_too_large_to_keep": Expected(
+                Case(restarted=_BOTH, limits=KeyLimits(answer_size_bytes=0)), 304
+            ),
+            "one_key_two_callers": Expected(_TWO_CALLERS, 1260),
+            "generations_end_and_stops": Expected(_GENERATIONS, 2502),
+            "two_callers_generations_end": Expected(
+                Case(requests=(_X, _Y), generations_end=True, stops=True), 4606
+            ),
+            "two_keys": Expected(Case(_SAME_HOME, _TWO), 2464),
+            "two_keys_each_instance_both_roles": Expected(Case(_CROSSED, _TWO), 2425),
+            "two_keys_answers_displace_each_other": Expected(
+                Case(_SAME_HOME, _TWO, limits=KeyLimits(answers_size_bytes=300)), 2550
+            ),
+            "two_keys_in_a_full_generation": Expected(_FULL, 640),
+        }
+    )
+    def test_no_reachable_state_breaks_a_promise(self, expected: Expected) -> None:
+        found = explore(expected.case)
+        self.assertEqual([], found.counter_example)
+        self.assertEqual(expected.states_count, found.states_count)
+
+
+class StartsBeforeTheAck(Home):
+    def on_request(self, key: IdempotencyKey, binding: bytes) -> RequestStep:
+        step = super().on_request(key, binding)
+        record = self.records.find(key)
+        if not isinstance(step, AskWitness) or record is None:
+            return step
+        record.phase = Phase.STARTED
+        return Dispatch()
+
+
+class StartsOnEveryAck(Home):
+    def _awaits_verdict(self, record: Record) -> bool:
+        return True
+
+
+class RefusesWithoutSealing(Home):
+    def _seal(self, key: IdempotencyKey, record: Record, refusal: Refusal) -> None:
+        pass
+
+
+class ForgetsWhatItRefused(Home):
+    def _seal(self, key: IdempotencyKey, record: Record, refusal: Refusal) -> None:
+        _forget(self, key)
+
+
+class ForgetsWhatWasNotDispatched(Home):
+    def on_executed(self, key: IdempotencyKey, answer: Answer) -> Settled:
+        settled = super().on_executed(key, answer)
+        if isinstance(answer, Refusal) and answer.outcome is Outcome.NOT_RUN:
+            _forget(self, key)
+        return settled
+
+
+class MakesRoomByForgetting(Home):
+    def on_request(self, key: IdempotencyKey, binding: bytes) -> RequestStep:
+        for _, generation in self.records.generations():
+            if key.suffix not in generation.records:
+                generation.records.clear()
+        return super().on_request(key, binding)
+
+
+class AnswersAnyRequest(Home):
+    def _same_request(self, record: Record, binding: bytes) -> bool:
+        return True
+
+
+class OpensOnDoubledReplies(Home):
+    def _awaits_opening(self, opening: int) -> bool:
+        return True
+
+
+class AdoptsKeysOfEarlierProcesses(Home):
+    def owns(self, key: IdempotencyKey) -> bool:
+        if not self.records.holds(key.prefix):
+            self.records.open(key.prefix, 0.0)
+        return True
+
+
+class SealsNothing(Witness):
+    def _seal(self, key: IdempotencyKey) -> Refusal:
+        return _SEALED
+
+
+class RecordsWhatIsSealed(Witness):
+    def on_record(self, sender: Incarnation, key: IdempotencyKey, binding: bytes) -> RecordVerdict:
+        super().on_record(sender, key, binding)
+        return RecordVerdict.RECORDED
+
+
+class RecordsInClosedGenerations(Witness):
+    def on_record(self, sender: Incarnation, key: IdempotencyKey, binding: bytes) -> RecordVerdict:
+        for _, generation in self.records.generations():
+            generation.accepting = True
+        return super().on_record(sender, key, binding)
+
+
+class ReopensWhatItForgot(Witness):
+    def on_record(self, sender: Incarnation, key: IdempotencyKey, binding: bytes) -> RecordVerdict:
+        if not self.records.holds(key.prefix):
+            self.records.open(key.prefix, 0.0)
+        return super().on_record(sender, key, binding)
+
+
+class RecordsForAnySender(Witness):
+    def on_record(self, sender: Incarnation, key: IdempotencyKey, binding: bytes) -> RecordVerdict:
+        return super().on_record(key.prefix.home, key, binding)
+
+
+class TellsAnyCaller(Witness):
+    def _same_request(self, record: Record, binding: bytes) -> bool:
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class Unguarded:
+    """Machines that lack a guard, and what they break."""
+
+    case: Case
+    guards: Guards
+    violation: Violation
+
+
+class GuardsTest(EgretrailTestCase):
+    @cases(
+        {
+            "dispatch_only_after_the_ack": Unguarded(
+                Case(), Guards(home=StartsBeforeTheAck), Violation.FALSE_NOT_RUN
+            ),
+            "a_second_ack_starts_nothing": Unguarded(
+                Case(), Guards(home=StartsOnEveryAck), Violation.SECOND_DISPATCH
+            ),
+            "the_home_seals_before_it_says_not_run": Unguarded(
+                Case(), Guards(home=RefusesWithoutSealing), Violation.FALSE_NOT_RUN
+            ),
+            "the_home_keeps_its_seals": Unguarded(
+                Case(), Guards(home=ForgetsWhatItRefused), Violation.FALSE_NOT_RUN
+            ),
+            "a_refused_dispatch_seals": Unguarded(
+                Case(), Guards(home=ForgetsWhatWasNotDispatched), Violation.SECOND_DISPATCH
+            ),
+            "a_full_generation_keeps_its_records": Unguarded(
+                _FULL, Guards(home=MakesRoomByForgetting), Violation.SECOND_DISPATCH
+            ),
+            "the_home_compares_the_binding": Unguarded(
+                _TWO_CALLERS, Guards(home=AnswersAnyRequest), Violation.CROSSED_ANSWER
+            ),
+            "a_dropped_generation_stays_dropped": Unguarded(
+                _GENERATIONS, Guards(home=OpensOnDoubledReplies), Violation.SECOND_DISPATCH
+            ),
+            "keys_end_with_their_process": Unguarded(
+                _RESTARTS,
+                Guards(AdoptsKeysOfEarlierProcesses, RecordsForAnySender),
+                Violation.SECOND_DISPATCH,
+            ),
+            "the_witness_seals_before_it_says_not_run": Unguarded(
+                Case(), Guards(witness=SealsNothing), Violation.FALSE_NOT_RUN
+            ),
+            "the_seal_is_final": Unguarded(
+                Case(), Guards(witness=RecordsWhatIsSealed), Violation.FALSE_NOT_RUN
+            ),
+            "a_closed_generation_records_nothing": Unguarded(
+                _GENERATIONS, Guards(witness=RecordsInClosedGenerations), Violation.FALSE_NOT_RUN
+            ),
+            "a_forgotten_generation_records_nothing": Unguarded(
+                _GENERATIONS, Guards(witness=ReopensWhatItForgot), Violation.FALSE_NOT_RUN
+            ),
+            "the_witness_compares_the_binding": Unguarded(
+                _TWO_CALLERS, Guards(witness=TellsAnyCaller), Violation.CROSSED_ANSWER
+            ),
+        }
+    )
+    def test_without_the_guard_there_is_a_counter_example(self, unguarded: Unguarded) -> None:
+        found = explore(unguarded.case, unguarded.guards, unguarded.violation)
+        self.assertNotEqual([], found.counter_example)
+
+
+def _forget(home: Home, key: IdempotencyKey) -> None:
+    for prefix, generation in home.records.generations():
+        if prefix == key.prefix:
+            generation.records.pop(key.suffix, None)
