--- a/src/egretrail/idempotency/_home.py
+++ b/src/egretrail/idempotency/_home.py
@@ -192,10 +192,16 @@
         """Note that the witness holds the outcome."""
         self._unkept.pop(key, None)
 
+    def on_not_kept(self, key: IdempotencyKey) -> None:
+        """Note that sending the outcome failed; others are tried before it."""
+        if key in self._unkept:
+            del self._unkept[key]
+            self._unkept[key] = None
+
     def unkept(self, limit_count: int) -> Sequence[SettledKey]:
-        """Return settled keys whose outcome the witness has not confirmed, newest first."""
+        """Return settled keys whose outcome the witness has not confirmed, longest untried first."""
         found: list[SettledKey] = []
-        for key in reversed(self._unkept):
+        for key in self._unkept:
             record = self._records.find(key)
             if record is not None and record.answer is not None and record.binding is not None:
                 found.append(SettledKey(key, record.binding, record.answer))
--- /dev/null
+++ b/src/egretrail/runtime/_key_generations.py
@@ -0,0 +1,133 @@
+"""Keeps a fresh generation open at a witness in another availability zone."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import structlog
+from result import Ok
+
+from egretrail.fleet import FleetView, Member, MemberState
+from egretrail.idempotency import (
+    CloseGeneration,
+    GenerationOpened,
+    Home,
+    KeyLimits,
+    KeyPrefix,
+    OpenGeneration,
+)
+from egretrail.identity import InstanceName
+from egretrail.peer import PeerNetwork
+
+_TICK_S = 0.5
+_OPEN_TIMEOUT_S = 0.5
+#: Witnesses tried in a row before the home goes on alone until the next try.
+_OPEN_TRIES = 3
+#: A witness that failed is not asked again for this long; others are at hand.
+_AVOID_S = 10.0
+#: The next generation is opened when the present one has this share of its time left, so that a
+#: slow opening leaves no gap in which callers are given no prefix.
+_RENEW_SHARE = 0.25
+_log = structlog.get_logger()
+
+
+class KeyGenerations:
+    """Opens, closes and forgets the generations of a home."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        view: FleetView,
+        home: Home,
+        limits: KeyLimits,
+        rng: random.Random,
+    ) -> None:
+        self._network = network
+        self._view = view
+        self._home = home
+        self._limits = limits
+        self._rng = rng
+        self._avoided: dict[InstanceName, float] = {}
+        self._lost = asyncio.Event()
+
+    def current(self, now_s: float) -> KeyPrefix | None:
+        """Return the generation to name to callers."""
+        return self._home.issuing(now_s)
+
+    def on_generation_lost(self, prefix: KeyPrefix, witness_answers: bool) -> None:
+        """Have another generation opened at once, elsewhere if the witness did not answer."""
+        if prefix.witness is not None and not witness_answers:
+            self._avoid(prefix.witness.instance)
+        self._lost.set()
+
+    async def wait(self) -> None:
+        """Wait until the next tick is due: after a while, or when a witness was lost."""
+        try:
+            await asyncio.wait_for(self._lost.wait(), _TICK_S)
+        except TimeoutError:
+            return
+        self._lost.clear()
+
+    async def tick(self) -> None:
+        """Close what is old, and open a generation when the present one will not do."""
+        now_s = asyncio.get_running_loop().time()
+        for prefix in self._home.tick(now_s):
+            if prefix.witness is not None:
+                self._network.send(prefix.witness.instance, CloseGeneration(prefix))
+        self._avoided = {name: s for name, s in self._avoided.items() if s > now_s}
+        if self._wants_another(now_s):
+            await self._open_another()
+
+    def _avoid(self, name: InstanceName) -> None:
+        self._avoided[name] = asyncio.get_running_loop().time() + _AVOID_S
+
+    def _wants_another(self, now_s: float) -> bool:
+        soon_s = now_s + self._limits.issue_s * _RENEW_SHARE
+        prefix = self._home.issuing(soon_s)
+        if prefix is None:
+            return True
+        return not self._serves(prefix) and bool(self._candidates())
+
+    def _serves(self, prefix: KeyPrefix) -> bool:
+        """Return whether a generation's witness is one that would be chosen now."""
+        if prefix.witness is None:
+            return False
+        member = self._view.member(prefix.witness.instance)
+        present = member is not None and member.incarnation == prefix.witness
+        return present and member is not None and member.state is MemberState.ALIVE
+
+    def _candidates(self) -> Sequence[Member]:
+        """Return possible witnesses in the order in which to ask them.
+
+        Another availability zone first, so that losing one does not lose home and witness at once;
+        at random within, so that each instance is witness to about as many homes as others.
+        """
+        own = self._view.own
+        members = [member for member in self._view.members() if self._may_witness(member)]
+        self._rng.shuffle(members)
+        return sorted(members, key=lambda one: one.availability_zone == own.availability_zone)
+
+    def _may_witness(self, member: Member) -> bool:
+        other = member.name != self._view.own.name
+        alive = member.state is MemberState.ALIVE
+        return other and alive and member.name not in self._avoided
+
+    async def _open_another(self) -> None:
+        for member in self._candidates()[:_OPEN_TRIES]:
+            if await self._open_at(member):
+                return
+        if self._home.issuing(asyncio.get_running_loop().time()) is None:
+            alone = self._home.open_alone(asyncio.get_running_loop().time())
+            _log.warning("keys_without_witness", opened=alone is not None)
+
+    async def _open_at(self, member: Member) -> bool:
+        opening = self._home.ask_generation()
+        body = OpenGeneration(opening)
+        asked = await self._network.ask(member.name, body, GenerationOpened, _OPEN_TIMEOUT_S)
+        if not isinstance(asked, Ok) or asked.ok_value.prefix is None:
+            self._avoid(member.name)
+            return False
+        opened = asked.ok_value
+        assert opened.prefix is not None
+        now_s = asyncio.get_running_loop().time()
+        return self._home.open(opened.opening, opened.prefix, now_s)
--- /dev/null
+++ b/src/egretrail/runtime/_keyed_witness.py
@@ -0,0 +1,101 @@
+"""Records other instances' keys, and answers for homes that cannot be reached."""
+
+import asyncio
+
+from result import Ok
+
+from egretrail.idempotency import (
+    HOME_UNREACHABLE,
+    KEY_REUSED,
+    RECORD_LOST,
+    AwaitKeyed,
+    CloseGeneration,
+    GenerationOpened,
+    IdempotencyKey,
+    KeepOutcome,
+    KeyedReply,
+    KeyStanding,
+    OpenGeneration,
+    QueryWitness,
+    RecordKey,
+    RecordReply,
+    Witness,
+)
+from egretrail.identity import Incarnation
+from egretrail.peer import PeerNetwork
+from egretrail.request import Answer
+from egretrail.wire import Acknowledged
+
+#: How long a home may be silent before it counts as unreachable; it replies within ``HOLD_S``.
+HOME_PATIENCE_S = 1.0
+
+
+class KeyedWitness:
+    """Drives the witness's side of the protocol."""
+
+    def __init__(self, own: Incarnation, network: PeerNetwork, witness: Witness) -> None:
+        self._own = own
+        self._network = network
+        self._witness = witness
+        self._stopping = False
+
+    def start(self) -> None:
+        """Answer homes and receivers from now on."""
+        self._network.on(OpenGeneration, self._on_open)
+        self._network.on(RecordKey, self._on_record)
+        self._network.on(KeepOutcome, self._on_outcome)
+        self._network.on(CloseGeneration, self._on_close)
+        self._network.on(QueryWitness, self._on_query)
+
+    def refuse_new(self) -> None:
+        """Open no more generations: this process is stopping."""
+        self._stopping = True
+
+    async def query(self, key: IdempotencyKey, binding: bytes) -> KeyedReply:
+        """Tell what became of a key whose home the asker cannot reach.
+
+        A key that was recorded may still be at work at a home which only the asker cannot reach:
+        the witness asks the home before it says that nothing is known.
+        """
+        if key.prefix.witness != self._own:
+            return KeyedReply(KeyStanding.NOT_HERE)
+        answer = self._witness.on_query(key, binding)
+        if answer is not None:
+            return KeyedReply(KeyStanding.ANSWERED, answer)
+        body = AwaitKeyed(key, binding)
+        home = key.prefix.home.instance
+        asked = await self._network.ask(home, body, KeyedReply, HOME_PATIENCE_S)
+        if isinstance(asked, Ok) and asked.ok_value.standing is KeyStanding.RUNNING:
+            return asked.ok_value
+        if isinstance(asked, Ok) and asked.ok_value.answer not in (None, KEY_REUSED):
+            self._adopt(key, binding, asked.ok_value.answer)
+        gone = isinstance(asked, Ok) and asked.ok_value.standing is KeyStanding.NOT_HERE
+        # The outcome may have come by itself meanwhile.
+        answer = self._witness.on_query(key, binding)
+        return KeyedReply(
+            KeyStanding.ANSWERED, answer or (RECORD_LOST if gone else HOME_UNREACHABLE)
+        )
+
+    def _adopt(self, key: IdempotencyKey, binding: bytes, answer: Answer | None) -> None:
+        if answer is not None:
+            self._witness.on_outcome(key.prefix.home, key, binding, answer)
+
+    async def _on_open(self, sender: Incarnation, body: OpenGeneration) -> GenerationOpened:
+        if self._stopping:
+            return GenerationOpened(body.opening, None)
+        now_s = asyncio.get_running_loop().time()
+        return GenerationOpened(body.opening, self._witness.open(sender, now_s))
+
+    async def _on_record(self, sender: Incarnation, body: RecordKey) -> RecordReply:
+        return RecordReply(self._witness.on_record(sender, body.key, body.binding))
+
+    async def _on_outcome(self, sender: Incarnation, body: KeepOutcome) -> Acknowledged:
+        self._witness.on_outcome(sender, body.key, body.binding, body.answer)
+        return Acknowledged()
+
+    async def _on_close(self, sender: Incarnation, body: CloseGeneration) -> Acknowledged:
+        self._witness.on_close(sender, body.prefix)
+        return Acknowledged()
+
+    async def _on_query(self, _sender: Incarnation, body: QueryWitness) -> KeyedReply:
+        return await self.query(body.key, body.binding)
