--- /dev/null
+++ b/src/egretrail/request/_messages.py
@@ -0,0 +1,25 @@
+"""Passing an idempotent request on to an instance that serves its service."""
+
+from dataclasses import dataclass
+
+from egretrail.request._answer import RecordedAnswer, Refusal
+from egretrail.request._envelope import RequestEnvelope
+from egretrail.wire import Message, message
+
+
+@message("request-forward")
+@dataclass(frozen=True, slots=True)
+class ForwardRequest(Message):
+    """Asks a member of the service's group to have an upstream answer a request."""
+
+    #: The request.
+    request: RequestEnvelope
+
+
+@message("request-answer")
+@dataclass(frozen=True, slots=True)
+class ForwardReply(Message):
+    """The reply to a forwarded request."""
+
+    #: The upstream's answer or the member's refusal.
+    answer: RecordedAnswer | Refusal
