Add stand-ins, demo traces, upstream client and the callers' face

Cause: the thin path needs processes to run against. Ruled out: reusing upstream connections without an echoed request id (aiohttp hands out an idle connection that already holds surplus bytes, which would be the next request's answer); proxying through Falcon's response (it joins repeated fields). Not run yet: the daemon is not assembled.

--- a/scaffolding/demo.py
+++ b/scaffolding/demo.py
@@ -1,1 +1,212 @@
-"""Replays a recorded trace against real processes."""
+"""Replays a recorded trace against real processes and prints what callers were told.
+
+Exit code 0 means that nothing ran twice, nothing said not to have run ran, and no answer was
+crossed or cut.
+"""
+
+import asyncio
+import random
+import shutil
+import signal
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import click
+import tomli_w
+
+from scaffolding.caller import Caller, Told
+from scaffolding.demo_trace import TRACES, DemoTrace, Deployment, Event, ServiceLine, read_trace
+from scaffolding.processes import FleetProcesses, fleet_processes
+
+_OUTPUT = Path("demo-output")
+_POLL_S = 0.05
+#: A gray upstream has stopped receiving work when it gets at most one request in this long.
+_QUIET_S = 1.0
+
+
+@dataclass(slots=True)
+class ServiceTally:
+    """What became of one service's requests."""
+
+    told: Counter[str] = field(default_factory=Counter)
+    requests: int = 0
+    crossed: int = 0
+    ran_twice: int = 0
+    ran_though_not_run: int = 0
+    quiet_after_s: list[str] = field(default_factory=list)
+
+
+class Demo:
+    """One replay."""
+
+    def __init__(self, trace: DemoTrace, fleet: FleetProcesses) -> None:
+        self._deployment: Deployment = trace.deployment
+        self._events = trace.events
+        self._fleet = fleet
+        self._services = {line.name: line for line in trace.deployment.services}
+        self.tallies = {name: ServiceTally() for name in self._services}
+        self._told: dict[str, list[Told]] = {name: [] for name in self._services}
+        self._callers: dict[str, Caller] = {}
+
+    async def run(self) -> None:
+        """Start everything, replay, and count."""
+        await self._set_up()
+        started_s = asyncio.get_running_loop().time()
+        tasks = []
+        for number, event in enumerate(self._events):
+            await asyncio.sleep(
+                max(0.0, started_s + event.at_s - asyncio.get_running_loop().time())
+            )
+            tasks.append(asyncio.create_task(self._play(event, number)))
+        await asyncio.gather(*tasks)
+        for name in self._services:
+            await self._count(name)
+
+    async def _set_up(self) -> None:
+        deployment = self._deployment
+        fleet = self._fleet
+        await fleet.start_platform()
+        for line in deployment.services:
+            await fleet.start_upstreams(
+                f"{deployment.team}/{line.name}",
+                deployment.availability_zones,
+                line.upstreams,
+                line.slots,
+                line.service_s,
+            )
+            await put_settings(fleet, deployment, line)
+        await fleet.start_instances(deployment.availability_zones, deployment.instances)
+        await fleet.until_ready()
+
+    async def _play(self, event: Event, number: int) -> None:
+        fleet = self._fleet
+        match event.kind:
+            case "request":
+                await self._request(event, f"w{number}")
+            case "upstream":
+                await self._upstream_fault(event)
+            case "store":
+                await fleet.post(fleet.store_port, "/control", {"out": event.mode == "out"})
+            case "kill":
+                fleet.processes.kill(fleet.instances[event.index].name)
+            case "stop":
+                name = fleet.instances[event.index].name
+                fleet.processes.signal(name, signal.SIGTERM)
+                code = await fleet.processes.wait(name)
+                click.echo(f"planned stop of {name}: exit code {code}")
+
+    async def _request(self, event: Event, work: str) -> None:
+        line = self._services[event.service]
+        method = "GET" if line.idempotent else "POST"
+        path = f"/{line.name}/items/{event.index}?work={work}"
+        body = b"" if line.idempotent else f"item={event.index}".encode()
+        told = await self._caller(event.caller).send(method, path, work, line.idempotent, body)
+        tally = self.tallies[line.name]
+        tally.requests += 1
+        tally.told[told.result] += 1
+        self._told[line.name].append(told)
+        wanted = f" {method} {path} {told.attempt} {len(body)}\n".encode()
+        if told.result == "answered" and told.status == 200 and not told.body.endswith(wanted):
+            tally.crossed += 1
+
+    async def _upstream_fault(self, event: Event) -> None:
+        port = self._fleet.upstreams[event.service][event.index]
+        started_s = time.monotonic()
+        control = {"draining": True} if event.mode == "draining" else {"mode": event.mode}
+        await self._fleet.post(port, "/control", control)
+        if event.mode == "good":
+            return
+        seen: list[tuple[float, int]] = []
+        while time.monotonic() - started_s < 8.0:
+            count = (await self._fleet.get(port, "/runs"))["requests"]
+            seen.append((time.monotonic() - started_s, count))
+            await asyncio.sleep(_POLL_S)
+            if seen[-1][0] > _QUIET_S and count - _count_at(seen, seen[-1][0] - _QUIET_S) <= 1:
+                break
+        after_s = max(0.0, seen[-1][0] - _QUIET_S)
+        requests = seen[-1][1] - seen[0][1]
+        text = f"{event.mode}: quiet after {after_s:.2f} s, {requests} requests"
+        self.tallies[event.service].quiet_after_s.append(text)
+
+    async def _count(self, name: str) -> None:
+        runs: Counter[str] = Counter()
+        for port in self._fleet.upstreams[name]:
+            runs.update((await self._fleet.get(port, "/runs"))["runs"])
+        tally = self.tallies[name]
+        by_work = Counter[str]()
+        for attempt, count in runs.items():
+            by_work[attempt.rpartition(".")[0]] += count
+        tally.ran_twice = sum(1 for count in by_work.values() if count > 1)
+        for told in self._told[name]:
+            tally.ran_though_not_run += sum(1 for attempt in told.not_run if runs[attempt])
+
+    def _caller(self, name: str) -> Caller:
+        if name not in self._callers:
+            entries = [("127.0.0.1", instance.caller_port) for instance in self._fleet.instances]
+            rng = random.Random(name)
+            self._callers[name] = Caller(self._fleet.session, name, entries, rng)
+        return self._callers[name]
+
+
+def _count_at(seen: list[tuple[float, int]], at_s: float) -> int:
+    return next((count for when, count in reversed(seen) if when <= at_s), seen[0][1])
+
+
+async def put_settings(fleet: FleetProcesses, deployment: Deployment, line: ServiceLine) -> None:
+    """Write one service and its route into the store, as a first operator would."""
+    service = {"floor": line.floor, "slots": line.slots, "detection": deployment.detection}
+    service["echo_header"] = "X-Request-Id"
+    route = {"service": line.name, "path_prefix": f"/{line.name}"}
+    for kind, document in (("services", service), ("routes", route)):
+        path = f"egretrail/settings/{deployment.team}/{kind}/{line.name}"
+        url = f"http://127.0.0.1:{fleet.store_port}/v1/kv/{path}?revision=0"
+        async with fleet.session.put(url, data=tomli_w.dumps(document)) as response:
+            response.raise_for_status()
+
+
+def print_table(deployment: Deployment, tallies: dict[str, ServiceTally]) -> None:
+    """Print one line for each service."""
+    head = (
+        f"{'service':<12}{'requests':>9}{'answered':>9}{'refused':>8}{'ran':>5}{'unknown':>8}"
+        f"{'nothing':>8}{'twice':>6}{'not-run ran':>12}{'crossed/cut':>12}  gray upstream"
+    )
+    click.echo(f"{deployment.team}, {deployment.instances} instances")
+    click.echo(head)
+    for name, tally in tallies.items():
+        told = tally.told
+        click.echo(
+            f"{name:<12}{tally.requests:>9}{told['answered']:>9}{told['refused']:>8}{told['ran']:>5}"
+            f"{told['unknown']:>8}{told['nothing']:>8}{tally.ran_twice:>6}"
+            f"{tally.ran_though_not_run:>12}{tally.crossed:>12}  {'; '.join(tally.quiet_after_s)}"
+        )
+
+
+async def replay(trace: DemoTrace) -> dict[str, ServiceTally]:
+    """Replay one trace; return what became of each service's requests."""
+    async with fleet_processes(_OUTPUT) as fleet:
+        demo = Demo(trace, fleet)
+        await demo.run()
+        counts = await fleet.get(fleet.store_port, "/counts")
+        click.echo("store calls: " + ", ".join(f"{k}={v}" for k, v in sorted(counts.items())))
+        return demo.tallies
+
+
+@click.command()
+@click.option("--trace", "name", default="laattanayte", help="A trace in traces/demo.")
+def main(name: str) -> None:
+    """Replay a demo trace and check what callers were told."""
+    shutil.rmtree(_OUTPUT, ignore_errors=True)
+    trace = read_trace(TRACES / f"{name}.jsonl")
+    tallies = asyncio.run(replay(trace))
+    print_table(trace.deployment, tallies)
+    broken = sum(t.ran_twice + t.ran_though_not_run + t.crossed for t in tallies.values())
+    unanswered = sum(1 for t in tallies.values() if not t.told["answered"])
+    click.echo("demo: " + ("promises broken" if broken or unanswered else "every promise held"))
+    sys.exit(1 if broken or unanswered else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/scaffolding/upstream.py
@@ -0,0 +1,163 @@
+"""Stand-ins of one service's upstreams, each on a port of its own.
+
+An upstream has slots and a short backlog, sheds above them, starts cold, drains, accepts a deadline
+and takes a closed connection as cancellation. ``POST /control`` plays faults on one upstream:
+``mode`` is one of ``good``, ``slow``, ``failing``, ``silent``, ``truncating``, ``surplus``,
+``late`` and ``crashing``; ``share`` is the share of requests the mode applies to; ``draining`` and
+``lying_load`` are switches. ``GET /runs`` tells how often each piece of work ran, by its
+``X-Work`` header.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import click
+from aiohttp import web
+
+#: How much slower a slow upstream is.
+_SLOW_FACTOR = 10.0
+#: Requests that wait for a slot before the upstream sheds.
+_BACKLOG = 2
+#: A cold upstream is this much slower at first, and warms over this long.
+_COLD_FACTOR = 3.0
+_COLD_S = 2.0
+
+
+@dataclass(slots=True)
+class UpstreamStandIn:
+    """One upstream and the fault it plays."""
+
+    name: str
+    slots: int
+    service_s: float
+    rng: random.Random
+    mode: str = "good"
+    share: float = 1.0
+    draining: bool = False
+    lying_load: bool = False
+    in_flight: int = 0
+    requests: int = 0
+    started_s: float = -1.0
+    runs: Counter[str] = field(default_factory=Counter)
+    free: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(1))
+
+    def app(self) -> web.Application:
+        """Return the upstream as an application."""
+        self.free = asyncio.Semaphore(self.slots)
+        app = web.Application(client_max_size=1 << 26)
+        app.router.add_post("/control", self._control)
+        app.router.add_get("/runs", self._runs)
+        app.router.add_get("/health", self._health)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    async def _control(self, request: web.Request) -> web.Response:
+        document = await request.json()
+        self.mode = document.get("mode", self.mode)
+        self.share = document.get("share", self.share)
+        self.draining = document.get("draining", self.draining)
+        self.lying_load = document.get("lying_load", self.lying_load)
+        return web.json_response({})
+
+    async def _runs(self, request: web.Request) -> web.Response:
+        return web.json_response({"runs": self.runs, "requests": self.requests})
+
+    async def _health(self, request: web.Request) -> web.Response:
+        load = 0.0 if self.lying_load else self.in_flight / self.slots
+        return web.json_response({"state": "ok", "load": load})
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        self.requests += 1
+        if self.draining:
+            return web.Response(status=503, headers={"X-Upstream-State": "draining"})
+        if self.in_flight >= self.slots + _BACKLOG:
+            return web.Response(status=503, headers={"X-Upstream-State": "shed"})
+        self.in_flight += 1
+        try:
+            async with self.free:
+                return await self._work(request, body)
+        finally:
+            self.in_flight -= 1
+
+    async def _work(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        mode = self.mode if self.rng.random() < self.share else "good"
+        work = request.headers.get("X-Work", "")
+        if request.method not in ("GET", "HEAD"):
+            self.runs[work] += 1
+        duration_s = self.service_s * self.rng.lognormvariate(0.0, 0.4) * self._cold_factor()
+        await asyncio.sleep(duration_s * (_SLOW_FACTOR if mode == "slow" else 1.0))
+        text = f"{self.name} {request.method} {request.rel_url} {work} {len(body)}\n".encode()
+        if mode == "failing":
+            return web.Response(status=500, body=b"fault")
+        if mode == "silent":
+            await asyncio.sleep(3600)
+        if mode == "crashing" or (mode == "good" and "poison" in request.path):
+            _abort(request)
+        headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        if mode in ("truncating", "surplus"):
+            return await _miscounted(request, text, headers, mode)
+        return web.Response(body=text, headers=headers)
+
+    def _cold_factor(self) -> float:
+        now_s = asyncio.get_running_loop().time()
+        if self.started_s < 0:
+            self.started_s = now_s
+        left = max(0.0, 1.0 - (now_s - self.started_s) / _COLD_S)
+        return 1.0 + (_COLD_FACTOR - 1.0) * left
+
+
+async def _miscounted(
+    request: web.Request, text: bytes, headers: dict[str, str], mode: str
+) -> web.StreamResponse:
+    """Answer with fewer or more bytes than the header tells."""
+    transport = request.transport
+    assert transport is not None
+    length = len(text) + 10 if mode == "truncating" else len(text)
+    head = [f"HTTP/1.1 200 OK\r\nContent-Length: {length}"]
+    head += [f"{name}: {value}" for name, value in headers.items()]
+    transport.write("\r\n".join(head).encode() + b"\r\n\r\n" + text)
+    if mode == "truncating":
+        transport.close()
+    else:
+        transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nsurplus\n")
+        await asyncio.sleep(5)
+    raise ConnectionResetError
+
+
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+    raise ConnectionResetError
+
+
+async def serve(upstreams: list[tuple[UpstreamStandIn, int]]) -> None:
+    """Serve each upstream on its port until cancelled."""
+    for upstream, port in upstreams:
+        runner = web.AppRunner(upstream.app(), access_log=None, handler_cancellation=True)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.option("--service", required=True)
+@click.option("--ports", required=True, help="One port for each upstream, with commas.")
+@click.option("--slots", type=int, required=True)
+@click.option("--service-s", type=float, required=True, help="Median time of one request.")
+@click.option("--seed", type=int, default=1)
+def main(service: str, ports: str, slots: int, service_s: float, seed: int) -> None:
+    """Run all upstreams of one service on loopback."""
+    rng = random.Random(seed)
+    numbers = [int(port) for port in ports.split(",")]
+    upstreams = [
+        (UpstreamStandIn(f"{service}-{n}", slots, service_s, random.Random(rng.random())), port)
+        for n, port in enumerate(numbers)
+    ]
+    asyncio.run(serve(upstreams))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/egretrail/daemon/_requests.py
@@ -0,0 +1,125 @@
+"""The way of one request through an instance: route, then home or group, then an upstream."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from egretrail.daemon._interfaces import KeyedRequests, LocalExecution, Routing
+from egretrail.fleet import FleetView, Member
+from egretrail.identity import CallerId, Incarnation
+from egretrail.peer import PeerNetwork
+from egretrail.request import (
+    Answer,
+    ForwardReply,
+    ForwardRequest,
+    Outcome,
+    Refusal,
+    RefusalCause,
+    RequestEnvelope,
+)
+from egretrail.runtime import Problem
+from egretrail.wire import Message
+
+_NO_ROUTE = Problem("no-route", 404, "No route matches the request")
+_KEY_NEEDED = Problem(
+    "key-needed", 428, "A request that is not idempotent needs an Idempotency-Key"
+)
+#: Instances of the group that one idempotent request is passed to before it is given up: a second
+#: one covers a member that has just gone, a third would only add load while the group is cut off.
+_FORWARD_TRIES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class IncomingRequest:
+    """One request as its caller sent it, read to its end."""
+
+    method: str
+    #: Raw path and query.
+    target: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    #: Digest of the caller's credential.
+    caller_id: CallerId
+    #: The caller's own deadline; None: the route's applies.
+    timeout_s: float | None
+    #: The Idempotency-Key; None when there is none.
+    key: str | None
+
+
+class RequestPath:
+    """Takes each request the way that its route and its key ask for."""
+
+    def __init__(
+        self,
+        routing: Routing,
+        view: FleetView,
+        network: PeerNetwork,
+        keyed: KeyedRequests,
+        local: LocalExecution,
+    ) -> None:
+        self._routing = routing
+        self._view = view
+        self._network = network
+        self._keyed = keyed
+        self._local = local
+        network.on(ForwardRequest, self._take_forwarded)
+
+    async def handle(self, incoming: IncomingRequest) -> Answer | Problem:
+        """Answer one request of a caller."""
+        path = incoming.target.partition("?")[0]
+        matched = self._routing.match(incoming.host, path)
+        if matched is None:
+            return _NO_ROUTE
+        settings = matched.settings
+        envelope = RequestEnvelope(
+            method=incoming.method,
+            target=incoming.target,
+            headers=incoming.headers,
+            body=incoming.body,
+            caller_id=incoming.caller_id,
+            service=matched.service,
+            route=matched.name,
+            deadline_s=min(incoming.timeout_s or settings.deadline_s, settings.deadline_s),
+            key=incoming.key,
+        )
+        if incoming.method in settings.idempotent_methods:
+            return await self._idempotent(envelope)
+        if incoming.key is None:
+            return _KEY_NEEDED
+        return await self._keyed.run(envelope)
+
+    async def _idempotent(self, envelope: RequestEnvelope) -> Answer:
+        """Answer here when this instance serves the service, else pass the request to one that does.
+
+        Load: a caller that kept an old resolve answer, or asked for another route. Harm prevented:
+        instances outside the group would open connections to every upstream and learn nothing of
+        their health. When the group cannot be reached this instance serves: capacity before order.
+        """
+        group = self._view.group(envelope.service)
+        if not group or any(member.name == self._view.own.name for member in group):
+            return await self._local.execute(envelope)
+        for member in group[:_FORWARD_TRIES]:
+            answer = await self._forward(member, envelope)
+            if answer is not None:
+                return answer
+        return await self._local.execute(envelope)
+
+    async def _forward(self, member: Member, envelope: RequestEnvelope) -> Answer | None:
+        replied = await self._network.ask(
+            member.name, ForwardRequest(envelope), ForwardReply, envelope.deadline_s
+        )
+        match replied:
+            case Ok(reply):
+                return reply.answer
+            case Err():
+                return None
+
+    async def _take_forwarded(self, _sender: Incarnation, message: ForwardRequest) -> Message:
+        return ForwardReply(await self._local.execute(message.request))
+
+
+Execute = Callable[[RequestEnvelope], Awaitable[Answer]]
+
+NO_UPSTREAM = Refusal(Outcome.NOT_RUN, RefusalCause.NO_UPSTREAM, retry_after_s=1.0)
--- /dev/null
+++ b/src/egretrail/daemon/_resolve.py
@@ -0,0 +1,67 @@
+"""Tells callers which addresses to use for a route, and with which idempotency-key prefixes."""
+
+import falcon
+import falcon.asgi
+
+from egretrail.daemon._interfaces import KeyedRequests, Routing
+from egretrail.fleet import FleetView, Member, MemberState
+from egretrail.identity import ServiceName
+from egretrail.runtime import PROBLEM_CONTENT_TYPE, Problem
+
+_NO_ROUTE = Problem("no-route", 404, "No route matches the path")
+_NO_PATH = Problem("bad-resolve", 400, "Ask with ?path=/the/path and, if you use one, &host=HOST")
+_NOT_READY = Problem("not-ready", 503, "No instance is ready to serve yet", retry_after_s=1.0)
+
+
+class Resolver:
+    """The resolve question, a falcon resource."""
+
+    def __init__(
+        self, routing: Routing, view: FleetView, keyed: KeyedRequests, ttl_s: float
+    ) -> None:
+        self._routing = routing
+        self._view = view
+        self._keyed = keyed
+        self._ttl_s = ttl_s
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer with the addresses of the instances that serve the path's service."""
+        path = req.get_param("path")
+        if not path:
+            return _show(resp, _NO_PATH)
+        matched = self._routing.match(req.get_param("host") or "", path)
+        if matched is None:
+            return _show(resp, _NO_ROUTE)
+        addresses = [
+            self._address(member, matched.service)
+            for member in self._view.group(matched.service)
+            if member.state is MemberState.ALIVE and member.ready
+        ]
+        if not addresses:
+            return _show(resp, _NOT_READY)
+        resp.media = {
+            "service": matched.service,
+            "route": matched.name,
+            "ttl_s": self._ttl_s,
+            "idempotent_methods": list(matched.settings.idempotent_methods),
+            "addresses": addresses,
+        }
+        resp.set_header("Cache-Control", f"max-age={int(self._ttl_s)}")
+
+    def _address(self, member: Member, service: ServiceName) -> dict[str, object]:
+        prefix = self._keyed.prefix_for(member, service)
+        return {
+            "instance": member.name,
+            "host": member.caller_host,
+            "port": member.caller_port,
+            "availability_zone": member.availability_zone,
+            "key_prefix": prefix,
+        }
+
+
+def _show(resp: falcon.asgi.Response, problem: Problem) -> None:
+    resp.status = problem.status
+    resp.media = problem.document()
+    resp.content_type = PROBLEM_CONTENT_TYPE
+    for name, value in problem.headers().items():
+        resp.set_header(name, value)
