--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -1,5 +1,22 @@
 """Asynchronous drivers: they connect the decision packages to sockets, peers and the clock."""
 
-from egretrail.runtime._upstream_client import UpstreamClient, UpstreamRequest, UpstreamResult
+from egretrail.runtime._evidence import EvidenceDriver
+from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
+from egretrail.runtime._upstream_client import (
+    DEADLINE_HEADER,
+    UpstreamClient,
+    UpstreamRequest,
+    UpstreamResult,
+)
 
-__all__ = ["UpstreamClient", "UpstreamRequest", "UpstreamResult"]
+__all__ = [
+    "DEADLINE_HEADER",
+    "OUTCOME_HEADER",
+    "PROBLEM_CONTENT_TYPE",
+    "EvidenceDriver",
+    "Problem",
+    "UpstreamClient",
+    "UpstreamRequest",
+    "UpstreamResult",
+    "problem_of",
+]
