--- a/src/egretrail/daemon/_interfaces.py
+++ b/src/egretrail/daemon/_interfaces.py
@@ -1,10 +1,12 @@
 """What the request path asks of the drivers."""
 
 import abc
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from egretrail.fleet import Member
-from egretrail.identity import RouteName, ServiceName
+from egretrail.identity import RouteName, ServiceName, UpstreamName
+from egretrail.platform import ListedInstance
 from egretrail.request import Answer, RequestEnvelope
 from egretrail.settings import RouteSettings
 
@@ -45,5 +47,17 @@
     """Has an upstream answer a request, from this instance."""
 
     @abc.abstractmethod
-    async def execute(self, request: RequestEnvelope) -> Answer:
+    async def execute(self, request: RequestEnvelope, route: RouteSettings) -> Answer:
         """Queue, place and send a request; return the answer or a truthful refusal."""
+
+
+class UpstreamSource(abc.ABC):
+    """Tells which upstreams of a service may be given work."""
+
+    @abc.abstractmethod
+    def upstreams(self, service: ServiceName) -> Sequence[ListedInstance]:
+        """Return the upstreams that are live and not leaving, in a stable order."""
+
+    @abc.abstractmethod
+    def note_drain(self, service: ServiceName, upstream: UpstreamName) -> None:
+        """Take an upstream's own word that it is draining."""
--- /dev/null
+++ b/src/egretrail/daemon/_metrics.py
@@ -0,0 +1,73 @@
+"""The instance's metrics, each with the labels that an operator can act on."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, ProcessCollector
+
+#: From an answer out of a cache to one that a patient caller still waits for.
+_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+
+class Metrics:
+    """One registry for each instance, so that tests can hold several."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self.requests = Counter(
+            "egretrail_requests",
+            "Callers' requests by service, route and result: answered or the refusal's cause.",
+            ["service", "route", "result"],
+            registry=self.registry,
+        )
+        self.duration_s = Histogram(
+            "egretrail_request_duration_seconds",
+            "Time from a whole request to its answer.",
+            ["service"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "egretrail_attempts",
+            "Attempts on upstreams by service and outcome.",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self.ejections = Counter(
+            "egretrail_ejections",
+            "Times that this instance stopped giving an upstream work.",
+            ["service", "cause"],
+            registry=self.registry,
+        )
+        self.upstreams = Gauge(
+            "egretrail_upstreams",
+            "Upstreams of a service by state, as this instance judges them.",
+            ["service", "state"],
+            registry=self.registry,
+        )
+        self.queued = Gauge(
+            "egretrail_queued_requests",
+            "Requests that wait for an upstream.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "egretrail_requests_in_flight",
+            "Callers' requests that this instance holds.",
+            registry=self.registry,
+        )
+        self.members = Gauge(
+            "egretrail_members",
+            "Instances of the fleet by state, as this instance sees them.",
+            ["state"],
+            registry=self.registry,
+        )
+        self.ready = Gauge(
+            "egretrail_ready", "1 while the instance may be named to callers.", registry=self.registry
+        )
+        self.leaving = Gauge(
+            "egretrail_leaving", "1 while the instance is stopping.", registry=self.registry
+        )
+        self.settings_revision = Gauge(
+            "egretrail_settings_revision",
+            "Highest store revision whose settings are in force here.",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/egretrail/daemon/_service_state.py
@@ -0,0 +1,118 @@
+"""What an instance holds for each service that it serves: scheduler, health, upstreams."""
+
+import random
+from collections.abc import Callable, Sequence
+
+from egretrail.daemon._interfaces import UpstreamSource
+from egretrail.identity import AvailabilityZone, ServiceName, TeamName, UpstreamName
+from egretrail.platform import Endpoint
+from egretrail.runtime import EvidenceDriver
+from egretrail.service import Candidate, Scheduler, UpstreamWeights
+from egretrail.settings import ServiceSettings
+from egretrail.upstream import UpstreamState
+
+
+class _Weights(UpstreamWeights):
+    """Shows a service's upstreams to its scheduler as the list and health see them now."""
+
+    def __init__(self, state: "ServiceState") -> None:
+        self._state = state
+
+    def usable(self, now_s: float) -> Sequence[Candidate]:
+        """Return the upstreams that may be given work now, in a stable order."""
+        return self._state.candidates(now_s)
+
+    def may_run(self, digest: bytes, now_s: float) -> bool:
+        """Return whether a request may be given to one more upstream; suspected ones may not."""
+        return self._state.suspects.may_touch_another(short_digest(digest), now_s)
+
+
+class ServiceState:
+    """One service on one instance."""
+
+    def __init__(
+        self,
+        name: ServiceName,
+        settings: ServiceSettings,
+        zone: AvailabilityZone,
+        source: UpstreamSource,
+        evidence: EvidenceDriver,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.team = TeamName(name.partition("/")[0])
+        self.settings = settings
+        self.suspects = evidence.suspects(name)
+        self.health = evidence.health(name)
+        self.scheduler = Scheduler(zone, _Weights(self), settings.retry_budget, rng)
+        self._source = source
+        self._evidence = evidence
+        self._seen: Sequence[UpstreamName] = ()
+
+    def candidates(self, now_s: float) -> Sequence[Candidate]:
+        """Return the upstreams that may be given work now."""
+        rows = self._source.upstreams(self.name)
+        names = tuple(UpstreamName(row.name) for row in rows)
+        if names != self._seen:
+            self._seen = names
+            self.health.set_upstreams(names, now_s)
+        found = []
+        for row in rows:
+            name = UpstreamName(row.name)
+            verdict = self.health.verdict(name, now_s)
+            if verdict.in_service:
+                found.append(
+                    Candidate(
+                        name=name,
+                        availability_zone=row.availability_zone,
+                        weight=verdict.weight,
+                        trial=verdict.state is UpstreamState.TRIAL,
+                        slots=self.settings.slots,
+                        peer_in_flight=self._evidence.peer_in_flight(self.name, name),
+                    )
+                )
+        return found
+
+    def endpoint(self, upstream: UpstreamName) -> Endpoint | None:
+        """Return where an upstream takes requests; None once it is no longer listed."""
+        for row in self._source.upstreams(self.name):
+            if row.name == upstream:
+                return row.endpoint
+        return None
+
+
+class ServiceStates:
+    """The services that this instance serves, made at their first request."""
+
+    def __init__(
+        self,
+        settings_of: Callable[[ServiceName], ServiceSettings | None],
+        zone: AvailabilityZone,
+        source: UpstreamSource,
+        evidence: EvidenceDriver,
+        seed: int,
+    ) -> None:
+        self._settings_of = settings_of
+        self._zone = zone
+        self._source = source
+        self._evidence = evidence
+        self._rng = random.Random(seed)
+        self.held: dict[ServiceName, ServiceState] = {}
+
+    def get(self, name: ServiceName) -> ServiceState | None:
+        """Return a service's state; None when no settings name the service."""
+        settings = self._settings_of(name)
+        if settings is None:
+            return None
+        state = self.held.get(name)
+        if state is None:
+            rng = random.Random(self._rng.random())
+            state = ServiceState(name, settings, self._zone, self._source, self._evidence, rng)
+            self.held[name] = state
+        state.settings = settings
+        return state
+
+
+def short_digest(digest: bytes) -> int:
+    """Return the form in which a request's digest is counted and shared among instances."""
+    return int.from_bytes(digest[:8], "big")
