--- a/src/egretrail/route/__init__.py
+++ b/src/egretrail/route/__init__.py
@@ -1,1 +1,15 @@
-"""The route package."""
+"""Which route a request belongs to."""
+
+from egretrail.route._acceptance import acceptance_faults
+from egretrail.route._path import PathFault, UnsafePath, normalised_host, path_segments
+from egretrail.route._table import RouteMatch, RouteTable
+
+__all__ = [
+    "PathFault",
+    "RouteMatch",
+    "RouteTable",
+    "UnsafePath",
+    "acceptance_faults",
+    "normalised_host",
+    "path_segments",
+]
--- a/src/egretrail/settings/_fleet.py
+++ b/src/egretrail/settings/_fleet.py
@@ -18,6 +18,7 @@
 _STRICT = ConfigDict(extra="forbid")
 _NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 _Name = Annotated[str, Field(pattern=_NAME_PATTERN)]
+_Method = Annotated[str, Field(pattern=r"^[A-Z][A-Z-]{0,31}$")]
 
 
 class Detection(enum.Enum):
@@ -110,7 +111,7 @@
     )
     #: Methods whose requests are idempotent.
     idempotent_methods: Annotated[
-        Sequence[str], Field(description="Methods whose requests are idempotent.")
+        Sequence[_Method], Field(description="Methods whose requests are idempotent.")
     ] = ("GET", "HEAD", "OPTIONS")
     #: How long a request may take when its caller gives no deadline.
     deadline_s: Annotated[
@@ -145,6 +146,11 @@
     def __str__(self) -> str:
         return f"{self.team}/{self.kind.value}/{self.name}"
 
+    @property
+    def qualified_name(self) -> str:
+        """Return ``TEAM/NAME``, by which the rest of the fleet knows the service or route."""
+        return f"{self.team}/{self.name}"
+
     @staticmethod
     def parse(path: str) -> "Result[SettingPath, InvalidSettings]":
         """Read ``TEAM/services/NAME`` or ``TEAM/routes/NAME``."""
