--- a/src/egretrail/daemon/_interfaces.py
+++ b/src/egretrail/daemon/_interfaces.py
@@ -2,34 +2,32 @@
 
 import abc
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from result import Result
 
 from egretrail.fleet import Member
 from egretrail.identity import RouteName, ServiceName, UpstreamName
 from egretrail.platform import ListedInstance
 from egretrail.request import Answer, RequestEnvelope
-from egretrail.settings import RouteSettings
-
-
-@dataclass(frozen=True, slots=True)
-class MatchedRoute:
-    """The route that a request takes."""
-
-    #: The route's qualified name.
-    name: RouteName
-    #: The qualified name of its service.
-    service: ServiceName
-    #: The route's settings.
-    settings: RouteSettings
+from egretrail.route import RouteMatch, UnsafePath
+from egretrail.settings import RouteSettings, ServiceSettings
 
 
 class Routing(abc.ABC):
     """Finds routes in the settings in force."""
 
     @abc.abstractmethod
-    def match(self, host: str, path: str) -> MatchedRoute | None:
+    def match(self, host: str, path: str, method: str) -> Result[RouteMatch | None, UnsafePath]:
         """Return the route of a request; None when there is none."""
 
+    @abc.abstractmethod
+    def route(self, name: RouteName) -> RouteSettings | None:
+        """Return the settings of a route in force here."""
+
+    @abc.abstractmethod
+    def service(self, name: ServiceName) -> ServiceSettings | None:
+        """Return the settings of a service in force here."""
+
 
 class KeyedRequests(abc.ABC):
     """Runs requests that are not idempotent at most once."""
--- a/src/egretrail/daemon/_metrics.py
+++ b/src/egretrail/daemon/_metrics.py
@@ -61,7 +61,9 @@
             registry=self.registry,
         )
         self.ready = Gauge(
-            "egretrail_ready", "1 while the instance may be named to callers.", registry=self.registry
+            "egretrail_ready",
+            "1 while the instance may be named to callers.",
+            registry=self.registry,
         )
         self.leaving = Gauge(
             "egretrail_leaving", "1 while the instance is stopping.", registry=self.registry
--- /dev/null
+++ b/src/egretrail/daemon/_operator_face.py
@@ -0,0 +1,197 @@
+"""What operators speak to: health, metrics, and what the instance sees and would do."""
+
+import falcon.asgi
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from result import Err
+
+from egretrail.daemon._interfaces import Routing, UpstreamSource
+from egretrail.daemon._metrics import Metrics
+from egretrail.daemon._service_state import ServiceStates
+from egretrail.fleet import FleetView
+from egretrail.settings import FleetSettings
+
+
+class LiveResource:
+    """Liveness: the process runs and its loop turns."""
+
+    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer 200."""
+        resp.media = {"live": True}
+
+
+class ReadyResource:
+    """Readiness: the instance holds the settings and may be named to callers."""
+
+    def __init__(self, view: FleetView) -> None:
+        self._view = view
+
+    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer 200 when ready, 503 before that and while stopping."""
+        own = self._view.own
+        resp.media = {"ready": own.ready, "state": own.state.value}
+        resp.status = 200 if own.ready else 503
+
+
+class MetricsResource:
+    """The Prometheus text format."""
+
+    def __init__(self, metrics: Metrics, refresh: "MetricsRefresh") -> None:
+        self._metrics = metrics
+        self._refresh = refresh
+
+    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer with every metric."""
+        self._refresh.refresh()
+        resp.data = generate_latest(self._metrics.registry)
+        resp.content_type = CONTENT_TYPE_LATEST
+
+
+class MetricsRefresh:
+    """Sets the gauges that show state when they are read."""
+
+    def __init__(self, metrics: Metrics, view: FleetView, services: ServiceStates) -> None:
+        self._metrics = metrics
+        self._view = view
+        self._services = services
+
+    def refresh(self) -> None:
+        """Set every gauge from the state it shows."""
+        metrics = self._metrics
+        metrics.ready.set(1 if self._view.own.ready else 0)
+        metrics.members.clear()
+        for member in self._view.members():
+            metrics.members.labels(member.state.value).inc()
+        metrics.upstreams.clear()
+        for name, state in self._services.held.items():
+            metrics.queued.labels(name).set(state.scheduler.waiting)
+            for _, verdict in state.judged():
+                metrics.upstreams.labels(name, verdict.state.value).inc()
+
+
+class InstancesResource:
+    """The fleet as this instance sees it."""
+
+    def __init__(self, view: FleetView) -> None:
+        self._view = view
+
+    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer with every known member."""
+        resp.media = {
+            "instances": [
+                {
+                    "name": member.name,
+                    "incarnation": f"{member.incarnation.number:x}",
+                    "availability_zone": member.availability_zone,
+                    "state": member.state.value,
+                    "ready": member.ready,
+                    "own": member.name == self._view.own.name,
+                }
+                for member in self._view.members()
+            ]
+        }
+
+
+class UpstreamsResource:
+    """The upstreams of the services that this instance serves."""
+
+    def __init__(self, services: ServiceStates) -> None:
+        self._services = services
+
+    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer with each upstream's state, weight and cause."""
+        resp.media = {
+            "upstreams": [
+                {
+                    "service": name,
+                    "upstream": upstream,
+                    "state": verdict.state.value,
+                    "weight": round(verdict.weight, 3),
+                    "cause": verdict.cause.value,
+                    "since_s": round(verdict.since_s, 3),
+                    "in_flight": state.scheduler.in_flight.get(upstream, 0),
+                }
+                for name, state in sorted(self._services.held.items())
+                for upstream, verdict in state.judged()
+            ]
+        }
+
+
+class RoutesResource:
+    """The routes in force on this instance."""
+
+    def __init__(self, settings: "SettingsInForce") -> None:
+        self._settings = settings
+
+    async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer with every route, by name."""
+        routes = self._settings.current().routes
+        resp.media = {
+            "routes": [
+                {
+                    "route": name,
+                    "host": route.host,
+                    "path_prefix": route.path_prefix,
+                    "service": f"{name.partition('/')[0]}/{route.service}",
+                    "idempotent_methods": list(route.idempotent_methods),
+                }
+                for name, route in sorted(routes.items())
+            ]
+        }
+
+
+class SettingsInForce:
+    """Reads the settings in force."""
+
+    def current(self) -> FleetSettings:
+        """Return them."""
+        raise NotImplementedError
+
+
+class ExplainResource:
+    """Why a request would go where it goes, or be refused."""
+
+    def __init__(
+        self,
+        routing: Routing,
+        view: FleetView,
+        services: ServiceStates,
+        source: UpstreamSource,
+    ) -> None:
+        self._routing = routing
+        self._view = view
+        self._services = services
+        self._source = source
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Answer for the request that the query describes: method, host, path."""
+        method = req.get_param("method") or "GET"
+        path = req.get_param("path") or "/"
+        found = self._routing.match(req.get_param("host") or "", path, method)
+        if isinstance(found, Err):
+            resp.media = {
+                "result": "refused",
+                "cause": "unsafe-path",
+                "detail": str(found.err_value),
+            }
+            return
+        matched = found.ok_value
+        if matched is None:
+            resp.media = {"result": "refused", "cause": "no-route"}
+            return
+        group = self._view.group(matched.service)
+        state = self._services.get(matched.service)
+        resp.media = {
+            "result": "routed" if state is not None else "refused",
+            "route": matched.route,
+            "service": matched.service,
+            "idempotent": matched.idempotent,
+            "needs_key": not matched.idempotent,
+            "group": [member.name for member in group],
+            "served_here": any(member.name == self._view.own.name for member in group),
+            "upstreams_listed": [row.name for row in self._source.upstreams(matched.service)],
+            "upstreams_judged": [
+                {"upstream": name, "state": verdict.state.value, "cause": verdict.cause.value}
+                for name, verdict in (state.judged() if state is not None else ())
+            ],
+            "waiting": state.scheduler.waiting if state is not None else 0,
+        }
--- a/src/egretrail/daemon/_requests.py
+++ b/src/egretrail/daemon/_requests.py
@@ -1,6 +1,5 @@
 """The way of one request through an instance: route, then home or group, then an upstream."""
 
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from result import Err, Ok
@@ -19,12 +18,15 @@
     RequestEnvelope,
 )
 from egretrail.runtime import Problem
+from egretrail.settings import RouteSettings
 from egretrail.wire import Message
 
 _NO_ROUTE = Problem("no-route", 404, "No route matches the request")
 _KEY_NEEDED = Problem(
     "key-needed", 428, "A request that is not idempotent needs an Idempotency-Key"
 )
+#: A forwarded request whose route has not reached this instance yet.
+_UNKNOWN_ROUTE = Refusal(Outcome.NOT_RUN, RefusalCause.NO_UPSTREAM, retry_after_s=1.0)
 #: Instances of the group that one idempotent request is passed to before it is given up: a second
 #: one covers a member that has just gone, a third would only add load while the group is cut off.
 _FORWARD_TRIES = 2
@@ -69,7 +71,10 @@
     async def handle(self, incoming: IncomingRequest) -> Answer | Problem:
         """Answer one request of a caller."""
         path = incoming.target.partition("?")[0]
-        matched = self._routing.match(incoming.host, path)
+        found = self._routing.match(incoming.host, path, incoming.method)
+        if isinstance(found, Err):
+            return Problem("unsafe-path", 400, "The path is not safe", detail=str(found.err_value))
+        matched = found.ok_value
         if matched is None:
             return _NO_ROUTE
         settings = matched.settings
@@ -80,17 +85,24 @@
             body=incoming.body,
             caller_id=incoming.caller_id,
             service=matched.service,
-            route=matched.name,
+            route=matched.route,
             deadline_s=min(incoming.timeout_s or settings.deadline_s, settings.deadline_s),
             key=incoming.key,
         )
-        if incoming.method in settings.idempotent_methods:
-            return await self._idempotent(envelope)
+        if matched.idempotent:
+            return await self._idempotent(envelope, settings)
         if incoming.key is None:
             return _KEY_NEEDED
         return await self._keyed.run(envelope)
 
-    async def _idempotent(self, envelope: RequestEnvelope) -> Answer:
+    async def execute(self, envelope: RequestEnvelope) -> Answer:
+        """Answer a request from here, by its route's settings in force here."""
+        settings = self._routing.route(envelope.route)
+        if settings is None:
+            return _UNKNOWN_ROUTE
+        return await self._local.execute(envelope, settings)
+
+    async def _idempotent(self, envelope: RequestEnvelope, settings: RouteSettings) -> Answer:
         """Answer here when this instance serves the service, else pass the request to one that does.
 
         Load: a caller that kept an old resolve answer, or asked for another route. Harm prevented:
@@ -99,12 +111,12 @@
         """
         group = self._view.group(envelope.service)
         if not group or any(member.name == self._view.own.name for member in group):
-            return await self._local.execute(envelope)
+            return await self._local.execute(envelope, settings)
         for member in group[:_FORWARD_TRIES]:
             answer = await self._forward(member, envelope)
             if answer is not None:
                 return answer
-        return await self._local.execute(envelope)
+        return await self._local.execute(envelope, settings)
 
     async def _forward(self, member: Member, envelope: RequestEnvelope) -> Answer | None:
         replied = await self._network.ask(
@@ -117,9 +129,4 @@
                 return None
 
     async def _take_forwarded(self, _sender: Incarnation, message: ForwardRequest) -> Message:
-        return ForwardReply(await self._local.execute(message.request))
-
-
-Execute = Callable[[RequestEnvelope], Awaitable[Answer]]
-
-NO_UPSTREAM = Refusal(Outcome.NOT_RUN, RefusalCause.NO_UPSTREAM, retry_after_s=1.0)
+        return ForwardReply(await self.execute(message.request))
--- a/src/egretrail/daemon/_resolve.py
+++ b/src/egretrail/daemon/_resolve.py
@@ -1,7 +1,7 @@
 """Tells callers which addresses to use for a route, and with which idempotency-key prefixes."""
 
-import falcon
 import falcon.asgi
+from result import Ok
 
 from egretrail.daemon._interfaces import KeyedRequests, Routing
 from egretrail.fleet import FleetView, Member, MemberState
@@ -29,7 +29,8 @@
         path = req.get_param("path")
         if not path:
             return _show(resp, _NO_PATH)
-        matched = self._routing.match(req.get_param("host") or "", path)
+        found = self._routing.match(req.get_param("host") or "", path, "GET")
+        matched = found.ok_value if isinstance(found, Ok) else None
         if matched is None:
             return _show(resp, _NO_ROUTE)
         addresses = [
@@ -41,7 +42,7 @@
             return _show(resp, _NOT_READY)
         resp.media = {
             "service": matched.service,
-            "route": matched.name,
+            "route": matched.route,
             "ttl_s": self._ttl_s,
             "idempotent_methods": list(matched.settings.idempotent_methods),
             "addresses": addresses,
--- a/src/egretrail/daemon/_service_state.py
+++ b/src/egretrail/daemon/_service_state.py
@@ -1,5 +1,6 @@
 """What an instance holds for each service that it serves: scheduler, health, upstreams."""
 
+import asyncio
 import random
 from collections.abc import Callable, Sequence
 
@@ -9,7 +10,7 @@
 from egretrail.runtime import EvidenceDriver
 from egretrail.service import Candidate, Scheduler, UpstreamWeights
 from egretrail.settings import ServiceSettings
-from egretrail.upstream import UpstreamState
+from egretrail.upstream import UpstreamState, Verdict
 
 
 class _Weights(UpstreamWeights):
@@ -73,6 +74,11 @@
                 )
         return found
 
+    def judged(self) -> Sequence[tuple[UpstreamName, Verdict]]:
+        """Return the decision on each upstream, by name, for operators."""
+        now_s = asyncio.get_running_loop().time()
+        return sorted(self.health.verdicts(now_s).items())
+
     def endpoint(self, upstream: UpstreamName) -> Endpoint | None:
         """Return where an upstream takes requests; None once it is no longer listed."""
         for row in self._source.upstreams(self.name):
--- a/src/egretrail/runtime/_upstream_client.py
+++ b/src/egretrail/runtime/_upstream_client.py
@@ -122,7 +122,9 @@
         session = self._reusing if reuse else self._fresh
         sent = _Sent()
         timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=min(timeout_s, self._connect_timeout_s), ceil_threshold=1e9
+            total=timeout_s,
+            sock_connect=min(timeout_s, self._connect_timeout_s),
+            ceil_threshold=1e9,
         )
         url = yarl.URL(f"http://{endpoint.host}:{endpoint.port}{request.target}", encoded=True)
         try:
