Keep the HTTP client from sending work a second time

Cause: test_a_lost_request_is_not_sent_again_by_the_library failed first: 2 requests for one PUT. aiohttp sends PUT and DELETE again after ServerDisconnectedError, also on a connection of its own. Ruled out: keep-alive (force_close was on, a second connection carried the resend). Conclusion: retries are decided by egretrail alone.

--- a/src/egretrail/daemon/__init__.py
+++ b/src/egretrail/daemon/__init__.py
@@ -1,5 +1,5 @@
-"""The entry instance's process, ``egretraild``."""
+"""The entry instance's process, ``egretraild``: its faces, and how its parts are put together."""
 
+from egretrail.daemon._main import main
 
-def main() -> None:
-    """Run an entry instance."""
+__all__ = ["main"]
--- /dev/null
+++ b/src/egretrail/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon by ``python -m egretrail.daemon``."""
+
+from egretrail.daemon import main
+
+main()
--- a/src/egretrail/daemon/_caller_face.py
+++ b/src/egretrail/daemon/_caller_face.py
@@ -171,7 +171,7 @@
         pass
 
 
-def _deadline_s(fields: list[tuple[bytes, bytes]]) -> float | None | Problem:
+def _deadline_s(fields: list[tuple[bytes, bytes]]) -> float | Problem | None:
     text = _field(fields, DEADLINE_HEADER.lower().encode())
     if not text:
         return None
--- a/src/egretrail/daemon/_requests.py
+++ b/src/egretrail/daemon/_requests.py
@@ -103,7 +103,7 @@
         return await self._local.execute(envelope, settings)
 
     async def _idempotent(self, envelope: RequestEnvelope, settings: RouteSettings) -> Answer:
-        """Answer here when this instance serves the service, else pass the request to one that does.
+        """Answer here if this instance serves the service, else pass the request to one that does.
 
         Load: a caller that kept an old resolve answer, or asked for another route. Harm prevented:
         instances outside the group would open connections to every upstream and learn nothing of
--- a/src/egretrail/report/_burn.py
+++ b/src/egretrail/report/_burn.py
@@ -1,7 +1,7 @@
 """Error budgets and how fast they burn, over several windows at once.
 
-A burn rate of 1 uses the budget up exactly by the end of the objective's period. An alert on a short
-and a long window together is prompt and does not fire for a burst that is already over.
+A burn rate of 1 uses the budget up exactly by the end of the objective's period. An alert on a
+short and a long window together is prompt and does not fire for a burst that is already over.
 """
 
 from collections.abc import Mapping
--- a/src/egretrail/runtime/_upstream_client.py
+++ b/src/egretrail/runtime/_upstream_client.py
@@ -186,9 +186,30 @@
             auto_decompress=False,
             skip_auto_headers=_AUTOMATIC,
             trace_configs=[tracing],
+            middlewares=(_never_resend,),
         )
 
 
+class _ConnectionLostError(aiohttp.ClientError):
+    """The connection was lost after the request may have been sent."""
+
+
+async def _never_resend(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Hide lost connections from the library.
+
+    It sends PUT and DELETE a second time after a loss, also on a new connection: work that the
+    route does not call idempotent would run twice.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _ConnectionLostError from error
+
+
 async def _note_sent(
     _session: aiohttp.ClientSession,
     context: "aiohttp.tracing.SimpleNamespace",
