--- a/Makefile
+++ b/Makefile
@@ -17,17 +17,23 @@
 	$(BIN)/python -m pytest
 
 check: setup
-	$(BIN)/black --check --quiet src scaffolding
-	$(BIN)/ruff check src scaffolding
-	$(BIN)/mypy src scaffolding
+	$(BIN)/black --check --quiet src scaffolding benchmarks
+	$(BIN)/ruff check src scaffolding benchmarks
+	$(BIN)/mypy src scaffolding benchmarks
 	$(BIN)/lint-imports --no-cache
 
 format: setup
-	$(BIN)/black --quiet src scaffolding
-	$(BIN)/ruff check --fix src scaffolding
+	$(BIN)/black --quiet src scaffolding benchmarks
+	$(BIN)/ruff check --fix src scaffolding benchmarks
 
 demo: setup
 	$(BIN)/python -m scaffolding.demo
 
 lock:
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
+
+bench: setup
+	$(BIN)/python -m benchmarks.bench
+
+slopes: setup
+	$(BIN)/python -m benchmarks.slopes
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of speed and size; nothing here is asserted in CI."""
