Add membership: heartbeats, suspicion, groups and the peer directory

Instances learn of each other from the platform's lagging list and from heartbeats with bounded rumours. 'Cannot be reached' changes groups only; 'gone' needs a farewell, a later process, or the list.

Ruled out: probing everybody in turn (a stream to each of 3,500), and trusting an absent row at once (a restart within the list's lag would look like an end).

--- a/src/egretrail/fleet/__init__.py
+++ b/src/egretrail/fleet/__init__.py
@@ -1,5 +1,39 @@
 """The fleet's own instances: who is there, who serves which service."""
 
+from egretrail.fleet._group import GroupIndex, group_size
+from egretrail.fleet._messages import (
+    IndirectPing,
+    IndirectPong,
+    Ping,
+    Pong,
+    Rumour,
+    RumourState,
+    SyncAsk,
+    SyncReply,
+)
+from egretrail.fleet._probing import ProbePlan
+from egretrail.fleet._slowness import Slowness
+from egretrail.fleet._table import UNHEARD, MembershipTable
+from egretrail.fleet._tuning import MembershipTuning
 from egretrail.fleet._view import FleetView, Member, MemberState
 
-__all__ = ["FleetView", "Member", "MemberState"]
+__all__ = [
+    "UNHEARD",
+    "FleetView",
+    "GroupIndex",
+    "IndirectPing",
+    "IndirectPong",
+    "Member",
+    "MemberState",
+    "MembershipTable",
+    "MembershipTuning",
+    "Ping",
+    "Pong",
+    "ProbePlan",
+    "Rumour",
+    "RumourState",
+    "Slowness",
+    "SyncAsk",
+    "SyncReply",
+    "group_size",
+]
--- /dev/null
+++ b/src/egretrail/fleet/_table.py
@@ -0,0 +1,389 @@
+"""What one instance knows of every other, merged from probes, rumours and the platform's list."""
+
+import random
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+import xxhash
+
+from egretrail.fleet._absence import AbsenceLedger
+from egretrail.fleet._messages import Rumour, RumourState
+from egretrail.fleet._rumours import RumourQueue
+from egretrail.fleet._slowness import Slowness
+from egretrail.fleet._tuning import MembershipTuning
+from egretrail.fleet._view import Member, MemberState
+from egretrail.identity import Incarnation, InstanceName
+
+#: The incarnation number of an instance that is listed and has not been heard yet.
+UNHEARD = 0
+_BUCKETS: Final = 32
+
+_MEMBER_STATES: Mapping[RumourState, MemberState] = {
+    RumourState.ALIVE: MemberState.ALIVE,
+    RumourState.SUSPECT: MemberState.ALIVE,
+    RumourState.UNREACHABLE: MemberState.UNREACHABLE,
+    RumourState.LEAVING: MemberState.LEAVING,
+    RumourState.ENDED: MemberState.LEAVING,
+}
+_FINAL = (RumourState.LEAVING, RumourState.ENDED)
+
+
+@dataclass(slots=True)
+class _Record:
+    #: The newest rumour of the newest process.
+    rumour: Rumour
+    #: When this process was first heard of, and when it last showed itself to anybody.
+    known_since_s: float
+    heard_s: float
+    #: Who suspects it, and since when.
+    accusers: set[str] = field(default_factory=set)
+    suspected_s: float = 0.0
+    #: Returns from being unreachable, and until when it is kept out of groups for them.
+    returns: int = 0
+    held_until_s: float = 0.0
+    #: Whether the platform's list shows it as leaving.
+    listed_leaving: bool = False
+
+
+def rumour_of(member: Member, version: int = 0) -> Rumour:
+    """Return what an instance says of itself."""
+    return Rumour(
+        member.incarnation.instance,
+        member.incarnation.number,
+        version,
+        RumourState.ALIVE,
+        member.ready,
+        member.availability_zone,
+        member.caller_host,
+        member.caller_port,
+        member.peer_host,
+        member.peer_port,
+    )
+
+
+class MembershipTable:
+    """The merged knowledge of one instance; pure, every method takes the time it needs."""
+
+    def __init__(self, own: Member, tuning: MembershipTuning, slowness: Slowness) -> None:
+        self._tuning = tuning
+        self._slowness = slowness
+        self._own = rumour_of(own)
+        self._records: dict[InstanceName, _Record] = {}
+        self._tombstones: dict[InstanceName, tuple[int, float]] = {}
+        self._digests = [0] * _BUCKETS
+        self._last_tick_s: float | None = None
+        self._absence = AbsenceLedger(tuning)
+        self._started_s: float | None = None
+        #: Rumours to pass on.
+        self.queue = RumourQueue()
+        #: Rises with every change that ``members`` shows.
+        self.changes = 0
+
+    @property
+    def own(self) -> Rumour:
+        """Return this instance's word about itself."""
+        return self._own
+
+    @property
+    def size(self) -> int:
+        """Return the number of known instances, this one included."""
+        return len(self._records) + 1
+
+    def member(self, name: InstanceName) -> Member | None:
+        """Return one instance, this one included, as the rest of the code sees it."""
+        if name == self._own.instance:
+            return _member(self._own)
+        record = self._records.get(name)
+        return _seen(record) if record is not None else None
+
+    def members(self) -> Sequence[Member]:
+        """Return every known instance, ordered by name."""
+        known = [_member(self._own), *(_seen(record) for record in self._records.values())]
+        return sorted(known, key=lambda member: member.name)
+
+    def rumour(self, name: InstanceName) -> Rumour | None:
+        """Return the newest rumour of an instance."""
+        record = self._records.get(name)
+        return record.rumour if record is not None else None
+
+    def peers(self) -> Sequence[InstanceName]:
+        """Return the names of all others that may be probed, the unreachable among them."""
+        return [
+            name
+            for name, record in self._records.items()
+            if record.rumour.state is not RumourState.ENDED
+        ]
+
+    def held_until_s(self, name: InstanceName) -> float:
+        """Return until when a member that came back is kept out of groups."""
+        record = self._records.get(name)
+        return record.held_until_s if record is not None else 0.0
+
+    def set_own(
+        self, now_s: float, *, state: RumourState | None = None, ready: bool | None = None
+    ) -> None:
+        """Change this instance's word about itself and pass it on."""
+        self._own = replace(
+            self._own,
+            version=self._own.version + 1,
+            state=self._own.state if state is None else state,
+            ready=self._own.ready if ready is None else ready,
+        )
+        self._announce(self._own)
+
+    def absorb(self, rumour: Rumour, now_s: float) -> None:
+        """Merge one rumour; what is news is passed on."""
+        if rumour.instance == self._own.instance:
+            self._answer(rumour, now_s)
+            return
+        if rumour.number <= self._tombstones.get(rumour.instance, (UNHEARD, 0.0))[0]:
+            return
+        record = self._records.get(rumour.instance)
+        if record is None or rumour.number > record.rumour.number:
+            self._replace(rumour, now_s)
+        elif rumour.number == record.rumour.number:
+            self._merge(record, rumour, now_s)
+
+    def heard(self, sender: Rumour, now_s: float) -> None:
+        """Merge a process's word about itself, received from itself."""
+        self.absorb(sender, now_s)
+        record = self._records.get(sender.instance)
+        if record is not None and record.rumour.number == sender.number:
+            record.heard_s = now_s
+
+    def suspect(self, name: InstanceName, now_s: float) -> None:
+        """Accuse an instance that neither this one nor the asked ones could reach."""
+        record = self._records.get(name)
+        if record is None or record.rumour.state in _FINAL:
+            return
+        if record.rumour.number == UNHEARD:
+            return
+        accusation = replace(
+            record.rumour, state=RumourState.SUSPECT, accuser=str(self._own.instance)
+        )
+        self._merge(record, accusation, now_s)
+
+    def seed(self, members: Iterable[Member], now_s: float) -> None:
+        """Take in one reading of the platform's list: its instances of the fleet."""
+        rows = {member.name: member for member in members}
+        self._absence.read(rows, now_s)
+        for name, member in rows.items():
+            if name == self._own.instance:
+                continue
+            if name not in self._records:
+                listed = replace(rumour_of(replace(member, ready=False)), number=UNHEARD)
+                self._records[name] = _Record(listed, now_s, now_s)
+                self.changes += 1
+            self._note_listed_state(self._records[name], member.state, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Let suspicions run out and forget processes that are proved gone."""
+        self._forgive_own_pause(now_s)
+        shortest_s = self._tuning.shortest_suspicion_s(self.size) * self._slowness.factor
+        for name, record in list(self._records.items()):
+            waited_s = now_s - record.suspected_s
+            suspected = record.rumour.state is RumourState.SUSPECT
+            if suspected and waited_s >= self._suspicion_s(record, shortest_s):
+                self._give_up(record, now_s)
+            if self._is_proved_gone(record):
+                self._bury(name, record, now_s)
+        for name, (_, until_s) in list(self._tombstones.items()):
+            if until_s < now_s:
+                del self._tombstones[name]
+                self._absence.forget(name)
+
+    def is_gone(self, process: Incarnation, now_s: float) -> bool:
+        """Return whether a process is proved to have ended, however unreachable others are.
+
+        Proof is its own farewell, a later process of the same instance, or the platform's list
+        having left it out for long enough. Being unreachable is never proof.
+        """
+        if process.number <= self._tombstones.get(process.instance, (UNHEARD, 0.0))[0]:
+            return True
+        if process.instance == self._own.instance:
+            return process.number < self._own.number
+        record = self._records.get(process.instance)
+        if record is None:
+            since_s = self._started_s if self._started_s is not None else now_s
+            return self._absence.is_gone(process.instance, since_s, since_s)
+        if record.rumour.number != process.number:
+            return record.rumour.number > process.number
+        return record.rumour.state is RumourState.ENDED or self._is_proved_gone(record)
+
+    def digests(self) -> Sequence[int]:
+        """Return one digest for each bucket of names, for comparison with a peer's."""
+        own = list(self._digests)
+        own[_bucket(self._own.instance)] ^= _digest(self._own)
+        return own
+
+    def differing(self, digests: Sequence[int], limit: int, rng: random.Random) -> Sequence[Rumour]:
+        """Return rumours of the buckets in which a peer's table differs, at most ``limit``."""
+        mine = self.digests()
+        if len(digests) != len(mine):
+            return []
+        differing = {index for index in range(_BUCKETS) if digests[index] != mine[index]}
+        known = [self._own, *(record.rumour for record in self._records.values())]
+        found = [
+            rumour
+            for rumour in known
+            if rumour.number != UNHEARD and _bucket(rumour.instance) in differing
+        ]
+        return found if len(found) <= limit else rng.sample(found, limit)
+
+    def _note_listed_state(self, record: _Record, listed: MemberState, now_s: float) -> None:
+        """Believe a row's "leaving" only when it cannot be an earlier process's stale row."""
+        leaving = listed is MemberState.LEAVING
+        recent = now_s - record.known_since_s <= self._tuning.list_lag_s
+        if leaving and recent and record.rumour.number != UNHEARD:
+            return
+        if leaving != record.listed_leaving:
+            record.listed_leaving = leaving
+            self.changes += 1
+
+    def _answer(self, rumour: Rumour, now_s: float) -> None:
+        if rumour.number != self._own.number or self._own.state in _FINAL:
+            return
+        accused = rumour.state in (RumourState.SUSPECT, RumourState.UNREACHABLE)
+        if accused and rumour.version >= self._own.version:
+            self._slowness.missed()
+            self._own = replace(self._own, version=rumour.version + 1)
+            self._announce(self._own)
+
+    def _replace(self, rumour: Rumour, now_s: float) -> None:
+        record = self._records.get(rumour.instance)
+        fresh = _Record(rumour, now_s, now_s)
+        if record is not None:
+            self._toggle(record.rumour)
+            if record.rumour.number != UNHEARD and record.rumour.state not in _FINAL:
+                fresh.returns = record.returns
+                self._hold_back(fresh, now_s)
+        if rumour.state is RumourState.SUSPECT:
+            fresh.suspected_s = now_s
+            fresh.accusers.add(rumour.accuser)
+        self._records[rumour.instance] = fresh
+        self._toggle(rumour)
+        self._announce(rumour)
+
+    def _merge(self, record: _Record, rumour: Rumour, now_s: float) -> None:
+        known = record.rumour
+        if _confirms(rumour, known):
+            self._confirm(record, rumour)
+            return
+        if not _wins(rumour, known):
+            return
+        if rumour.state is RumourState.SUSPECT:
+            record.suspected_s = now_s
+            record.accusers = {rumour.accuser}
+        if rumour.version > known.version:
+            record.heard_s = now_s
+        if known.state is RumourState.UNREACHABLE and rumour.state is RumourState.ALIVE:
+            self._hold_back(record, now_s)
+        self._toggle(known)
+        record.rumour = rumour
+        self._toggle(rumour)
+        self._announce(rumour)
+
+    def _confirm(self, record: _Record, rumour: Rumour) -> None:
+        if rumour.accuser in record.accusers:
+            return
+        if len(record.accusers) <= self._tuning.confirmations:
+            record.accusers.add(rumour.accuser)
+            self.queue.add(rumour)
+
+    def _hold_back(self, record: _Record, now_s: float) -> None:
+        """Keep a member that came back out of groups for a while, longer at each return.
+
+        Load: a member that flaps would pull keys, connections and evidence to and fro at each
+        turn, which harms the callers of services that were well. The first hold outlasts two
+        probes; the limit lets a mended member serve again within minutes.
+        """
+        record.returns += 1
+        hold_s = self._tuning.return_hold_s * 2.0 ** min(record.returns - 1, 10)
+        record.held_until_s = now_s + min(hold_s, self._tuning.return_hold_limit_s)
+
+    def _suspicion_s(self, record: _Record, shortest_s: float) -> float:
+        confirmed = min(len(record.accusers) - 1, self._tuning.confirmations)
+        share = confirmed / self._tuning.confirmations if self._tuning.confirmations else 1.0
+        stretch = self._tuning.suspicion_stretch
+        return shortest_s * (stretch - (stretch - 1.0) * share)
+
+    def _give_up(self, record: _Record, now_s: float) -> None:
+        self._merge(
+            record, replace(record.rumour, state=RumourState.UNREACHABLE, accuser=""), now_s
+        )
+
+    def _forgive_own_pause(self, now_s: float) -> None:
+        """Start suspicions again after a pause of this process: nothing could be heard in it."""
+        last_s = self._last_tick_s if self._last_tick_s is not None else now_s
+        if self._started_s is None:
+            self._started_s = now_s
+        self._last_tick_s = now_s
+        limit_s = 3.0 * self._tuning.probe_interval_s * self._slowness.factor
+        if now_s - last_s > limit_s:
+            for record in self._records.values():
+                record.suspected_s = max(record.suspected_s, now_s)
+
+    def _is_proved_gone(self, record: _Record) -> bool:
+        name = record.rumour.instance
+        if record.rumour.number == UNHEARD:
+            return self._absence.absent_for_s(name, float("-inf"), record.heard_s) > 0.0
+        return self._absence.is_gone(name, record.known_since_s, record.heard_s)
+
+    def _bury(self, name: InstanceName, record: _Record, now_s: float) -> None:
+        if record.rumour.number != UNHEARD:
+            until_s = now_s + self._tuning.tombstone_s
+            self._tombstones[name] = (record.rumour.number, until_s)
+        self._toggle(record.rumour)
+        del self._records[name]
+        self.changes += 1
+
+    def _announce(self, rumour: Rumour) -> None:
+        self.queue.add(rumour)
+        self.changes += 1
+
+    def _toggle(self, rumour: Rumour) -> None:
+        if rumour.number != UNHEARD:
+            self._digests[_bucket(rumour.instance)] ^= _digest(rumour)
+
+
+def _confirms(rumour: Rumour, known: Rumour) -> bool:
+    both = rumour.state is RumourState.SUSPECT and known.state is RumourState.SUSPECT
+    return both and rumour.version == known.version
+
+
+def _wins(rumour: Rumour, known: Rumour) -> bool:
+    if known.state in _FINAL or rumour.state in _FINAL:
+        return _finality(rumour) > _finality(known)
+    return (rumour.version, rumour.state) > (known.version, known.state)
+
+
+def _finality(rumour: Rumour) -> int:
+    return int(rumour.state) if rumour.state in _FINAL else 0
+
+
+def _member(rumour: Rumour) -> Member:
+    return Member(
+        rumour.incarnation,
+        rumour.availability_zone,
+        rumour.caller_host,
+        rumour.caller_port,
+        rumour.peer_host,
+        rumour.peer_port,
+        _MEMBER_STATES[rumour.state],
+        rumour.ready,
+    )
+
+
+def _seen(record: _Record) -> Member:
+    member = _member(record.rumour)
+    return replace(member, state=MemberState.LEAVING) if record.listed_leaving else member
+
+
+def _bucket(name: InstanceName) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode()) % _BUCKETS
+
+
+def _digest(rumour: Rumour) -> int:
+    key = f"{rumour.instance}\x00{rumour.number}\x00{rumour.version}\x00{int(rumour.state)}"
+    return xxhash.xxh3_64_intdigest(key.encode()) >> 1
--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -1,6 +1,7 @@
 """Asynchronous drivers: they connect the decision packages to sockets, peers and the clock."""
 
 from egretrail.runtime._evidence import EvidenceDriver
+from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._upstream_client import (
     DEADLINE_HEADER,
@@ -14,6 +15,7 @@
     "OUTCOME_HEADER",
     "PROBLEM_CONTENT_TYPE",
     "EvidenceDriver",
+    "MembershipDriver",
     "Problem",
     "UpstreamClient",
     "UpstreamRequest",
--- /dev/null
+++ b/src/egretrail/runtime/_membership.py
@@ -0,0 +1,351 @@
+"""Runs the membership protocol: heartbeats, comparisons of tables, readings of the list."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import structlog
+from result import Err, Ok
+
+from egretrail.fleet import (
+    UNHEARD,
+    FleetView,
+    GroupIndex,
+    IndirectPing,
+    IndirectPong,
+    Member,
+    MembershipTable,
+    MembershipTuning,
+    MemberState,
+    Ping,
+    Pong,
+    ProbePlan,
+    Rumour,
+    RumourState,
+    Slowness,
+    SyncAsk,
+    SyncReply,
+)
+from egretrail.identity import AvailabilityZone, Incarnation, InstanceName, ServiceName
+from egretrail.peer import PeerNetwork
+from egretrail.platform import InstanceList, ListedInstance, ListedState
+
+#: The service under which the platform lists the fleet's own instances.
+FLEET_SERVICE = "egretrail"
+#: Instances that read the list at the full rate; three survive the loss of a zone and a failure.
+_LIST_READERS = 3
+#: The other instances together read the list once in this many intervals each second or so, at
+#: any size of the fleet, so that nobody depends on the readers.
+_FALLBACK_INTERVALS = 10
+#: Peers that a new or leaving instance tells at once.
+_ANNOUNCED_PEERS = 3
+#: Candidates that are offered as witnesses for one home.
+_WITNESS_CANDIDATES = 6
+#: A peer whose probes failed is taken as unreachable from here until probes of it succeed, or
+#: for this many probe rounds without a new probe.
+_PATH_FAULT_S = 60.0
+
+_log = structlog.get_logger()
+
+#: Receives every successful reading of the platform's list.
+ListListener = Callable[[Sequence[ListedInstance]], Awaitable[None]]
+
+
+class MembershipDriver(FleetView):
+    """Keeps one instance's view of the fleet, and is its directory of peers."""
+
+    def __init__(
+        self,
+        own: Member,
+        network: PeerNetwork,
+        instance_list: InstanceList,
+        *,
+        group_size_of: Callable[[ServiceName], int] = lambda _service: 3,
+        list_interval_s: float = 2.0,
+        tuning: MembershipTuning | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._network = network
+        self._instance_list = instance_list
+        self._group_size_of = group_size_of
+        self._list_interval_s = list_interval_s
+        self._tuning = tuning or MembershipTuning()
+        self._rng = rng or random.Random(own.incarnation.number)
+        self._slowness = Slowness(self._tuning)
+        self._table = MembershipTable(own, self._tuning, self._slowness)
+        self._plan = ProbePlan(own.name, self._tuning.probe_set_size, self._rng)
+        self._index = GroupIndex()
+        self._indexed_changes = -1
+        self._indexed_until_s = 0.0
+        self._path_faults: dict[InstanceName, float] = {}
+        self._listeners: list[ListListener] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Read the list, greet a few instances on it, and begin the heartbeats."""
+        self._network.on(Ping, self._on_ping)
+        self._network.on(IndirectPing, self._on_indirect_ping)
+        self._network.on(SyncAsk, self._on_sync_ask)
+        await self._read_list()
+        await self._greet()
+        self._spawn(self._probe_forever())
+        self._spawn(self._sync_forever())
+        self._spawn(self._read_list_forever())
+
+    async def stop(self) -> None:
+        """Say farewell to a few instances and stop."""
+        self._table.set_own(_now_s(), state=RumourState.ENDED)
+        await self._tell_some()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def own(self) -> Member:
+        """Return the instance that asks."""
+        member = self._table.member(self._table.own.instance)
+        assert member is not None
+        return member
+
+    @property
+    def changes(self) -> int:
+        """Return a number that rises whenever some member changed."""
+        return self._table.changes
+
+    def members(self) -> Sequence[Member]:
+        """Return every known member, this instance included, ordered by name."""
+        return self._table.members()
+
+    def member(self, name: InstanceName) -> Member | None:
+        """Return one member by name."""
+        return self._table.member(name)
+
+    def group(self, service: ServiceName) -> Sequence[Member]:
+        """Return the members that serve a service, most preferred first; leaving ones are not."""
+        self._refresh_index()
+        names = self._index.choose(str(service), self._group_size_of(service))
+        return self._named(names)
+
+    def witness_candidates(self, home: InstanceName) -> Sequence[Member]:
+        """Return ready members that may witness for a home, those of other zones first.
+
+        Members that this instance cannot reach itself come last: the home may still reach them.
+        """
+        self._refresh_index()
+        known = self._table.member(home)
+        zone = known.availability_zone if known is not None else None
+        names = self._index.choose(f"witness/{home}", _WITNESS_CANDIDATES + 1, zone)
+        others = [name for name in names if name != home][:_WITNESS_CANDIDATES]
+        return self._named(sorted(others, key=self.cannot_reach))
+
+    def address(self, name: InstanceName) -> tuple[str, int] | None:
+        """Return where an instance takes peer streams; the directory of the peer network."""
+        member = self._table.member(name)
+        return (member.peer_host, member.peer_port) if member is not None else None
+
+    def cannot_reach(self, name: InstanceName) -> bool:
+        """Return whether this instance itself gets no answers, though others may."""
+        member = self._table.member(name)
+        if member is None or member.state is MemberState.UNREACHABLE:
+            return True
+        return self._path_faults.get(name, 0.0) > _now_s()
+
+    def note_path(self, name: InstanceName, answers: bool) -> None:
+        """Take in whether an exchange of another driver with a peer was answered."""
+        if answers:
+            self._path_faults.pop(name, None)
+        else:
+            self._path_faults[name] = _now_s() + _PATH_FAULT_S
+
+    def is_gone(self, process: Incarnation) -> bool:
+        """Return whether a process is proved to have ended; being unreachable is no proof."""
+        return self._table.is_gone(process, _now_s())
+
+    def on_list(self, listener: ListListener) -> None:
+        """Let ``listener`` take every reading of the platform's list that this instance makes."""
+        self._listeners.append(listener)
+
+    async def announce_ready(self) -> None:
+        """Tell the fleet that this instance holds the settings and may be named to callers."""
+        self._table.set_own(_now_s(), ready=True)
+        await self._tell_some()
+
+    async def announce_leaving(self) -> None:
+        """Tell the fleet that this instance is stopping: it vanishes from groups."""
+        self._table.set_own(_now_s(), state=RumourState.LEAVING)
+        await self._tell_some()
+
+    def _refresh_index(self) -> None:
+        now_s = _now_s()
+        if self._table.changes == self._indexed_changes and now_s < self._indexed_until_s:
+            return
+        self._indexed_changes = self._table.changes
+        holds = []
+        eligible = []
+        for member in self._table.members():
+            held_until_s = self._table.held_until_s(member.name)
+            if not member.ready or member.state is not MemberState.ALIVE:
+                continue
+            if held_until_s > now_s:
+                holds.append(held_until_s)
+            else:
+                eligible.append(member)
+        self._indexed_until_s = min(holds, default=float("inf"))
+        self._index.update(eligible)
+
+    def _named(self, names: Sequence[InstanceName]) -> Sequence[Member]:
+        members = [self._table.member(name) for name in names]
+        return [member for member in members if member is not None]
+
+    async def _probe_forever(self) -> None:
+        while True:
+            interval_s = self._tuning.probe_interval_s * self._slowness.factor
+            await asyncio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
+            self._table.tick(_now_s())
+            target = self._plan.next(self._table.peers())
+            if target is not None:
+                self._spawn(self._probe(target))
+
+    async def _probe(self, target: InstanceName) -> None:
+        timeout_s = self._tuning.probe_timeout_s * self._slowness.factor
+        if await self._ping(target, timeout_s):
+            self._slowness.answered()
+            self._path_faults.pop(target, None)
+            return
+        self._path_faults[target] = _now_s() + _PATH_FAULT_S
+        known = self._table.rumour(target)
+        if known is None or known.number == UNHEARD:
+            return
+        helpers = self._plan.helpers(self._table.peers(), target, self._tuning.indirect_probes)
+        ask = IndirectPing(target, known)
+        wait_s = timeout_s + self._tuning.probe_timeout_s
+        replies = await asyncio.gather(
+            *(self._network.ask(helper, ask, IndirectPong, wait_s) for helper in helpers)
+        )
+        answered = [reply.ok_value for reply in replies if isinstance(reply, Ok)]
+        self._slowness.missed(1 if helpers and not answered else 0)
+        reached = [reply.answer for reply in answered if reply.answer is not None]
+        for word in reached:
+            self._table.heard(word, _now_s())
+        if not reached:
+            self._table.suspect(target, _now_s())
+
+    async def _ping(self, target: InstanceName, timeout_s: float) -> bool:
+        ping = Ping(self._table.own, self._rumours_for(target))
+        answer = await self._network.ask(target, ping, Pong, timeout_s)
+        if isinstance(answer, Err):
+            return False
+        self._table.heard(answer.ok_value.sender, _now_s())
+        self._absorb(answer.ok_value.rumours)
+        return True
+
+    def _rumours_for(self, peer: InstanceName) -> Sequence[Rumour]:
+        """Return what rides on a message; a suspected receiver is told so first."""
+        retransmissions = self._tuning.retransmit_factor * self._tuning.digits(self._table.size)
+        rumours = self._table.queue.take(self._tuning.rumours_per_message, retransmissions)
+        known = self._table.rumour(peer)
+        accused = (RumourState.SUSPECT, RumourState.UNREACHABLE)
+        if known is not None and known.state in accused and known not in rumours:
+            return [known, *rumours]
+        return rumours
+
+    def _absorb(self, rumours: Sequence[Rumour]) -> None:
+        now_s = _now_s()
+        for rumour in rumours:
+            self._table.absorb(rumour, now_s)
+
+    async def _on_ping(self, sender: Incarnation, ping: Ping) -> Pong | None:
+        if ping.sender.incarnation != sender:
+            return None
+        self._table.heard(ping.sender, _now_s())
+        self._absorb(ping.rumours)
+        return Pong(self._table.own, self._rumours_for(sender.instance))
+
+    async def _on_indirect_ping(self, _: Incarnation, ask: IndirectPing) -> IndirectPong:
+        self._table.absorb(ask.known, _now_s())
+        reached = await self._ping(ask.target, self._tuning.probe_timeout_s)
+        return IndirectPong(self._table.rumour(ask.target) if reached else None)
+
+    async def _on_sync_ask(self, _: Incarnation, ask: SyncAsk) -> SyncReply:
+        limit = self._tuning.sync_rumours
+        return SyncReply(self._table.differing(ask.digests, limit, self._rng))
+
+    async def _sync_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._tuning.sync_interval_s * self._rng.uniform(0.5, 1.5))
+            peers = self._plan.probe_set(self._table.peers())
+            if peers:
+                await self._sync(self._rng.choice(peers))
+
+    async def _sync(self, peer: InstanceName) -> bool:
+        ask = SyncAsk(self._table.digests())
+        wait_s = self._tuning.probe_timeout_s * 2 * self._slowness.factor
+        reply = await self._network.ask(peer, ask, SyncReply, wait_s)
+        if isinstance(reply, Err):
+            return False
+        self._absorb(reply.ok_value.rumours)
+        return True
+
+    async def _greet(self) -> None:
+        peers = list(self._plan.probe_set(self._table.peers()))
+        self._rng.shuffle(peers)
+        for peer in peers[:_ANNOUNCED_PEERS]:
+            if await self._ping(peer, self._tuning.probe_timeout_s * 2):
+                await self._sync(peer)
+
+    async def _tell_some(self) -> None:
+        peers = list(self._plan.probe_set(self._table.peers()))
+        self._rng.shuffle(peers)
+        timeout_s = self._tuning.probe_timeout_s
+        await asyncio.gather(*(self._ping(peer, timeout_s) for peer in peers[:_ANNOUNCED_PEERS]))
+
+    async def _read_list_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._list_wait_s() * self._rng.uniform(0.8, 1.2))
+            await self._read_list()
+
+    def _list_wait_s(self) -> float:
+        """Return how long to wait before the next reading.
+
+        Load: the list is read by few at the full rate; all others together add about half a
+        reading a second at any size, so that the list is known even if every reader is cut off.
+        """
+        self._refresh_index()
+        if self._table.own.instance in self._index.choose("list-readers", _LIST_READERS):
+            return self._list_interval_s
+        return self._list_interval_s * max(_FALLBACK_INTERVALS, self._table.size)
+
+    async def _read_list(self) -> None:
+        reading = await self._instance_list.read()
+        if isinstance(reading, Err):
+            _log.info("instance_list_unavailable", cause=str(reading.err_value))
+            return
+        rows = reading.ok_value
+        own_rows = [row for row in rows if row.service == FLEET_SERVICE]
+        self._table.seed([_listed_member(row) for row in own_rows], _now_s())
+        for listener in self._listeners:
+            await listener(rows)
+
+    def _spawn(self, coroutine: Any) -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _listed_member(row: ListedInstance) -> Member:
+    peer = row.peer_endpoint or row.endpoint
+    return Member(
+        Incarnation(InstanceName(row.name), UNHEARD),
+        AvailabilityZone(row.availability_zone),
+        row.endpoint.host,
+        row.endpoint.port,
+        peer.host,
+        peer.port,
+        MemberState.LEAVING if row.state is ListedState.LEAVING else MemberState.ALIVE,
+        ready=False,
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
