--- a/src/egretrail/idempotency/_home.py
+++ b/src/egretrail/idempotency/_home.py
@@ -199,7 +199,7 @@
             self._unkept[key] = None
 
     def unkept(self, limit_count: int) -> Sequence[SettledKey]:
-        """Return settled keys whose outcome the witness has not confirmed, longest untried first."""
+        """Return keys whose outcome the witness has not confirmed, longest untried first."""
         found: list[SettledKey] = []
         for key in self._unkept:
             record = self._records.find(key)
--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -1,6 +1,8 @@
 """Asynchronous drivers: they connect the decision packages to sockets, peers and the clock."""
 
 from egretrail.runtime._evidence import EvidenceDriver
+from egretrail.runtime._keyed import KeyedExecutor
+from egretrail.runtime._keyed_home import Drained, Execute
 from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._upstream_client import (
@@ -14,7 +16,10 @@
     "DEADLINE_HEADER",
     "OUTCOME_HEADER",
     "PROBLEM_CONTENT_TYPE",
+    "Drained",
     "EvidenceDriver",
+    "Execute",
+    "KeyedExecutor",
     "MembershipDriver",
     "Problem",
     "UpstreamClient",
--- a/src/egretrail/runtime/_keyed.py
+++ b/src/egretrail/runtime/_keyed.py
@@ -63,7 +63,9 @@
         self._generations = KeyGenerations(
             network, view, self._home, bounds, rng or random.Random(own.number)
         )
-        self._at_home = KeyedHome(network, self._home, execute, self._generations.on_generation_lost)
+        self._at_home = KeyedHome(
+            network, self._home, execute, self._generations.on_generation_lost
+        )
         self._at_witness = KeyedWitness(own, network, self._witness)
         self._receiver = KeyedReceiver(own, network, self._at_home, self._at_witness)
         self._prefixes: OrderedDict[InstanceName, tuple[str, float]] = OrderedDict()
--- a/src/egretrail/runtime/_keyed_home.py
+++ b/src/egretrail/runtime/_keyed_home.py
@@ -1,4 +1,4 @@
-"""Runs the keys whose home this process is: record at the witness, dispatch once, keep the outcome."""
+"""Runs the keys of this home: recorded at the witness, dispatched once, the outcome kept."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
