--- a/src/egretrail/runtime/_key_generations.py
+++ b/src/egretrail/runtime/_key_generations.py
@@ -49,6 +49,7 @@
         self._rng = rng
         self._avoided: dict[InstanceName, float] = {}
         self._lost = asyncio.Event()
+        self._alone = False
 
     def current(self, now_s: float) -> KeyPrefix | None:
         """Return the generation to name to callers."""
@@ -117,8 +118,13 @@
             if await self._open_at(member):
                 return
         if self._home.issuing(asyncio.get_running_loop().time()) is None:
-            alone = self._home.open_alone(asyncio.get_running_loop().time())
-            _log.warning("keys_without_witness", opened=alone is not None)
+            self._open_alone()
+
+    def _open_alone(self) -> None:
+        prefix = self._home.open_alone(asyncio.get_running_loop().time())
+        if prefix is not None and not self._alone:
+            _log.warning("keys_without_witness", home=str(prefix.home))
+        self._alone = True
 
     async def _open_at(self, member: Member) -> bool:
         opening = self._home.ask_generation()
@@ -130,4 +136,5 @@
         opened = asked.ok_value
         assert opened.prefix is not None
         now_s = asyncio.get_running_loop().time()
+        self._alone = False
         return self._home.open(opened.opening, opened.prefix, now_s)
--- a/src/egretrail/runtime/_keyed.py
+++ b/src/egretrail/runtime/_keyed.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from collections import Counter, OrderedDict
+from collections import Counter
 
-from result import Err, Ok
+from result import Err
 
-from egretrail.fleet import FleetView
+from egretrail.fleet import FleetView, Member
 from egretrail.idempotency import (
     AskPrefix,
     AwaitKeyed,
@@ -23,10 +23,11 @@
     parse_key,
     request_binding,
 )
-from egretrail.identity import Incarnation, InstanceName
+from egretrail.identity import Incarnation, ServiceName
 from egretrail.peer import PeerNetwork
 from egretrail.request import Answer, Outcome, Refusal, RefusalCause, RequestEnvelope
 from egretrail.runtime._key_generations import KeyGenerations
+from egretrail.runtime._key_prefixes import KeyPrefixes
 from egretrail.runtime._keyed_home import Drained, Execute, KeyedHome
 from egretrail.runtime._keyed_receiver import KeyedReceiver
 from egretrail.runtime._keyed_witness import KeyedWitness
@@ -34,11 +35,6 @@
 #: Outcomes that could not be left with a witness are tried less and less often.
 _KEEP_PAUSE_S = 1.0
 _KEEP_PAUSE_LIMIT_S = 30.0
-#: Prefixes of other homes are asked for again after this; they stay good for minutes.
-_PREFIX_FRESH_S = 5.0
-_PREFIX_TIMEOUT_S = 0.5
-#: Homes whose prefix is remembered. Load: a receiver names the homes of the services asked of it.
-_PREFIXES_COUNT = 4096
 
 
 class KeyedExecutor:
@@ -68,7 +64,7 @@
         )
         self._at_witness = KeyedWitness(own, network, self._witness)
         self._receiver = KeyedReceiver(own, network, self._at_home, self._at_witness)
-        self._prefixes: OrderedDict[InstanceName, tuple[str, float]] = OrderedDict()
+        self._prefixes = KeyPrefixes(network)
         self._tasks: list[asyncio.Task[None]] = []
         #: Refusals given to callers here, for reports.
         self.refusals: Counter[tuple[Outcome, RefusalCause]] = Counter()
@@ -96,6 +92,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._prefixes.stop()
         await self._at_home.stop()
 
     async def run(self, request: RequestEnvelope) -> Answer:
@@ -115,22 +112,20 @@
         prefix = self._generations.current(asyncio.get_running_loop().time())
         return issue_prefix(prefix, self._fleet_key) if prefix is not None else None
 
-    async def prefix_for(self, home: InstanceName) -> str | None:
-        """Return the prefix to name to callers for an instance; None when it gives none now."""
-        if home == self._own.instance:
+    def prefix_for(self, member: Member, _service: ServiceName) -> str | None:
+        """Return the prefix to name to callers for an instance; None when none is at hand.
+
+        A prefix that is not at hand is asked for in the background, for the next caller.
+        """
+        if member.incarnation == self._own:
+            return self.own_prefix()
+        return self._prefixes.known(member.incarnation)
+
+    async def fetch_prefix(self, member: Member) -> str | None:
+        """Return the prefix to name for an instance, asking it first if need be."""
+        if member.incarnation == self._own:
             return self.own_prefix()
-        now_s = asyncio.get_running_loop().time()
-        known = self._prefixes.get(home)
-        if known is not None and now_s - known[1] < _PREFIX_FRESH_S:
-            return known[0]
-        self._prefixes.pop(home, None)
-        asked = await self._network.ask(home, AskPrefix(), PrefixReply, _PREFIX_TIMEOUT_S)
-        if not isinstance(asked, Ok) or asked.ok_value.prefix is None:
-            return None
-        self._prefixes[home] = (asked.ok_value.prefix, now_s)
-        while len(self._prefixes) > _PREFIXES_COUNT:
-            self._prefixes.popitem(last=False)
-        return asked.ok_value.prefix
+        return await self._prefixes.fetch(member.incarnation)
 
     async def _renew(self) -> None:
         while True:
