--- /dev/null
+++ b/src/egretrail/daemon/_daemon.py
@@ -0,0 +1,270 @@
+"""Puts the parts of an instance together, starts them in order and stops them gracefully."""
+
+import asyncio
+import random
+import secrets
+import signal
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import aiohttp
+import falcon.asgi
+import structlog
+
+from egretrail.daemon._accounting import Accounting
+from egretrail.daemon._caller_face import CallerFace
+from egretrail.daemon._execution import Executor
+from egretrail.daemon._http_server import HttpServer
+from egretrail.daemon._keyed import KeyedWork
+from egretrail.daemon._metrics import Metrics
+from egretrail.daemon._operator_face import (
+    ExplainResource,
+    InstancesResource,
+    LiveResource,
+    MetricsRefresh,
+    MetricsResource,
+    ReadyResource,
+    RoutesResource,
+    UpstreamsResource,
+)
+from egretrail.daemon._report_face import ReportResource
+from egretrail.daemon._requests import RequestPath
+from egretrail.daemon._resolve import Resolver
+from egretrail.daemon._routing import SettingsRouting
+from egretrail.daemon._service_state import ServiceStates
+from egretrail.daemon._upstreams import ListedUpstreams
+from egretrail.fleet import Member, group_size
+from egretrail.identity import Incarnation, ServiceName
+from egretrail.peer import TcpPeerNetwork
+from egretrail.platform import HttpInstanceList, HttpStore
+from egretrail.report import BurnRecorder, Objective
+from egretrail.runtime import (
+    EvidenceDriver,
+    MembershipDriver,
+    ReportDriver,
+    SettingsDriver,
+    UpstreamClient,
+)
+from egretrail.settings import InstanceSettings, ServiceSettings
+from egretrail.upstream import NoRights, ServiceHealth, SuspectRequests
+
+#: Random low bits of an incarnation's number, below the milliseconds of its start.
+_INCARNATION_BITS = 20
+#: Peer frames carry a request or an answer whole, and its header fields.
+_FRAME_MARGIN_BYTES = 1 << 18
+_log = structlog.get_logger()
+
+
+class Daemon:
+    """One entry instance."""
+
+    def __init__(self, settings: InstanceSettings, fleet_key: bytes) -> None:
+        self._settings = settings
+        self._fleet_key = fleet_key
+        number = (time.time_ns() // 1_000_000 << _INCARNATION_BITS) | secrets.randbits(
+            _INCARNATION_BITS
+        )
+        self._own = Incarnation(settings.instance.name, number)
+        self._metrics = Metrics()
+        self._signals = 0
+        self._signalled = asyncio.Event()
+
+    async def run(self) -> bool:
+        """Serve until a signal, then stop; return whether requests were cut."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        async with aiohttp.ClientSession() as platform_session:
+            await self._start(platform_session)
+            await self._signalled.wait()
+            return await self._stop()
+
+    def _on_signal(self) -> None:
+        self._signals += 1
+        self._signalled.set()
+
+    async def _start(self, platform_session: aiohttp.ClientSession) -> None:
+        settings = self._settings
+        platform = settings.platform
+        limits = settings.limits
+        rng = random.Random(self._own.number)
+        frame_limit = max(limits.request_body_size_bytes, limits.answer_body_size_bytes)
+        self._network = TcpPeerNetwork(
+            self._own,
+            self._fleet_key,
+            lambda name: self._view.address(name),
+            frame_limit + _FRAME_MARGIN_BYTES,
+        )
+        peer_port = await self._network.start(settings.peer_face.host, settings.peer_face.port)
+        store = HttpStore(platform.store_url, platform_session, platform.timeout_s)
+        instance_list = HttpInstanceList(
+            platform.instance_list_url, platform_session, platform.timeout_s
+        )
+        self._view = MembershipDriver(
+            Member(
+                self._own,
+                settings.instance.availability_zone,
+                settings.caller_face.host,
+                settings.caller_face.port,
+                settings.peer_face.host,
+                peer_port,
+                ready=False,
+            ),
+            self._network,
+            instance_list,
+            group_size_of=self._group_size,
+            list_interval_s=platform.list_interval_s,
+            rng=rng,
+        )
+        self._source = ListedUpstreams()
+        self._view.on_list(self._source.take)
+        self._settings_driver = SettingsDriver(self._own, self._network, self._view, store, rng)
+        self._routing = SettingsRouting(self._settings_driver)
+        self._evidence = EvidenceDriver(
+            self._own, self._network, self._view, self._make_health, self._make_suspects
+        )
+        self._client = UpstreamClient(limits.answer_body_size_bytes)
+        self._build_request_path()
+        await self._view.start()
+        await self._settings_driver.start()
+        await self._evidence.start()
+        await self._keyed.start()
+        self._operator_server.start()
+        self._caller_server.start()
+        await self._settings_driver.wait_until_caught_up()
+        await self._view.announce_ready()
+        _log.info(
+            "ready",
+            instance=str(self._own),
+            callers=self._caller_server.port,
+            peers=peer_port,
+            operators=self._operator_server.port,
+        )
+
+    def _build_request_path(self) -> None:
+        settings = self._settings
+        recorder = BurnRecorder()
+        accounting = Accounting(self._metrics, recorder)
+        self._report = ReportDriver(
+            recorder,
+            self._network,
+            self._view,
+            lambda: self._settings_driver.status().complete_revision,
+            self._objectives,
+        )
+        self._services = ServiceStates(
+            self._routing.service,
+            settings.instance.availability_zone,
+            self._source,
+            self._evidence,
+            accounting,
+            self._own.number,
+        )
+        executor = Executor(
+            self._services,
+            self._source,
+            self._evidence,
+            self._client,
+            accounting,
+            f"{self._own.number:x}",
+        )
+        self._keyed = KeyedWork(
+            self._own, self._network, self._view, self._fleet_key, settings.limits
+        )
+        requests = RequestPath(
+            self._routing, self._view, self._network, self._keyed, executor, accounting
+        )
+        self._keyed.execute_with(requests.execute)
+        resolver = Resolver(self._routing, self._view, self._keyed, settings.callers.resolve_ttl_s)
+        self._face = CallerFace(settings, requests, resolver)
+        caller_face, operator_face = settings.caller_face, settings.operator_face
+        self._caller_server = HttpServer(self._face, caller_face.host, caller_face.port)
+        self._operator_server = HttpServer(
+            self._operator_app(), operator_face.host, operator_face.port
+        )
+
+    def _operator_app(self) -> Any:
+        app = falcon.asgi.App()
+        refresh = MetricsRefresh(self._metrics, self._view, self._services)
+        app.add_route("/healthz", LiveResource())
+        app.add_route("/readyz", ReadyResource(self._view))
+        app.add_route("/metrics", MetricsResource(self._metrics, refresh))
+        app.add_route("/v1/instances", InstancesResource(self._view))
+        app.add_route("/v1/upstreams", UpstreamsResource(self._services))
+        app.add_route("/v1/routes", RoutesResource(self._settings_driver.settings))
+        app.add_route("/v1/report", ReportResource(self._report))
+        app.add_route(
+            "/v1/explain",
+            ExplainResource(self._routing, self._view, self._services, self._source),
+        )
+        return app
+
+    def _objectives(self) -> Mapping[ServiceName, Objective]:
+        return {
+            name: Objective(service.objective, service.objective_latency_s)
+            for name, service in self._settings_driver.settings().services.items()
+        }
+
+    def _group_size(self, service: ServiceName) -> int:
+        settings = self._routing.service(service)
+        upstreams = len(self._source.upstreams(service))
+        if settings is None:
+            return group_size(upstreams, 1)
+        return group_size(upstreams, settings.slots, settings.group_size)
+
+    def _make_health(self, service: ServiceName) -> ServiceHealth:
+        settings = self._routing.service(service) or ServiceSettings(floor=0)
+        seed = random.Random(f"{self._own.number}{service}")
+        return ServiceHealth(service, settings.detection, settings.ramp_s, NoRights(), seed)
+
+    def _make_suspects(self, service: ServiceName) -> SuspectRequests:
+        settings = self._routing.service(service) or ServiceSettings(floor=0)
+        return SuspectRequests(settings.upstreams_per_request)
+
+    async def _stop(self) -> bool:
+        """Leave, serve on for one resolve ttl, end when nothing is in flight.
+
+        Callers keep a resolve answer for its ttl and connect without asking again, so the listener
+        has to stay for that long after the instance has vanished from the answers. The deadline
+        bounds the wait for a request that does not end; what it cuts is logged, one line each.
+        """
+        _log.info("leaving", in_flight=len(self._face.in_flight))
+        self._face.leaving = True
+        self._metrics.leaving.set(1)
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + self._settings.stop.deadline_s
+        await self._view.announce_leaving()
+        await self._unless_told_twice(
+            asyncio.sleep(self._settings.callers.resolve_ttl_s), deadline_s
+        )
+        whole = await self._unless_told_twice(self._end_requests(), deadline_s)
+        cut = list(self._face.in_flight.values())
+        for request in cut:
+            _log.warning("request_cut", request=request)
+        if whole:
+            await self._end_parts()
+        _log.info("stopped", cut=len(cut))
+        return bool(cut)
+
+    async def _end_requests(self) -> None:
+        await self._caller_server.stop()
+        await self._keyed.stop()
+
+    async def _end_parts(self) -> None:
+        await self._evidence.stop()
+        await self._settings_driver.stop()
+        await self._view.stop()
+        await self._operator_server.stop()
+        await self._client.stop()
+        await self._network.stop()
+
+    async def _unless_told_twice(self, waiting: Any, deadline_s: float) -> bool:
+        """Wait, but neither beyond the deadline nor a second signal; return whether it ended."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(waiting)
+        while not task.done() and self._signals < 2 and loop.time() < deadline_s:
+            await asyncio.wait((task,), timeout=0.05)
+        ended = task.done()
+        task.cancel()
+        return ended
--- a/src/egretrail/daemon/_execution.py
+++ b/src/egretrail/daemon/_execution.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 from typing import assert_never
 
+from egretrail.daemon._accounting import Accounting
 from egretrail.daemon._interfaces import LocalExecution, UpstreamSource
-from egretrail.daemon._metrics import Metrics
 from egretrail.daemon._service_state import ServiceState, ServiceStates, short_digest
 from egretrail.identity import UpstreamName
 from egretrail.request import (
@@ -94,14 +94,14 @@
         source: UpstreamSource,
         evidence: EvidenceDriver,
         client: UpstreamClient,
-        metrics: Metrics,
+        accounting: Accounting,
         request_id_prefix: str,
     ) -> None:
         self._services = services
         self._source = source
         self._evidence = evidence
         self._client = client
-        self._metrics = metrics
+        self._accounting = accounting
         self._prefix = request_id_prefix
         self._serial = itertools.count(1)
         self._running: dict[WorkId, _Running] = {}
@@ -190,7 +190,7 @@
                 answer_size_bytes=len(result.body),
                 idempotent=running.idempotent,
             )
-            self._metrics.attempts.labels(state.name, result.outcome.value).inc()
+            self._accounting.attempted(state.name, upstream, result.outcome, started_s)
             if result.outcome is AttemptOutcome.DRAINING:
                 self._source.note_drain(state.name, upstream)
             await self._evidence.finish(state.name, ticket, attempt)
--- a/src/egretrail/daemon/_operator_face.py
+++ b/src/egretrail/daemon/_operator_face.py
@@ -1,5 +1,7 @@
 """What operators speak to: health, metrics, and what the instance sees and would do."""
 
+from collections.abc import Callable
+
 import falcon.asgi
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from result import Err
@@ -119,12 +121,12 @@
 class RoutesResource:
     """The routes in force on this instance."""
 
-    def __init__(self, settings: "SettingsInForce") -> None:
+    def __init__(self, settings: Callable[[], FleetSettings]) -> None:
         self._settings = settings
 
     async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         """Answer with every route, by name."""
-        routes = self._settings.current().routes
+        routes = self._settings().routes
         resp.media = {
             "routes": [
                 {
@@ -139,14 +141,6 @@
         }
 
 
-class SettingsInForce:
-    """Reads the settings in force."""
-
-    def current(self) -> FleetSettings:
-        """Return them."""
-        raise NotImplementedError
-
-
 class ExplainResource:
     """Why a request would go where it goes, or be refused."""
 
--- a/src/egretrail/daemon/_requests.py
+++ b/src/egretrail/daemon/_requests.py
@@ -1,9 +1,11 @@
 """The way of one request through an instance: route, then home or group, then an upstream."""
 
+import asyncio
 from dataclasses import dataclass
 
 from result import Err, Ok
 
+from egretrail.daemon._accounting import Accounting
 from egretrail.daemon._interfaces import KeyedRequests, LocalExecution, Routing
 from egretrail.fleet import FleetView, Member
 from egretrail.identity import CallerId, Incarnation
@@ -60,12 +62,14 @@
         network: PeerNetwork,
         keyed: KeyedRequests,
         local: LocalExecution,
+        accounting: Accounting,
     ) -> None:
         self._routing = routing
         self._view = view
         self._network = network
         self._keyed = keyed
         self._local = local
+        self._accounting = accounting
         network.on(ForwardRequest, self._take_forwarded)
 
     async def handle(self, incoming: IncomingRequest) -> Answer | Problem:
@@ -89,11 +93,18 @@
             deadline_s=min(incoming.timeout_s or settings.deadline_s, settings.deadline_s),
             key=incoming.key,
         )
-        if matched.idempotent:
-            return await self._idempotent(envelope, settings)
-        if incoming.key is None:
+        if incoming.key is None and not matched.idempotent:
             return _KEY_NEEDED
-        return await self._keyed.run(envelope)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        if matched.idempotent:
+            answer = await self._idempotent(envelope, settings)
+        else:
+            answer = await self._keyed.run(envelope)
+        service = self._routing.service(matched.service)
+        duration_s = loop.time() - started_s
+        self._accounting.answered(matched.service, matched.route, service, answer, duration_s)
+        return answer
 
     async def execute(self, envelope: RequestEnvelope) -> Answer:
         """Answer a request from here, by its route's settings in force here."""
--- a/src/egretrail/daemon/_service_state.py
+++ b/src/egretrail/daemon/_service_state.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from egretrail.daemon._accounting import Accounting
 from egretrail.daemon._interfaces import UpstreamSource
 from egretrail.identity import AvailabilityZone, ServiceName, TeamName, UpstreamName
 from egretrail.platform import Endpoint
@@ -38,6 +39,7 @@
         zone: AvailabilityZone,
         source: UpstreamSource,
         evidence: EvidenceDriver,
+        accounting: Accounting,
         rng: random.Random,
     ) -> None:
         self.name = name
@@ -48,6 +50,7 @@
         self.scheduler = Scheduler(zone, _Weights(self), settings.retry_budget, rng)
         self._source = source
         self._evidence = evidence
+        self._accounting = accounting
         self._seen: Sequence[UpstreamName] = ()
 
     def candidates(self, now_s: float) -> Sequence[Candidate]:
@@ -58,9 +61,11 @@
             self._seen = names
             self.health.set_upstreams(names, now_s)
         found = []
+        verdicts = self.health.verdicts(now_s)
+        self._accounting.judged(self.name, verdicts, now_s)
         for row in rows:
             name = UpstreamName(row.name)
-            verdict = self.health.verdict(name, now_s)
+            verdict = verdicts[name]
             if verdict.in_service:
                 found.append(
                     Candidate(
@@ -96,12 +101,14 @@
         zone: AvailabilityZone,
         source: UpstreamSource,
         evidence: EvidenceDriver,
+        accounting: Accounting,
         seed: int,
     ) -> None:
         self._settings_of = settings_of
         self._zone = zone
         self._source = source
         self._evidence = evidence
+        self._accounting = accounting
         self._rng = random.Random(seed)
         self.held: dict[ServiceName, ServiceState] = {}
 
@@ -113,7 +120,15 @@
         state = self.held.get(name)
         if state is None:
             rng = random.Random(self._rng.random())
-            state = ServiceState(name, settings, self._zone, self._source, self._evidence, rng)
+            state = ServiceState(
+                name,
+                settings,
+                self._zone,
+                self._source,
+                self._evidence,
+                self._accounting,
+                rng,
+            )
             self.held[name] = state
         state.settings = settings
         return state
--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -3,6 +3,7 @@
 from egretrail.runtime._evidence import EvidenceDriver
 from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
+from egretrail.runtime._report import ReportDriver
 from egretrail.runtime._upstream_client import (
     DEADLINE_HEADER,
     UpstreamClient,
@@ -17,6 +18,7 @@
     "EvidenceDriver",
     "MembershipDriver",
     "Problem",
+    "ReportDriver",
     "UpstreamClient",
     "UpstreamRequest",
     "UpstreamResult",
