--- a/src/egretrail/service/__init__.py
+++ b/src/egretrail/service/__init__.py
@@ -4,6 +4,7 @@
 from egretrail.service._candidates import Candidate, UpstreamWeights
 from egretrail.service._order import EarliestDeadline, FairQueueing, Fifo, QueueOrder
 from egretrail.service._refusals import (
+    MayCrashUpstreams,
     NoUsableUpstream,
     OverFairShare,
     Refusal,
@@ -26,6 +27,7 @@
     "Fifo",
     "Finish",
     "Hedge",
+    "MayCrashUpstreams",
     "NoUsableUpstream",
     "OverFairShare",
     "QueueOrder",
--- a/src/egretrail/service/_placing.py
+++ b/src/egretrail/service/_placing.py
@@ -41,9 +41,14 @@
             return trial
         best: Candidate | None = None
         best_load = 0.0
+        full_weight = max((each.weight for each in candidates if not each.trial), default=0.0)
         for each in candidates:
             if each.trial or each.name in tried:
                 continue
+            if each.weight < full_weight and self._rng.random() * full_weight >= each.weight:
+                # Left out as often as its weight says. Dividing the load by the weight instead
+                # would give it no work at all while any other upstream has a free slot.
+                continue
             load = self._load_with_one_more(each)
             if load is None:
                 continue
@@ -60,7 +65,7 @@
         allowed = max(1.0, limit * candidate.weight)
         if candidate.weight <= 0.0 or running + 1 > allowed:
             return None
-        load = (running + 1) / (limit * candidate.weight)
+        load = (running + 1) / limit
         if candidate.availability_zone != self._zone:
             load += _ZONE_PREFERENCE
         return load + _JITTER * self._rng.random()
--- a/src/egretrail/service/_refusals.py
+++ b/src/egretrail/service/_refusals.py
@@ -59,6 +59,14 @@
         return f"the caller has {self.waiting} requests waiting, more than its share"
 
 
+@dataclass(frozen=True, slots=True)
+class MayCrashUpstreams(Refusal):
+    """Upstreams were lost with this request before; it is given to no more of them."""
+
+    def __str__(self) -> str:
+        return "upstreams were lost with this request before"
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamsDeclined(Refusal):
     """Every attempt ended before an upstream began the work, and no further one is allowed."""
--- a/src/egretrail/service/_scheduler.py
+++ b/src/egretrail/service/_scheduler.py
@@ -16,6 +16,7 @@
 from egretrail.service._order import FairQueueing, QueueOrder
 from egretrail.service._placing import Placing
 from egretrail.service._refusals import (
+    MayCrashUpstreams,
     NoUsableUpstream,
     OverFairShare,
     Refusal,
@@ -40,6 +41,8 @@
 _KEPT_FOR_RETRIES = 5.0
 #: While requests wait, slots that peers gave back are looked for this often.
 _RECHECK_S = 0.02
+#: Time to come back with a request that upstreams were lost with: as long as that is remembered.
+_SUSPECT_RETRY_AFTER_S = 600.0
 #: Most attempts for one request, its first included.
 _MOST_ATTEMPTS = 3
 
@@ -60,6 +63,7 @@
         order: Callable[[], QueueOrder] = FairQueueing,
     ) -> None:
         self._weights = weights
+        self._candidates: Sequence[Candidate] = ()
         self._rng = rng
         self._limits = UpstreamLimits()
         self._placing = Placing(zone, self._limits, rng)
@@ -76,6 +80,7 @@
 
     def submit(self, work: Work, now_s: float) -> Sequence[Action]:
         """Take a request that has just come: it starts, waits or is refused at once."""
+        self._candidates = self._weights.usable(now_s)
         cost_s = self._durations.expected_s(work.cost_class)
         entry = Entry(work, now_s, cost_s, self._durations.is_long(work.cost_class))
         refusal = self._refusal_on_arrival(entry, now_s)
@@ -93,6 +98,7 @@
         self, work_id: WorkId, upstream: UpstreamName, result: AttemptResult, now_s: float
     ) -> Sequence[Action]:
         """Take the end of one attempt; the request ends with it, or is tried again."""
+        self._candidates = self._weights.usable(now_s)
         entry = self._entries.get(work_id)
         actions: list[Action] = []
         self._count_end(entry, upstream, result, now_s)
@@ -112,8 +118,8 @@
 
     def tick(self, now_s: float) -> Sequence[Action]:
         """Act on the passing of time and on changes of the upstreams."""
-        candidates = self._weights.usable(now_s)
-        self._limits.retain(candidates)
+        self._candidates = self._weights.usable(now_s)
+        self._limits.retain(self._candidates)
         actions: list[Action] = []
         actions += self._start_waiting(now_s)
         actions += self._refuse_expired(now_s)
@@ -143,24 +149,23 @@
 
     # Admission
 
-    def _concurrency(self, candidates: Sequence[Candidate], now_s: float) -> float:
+    def _concurrency(self, now_s: float) -> float:
         """Return how many requests this instance may have running at once."""
-        return min(self._limits.concurrency(candidates), self._allowance(candidates, now_s))
+        return min(self._limits.concurrency(self._candidates), self._allowance(now_s))
 
-    def _allowance(self, candidates: Sequence[Candidate], now_s: float) -> float:
+    def _allowance(self, now_s: float) -> float:
         """Return this instance's share of all slots, by the demands that peers reported."""
         peer_demands = self._weights.peer_demands(now_s)
-        capacity = sum(self._limits.limit(each) * each.weight for each in candidates)
+        capacity = sum(self._limits.limit(each) * each.weight for each in self._candidates)
         return max(1.0, fair_share(capacity, self.demand, peer_demands))
 
     def _refusal_on_arrival(self, entry: Entry, now_s: float) -> Refusal | None:
         """Return why a request cannot be served in time, None when it probably can."""
-        candidates = self._weights.usable(now_s)
-        if not any(not each.trial or entry.work.idempotent for each in candidates):
+        if not any(not each.trial or entry.work.idempotent for each in self._candidates):
             return NoUsableUpstream(self._retry_after_s(_NO_UPSTREAM_RETRY_AFTER_S))
-        wait_s = self._backlog.wait_s(entry, self._concurrency(candidates, now_s))
-        if not len(self._backlog):
-            wait_s = 0.0
+        wait_s = 0.0
+        if len(self._backlog):
+            wait_s = self._backlog.wait_s(entry, self._concurrency(now_s))
         allowed_s = max(0.0, entry.latest_start_s - now_s)
         if wait_s > allowed_s or len(self._backlog) >= _MOST_WAITING:
             over_s = min(wait_s, entry.work.deadline_s - now_s) - allowed_s
@@ -173,8 +178,7 @@
         Load: a caller with little waiting comes while another fills the queue. Harm prevented:
         what it pushes back would be refused only after its whole wait.
         """
-        candidates = self._weights.usable(now_s)
-        concurrency = self._concurrency(candidates, now_s)
+        concurrency = self._concurrency(now_s)
         actions: list[Action] = []
         while len(self._backlog) > 1:
             heaviest = self._backlog.heaviest_last()
@@ -208,25 +212,27 @@
         if not len(self._backlog):
             return []
         self._last_start_s = now_s
-        candidates = self._weights.usable(now_s)
         actions: list[Action] = []
-        while (started := self._start_one(candidates, now_s)) is not None:
-            actions.append(started)
+        while started := self._start_one(now_s):
+            actions += started
         return actions
 
-    def _start_one(self, candidates: Sequence[Candidate], now_s: float) -> Action | None:
-        concurrency = self._allowance(candidates, now_s)
+    def _start_one(self, now_s: float) -> list[Action]:
+        concurrency = self._allowance(now_s)
         if self._in_flight >= concurrency:
-            return None
+            return []
         for entry in self._backlog.heads(self._long_in_flight, concurrency, now_s):
-            chosen = self._placing.choose(entry.work, candidates, entry.tried)
+            if not self._weights.may_run(entry.work.digest, now_s):
+                self._backlog.remove(entry)
+                return self._end(entry, MayCrashUpstreams(_SUSPECT_RETRY_AFTER_S))
+            chosen = self._placing.choose(entry.work, self._candidates, entry.tried)
             if chosen is None:
                 continue
             self._backlog.remove(entry)
             if not entry.tried:
                 self.budget.first_try()
-            return self._start(entry, chosen.name, now_s)
-        return None
+            return [self._start(entry, chosen.name, now_s)]
+        return []
 
     def _start(self, entry: Entry, upstream: UpstreamName, now_s: float) -> Dispatch:
         self._run(entry, upstream, now_s)
@@ -251,7 +257,7 @@
         self._limits.ended(upstream)
         self._in_flight -= 1
         if result is AttemptResult.SHED:
-            self._on_shed(upstream, now_s)
+            self._on_shed(upstream)
         if result is AttemptResult.ANSWERED:
             self._limits.answered(upstream)
         if entry is None:
@@ -261,8 +267,8 @@
         if result is AttemptResult.ANSWERED:
             self._durations.add(entry.work.cost_class, now_s - started_s)
 
-    def _on_shed(self, upstream: UpstreamName, now_s: float) -> None:
-        for each in self._weights.usable(now_s):
+    def _on_shed(self, upstream: UpstreamName) -> None:
+        for each in self._candidates:
             if each.name == upstream:
                 self._limits.shed(each)
 
@@ -296,7 +302,7 @@
             and entry.latest_start_s > now_s
             and self.budget.available()
             and self._weights.may_run(entry.work.digest, now_s)
-            and any(each.name not in entry.tried for each in self._weights.usable(now_s))
+            and any(each.name not in entry.tried for each in self._candidates)
         )
 
     def _end(self, entry: Entry, refusal: Refusal) -> list[Action]:
@@ -334,7 +340,7 @@
                 continue
             if not self._weights.may_run(entry.work.digest, now_s):
                 continue
-            chosen = self._placing.choose(entry.work, self._weights.usable(now_s), entry.tried)
+            chosen = self._placing.choose(entry.work, self._candidates, entry.tried)
             if chosen is None:
                 continue
             self.budget.take()
