Choose groups by rendezvous over zones, change by change

A choice is brought up to date from the log of joins and departures when it is asked for. The comparison with the rule written out found that a shallow choice brought up to date was taken as deep enough for a later, larger question; the depth is now checked at each question.

--- a/src/egretrail/fleet/_group.py
+++ b/src/egretrail/fleet/_group.py
@@ -3,7 +3,7 @@
 import bisect
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from egretrail.fleet._view import Member
 from egretrail.identity import AvailabilityZone, InstanceName, rendezvous_order, rendezvous_score
@@ -57,6 +57,10 @@
     best: dict[AvailabilityZone, list[tuple[float, InstanceName]]]
     #: How many members each zone has in all; as many as ``best`` holds when none is left out.
     counts: dict[AvailabilityZone, int]
+    #: Answers already given, dropped when a change touches ``best``.
+    answers: dict[tuple[int, AvailabilityZone | None], Sequence[InstanceName]] = field(
+        default_factory=dict
+    )
 
 
 class GroupIndex:
@@ -99,17 +103,32 @@
         """Return the members for a key, most preferred first, ``last_zone``'s after all others."""
         if not self._zones or size <= 0:
             return []
-        choice = self._current(key, size)
+        choice = self._current(key, self._depth(size, last_zone))
+        answer = choice.answers.get((size, last_zone))
+        if answer is None:
+            answer = self._answer(choice, key, size, last_zone)
+            choice.answers[(size, last_zone)] = answer
+        return answer
+
+    def _depth(self, size: int, last_zone: AvailabilityZone | None) -> int:
+        """Return how many members of one zone a choice may need; zones may be uneven."""
+        counts = [len(names) for zone, names in self._zones.items() if zone != last_zone]
+        depth = 1
+        while depth < size and sum(min(depth, count) for count in counts) < size:
+            depth += 1
+        return depth
+
+    def _answer(
+        self, choice: _Choice, key: str, size: int, last_zone: AvailabilityZone | None
+    ) -> Sequence[InstanceName]:
         order = [AvailabilityZone(zone) for zone in rendezvous_order(f"zone/{key}", self._zones)]
-        if last_zone in self._zones:
-            order = [zone for zone in order if zone != last_zone]
-        chosen = _in_turn([choice.best[zone] for zone in order], size)
-        if last_zone in self._zones and len(chosen) < size and last_zone is not None:
+        first = [choice.best[zone] for zone in order if zone != last_zone]
+        chosen = _in_turn(first, size)
+        if last_zone is not None and last_zone in self._zones:
             chosen += [name for _, name in choice.best[last_zone]][: size - len(chosen)]
         return chosen
 
-    def _current(self, key: str, size: int) -> _Choice:
-        depth = math.ceil(size / len(self._zones))
+    def _current(self, key: str, depth: int) -> _Choice:
         choice = self._choices.get(key)
         if choice is None or choice.depth < depth or choice.position < self._dropped:
             return self._choose_anew(key, depth)
@@ -152,12 +171,16 @@
     count = choice.counts.get(change.zone, 0)
     choice.counts[change.zone] = count + (1 if change.joined else -1)
     if not change.joined:
-        best[:] = [entry for entry in best if entry[1] != change.name]
+        kept = [entry for entry in best if entry[1] != change.name]
+        if len(kept) < len(best):
+            choice.best[change.zone] = kept
+            choice.answers.clear()
         return
     entry = (-rendezvous_score(key, change.name), change.name)
     if len(best) == count or (best and entry < best[-1]):
         bisect.insort(best, entry)
         del best[choice.depth + _SPARE :]
+        choice.answers.clear()
 
 
 def _in_turn(
