Serve one request end to end through separate processes

Ruled out: ports chosen ahead by the driver (one instance of six could not bind: another process's outgoing connection had taken its port); each process now listens on port 0 and says which it got. The settings and evidence drivers are not final on this commit.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -15,7 +15,7 @@
 
 from scaffolding.demo import put_settings
 from scaffolding.demo_trace import Deployment, ServiceLine
-from scaffolding.processes import FleetProcesses, fleet_processes, free_ports
+from scaffolding.processes import FleetProcesses, fleet_processes
 
 _OUTPUT = Path("demo-output/bench")
 _LINE = ServiceLine("shop", 6, 50, 0.0, 4, 1.0, True)
@@ -107,13 +107,10 @@
         await fleet.until_ready()
         await put_settings(fleet, _DEPLOYMENT, _LINE)
         upstream_port = fleet.upstreams[_LINE.name][0]
-        (through_port,) = free_ports(1)
         await fleet.processes.start(
-            "pass-through",
-            "benchmarks.pass_through",
-            f"--port={through_port}",
-            f"--to={upstream_port}",
+            "pass-through", "benchmarks.pass_through", f"--to={upstream_port}"
         )
+        through_port = (await fleet.processes.ports("pass-through"))["port"]
         await fleet.until_answers(f"http://127.0.0.1:{through_port}/shop/items/0")
         running = fleet.processes.running
         upstreams_pid = running[f"upstreams-{_LINE.name}"].pid
--- a/benchmarks/pass_through.py
+++ b/benchmarks/pass_through.py
@@ -1,5 +1,7 @@
 """A bare falcon and aiohttp pass-through: what a request costs with these libraries alone."""
 
+import socket
+
 import aiohttp
 import click
 import falcon.asgi
@@ -28,13 +30,15 @@
 
 
 @click.command()
-@click.option("--port", type=int, required=True)
 @click.option("--to", type=int, required=True)
-def main(port: int, to: int) -> None:
+def main(to: int) -> None:
     """Run the pass-through on loopback."""
     app = falcon.asgi.App()
     app.add_sink(PassThrough(to).serve, prefix="/")
-    uvicorn.run(app, host="127.0.0.1", port=port, log_config=None, access_log=False, loop="asyncio")
+    listening = socket.create_server(("127.0.0.1", 0), backlog=1024)
+    click.echo(f"listening port={listening.getsockname()[1]}")
+    config = uvicorn.Config(app, log_config=None, access_log=False, loop="asyncio")
+    uvicorn.Server(config).run(sockets=[listening])
 
 
 if __name__ == "__main__":
--- a/scaffolding/caller.py
+++ b/scaffolding/caller.py
@@ -24,6 +24,8 @@
     #: The answer's status and body.
     status: int = 0
     body: bytes = b""
+    #: The last problem's type.
+    problem: str = ""
     #: Attempts that were said not to have run, and the one that was answered.
     not_run: list[str] = field(default_factory=list)
     attempt: str = ""
@@ -64,6 +66,11 @@
             told.result = "refused"
             return {}
         addresses = resolved["addresses"]
+        if not idempotent:
+            addresses = [address for address in addresses if address["key_prefix"]]
+        if not addresses:
+            told.result = "refused"
+            return {}
         first = self.rng.randrange(len(addresses))
         headers = {"Authorization": f"Bearer {self.name}", "X-Work": told.attempt}
         if not idempotent:
@@ -86,6 +93,7 @@
                         return None
                     problem: dict[str, Any] = await response.json()
                     outcome = problem["outcome"]
+                    told.problem = problem["type"].rpartition(":")[2]
                     told.result = "refused" if outcome == "not-run" else outcome
                     return problem
             except (TimeoutError, aiohttp.ClientError):
--- a/scaffolding/demo.py
+++ b/scaffolding/demo.py
@@ -34,6 +34,8 @@
     told: Counter[str] = field(default_factory=Counter)
     requests: int = 0
     crossed: int = 0
+    #: Problem types that callers were told in the end.
+    problems: Counter[str] = field(default_factory=Counter)
     ran_twice: int = 0
     ran_though_not_run: int = 0
     quiet_after_s: list[str] = field(default_factory=list)
@@ -77,9 +79,10 @@
                 line.slots,
                 line.service_s,
             )
-            await put_settings(fleet, deployment, line)
         await fleet.start_instances(deployment.availability_zones, deployment.instances)
         await fleet.until_ready()
+        for line in deployment.services:
+            await put_settings(fleet, deployment, line)
 
     async def _play(self, event: Event, number: int) -> None:
         fleet = self._fleet
@@ -107,6 +110,8 @@
         tally = self.tallies[line.name]
         tally.requests += 1
         tally.told[told.result] += 1
+        if told.result != "answered":
+            tally.problems[told.problem] += 1
         self._told[line.name].append(told)
         wanted = f" {method} {path} {told.attempt} {len(body)}\n".encode()
         if told.result == "answered" and told.status == 200 and not told.body.endswith(wanted):
@@ -156,15 +161,17 @@
 
 
 async def put_settings(fleet: FleetProcesses, deployment: Deployment, line: ServiceLine) -> None:
-    """Write one service and its route into the store, as a first operator would."""
+    """Write one service and its route through an instance's operators' face."""
     service = {"floor": line.floor, "slots": line.slots, "detection": deployment.detection}
     service["echo_header"] = "X-Request-Id"
     route = {"service": line.name, "path_prefix": f"/{line.name}"}
+    port = fleet.instances[0].operator_port
     for kind, document in (("services", service), ("routes", route)):
-        path = f"egretrail/settings/{deployment.team}/{kind}/{line.name}"
-        url = f"http://127.0.0.1:{fleet.store_port}/v1/kv/{path}?revision=0"
+        url = f"http://127.0.0.1:{port}/v1/settings/{deployment.team}/{kind}/{line.name}?revision=0"
         async with fleet.session.put(url, data=tomli_w.dumps(document)) as response:
-            response.raise_for_status()
+            if response.status != 200:
+                raise click.ClickException(await response.text())
+    await fleet.until_in_force(f"/{line.name}/items")
 
 
 def print_table(deployment: Deployment, tallies: dict[str, ServiceTally]) -> None:
@@ -182,6 +189,9 @@
             f"{told['unknown']:>8}{told['nothing']:>8}{tally.ran_twice:>6}"
             f"{tally.ran_though_not_run:>12}{tally.crossed:>12}  {'; '.join(tally.quiet_after_s)}"
         )
+    for name, tally in tallies.items():
+        problems = ", ".join(f"{kind} {count}" for kind, count in sorted(tally.problems.items()))
+        click.echo(f"{name}: problems told in the end: {problems or 'none'}")
 
 
 async def replay(trace: DemoTrace) -> dict[str, ServiceTally]:
--- a/scaffolding/instance_list.py
+++ b/scaffolding/instance_list.py
@@ -6,9 +6,10 @@
 import asyncio
 from typing import Any
 
-import click
 from aiohttp import web
 
+from scaffolding.listening import serve_and_say
+
 _ROWS = web.AppKey("rows", dict[str, Any])
 _LAG = web.AppKey("lag", dict[str, float])
 
@@ -41,12 +42,5 @@
         app[_ROWS].pop(name, None)
 
 
-@click.command()
-@click.option("--port", type=int, required=True)
-def main(port: int) -> None:
-    """Run the stand-in on loopback."""
-    web.run_app(list_app(), host="127.0.0.1", port=port, print=None, access_log=None)
-
-
 if __name__ == "__main__":
-    main()
+    serve_and_say(list_app())
--- a/scaffolding/processes.py
+++ b/scaffolding/processes.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import re
 import signal
-import socket
 import sys
+import urllib.parse
 from collections.abc import AsyncIterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,14 +14,8 @@
 import aiohttp
 import tomli_w
 
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [listening.getsockname()[1] for listening in sockets]
-    for listening in sockets:
-        listening.close()
-    return ports
+#: What a process writes once it listens: ports that the system chose.
+_LISTENING = re.compile(rb"listening .*?((?:\w+=\d+ ?)+)")
 
 
 @dataclass(slots=True)
@@ -32,11 +27,22 @@
 
     async def start(self, name: str, module: str, *arguments: str) -> None:
         """Start a Python module as a process; its output goes to a file of its name."""
-        with (self.directory / f"{name}.log").open("ab") as log:
+        with (self.directory / f"{name}.log").open("wb") as log:
             self.running[name] = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", module, *arguments, stdout=log, stderr=log
             )
 
+    async def ports(self, name: str) -> dict[str, int]:
+        """Wait until a process has written that it listens; return its ports by name."""
+        log = self.directory / f"{name}.log"
+        async with asyncio.timeout(60):
+            while True:
+                found = _LISTENING.findall(log.read_bytes())
+                if found:
+                    pairs = (pair.split("=") for pair in found[-1].decode().split())
+                    return {key: int(value) for key, value in pairs}
+                await asyncio.sleep(0.02)
+
     def kill(self, name: str) -> None:
         """End a process at once."""
         self.running[name].kill()
@@ -64,9 +70,9 @@
 
     name: str
     availability_zone: str
-    caller_port: int
-    peer_port: int
-    operator_port: int
+    caller_port: int = 0
+    peer_port: int = 0
+    operator_port: int = 0
 
     def row(self) -> dict[str, Any]:
         """Return the instance's row of the instance list."""
@@ -93,29 +99,27 @@
 
     async def start_platform(self) -> None:
         """Start the store's and the list's stand-ins."""
-        self.store_port, self.list_port = free_ports(2)
-        await self.processes.start("store", "scaffolding.store", f"--port={self.store_port}")
-        await self.processes.start(
-            "instance-list", "scaffolding.instance_list", f"--port={self.list_port}"
-        )
-        await self.until_answers(f"http://127.0.0.1:{self.store_port}/counts")
-        await self.until_answers(f"http://127.0.0.1:{self.list_port}/v1/instances")
+        await self.processes.start("store", "scaffolding.store")
+        await self.processes.start("instance-list", "scaffolding.instance_list")
+        self.store_port = (await self.processes.ports("store"))["port"]
+        self.list_port = (await self.processes.ports("instance-list"))["port"]
 
     async def start_upstreams(
         self, service: str, zones: Sequence[str], count: int, slots: int, service_s: float
     ) -> None:
         """Start a service's upstreams and list them; ``service`` is ``TEAM/NAME``."""
         name = service.partition("/")[2]
-        ports = free_ports(count)
-        self.upstreams[name] = ports
         await self.processes.start(
             f"upstreams-{name}",
             "scaffolding.upstream",
             f"--service={name}",
-            "--ports=" + ",".join(map(str, ports)),
+            f"--count={count}",
             f"--slots={slots}",
             f"--service-s={service_s}",
         )
+        found = await self.processes.ports(f"upstreams-{name}")
+        ports = [found[f"port{index}"] for index in range(count)]
+        self.upstreams[name] = ports
         rows = [
             {
                 "name": f"{name}-{index}",
@@ -131,29 +135,44 @@
         """Start instances, spread over the availability zones, and list them."""
         key_file = self.processes.directory / "fleet.key"
         key_file.write_text("a fleet key for loopback only")
-        added = []
-        for index in range(len(self.instances), len(self.instances) + count):
-            instance = InstanceProcess(f"entry-{index}", zones[index % len(zones)], *free_ports(3))
-            added.append(instance)
-            settings = self.processes.directory / f"{instance.name}.toml"
-            settings.write_text(tomli_w.dumps(self._settings(instance, str(key_file))))
-        self.instances += added
-        await self.post(
-            self.list_port, "/control", {"rows": [instance.row() for instance in added]}
-        )
-        for instance in added:
-            await self.start_instance(instance)
-
-    async def start_instance(self, instance: InstanceProcess) -> None:
+        added = range(len(self.instances), len(self.instances) + count)
+        for index in added:
+            name, zone = f"entry-{index}", zones[index % len(zones)]
+            settings = self.processes.directory / f"{name}.toml"
+            settings.write_text(tomli_w.dumps(self._settings(name, zone, str(key_file))))
+            self.instances.append(InstanceProcess(name, zone))
+            await self.start_instance(index)
+        for index in added:
+            await self.list_instance(index)
+
+    async def start_instance(self, index: int) -> None:
         """Start, or start again, one instance whose settings file stands."""
-        settings = self.processes.directory / f"{instance.name}.toml"
-        await self.processes.start(instance.name, "egretrail.daemon", f"--settings={settings}")
+        name = self.instances[index].name
+        settings = self.processes.directory / f"{name}.toml"
+        await self.processes.start(name, "egretrail.daemon", f"--settings={settings}")
+
+    async def list_instance(self, index: int) -> None:
+        """Wait until an instance listens, and put it on the instance list."""
+        name, zone = self.instances[index].name, self.instances[index].availability_zone
+        ports = await self.processes.ports(name)
+        self.instances[index] = InstanceProcess(
+            name, zone, ports["callers"], ports["peers"], ports["operators"]
+        )
+        await self.post(self.list_port, "/control", {"rows": [self.instances[index].row()]})
 
     async def until_ready(self) -> None:
         """Wait until every instance says that it is ready."""
         for instance in self.instances:
             await self.until_answers(f"http://127.0.0.1:{instance.operator_port}/readyz")
 
+    async def until_in_force(self, path: str) -> None:
+        """Wait until every instance resolves a path."""
+        for instance in self.instances:
+            query = urllib.parse.urlencode({"path": path})
+            await self.until_answers(
+                f"http://127.0.0.1:{instance.caller_port}/.well-known/egretrail/resolve?{query}"
+            )
+
     async def until_answers(self, url: str) -> None:
         """Wait until a URL answers with status 200, for at most a minute."""
         async with asyncio.timeout(60):
@@ -174,16 +193,14 @@
         async with self.session.get(f"http://127.0.0.1:{port}{path}") as response:
             return await response.json()
 
-    def _settings(self, instance: InstanceProcess, key_file: str) -> dict[str, Any]:
+    def _settings(self, name: str, zone: str, key_file: str) -> dict[str, Any]:
+        any_port = {"host": "127.0.0.1", "port": 0}
         return {
             "fleet_key_file": key_file,
-            "instance": {
-                "name": instance.name,
-                "availability_zone": instance.availability_zone,
-            },
-            "caller_face": {"host": "127.0.0.1", "port": instance.caller_port},
-            "peer_face": {"host": "127.0.0.1", "port": instance.peer_port},
-            "operator_face": {"host": "127.0.0.1", "port": instance.operator_port},
+            "instance": {"name": name, "availability_zone": zone},
+            "caller_face": any_port,
+            "peer_face": any_port,
+            "operator_face": any_port,
             "platform": {
                 "store_url": f"http://127.0.0.1:{self.store_port}",
                 "instance_list_url": f"http://127.0.0.1:{self.list_port}/v1/instances",
--- a/scaffolding/store.py
+++ b/scaffolding/store.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 
-import click
 from aiohttp import web
 from result import Err
 
@@ -20,6 +19,7 @@
     WriteUnknown,
 )
 from egretrail.testing import FakeStore
+from scaffolding.listening import serve_and_say
 
 _STORE = web.AppKey("store", FakeStore)
 
@@ -127,12 +127,5 @@
             return web.json_response({}, status=503)
 
 
-@click.command()
-@click.option("--port", type=int, required=True)
-def main(port: int) -> None:
-    """Run the stand-in on loopback."""
-    web.run_app(store_app(), host="127.0.0.1", port=port, print=None, access_log=None)
-
-
 if __name__ == "__main__":
-    main()
+    serve_and_say(store_app())
--- a/scaffolding/upstream.py
+++ b/scaffolding/upstream.py
@@ -16,6 +16,8 @@
 import click
 from aiohttp import web
 
+from scaffolding.listening import serve
+
 #: How much slower a slow upstream is.
 _SLOW_FACTOR = 10.0
 #: Requests that wait for a slot before the upstream sheds.
@@ -51,6 +53,7 @@
         app.router.add_get("/runs", self._runs)
         app.router.add_get("/health", self._health)
         app.router.add_route("*", "/{path:.*}", self._serve)
+        app.on_response_prepare.append(_repeat_request_id)
         return app
 
     async def _control(self, request: web.Request) -> web.Response:
@@ -96,10 +99,9 @@
             await asyncio.sleep(3600)
         if mode == "crashing" or (mode == "good" and "poison" in request.path):
             _abort(request)
-        headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
         if mode in ("truncating", "surplus"):
-            return await _miscounted(request, text, headers, mode)
-        return web.Response(body=text, headers=headers)
+            return await _miscounted(request, text, mode)
+        return web.Response(body=text)
 
     def _cold_factor(self) -> float:
         now_s = asyncio.get_running_loop().time()
@@ -109,16 +111,18 @@
         return 1.0 + (_COLD_FACTOR - 1.0) * left
 
 
-async def _miscounted(
-    request: web.Request, text: bytes, headers: dict[str, str], mode: str
-) -> web.StreamResponse:
+async def _repeat_request_id(request: web.Request, response: web.StreamResponse) -> None:
+    response.headers["X-Request-Id"] = request.headers.get("X-Request-Id", "")
+
+
+async def _miscounted(request: web.Request, text: bytes, mode: str) -> web.StreamResponse:
     """Answer with fewer or more bytes than the header tells."""
     transport = request.transport
     assert transport is not None
     length = len(text) + 10 if mode == "truncating" else len(text)
-    head = [f"HTTP/1.1 200 OK\r\nContent-Length: {length}"]
-    head += [f"{name}: {value}" for name, value in headers.items()]
-    transport.write("\r\n".join(head).encode() + b"\r\n\r\n" + text)
+    request_id = request.headers.get("X-Request-Id", "")
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nX-Request-Id: {request_id}\r\n\r\n"
+    transport.write(head.encode() + text)
     if mode == "truncating":
         transport.close()
     else:
@@ -133,30 +137,20 @@
     raise ConnectionResetError
 
 
-async def serve(upstreams: list[tuple[UpstreamStandIn, int]]) -> None:
-    """Serve each upstream on its port until cancelled."""
-    for upstream, port in upstreams:
-        runner = web.AppRunner(upstream.app(), access_log=None, handler_cancellation=True)
-        await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", port).start()
-    await asyncio.Event().wait()
-
-
 @click.command()
 @click.option("--service", required=True)
-@click.option("--ports", required=True, help="One port for each upstream, with commas.")
+@click.option("--count", type=int, required=True, help="How many upstreams.")
 @click.option("--slots", type=int, required=True)
 @click.option("--service-s", type=float, required=True, help="Median time of one request.")
 @click.option("--seed", type=int, default=1)
-def main(service: str, ports: str, slots: int, service_s: float, seed: int) -> None:
+def main(service: str, count: int, slots: int, service_s: float, seed: int) -> None:
     """Run all upstreams of one service on loopback."""
     rng = random.Random(seed)
-    numbers = [int(port) for port in ports.split(",")]
     upstreams = [
-        (UpstreamStandIn(f"{service}-{n}", slots, service_s, random.Random(rng.random())), port)
-        for n, port in enumerate(numbers)
+        UpstreamStandIn(f"{service}-{n}", slots, service_s, random.Random(rng.random()))
+        for n in range(count)
     ]
-    asyncio.run(serve(upstreams))
+    asyncio.run(serve({f"port{n}": upstream.app() for n, upstream in enumerate(upstreams)}))
 
 
 if __name__ == "__main__":
--- a/src/egretrail/daemon/_caller_face.py
+++ b/src/egretrail/daemon/_caller_face.py
@@ -66,7 +66,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         if scope["path"].startswith(_OWN_PREFIX):
-            return await self._own(scope, receive, send)
+            await self._own(scope, receive, send)
+            return
         if len(self.in_flight) >= self._in_flight_limit:
             return await self._send_problem(send, _TOO_MANY)
         self._last_number += 1
@@ -113,7 +114,7 @@
             event = await receive()
             if event["type"] == "http.disconnect":
                 raise _CallerLeftError
-            body += event.get("body", b"")
+            body += bytes(event.get("body", b""))
             if len(body) > self._body_limit_bytes:
                 return None
             if not event.get("more_body", False):
--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -16,7 +16,6 @@
 from egretrail.daemon._caller_face import CallerFace
 from egretrail.daemon._execution import Executor
 from egretrail.daemon._http_server import HttpServer
-from egretrail.daemon._keyed import KeyedWork
 from egretrail.daemon._metrics import Metrics
 from egretrail.daemon._operator_face import (
     ExplainResource,
@@ -33,14 +32,17 @@
 from egretrail.daemon._resolve import Resolver
 from egretrail.daemon._routing import SettingsRouting
 from egretrail.daemon._service_state import ServiceStates
+from egretrail.daemon._settings_put import SettingResource
 from egretrail.daemon._upstreams import ListedUpstreams
 from egretrail.fleet import Member, group_size
+from egretrail.idempotency import KeyLimits
 from egretrail.identity import Incarnation, ServiceName
 from egretrail.peer import TcpPeerNetwork
 from egretrail.platform import HttpInstanceList, HttpStore
 from egretrail.report import BurnRecorder, Objective
 from egretrail.runtime import (
     EvidenceDriver,
+    KeyedExecutor,
     MembershipDriver,
     ReportDriver,
     SettingsDriver,
@@ -97,6 +99,9 @@
             frame_limit + _FRAME_MARGIN_BYTES,
         )
         peer_port = await self._network.start(settings.peer_face.host, settings.peer_face.port)
+        caller_face, operator_face = settings.caller_face, settings.operator_face
+        self._caller_server = HttpServer(caller_face.host, caller_face.port)
+        self._operator_server = HttpServer(operator_face.host, operator_face.port)
         store = HttpStore(platform.store_url, platform_session, platform.timeout_s)
         instance_list = HttpInstanceList(
             platform.instance_list_url, platform_session, platform.timeout_s
@@ -105,8 +110,8 @@
             Member(
                 self._own,
                 settings.instance.availability_zone,
-                settings.caller_face.host,
-                settings.caller_face.port,
+                caller_face.host,
+                self._caller_server.port,
                 settings.peer_face.host,
                 peer_port,
                 ready=False,
@@ -130,17 +135,17 @@
         await self._settings_driver.start()
         await self._evidence.start()
         await self._keyed.start()
-        self._operator_server.start()
-        self._caller_server.start()
-        await self._settings_driver.wait_until_caught_up()
-        await self._view.announce_ready()
+        self._operator_server.start(self._operator_app())
+        self._caller_server.start(self._face)
         _log.info(
-            "ready",
-            instance=str(self._own),
+            "listening",
             callers=self._caller_server.port,
             peers=peer_port,
             operators=self._operator_server.port,
         )
+        await self._settings_driver.wait_until_caught_up()
+        await self._view.announce_ready()
+        _log.info("ready", instance=str(self._own))
 
     def _build_request_path(self) -> None:
         settings = self._settings
@@ -169,20 +174,19 @@
             accounting,
             f"{self._own.number:x}",
         )
-        self._keyed = KeyedWork(
-            self._own, self._network, self._view, self._fleet_key, settings.limits
+        self._keyed = KeyedExecutor(
+            self._own,
+            self._fleet_key,
+            self._network,
+            self._view,
+            lambda envelope: requests.execute(envelope),
+            KeyLimits(answers_size_bytes=settings.limits.kept_answers_size_bytes),
         )
         requests = RequestPath(
             self._routing, self._view, self._network, self._keyed, executor, accounting
         )
-        self._keyed.execute_with(requests.execute)
         resolver = Resolver(self._routing, self._view, self._keyed, settings.callers.resolve_ttl_s)
         self._face = CallerFace(settings, requests, resolver)
-        caller_face, operator_face = settings.caller_face, settings.operator_face
-        self._caller_server = HttpServer(self._face, caller_face.host, caller_face.port)
-        self._operator_server = HttpServer(
-            self._operator_app(), operator_face.host, operator_face.port
-        )
 
     def _operator_app(self) -> Any:
         app = falcon.asgi.App()
@@ -193,6 +197,7 @@
         app.add_route("/v1/instances", InstancesResource(self._view))
         app.add_route("/v1/upstreams", UpstreamsResource(self._services))
         app.add_route("/v1/routes", RoutesResource(self._settings_driver.settings))
+        app.add_route("/v1/settings/{team}/{kind}/{name}", SettingResource(self._settings_driver))
         app.add_route("/v1/report", ReportResource(self._report))
         app.add_route(
             "/v1/explain",
@@ -238,7 +243,7 @@
         await self._unless_told_twice(
             asyncio.sleep(self._settings.callers.resolve_ttl_s), deadline_s
         )
-        whole = await self._unless_told_twice(self._end_requests(), deadline_s)
+        whole = await self._unless_told_twice(self._end_requests(deadline_s), deadline_s)
         cut = list(self._face.in_flight.values())
         for request in cut:
             _log.warning("request_cut", request=request)
@@ -247,8 +252,13 @@
         _log.info("stopped", cut=len(cut))
         return bool(cut)
 
-    async def _end_requests(self) -> None:
+    async def _end_requests(self, deadline_s: float) -> None:
         await self._caller_server.stop()
+        drained = await self._keyed.drain(deadline_s)
+        if drained.unsettled_count or drained.unkept_count:
+            _log.warning(
+                "keys_left", unsettled=drained.unsettled_count, unkept=drained.unkept_count
+            )
         await self._keyed.stop()
 
     async def _end_parts(self) -> None:
--- a/src/egretrail/daemon/_execution.py
+++ b/src/egretrail/daemon/_execution.py
@@ -28,6 +28,7 @@
     Dispatch,
     Finish,
     Hedge,
+    MayCrashUpstreams,
     NoUsableUpstream,
     OverFairShare,
     Refuse,
@@ -59,6 +60,7 @@
     OverFairShare: RefusalCause.QUEUE_FULL,
     WaitedTooLong: RefusalCause.DEADLINE,
     UpstreamsDeclined: RefusalCause.NO_UPSTREAM,
+    MayCrashUpstreams: RefusalCause.SUSPECT_REQUEST,
 }
 _FAILURE_CAUSES: Mapping[AttemptOutcome, RefusalCause] = {
     AttemptOutcome.TRUNCATED: RefusalCause.ANSWER_INVALID,
@@ -223,7 +225,7 @@
         """Return what the caller is told; after an attempt that may have run, that it may have."""
         maybe_run = any(not result.certainly_not_run for result in running.results.values())
         outcome = Outcome.UNKNOWN if maybe_run else Outcome.NOT_RUN
-        cause = _CAUSES.get(type(refusal), RefusalCause.SUSPECT_REQUEST)
+        cause = _CAUSES[type(refusal)]
         return Refusal(outcome, cause, refusal.retry_after_s)
 
     def _set_wakeup(self, state: ServiceState) -> None:
--- a/src/egretrail/daemon/_http_server.py
+++ b/src/egretrail/daemon/_http_server.py
@@ -19,11 +19,22 @@
 
 
 class HttpServer:
-    """Serves an ASGI application on one address."""
+    """Listens on one address from the start, and serves an ASGI application once there is one."""
 
-    def __init__(self, app: Any, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket = socket.create_server((host, port), family=family, backlog=1024)
+        self._server: _QuietServer | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        port: int = self._socket.getsockname()[1]
+        return port
+
+    def start(self, app: Any) -> None:
+        """Begin to take connections and have ``app`` answer them."""
         config = uvicorn.Config(
             app,
             loop="asyncio",
@@ -38,21 +49,13 @@
             h11_max_incomplete_event_size=1 << 16,
         )
         self._server = _QuietServer(config)
-        self._task: asyncio.Task[None] | None = None
-
-    @property
-    def port(self) -> int:
-        """Return the port that is listened on."""
-        port: int = self._socket.getsockname()[1]
-        return port
-
-    def start(self) -> None:
-        """Begin to take connections."""
         serving = self._server.serve(sockets=[self._socket])
         self._task = asyncio.get_running_loop().create_task(serving)
 
     async def stop(self) -> None:
         """Stop taking connections and wait until the requests in flight have ended."""
+        if self._server is None or self._task is None:
+            self._socket.close()
+            return
         self._server.should_exit = True
-        if self._task is not None:
-            await self._task
+        await self._task
--- a/src/egretrail/daemon/_interfaces.py
+++ b/src/egretrail/daemon/_interfaces.py
@@ -5,7 +5,6 @@
 
 from result import Result
 
-from egretrail.fleet import Member
 from egretrail.identity import RouteName, ServiceName, UpstreamName
 from egretrail.platform import ListedInstance
 from egretrail.request import Answer, RequestEnvelope
@@ -29,18 +28,6 @@
         """Return the settings of a service in force here."""
 
 
-class KeyedRequests(abc.ABC):
-    """Runs requests that are not idempotent at most once."""
-
-    @abc.abstractmethod
-    async def run(self, request: RequestEnvelope) -> Answer:
-        """Answer a request by its key, here or at the key's home."""
-
-    @abc.abstractmethod
-    def prefix_for(self, member: Member, service: ServiceName) -> str | None:
-        """Return a key prefix that names ``member`` as home; None when it can have none now."""
-
-
 class LocalExecution(abc.ABC):
     """Has an upstream answer a request, from this instance."""
 
--- a/src/egretrail/daemon/_operator_face.py
+++ b/src/egretrail/daemon/_operator_face.py
@@ -110,7 +110,7 @@
                     "weight": round(verdict.weight, 3),
                     "cause": verdict.cause.value,
                     "since_s": round(verdict.since_s, 3),
-                    "in_flight": state.scheduler.in_flight.get(upstream, 0),
+                    "in_flight": state.scheduler.in_flight().get(upstream, 0),
                 }
                 for name, state in sorted(self._services.held.items())
                 for upstream, verdict in state.judged()
--- a/src/egretrail/daemon/_requests.py
+++ b/src/egretrail/daemon/_requests.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from egretrail.daemon._accounting import Accounting
-from egretrail.daemon._interfaces import KeyedRequests, LocalExecution, Routing
+from egretrail.daemon._interfaces import LocalExecution, Routing
 from egretrail.fleet import FleetView, Member
 from egretrail.identity import CallerId, Incarnation
 from egretrail.peer import PeerNetwork
@@ -19,7 +19,7 @@
     RefusalCause,
     RequestEnvelope,
 )
-from egretrail.runtime import Problem
+from egretrail.runtime import KeyedExecutor, Problem
 from egretrail.settings import RouteSettings
 from egretrail.wire import Message
 
@@ -60,7 +60,7 @@
         routing: Routing,
         view: FleetView,
         network: PeerNetwork,
-        keyed: KeyedRequests,
+        keyed: KeyedExecutor,
         local: LocalExecution,
         accounting: Accounting,
     ) -> None:
--- a/src/egretrail/daemon/_resolve.py
+++ b/src/egretrail/daemon/_resolve.py
@@ -1,12 +1,13 @@
 """Tells callers which addresses to use for a route, and with which idempotency-key prefixes."""
 
+import asyncio
+
 import falcon.asgi
 from result import Ok
 
-from egretrail.daemon._interfaces import KeyedRequests, Routing
+from egretrail.daemon._interfaces import Routing
 from egretrail.fleet import FleetView, Member, MemberState
-from egretrail.identity import ServiceName
-from egretrail.runtime import PROBLEM_CONTENT_TYPE, Problem
+from egretrail.runtime import PROBLEM_CONTENT_TYPE, KeyedExecutor, Problem
 
 _NO_ROUTE = Problem("no-route", 404, "No route matches the path")
 _NO_PATH = Problem("bad-resolve", 400, "Ask with ?path=/the/path and, if you use one, &host=HOST")
@@ -17,7 +18,7 @@
     """The resolve question, a falcon resource."""
 
     def __init__(
-        self, routing: Routing, view: FleetView, keyed: KeyedRequests, ttl_s: float
+        self, routing: Routing, view: FleetView, keyed: KeyedExecutor, ttl_s: float
     ) -> None:
         self._routing = routing
         self._view = view
@@ -33,11 +34,12 @@
         matched = found.ok_value if isinstance(found, Ok) else None
         if matched is None:
             return _show(resp, _NO_ROUTE)
-        addresses = [
-            self._address(member, matched.service)
+        named = [
+            member
             for member in self._view.group(matched.service)
             if member.state is MemberState.ALIVE and member.ready
         ]
+        addresses = await asyncio.gather(*(self._address(member) for member in named))
         if not addresses:
             return _show(resp, _NOT_READY)
         resp.media = {
@@ -49,8 +51,8 @@
         }
         resp.set_header("Cache-Control", f"max-age={int(self._ttl_s)}")
 
-    def _address(self, member: Member, service: ServiceName) -> dict[str, object]:
-        prefix = self._keyed.prefix_for(member, service)
+    async def _address(self, member: Member) -> dict[str, object]:
+        prefix = await self._keyed.prefix_for(member.name)
         return {
             "instance": member.name,
             "host": member.caller_host,
--- a/src/egretrail/route/__init__.py
+++ b/src/egretrail/route/__init__.py
@@ -1,6 +1,6 @@
 """Which route a request belongs to."""
 
-from egretrail.route._acceptance import acceptance_faults
+from egretrail.route._acceptance import acceptance_faults, standing_conflicts
 from egretrail.route._path import PathFault, UnsafePath, normalised_host, path_segments
 from egretrail.route._table import RouteMatch, RouteTable
 
@@ -12,4 +12,5 @@
     "acceptance_faults",
     "normalised_host",
     "path_segments",
+    "standing_conflicts",
 ]
--- a/src/egretrail/route/_acceptance.py
+++ b/src/egretrail/route/_acceptance.py
@@ -58,3 +58,19 @@
     own = RouteName(path.qualified_name)
     others = [name for name in table.holders(route.host, route.path_prefix) if name != own]
     return [SettingsFault("path_prefix", f"{name} has this host and prefix") for name in others]
+
+
+def standing_conflicts(settings: FleetSettings, team: str | None = None) -> Sequence[SettingsFault]:
+    """Return the routes in force without a service, by path, of one team or of all.
+
+    Only a service's deletion and a route to it, accepted at the same moment, leave one behind; its
+    requests are refused until an operator mends it.
+    """
+    faults = []
+    for name, route in sorted(settings.routes.items()):
+        owner, _, short = name.partition("/")
+        dangling = ServiceName(f"{owner}/{route.service}") not in settings.services
+        if dangling and team in (None, owner):
+            reason = f"team {owner} has no service {route.service!r}"
+            faults.append(SettingsFault(f"{owner}/routes/{short}", reason))
+    return faults
--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -2,10 +2,10 @@
 
 from egretrail.runtime._evidence import EvidenceDriver
 from egretrail.runtime._keyed import KeyedExecutor
-from egretrail.runtime._keyed_home import Drained, Execute
 from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._report import ReportDriver
+from egretrail.runtime._settings import SettingsDriver
 from egretrail.runtime._upstream_client import (
     DEADLINE_HEADER,
     UpstreamClient,
@@ -17,13 +17,12 @@
     "DEADLINE_HEADER",
     "OUTCOME_HEADER",
     "PROBLEM_CONTENT_TYPE",
-    "Drained",
     "EvidenceDriver",
-    "Execute",
     "KeyedExecutor",
     "MembershipDriver",
     "Problem",
     "ReportDriver",
+    "SettingsDriver",
     "UpstreamClient",
     "UpstreamRequest",
     "UpstreamResult",
--- /dev/null
+++ b/src/egretrail/runtime/_settings_state.py
@@ -0,0 +1,124 @@
+"""The settings an instance holds, kept together with what is derived from them."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+import structlog
+from result import Ok
+
+from egretrail.identity import RouteName
+from egretrail.route import RouteTable
+from egretrail.settings import (
+    Catalogue,
+    ChangeRun,
+    Outcome,
+    RunOutcome,
+    SettingChange,
+    SettingKind,
+    SettingPath,
+    SnapshotOutcome,
+    StoreBehind,
+)
+
+#: Is told the paths whose settings changed, after they are in force.
+SettingsListener = Callable[[Sequence[SettingPath]], None]
+
+_log = structlog.get_logger()
+
+
+class SettingsState:
+    """The catalogue, its route table, and how sure this instance is of them."""
+
+    def __init__(self) -> None:
+        self.catalogue = Catalogue()
+        self.routes = RouteTable()
+        #: When the store last confirmed what is held, by the loop's clock; None: never.
+        self.confirmed_at_s: float | None = None
+        #: When a caught-up peer or the store was last compared with; None: never.
+        self.compared_at_s: float | None = None
+        #: The store's last answer that was older than the fleet; None once it has caught up.
+        self.behind: StoreBehind | None = None
+        #: No path has changed after this revision and up to the complete revision.
+        self.quiet_from_revision = 0
+        self._listeners: list[SettingsListener] = []
+
+    def subscribe(self, listener: SettingsListener) -> None:
+        """Call ``listener`` after each change of the settings in force."""
+        self._listeners.append(listener)
+
+    def apply(self, changes: Iterable[SettingChange]) -> Sequence[SettingChange]:
+        """Apply changes that claim nothing about others; return what was new."""
+        catalogue = self.catalogue
+        applied = [change for change in changes if catalogue.apply(change) is Outcome.APPLIED]
+        self._bring_into_force(applied)
+        return applied
+
+    def apply_run(self, run: ChangeRun) -> RunOutcome:
+        """Apply a run of changes."""
+        before = self.catalogue.complete_revision
+        outcome = self.catalogue.apply_run(run)
+        if run.changes and self.catalogue.complete_revision > before:
+            self.quiet_from_revision = self.catalogue.complete_revision
+        self._bring_into_force(outcome.applied)
+        return outcome
+
+    def apply_snapshot(
+        self, changes: Sequence[SettingChange], revision: int, asked_at_revision: int
+    ) -> SnapshotOutcome:
+        """Apply the store's whole content."""
+        outcome = self.catalogue.apply_snapshot(changes, revision, asked_at_revision)
+        self.quiet_from_revision = self.catalogue.complete_revision
+        self._bring_into_force(outcome.applied)
+        return outcome
+
+    def complete_upto(self, revision: int) -> None:
+        """Note that a peer, complete up to a revision, holds the same settings."""
+        if revision > self.catalogue.complete_revision:
+            self.catalogue.complete_upto(revision)
+            self.quiet_from_revision = revision
+
+    def confirm(self, at_s: float) -> None:
+        """Note that the store confirmed at a time what is held."""
+        self.confirmed_at_s = max(at_s, self.confirmed_at_s or at_s)
+        self.compared_at_s = max(at_s, self.compared_at_s or at_s)
+
+    def report_behind(self, behind: StoreBehind | None) -> None:
+        """Keep and log that the store shows an older state than the fleet, or no longer does."""
+        if behind is not None and behind != self.behind:
+            _log.error(
+                "settings_store_behind",
+                store_revision=behind.store_revision,
+                held_revision=behind.held_revision,
+                paths=",".join(behind.paths[:10]),
+            )
+        self.behind = behind
+
+    def _bring_into_force(self, applied: Sequence[SettingChange]) -> None:
+        paths = []
+        issues = self.catalogue.in_force.issues() if applied else {}
+        for change in applied:
+            if change.path in issues:
+                reason = "; ".join(str(fault) for fault in issues[change.path].faults)
+                _log.warning("setting_unreadable", path=change.path, reason=reason)
+            parsed = SettingPath.parse(change.path)
+            if isinstance(parsed, Ok):
+                self._update_routes(parsed.ok_value)
+                paths.append(parsed.ok_value)
+                _log.info(
+                    "setting_in_force",
+                    path=change.path,
+                    generation=change.generation,
+                    change_id=change.change_id,
+                )
+        if paths:
+            for listener in self._listeners:
+                listener(paths)
+
+    def _update_routes(self, path: SettingPath) -> None:
+        if path.kind is not SettingKind.ROUTE:
+            return
+        name = RouteName(path.qualified_name)
+        route = self.catalogue.in_force.route(name)
+        if route is None:
+            self.routes.remove(name)
+        else:
+            self.routes.put(name, route)
--- a/src/egretrail/runtime/_upstream_client.py
+++ b/src/egretrail/runtime/_upstream_client.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from types import SimpleNamespace
 
 import aiohttp
 import yarl
@@ -212,7 +213,7 @@
 
 async def _note_sent(
     _session: aiohttp.ClientSession,
-    context: "aiohttp.tracing.SimpleNamespace",
+    context: SimpleNamespace,
     _params: aiohttp.TraceRequestHeadersSentParams,
 ) -> None:
     context.trace_request_ctx.sent = True
--- a/src/egretrail/settings/_envelope.py
+++ b/src/egretrail/settings/_envelope.py
@@ -5,13 +5,11 @@
 from dataclasses import dataclass, replace
 
 from pydantic import TypeAdapter, ValidationError
-from result import Err, Ok, Result
 
 from egretrail.settings._change import SettingChange
-from egretrail.settings._errors import InvalidSettings, SettingsFault
 
 #: The subtree of the store that holds the fleet's settings.
-STORE_PREFIX = "settings/"
+STORE_PREFIX = "egretrail/settings/"
 #: Earlier values kept with each path.
 HISTORY_LENGTH = 8
 #: Longest text of one path; a service or a route takes a few hundred bytes.
@@ -51,11 +49,9 @@
         earlier = (replace(self.latest, revision=own_revision), *self.history)
         return Envelope(change, earlier[:HISTORY_LENGTH])
 
-    def revision_of(self, change_id: str, own_revision: int) -> int | None:
-        """Return the revision at which a change was accepted; None when it is not known."""
-        if self.latest.change_id == change_id:
-            return own_revision
-        found = (item.revision for item in self.history if item.change_id == change_id)
+    def find(self, change_id: str) -> Revised | None:
+        """Return the change with an id; None when it is not among those kept."""
+        found = (item for item in (self.latest, *self.history) if item.change_id == change_id)
         return next(found, None)
 
     def encode(self) -> str:
@@ -71,28 +67,24 @@
 _ADAPTER = TypeAdapter(Envelope)
 
 
-def decode_envelope(path: str, value: str) -> Result[Envelope, InvalidSettings]:
-    """Read what the store holds for a path."""
+def decode_envelope(value: str) -> Envelope:
+    """Read what the store holds for a path.
+
+    A value that is no envelope was written straight into the store, such as a first setting-up may
+    do: it is taken as the TOML text itself, without an id or an author.
+    """
     try:
-        return Ok(_ADAPTER.validate_json(value))
-    except ValidationError as error:
-        reason = f"not written by the operators' tool: {error.error_count()} fault(s)"
-        return Err(InvalidSettings(path, [SettingsFault("", reason)]))
+        return _ADAPTER.validate_json(value)
+    except ValidationError:
+        return Envelope(Revised("", "", 0.0, value))
 
 
 def change_of(store_path: str, value: str | None, revision: int) -> SettingChange:
-    """Return a path of the store as a change.
-
-    A value without a readable envelope, which somebody wrote around the tool, is taken as the text
-    itself: it then stands among the issues, and the last readable value stays in force.
-    """
+    """Return a path of the store as a change."""
     path = store_path.removeprefix(STORE_PREFIX)
     if value is None:
         return SettingChange(path, revision, "", None)
-    decoded = decode_envelope(path, value)
-    if isinstance(decoded, Err):
-        return SettingChange(path, revision, "", value)
-    latest = decoded.ok_value.latest
+    latest = decode_envelope(value).latest
     return SettingChange(path, revision, latest.change_id, latest.text)
 
 
--- a/src/egretrail/settings/_in_force.py
+++ b/src/egretrail/settings/_in_force.py
@@ -32,6 +32,10 @@
             self._settings = FleetSettings(dict(self._services), dict(self._routes))
         return self._settings
 
+    def route(self, name: RouteName) -> RouteSettings | None:
+        """Return one route without a copy of all."""
+        return self._routes.get(name)
+
     def issues(self) -> Mapping[str, InvalidSettings]:
         """Return the held values that cannot be read."""
         return dict(self._issues)
