Keep the directory of upstreams: the first sign of leaving counts

Drain signs are bound to a name and address and travel with their age, so that a stale row or a staler reader never takes one back. Three readers pass changes to the service's group; everybody else asks one of them, and reads the list itself rarely.

--- a/src/egretrail/fleet/__init__.py
+++ b/src/egretrail/fleet/__init__.py
@@ -15,14 +15,28 @@
 from egretrail.fleet._slowness import Slowness
 from egretrail.fleet._table import UNHEARD, MembershipTable
 from egretrail.fleet._tuning import MembershipTuning
+from egretrail.fleet._upstreams import (
+    DrainsAsk,
+    DrainSign,
+    DrainSigns,
+    ListedUpstreams,
+    UpstreamDirectory,
+    UpstreamListing,
+    UpstreamRow,
+    UpstreamsAsk,
+)
 from egretrail.fleet._view import FleetView, Member, MemberState
 
 __all__ = [
     "UNHEARD",
+    "DrainSign",
+    "DrainSigns",
+    "DrainsAsk",
     "FleetView",
     "GroupIndex",
     "IndirectPing",
     "IndirectPong",
+    "ListedUpstreams",
     "Member",
     "MemberState",
     "MembershipTable",
@@ -35,5 +49,9 @@
     "Slowness",
     "SyncAsk",
     "SyncReply",
+    "UpstreamDirectory",
+    "UpstreamListing",
+    "UpstreamRow",
+    "UpstreamsAsk",
     "group_size",
 ]
--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -9,6 +9,7 @@
     UpstreamRequest,
     UpstreamResult,
 )
+from egretrail.runtime._upstream_list import UpstreamListDriver
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -18,6 +19,7 @@
     "MembershipDriver",
     "Problem",
     "UpstreamClient",
+    "UpstreamListDriver",
     "UpstreamRequest",
     "UpstreamResult",
     "problem_of",
--- a/src/egretrail/runtime/_membership.py
+++ b/src/egretrail/runtime/_membership.py
@@ -162,6 +162,16 @@
         """Return whether a process is proved to have ended; being unreachable is no proof."""
         return self._table.is_gone(process, _now_s())
 
+    def list_readers(self) -> Sequence[InstanceName]:
+        """Return the members that read the platform's list at the full rate."""
+        self._refresh_index()
+        return self._index.choose("list-readers", _LIST_READERS)
+
+    @property
+    def reads_list(self) -> bool:
+        """Return whether this instance is one of the readers."""
+        return self._table.own.instance in self.list_readers()
+
     def on_list(self, listener: ListListener) -> None:
         """Let ``listener`` take every reading of the platform's list that this instance makes."""
         self._listeners.append(listener)
@@ -311,8 +321,7 @@
         Load: the list is read by few at the full rate; all others together add about half a
         reading a second at any size, so that the list is known even if every reader is cut off.
         """
-        self._refresh_index()
-        if self._table.own.instance in self._index.choose("list-readers", _LIST_READERS):
+        if self.reads_list:
             return self._list_interval_s
         return self._list_interval_s * max(_FALLBACK_INTERVALS, self._table.size)
 
--- /dev/null
+++ b/src/egretrail/runtime/_upstream_list.py
@@ -0,0 +1,216 @@
+"""Brings each instance the upstreams of the services it serves, and word of those that leave."""
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from result import Ok
+
+from egretrail.fleet import (
+    DrainsAsk,
+    DrainSigns,
+    ListedUpstreams,
+    UpstreamDirectory,
+    UpstreamListing,
+    UpstreamRow,
+    UpstreamsAsk,
+)
+from egretrail.identity import Incarnation, InstanceName, ServiceName, UpstreamName
+from egretrail.peer import PeerNetwork
+from egretrail.platform import Endpoint, ListedInstance, ListedState
+from egretrail.runtime._membership import FLEET_SERVICE, MembershipDriver
+from egretrail.wire import Acknowledged
+
+#: An instance asks a reader for its services' rows once in this long for each member of the
+#: fleet: the readers then answer a constant number of questions at any size, and changes come
+#: without being asked for.
+_ASK_PERIOD_S_PER_MEMBER = 0.1
+_SHORTEST_ASK_PERIOD_S = 2.0
+_ASK_TIMEOUT_S = 1.0
+#: A drain sign is told to each member of the group this often until it acknowledges. More than
+#: that is not worth its traffic: members also ask each other for signs.
+_TELLINGS = 4
+_TELLING_GAP_S = 0.5
+
+
+class UpstreamListDriver:
+    """Keeps the directory of upstreams for the services that this instance serves.
+
+    A reader of the list keeps every row and passes a service's rows to its group when they change;
+    the others ask a reader now and then, and read the list themselves, rarely, in any case.
+    """
+
+    def __init__(
+        self,
+        membership: MembershipDriver,
+        network: PeerNetwork,
+        serves: Callable[[ServiceName], bool],
+        services: Callable[[], Sequence[ServiceName]],
+        rng: random.Random | None = None,
+    ) -> None:
+        self._membership = membership
+        self._network = network
+        self._services = services
+        self._serves = serves
+        self._rng = rng or random.Random(membership.own.incarnation.number)
+        self._directory = UpstreamDirectory(serves)
+        self._all_rows: Mapping[ServiceName, Sequence[UpstreamRow]] = {}
+        self._read_s: float | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Take in the list's readings and begin to ask; start this before the membership."""
+        self._network.on(UpstreamsAsk, self._on_upstreams_ask)
+        self._network.on(ListedUpstreams, self._on_listed)
+        self._network.on(DrainsAsk, self._on_drains_ask)
+        self._network.on(DrainSigns, self._on_signs)
+        self._membership.on_list(self._on_list)
+        self._spawn(self._ask_forever())
+
+    async def stop(self) -> None:
+        """Stop asking and telling."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def changes(self) -> int:
+        """Return a number that rises whenever ``upstreams`` may answer differently."""
+        return self._directory.changes
+
+    def upstreams(self, service: ServiceName) -> Sequence[ListedInstance]:
+        """Return the upstreams that may get new work, in a stable order."""
+        return [_listed(service, row) for row in self._directory.upstreams(service)]
+
+    def names(self, service: ServiceName) -> Sequence[UpstreamName]:
+        """Return the names of the upstreams that count as capacity."""
+        return [row.name for row in self._directory.upstreams(service)]
+
+    def listings(self, service: ServiceName) -> Mapping[UpstreamName, UpstreamListing]:
+        """Return what is known of each upstream, for operators."""
+        return self._directory.listings(service)
+
+    def note_drain(self, service: ServiceName, upstream: UpstreamName) -> None:
+        """Take an upstream's own word that it is draining, and tell the group."""
+        if self._directory.note_drain(service, upstream, _now_s()):
+            self._tell_group(service)
+
+    def _tell_group(self, service: ServiceName) -> None:
+        for member in self._membership.group(service):
+            if member.name != self._membership.own.name:
+                self._spawn(self._tell(member.name, service))
+
+    async def _tell(self, peer: InstanceName, service: ServiceName) -> None:
+        for _ in range(_TELLINGS):
+            body = DrainSigns(service, self._directory.signs(service, _now_s()))
+            told = await self._network.ask(peer, body, Acknowledged, _ASK_TIMEOUT_S)
+            if isinstance(told, Ok):
+                return
+            await asyncio.sleep(_TELLING_GAP_S * self._rng.uniform(0.5, 1.5))
+
+    async def _on_list(self, rows: Sequence[ListedInstance]) -> None:
+        now_s = _now_s()
+        by_service: dict[ServiceName, list[UpstreamRow]] = defaultdict(list)
+        for row in rows:
+            if row.service != FLEET_SERVICE:
+                by_service[ServiceName(row.service)].append(_row(row))
+        for service in {*by_service, *self._directory.services()}:
+            self._directory.read(service, by_service.get(service, []), now_s, now_s)
+        if self._membership.reads_list:
+            self._pass_on(by_service)
+            self._all_rows, self._read_s = by_service, now_s
+        else:
+            self._all_rows, self._read_s = {}, None
+
+    def _pass_on(self, by_service: Mapping[ServiceName, Sequence[UpstreamRow]]) -> None:
+        """Send the rows of services that changed to their groups.
+
+        Load: an upstream restarts about once a second at full size; each change goes to one
+        group, eight members or so, instead of to everybody.
+        """
+        if self._read_s is None:
+            return
+        for service in {*by_service, *self._all_rows}:
+            rows = by_service.get(service, [])
+            if rows != self._all_rows.get(service, []):
+                for member in self._membership.group(service):
+                    self._network.send(member.name, ListedUpstreams(service, rows, 0.0))
+
+    async def _ask_forever(self) -> None:
+        while True:
+            fleet_size = len(self._membership.members())
+            period_s = max(_SHORTEST_ASK_PERIOD_S, fleet_size * _ASK_PERIOD_S_PER_MEMBER)
+            known = {service for service in self._directory.services() if self._serves(service)}
+            for service in self._services():
+                await self._ask_signs(service)
+                if service not in known or not self._membership.reads_list:
+                    await self._ask_rows(service)
+            self._directory.tick(_now_s())
+            await asyncio.sleep(period_s * self._rng.uniform(0.7, 1.3))
+
+    async def _ask_rows(self, service: ServiceName) -> None:
+        own = self._membership.own.name
+        readers = [name for name in self._membership.list_readers() if name != own]
+        if not readers:
+            return
+        reader = self._rng.choice(readers)
+        asked_s = _now_s()
+        reply = await self._network.ask(
+            reader, UpstreamsAsk(service), ListedUpstreams, _ASK_TIMEOUT_S
+        )
+        if isinstance(reply, Ok) and reply.ok_value.age_s is not None:
+            listed = reply.ok_value
+            read_s = asked_s - (listed.age_s or 0.0)
+            self._directory.read(service, listed.rows, read_s, _now_s())
+
+    async def _ask_signs(self, service: ServiceName) -> None:
+        own = self._membership.own.name
+        members = [member.name for member in self._membership.group(service)]
+        others = [name for name in members if name != own]
+        if not others:
+            return
+        peer = self._rng.choice(others)
+        reply = await self._network.ask(peer, DrainsAsk(service), DrainSigns, _ASK_TIMEOUT_S)
+        if isinstance(reply, Ok):
+            self._directory.absorb(service, reply.ok_value.signs, _now_s())
+
+    async def _on_upstreams_ask(self, _: Incarnation, ask: UpstreamsAsk) -> ListedUpstreams:
+        rows = self._all_rows.get(ask.service, [])
+        age_s = None if self._read_s is None else _now_s() - self._read_s
+        return ListedUpstreams(ask.service, rows, age_s)
+
+    async def _on_listed(self, _: Incarnation, listed: ListedUpstreams) -> None:
+        if listed.age_s is not None:
+            now_s = _now_s()
+            self._directory.read(listed.service, listed.rows, now_s - listed.age_s, now_s)
+
+    async def _on_drains_ask(self, _: Incarnation, ask: DrainsAsk) -> DrainSigns:
+        return DrainSigns(ask.service, self._directory.signs(ask.service, _now_s()))
+
+    async def _on_signs(self, _: Incarnation, told: DrainSigns) -> Acknowledged:
+        self._directory.absorb(told.service, told.signs, _now_s())
+        return Acknowledged()
+
+    def _spawn(self, coroutine: Any) -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _row(row: ListedInstance) -> UpstreamRow:
+    leaving = row.state is ListedState.LEAVING
+    return UpstreamRow(
+        UpstreamName(row.name), row.availability_zone, row.endpoint.host, row.endpoint.port, leaving
+    )
+
+
+def _listed(service: ServiceName, row: UpstreamRow) -> ListedInstance:
+    return ListedInstance(
+        row.name, service, row.availability_zone, Endpoint(row.host, row.port), ListedState.LIVE
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/egretrail/runtime/tests/test_membership.py
+++ b/src/egretrail/runtime/tests/test_membership.py
@@ -1,102 +1,48 @@
 """The membership driver: fleets of it over the fake network, on a paused clock."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 
-from egretrail.fleet import Member, MemberState
-from egretrail.identity import AvailabilityZone, Incarnation, InstanceName, ServiceName
-from egretrail.runtime import MembershipDriver
-from egretrail.testing import EgretrailTestCase, FakeInstanceList, FakeNetwork, cases, listed
-
-_ZONES = ("vantaa-a", "espoo-b", "kerava-c")
-
-
-class _Fleet:
-    def __init__(self, size: int, seed: int = 1) -> None:
-        self.network = FakeNetwork(seed)
-        self.names = [InstanceName(f"entry-{index:02}") for index in range(size)]
-        rows = [listed(name, "egretrail", self.zone(name)) for name in self.names]
-        self.list = FakeInstanceList(rows)
-        self.drivers: dict[InstanceName, MembershipDriver] = {}
-
-    @staticmethod
-    def zone(name: InstanceName) -> str:
-        return _ZONES[int(name[-2:]) % len(_ZONES)]
-
-    async def start(self, name: InstanceName, number: int = 1) -> MembershipDriver:
-        zone = AvailabilityZone(self.zone(name))
-        own = Incarnation(name, number)
-        member = Member(own, zone, "127.0.0.1", 1, "127.0.0.1", 1, ready=False)
-        rng = random.Random(f"{name}{number}")
-        driver = MembershipDriver(member, self.network.join(own), self.list, rng=rng)
-        self.drivers[name] = driver
-        await driver.start()
-        await driver.announce_ready()
-        return driver
-
-    async def start_all(self, settle_s: float = 20.0) -> None:
-        for name in self.names:
-            await self.start(name)
-        await asyncio.sleep(settle_s)
-
-    def kill(self, name: InstanceName) -> None:
-        self.network.kill(name)
-        for task in self.drivers.pop(name)._tasks:
-            task.cancel()
-
-    def states(self, name: InstanceName) -> set[MemberState | None]:
-        seen = set()
-        for own, driver in self.drivers.items():
-            member = driver.member(name)
-            if own != name:
-                seen.add(member.state if member is not None else None)
-        return seen
-
-    def alive_everywhere(self) -> bool:
-        return all(
-            member.state is MemberState.ALIVE and member.ready
-            for driver in self.drivers.values()
-            for member in driver.members()
-            if member.name in self.drivers
-        )
-
-
-Fault = Callable[[_Fleet, InstanceName], None]
-
-
-def _no_replies(fleet: _Fleet, name: InstanceName) -> None:
+from egretrail.fleet import MemberState
+from egretrail.identity import Incarnation, InstanceName, ServiceName
+from egretrail.runtime.tests._fleet import ZONES, FakeFleet
+from egretrail.testing import EgretrailTestCase, cases
+
+Fault = Callable[[FakeFleet, InstanceName], None]
+
+
+def _no_replies(fleet: FakeFleet, name: InstanceName) -> None:
     fleet.network.cut |= {(name, other) for other in fleet.names}
 
 
-def _no_questions(fleet: _Fleet, name: InstanceName) -> None:
+def _no_questions(fleet: FakeFleet, name: InstanceName) -> None:
     fleet.network.cut |= {(other, name) for other in fleet.names}
 
 
-def _one_pair(fleet: _Fleet, name: InstanceName) -> None:
+def _one_pair(fleet: FakeFleet, name: InstanceName) -> None:
     fleet.network.cut.add((fleet.names[0], name))
 
 
-def _freeze(fleet: _Fleet, name: InstanceName) -> None:
+def _freeze(fleet: FakeFleet, name: InstanceName) -> None:
     fleet.network.frozen[name] = asyncio.Event()
 
 
-def _losses(fleet: _Fleet, name: InstanceName) -> None:
+def _losses(fleet: FakeFleet, name: InstanceName) -> None:
     fleet.network.loss_share = 0.15
     fleet.network.double_share = 0.1
 
 
 class MembershipTest(EgretrailTestCase):
-    def _run(self, size: int, scenario: Callable[[_Fleet], Awaitable[None]]) -> None:
+    def _run(self, size: int, scenario: Callable[[FakeFleet], Awaitable[None]]) -> None:
         async def run() -> None:
-            fleet = _Fleet(size)
+            fleet = FakeFleet(size)
             await fleet.start_all()
             await scenario(fleet)
 
         self.run_paused(run())
 
     def test_everybody_learns_of_everybody_at_44(self) -> None:
-        async def scenario(fleet: _Fleet) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
             self.assertTrue(fleet.alive_everywhere())
             groups = {
                 tuple(member.name for member in driver.group(ServiceName("katalogi")))
@@ -104,7 +50,7 @@
             }
             self.assertEqual(1, len(groups))
             (names,) = groups
-            self.assertEqual(set(_ZONES), {fleet.zone(name) for name in names})
+            self.assertEqual(set(ZONES), {fleet.zone(name) for name in names})
 
         self._run(44, scenario)
 
@@ -120,7 +66,7 @@
     def test_a_fault_is_told_from_an_end(self, row: tuple[Fault, set[MemberState]]) -> None:
         fault, expected = row
 
-        async def scenario(fleet: _Fleet) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
             victim = fleet.names[5]
             fault(fleet, victim)
             await asyncio.sleep(60.0)
@@ -139,7 +85,7 @@
         self._run(12, scenario)
 
     def test_a_one_way_cut_is_seen_by_the_one_it_concerns(self) -> None:
-        async def scenario(fleet: _Fleet) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
             observer, victim = fleet.names[0], fleet.names[5]
             fleet.network.cut.add((observer, victim))
             await asyncio.sleep(40.0)
@@ -149,7 +95,7 @@
         self._run(12, scenario)
 
     def test_a_slow_observer_accuses_nobody_for_long(self) -> None:
-        async def scenario(fleet: _Fleet) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
             _no_questions(fleet, fleet.names[0])
             await asyncio.sleep(120.0)
             others = [name for name in fleet.names if name != fleet.names[0]]
@@ -161,7 +107,7 @@
         self._run(12, scenario)
 
     def test_a_killed_instance_is_unreachable_at_once_and_gone_after_the_list(self) -> None:
-        async def scenario(fleet: _Fleet) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
             victim = Incarnation(fleet.names[3], 1)
             await asyncio.sleep(60.0)
             fleet.kill(victim.instance)
@@ -179,7 +125,7 @@
         self._run(12, scenario)
 
     def test_a_later_process_proves_the_earlier_one_gone_and_is_not_taken_for_it(self) -> None:
-        async def scenario(fleet: _Fleet) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
             victim = Incarnation(fleet.names[3], 1)
             fleet.list.lag_s = 50.0
             fleet.kill(victim.instance)
@@ -197,7 +143,7 @@
         self._run(12, scenario)
 
     def test_a_leaving_instance_vanishes_from_groups_within_seconds(self) -> None:
-        async def scenario(fleet: _Fleet) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
             service = ServiceName("varaus")
             leaver = fleet.drivers[fleet.names[0]].group(service)[0].name
             await fleet.drivers[leaver].announce_leaving()
@@ -210,7 +156,7 @@
         self._run(44, scenario)
 
     def test_witnesses_are_of_another_zone_first(self) -> None:
-        async def scenario(fleet: _Fleet) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
             home = fleet.names[4]
             found = fleet.drivers[fleet.names[0]].witness_candidates(home)
             self.assertEqual(6, len(found))
--- /dev/null
+++ b/src/egretrail/runtime/tests/test_upstream_list.py
@@ -0,0 +1,113 @@
+"""The lists of upstreams: leaving ones stop everywhere within seconds, also without readers."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from egretrail.identity import InstanceName, ServiceName, UpstreamName
+from egretrail.runtime import UpstreamListDriver
+from egretrail.runtime.tests._fleet import FakeFleet
+from egretrail.testing import EgretrailTestCase, listed
+
+_SERVICE = ServiceName("katalogi")
+_DRAINED = UpstreamName("u1")
+
+
+class _ListedFleet(FakeFleet):
+    """Every instance also keeps the upstreams of one service."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__(size)
+        upstreams = [listed(f"u{index}", _SERVICE, "vantaa-a", index) for index in range(4)]
+        others = [listed(f"v{index}", "varaus", "espoo-b", index) for index in range(4)]
+        self.list = type(self.list)([*self.list.rows, *upstreams, *others])
+        self.lists: dict[InstanceName, UpstreamListDriver] = {}
+
+    async def start_all(self, settle_s: float = 20.0) -> None:
+        for name in self.names:
+            membership = self.make(name)
+            driver = UpstreamListDriver(
+                membership,
+                self.peers[name],
+                lambda service: service == _SERVICE,
+                lambda: [_SERVICE],
+                random.Random(f"lists{name}"),
+            )
+            self.lists[name] = driver
+            await driver.start()
+            await membership.start()
+            await membership.announce_ready()
+        await asyncio.sleep(settle_s)
+
+    def group_offers(self, upstream: UpstreamName) -> set[InstanceName]:
+        """Return the members of the group that would still give the upstream work."""
+        group = self.drivers[self.names[0]].group(_SERVICE)
+        return {
+            member.name
+            for member in group
+            if upstream in [row.name for row in self.lists[member.name].upstreams(_SERVICE)]
+        }
+
+
+class UpstreamListTest(EgretrailTestCase):
+    def _run(self, scenario: Callable[[_ListedFleet], Awaitable[None]]) -> None:
+        async def run() -> None:
+            fleet = _ListedFleet(9)
+            await fleet.start_all()
+            await scenario(fleet)
+
+        self.run_paused(run())
+
+    def test_every_instance_knows_the_upstreams_it_serves_and_no_others(self) -> None:
+        async def scenario(fleet: _ListedFleet) -> None:
+            for driver in fleet.lists.values():
+                self.assertEqual(4, len(driver.upstreams(_SERVICE)))
+                self.assertEqual([], list(driver.upstreams(ServiceName("varaus"))))
+
+        self._run(scenario)
+
+    def test_a_drain_sign_reaches_the_group_while_the_list_lags(self) -> None:
+        async def scenario(fleet: _ListedFleet) -> None:
+            fleet.list.lag_s = 40.0
+            fleet.network.loss_share = 0.3
+            first = fleet.drivers[fleet.names[0]].group(_SERVICE)[0].name
+            fleet.lists[first].note_drain(_SERVICE, _DRAINED)
+            await asyncio.sleep(5.0)
+            self.assertEqual(set(), fleet.group_offers(_DRAINED))
+            fleet.list.remove(_DRAINED)
+            for _ in range(40):
+                await asyncio.sleep(2.0)
+                self.assertEqual(set(), fleet.group_offers(_DRAINED))
+
+        self._run(scenario)
+
+    def test_a_removed_row_reaches_the_group_within_seconds(self) -> None:
+        async def scenario(fleet: _ListedFleet) -> None:
+            fleet.list.remove(_DRAINED)
+            await asyncio.sleep(5.0)
+            self.assertEqual(set(), fleet.group_offers(_DRAINED))
+
+        self._run(scenario)
+
+    def test_a_change_arrives_though_every_reader_is_cut_off(self) -> None:
+        async def scenario(fleet: _ListedFleet) -> None:
+            for reader in fleet.drivers[fleet.names[0]].list_readers():
+                for name in fleet.names:
+                    fleet.network.cut_both(reader, name)
+            fleet.list.remove(_DRAINED)
+            await asyncio.sleep(45.0)
+            offering = {
+                name for name, driver in fleet.lists.items() if _DRAINED in driver.names(_SERVICE)
+            }
+            self.assertEqual(set(), offering)
+
+        self._run(scenario)
+
+    def test_few_instances_read_the_list(self) -> None:
+        async def scenario(fleet: _ListedFleet) -> None:
+            before = fleet.list.reads
+            await asyncio.sleep(100.0)
+            per_second = (fleet.list.reads - before) / 100.0
+            self.assertLess(per_second, 3 / 2.0 + 6 / 20.0 + 0.5)
+
+        self._run(scenario)
