--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -12,6 +12,7 @@
     UpstreamRequest,
     UpstreamResult,
 )
+from egretrail.runtime._upstream_list import UpstreamListDriver
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -24,6 +25,7 @@
     "ReportDriver",
     "SettingsDriver",
     "UpstreamClient",
+    "UpstreamListDriver",
     "UpstreamRequest",
     "UpstreamResult",
     "problem_of",
