--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import os
 from dataclasses import dataclass
 from pathlib import Path
@@ -47,6 +48,7 @@
         self._fleet = fleet
         self._rate_per_s = rate_per_s
         self._length_s = length_s
+        self._serial = itertools.count()
 
     async def load(self, name: str, port: int, pid: int, keyed: bool = False) -> Figures:
         """Send requests at a steady rate and count what they cost."""
@@ -58,7 +60,7 @@
         async def one(session: aiohttp.ClientSession, number: int) -> None:
             nonlocal failed
             started_s = loop.time()
-            headers = {"Idempotency-Key": f"{prefix}.n{number}"} if keyed else {}
+            headers = {"Idempotency-Key": f"{prefix}.n{next(self._serial)}"} if keyed else {}
             method = "POST" if keyed else "GET"
             url = f"http://127.0.0.1:{port}/shop/items/{number}"
             async with session.request(method, url, headers=headers) as response:
--- /dev/null
+++ b/scaffolding/tests/test_processes.py
@@ -0,0 +1,239 @@
+"""Real processes under kills, freezes and stops. They assert safety and wait on events only."""
+
+import asyncio
+import signal
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from egretrail.testing import EgretrailTestCase
+from scaffolding.demo import put_settings
+from scaffolding.demo_trace import Deployment, ServiceLine
+from scaffolding.processes import FleetProcesses, fleet_processes
+
+_ZONES = ("zone-a", "zone-b", "zone-c")
+_LINE = ServiceLine("shop", 3, 4, 0.01, 2, 1.0, False)
+_DEPLOYMENT = Deployment("team", _ZONES, 3, "patient", (_LINE,))
+_PATH = "/shop/orders"
+_BODY = b"one board"
+
+
+class Shop:
+    """A fleet of three instances before three upstreams, and one caller."""
+
+    def __init__(self, fleet: FleetProcesses) -> None:
+        self.fleet = fleet
+
+    async def start(self) -> None:
+        """Start everything and wait until every instance gives out key prefixes."""
+        fleet = self.fleet
+        await fleet.start_platform()
+        await fleet.start_upstreams("team/shop", _ZONES, 3, _LINE.slots, _LINE.service_s)
+        await fleet.start_instances(_ZONES, 3)
+        await fleet.until_ready()
+        await put_settings(fleet, _DEPLOYMENT, _LINE)
+        while not all(address["key_prefix"] for address in await self.addresses()):
+            await asyncio.sleep(0.05)
+
+    async def addresses(self, asked: int = 0) -> list[dict[str, Any]]:
+        """Resolve at one instance; fewer than three addresses are waited out."""
+        port = self.fleet.instances[asked].caller_port
+        while True:
+            answer = await self.fleet.get(port, f"/.well-known/egretrail/resolve?path={_PATH}")
+            if len(answer["addresses"]) == len(self.fleet.instances):
+                return list(answer["addresses"])
+            await asyncio.sleep(0.05)
+
+    async def key(self, home: int, suffix: str = "s1") -> str:
+        """Return a key whose home is one instance."""
+        name = self.fleet.instances[home].name
+        found = next(a for a in await self.addresses() if a["instance"] == name)
+        return f"{found['key_prefix']}.{suffix}"
+
+    async def order(
+        self, at: int, key: str, body: bytes = _BODY, caller: str = "one"
+    ) -> tuple[int, bytes, str]:
+        """Send the order; return status, body and egretrail's own outcome, if it is one."""
+        headers = {"Idempotency-Key": key, "X-Work": "w", "Authorization": caller}
+        url = f"http://127.0.0.1:{self.fleet.instances[at].caller_port}{_PATH}"
+        timeout = aiohttp.ClientTimeout(total=30)
+        async with self.fleet.session.post(
+            url, data=body, headers=headers, timeout=timeout
+        ) as response:
+            return (
+                response.status,
+                await response.read(),
+                response.headers.get("Egretrail-Outcome", ""),
+            )
+
+    async def set_mode(self, **control: object) -> None:
+        """Play a fault on every upstream."""
+        for port in self.fleet.upstreams["shop"]:
+            await self.fleet.post(port, "/control", control)
+
+    async def runs(self) -> int:
+        """Return how often the order ran, over all upstreams."""
+        counts = [await self.fleet.get(port, "/runs") for port in self.fleet.upstreams["shop"]]
+        return sum(count["runs"].get("w", 0) for count in counts)
+
+    async def until_run(self) -> None:
+        """Wait until an upstream works on the order."""
+        while not await self.runs():
+            await asyncio.sleep(0.02)
+
+    def signal(self, instance: int, number: signal.Signals) -> None:
+        """Send a signal to an instance."""
+        self.fleet.processes.signal(self.fleet.instances[instance].name, number)
+
+    async def ended(self, instance: int) -> int:
+        """Wait for an instance to end."""
+        return await self.fleet.processes.wait(self.fleet.instances[instance].name)
+
+    def log(self, instance: int) -> str:
+        """Return what an instance has logged."""
+        name = self.fleet.instances[instance].name
+        return (self.fleet.processes.directory / f"{name}.log").read_text()
+
+
+class ProcessTest(EgretrailTestCase):
+    def _with_shop(self, act: Callable[[Shop], Awaitable[None]]) -> None:
+        async def run() -> None:
+            with tempfile.TemporaryDirectory() as directory:
+                async with fleet_processes(Path(directory)) as fleet:
+                    shop = Shop(fleet)
+                    await shop.start()
+                    await act(shop)
+
+        self.run_real(run(), limit_s=120)
+
+
+class AtMostOnceTest(ProcessTest):
+    def test_resends_at_every_instance_get_the_one_recorded_answer(self) -> None:
+        async def act(shop: Shop) -> None:
+            key = await shop.key(home=0)
+            answers = await asyncio.gather(*(shop.order(at, key) for at in (0, 1, 2, 1)))
+            self.assertEqual(200, answers[0][0])
+            self.assertEqual(1, len({body for _, body, _ in answers}))
+            self.assertEqual(1, await shop.runs())
+
+        self._with_shop(act)
+
+    def test_an_answer_outlives_its_home(self) -> None:
+        async def act(shop: Shop) -> None:
+            key = await shop.key(home=0)
+            first = await shop.order(0, key)
+            await asyncio.sleep(0.5)  # the outcome is on its way to the witness
+            shop.signal(0, signal.SIGKILL)
+            await shop.ended(0)
+            self.assertIn((await shop.order(1, key))[1:], [first[1:], (b"", "unknown")])
+            self.assertEqual(1, await shop.runs())
+
+        self._with_shop(act)
+
+    def test_a_home_killed_during_the_work_leaves_it_unknown_and_never_run_again(self) -> None:
+        async def act(shop: Shop) -> None:
+            await shop.set_mode(mode="silent")
+            key = await shop.key(home=0)
+            asking = asyncio.create_task(shop.order(0, key))
+            await shop.until_run()
+            shop.signal(0, signal.SIGKILL)
+            await asyncio.gather(asking, return_exceptions=True)
+            await shop.set_mode(mode="good")
+            told = [await shop.order(at, key) for at in (1, 2)]
+            self.assertEqual(["unknown", "unknown"], [outcome for _, _, outcome in told])
+            self.assertEqual(1, await shop.runs())
+
+        self._with_shop(act)
+
+    def test_a_frozen_home_that_wakes_does_not_run_what_was_said_not_to_have_run(self) -> None:
+        async def act(shop: Shop) -> None:
+            key = await shop.key(home=0)
+            shop.signal(0, signal.SIGSTOP)
+            _, _, outcome = await shop.order(1, key)
+            self.assertEqual("not-run", outcome)
+            shop.signal(0, signal.SIGCONT)
+            _, _, outcome = await shop.order(0, key)
+            self.assertEqual("not-run", outcome)
+            self.assertEqual(0, await shop.runs())
+
+        self._with_shop(act)
+
+    def test_a_home_frozen_during_the_work_runs_it_once(self) -> None:
+        async def act(shop: Shop) -> None:
+            await shop.set_mode(mode="silent")
+            key = await shop.key(home=0)
+            asking = asyncio.create_task(shop.order(0, key))
+            await shop.until_run()
+            shop.signal(0, signal.SIGSTOP)
+            _, _, outcome = await shop.order(1, key)
+            self.assertEqual("unknown", outcome)
+            shop.signal(0, signal.SIGCONT)
+            await asking
+            self.assertEqual(1, await shop.runs())
+
+        self._with_shop(act)
+
+    def test_the_same_key_with_another_body_or_caller_gets_nothing_of_the_answer(self) -> None:
+        async def act(shop: Shop) -> None:
+            key = await shop.key(home=0)
+            _, body, _ = await shop.order(0, key)
+            for at in (0, 1):
+                for other in ({"body": b"two boards"}, {"caller": "two"}):
+                    status, told, _ = await shop.order(at, key, **other)
+                    self.assertEqual(422, status)
+                    self.assertNotIn(body, told)
+            self.assertEqual(1, await shop.runs())
+
+        self._with_shop(act)
+
+
+class StopTest(ProcessTest):
+    def test_a_planned_stop_cuts_nothing_and_the_answer_can_be_fetched_after_it(self) -> None:
+        async def act(shop: Shop) -> None:
+            await shop.set_mode(mode="slow")
+            key = await shop.key(home=0)
+            asking = asyncio.create_task(shop.order(0, key))
+            await shop.until_run()
+            shop.signal(0, signal.SIGTERM)
+            first = await asking
+            self.assertEqual(200, first[0])
+            self.assertEqual(0, await shop.ended(0))
+            self.assertEqual(first, await shop.order(1, key))
+            self.assertEqual(1, await shop.runs())
+
+        self._with_shop(act)
+
+    def test_a_second_signal_ends_it_and_lists_what_was_cut(self) -> None:
+        async def act(shop: Shop) -> None:
+            await shop.set_mode(mode="silent")
+            key = await shop.key(home=0)
+            asking = asyncio.create_task(shop.order(0, key))
+            await shop.until_run()
+            shop.signal(0, signal.SIGTERM)
+            while "event=leaving" not in shop.log(0):
+                await asyncio.sleep(0.02)
+            shop.signal(0, signal.SIGTERM)
+            self.assertEqual(1, await shop.ended(0))
+            await asyncio.gather(asking, return_exceptions=True)
+            self.assertIn(f'event=request_cut request="POST {_PATH}"', shop.log(0))
+
+        self._with_shop(act)
+
+
+class StoreTest(ProcessTest):
+    def test_requests_make_no_call_to_the_store_and_work_without_it(self) -> None:
+        async def act(shop: Shop) -> None:
+            await shop.fleet.post(shop.fleet.store_port, "/control", {"out": True})
+            before = await shop.fleet.get(shop.fleet.store_port, "/counts")
+            for number in range(50):
+                status, _, _ = await shop.order(0, await shop.key(0, f"k{number}"))
+                self.assertEqual(200, status)
+            after = await shop.fleet.get(shop.fleet.store_port, "/counts")
+            self.assertEqual(before.get("put", 0), after.get("put", 0))
+            self.assertEqual(before.get("get", 0), after.get("get", 0))
+            self.assertEqual(50, await shop.runs())
+
+        self._with_shop(act)
