--- a/src/egretrail/service/__init__.py
+++ b/src/egretrail/service/__init__.py
@@ -2,6 +2,12 @@
 
 from egretrail.service._actions import Abandon, Action, Dispatch, Finish, Hedge, Refuse
 from egretrail.service._candidates import Candidate, UpstreamWeights
+from egretrail.service._demand import (
+    REPORT_INTERVAL_S,
+    DemandReport,
+    DemandReporter,
+    PeerDemands,
+)
 from egretrail.service._order import EarliestDeadline, FairQueueing, Fifo, QueueOrder
 from egretrail.service._refusals import (
     MayCrashUpstreams,
@@ -13,23 +19,29 @@
     WouldWaitTooLong,
 )
 from egretrail.service._scheduler import Scheduler
+from egretrail.service._shares import GroupPosition
 from egretrail.service._work import AttemptResult, CostClass, Work, WorkId
 
 __all__ = [
+    "REPORT_INTERVAL_S",
     "Abandon",
     "Action",
     "AttemptResult",
     "Candidate",
     "CostClass",
+    "DemandReport",
+    "DemandReporter",
     "Dispatch",
     "EarliestDeadline",
     "FairQueueing",
     "Fifo",
     "Finish",
+    "GroupPosition",
     "Hedge",
     "MayCrashUpstreams",
     "NoUsableUpstream",
     "OverFairShare",
+    "PeerDemands",
     "QueueOrder",
     "Refusal",
     "Refuse",
--- a/src/egretrail/service/_backlog.py
+++ b/src/egretrail/service/_backlog.py
@@ -30,7 +30,7 @@
         #: Requests to be tried again. They go first, and one that finds no other upstream free
         #: does not stand in the way of the rest; the retry budget bounds their number.
         self._again: dict[Entry, None] = {}
-        self._callers: dict[tuple[TeamName, CallerId], dict[Entry, None]] = {}
+        self._teams: dict[TeamName, dict[CallerId, dict[Entry, None]]] = {}
         self._expiries: list[tuple[float, int, Entry]] = []
         self._serial = itertools.count()
 
@@ -44,9 +44,16 @@
             self._again[entry] = None
         else:
             self._lane(entry).push(entry)
-            self._callers.setdefault(_key(entry), {})[entry] = None
+            callers = self._teams.setdefault(entry.work.team, {})
+            callers.setdefault(entry.work.caller, {})[entry] = None
         heapq.heappush(self._expiries, (entry.latest_start_s, next(self._serial), entry))
 
+    def take(self, entry: Entry) -> None:
+        """Take a request out that starts now."""
+        if not entry.tried:
+            self._lane(entry).started(entry)
+        self.remove(entry)
+
     def remove(self, entry: Entry) -> None:
         """Take a request out."""
         entry.queued = False
@@ -54,10 +61,12 @@
             del self._again[entry]
             return
         self._lane(entry).remove(entry)
-        callers = self._callers[_key(entry)]
-        del callers[entry]
+        callers = self._teams[entry.work.team]
+        del callers[entry.work.caller][entry]
+        if not callers[entry.work.caller]:
+            del callers[entry.work.caller]
         if not callers:
-            del self._callers[_key(entry)]
+            del self._teams[entry.work.team]
 
     def heads(self, long_in_flight: int, concurrency: float, now_s: float) -> Iterator[Entry]:
         """Yield the requests that may start next, the preferred one first."""
@@ -85,10 +94,14 @@
         return max(_LEAST_CONCURRENCY, share * concurrency)
 
     def heaviest_last(self) -> tuple[Entry, int] | None:
-        """Return the newest request of the caller with most waiting, and how many it has."""
-        if not self._callers:
+        """Return the newest request of the caller with most waiting, and how many it has.
+
+        The caller is one of the team with most waiting.
+        """
+        if not self._teams:
             return None
-        heaviest = max(self._callers.values(), key=len)
+        team = max(self._teams.values(), key=lambda callers: sum(map(len, callers.values())))
+        heaviest = max(team.values(), key=len)
         return next(reversed(heaviest)), len(heaviest)
 
     def next_expiry_s(self) -> float | None:
@@ -109,7 +122,3 @@
 
     def _lane(self, entry: Entry) -> QueueOrder:
         return self._long if entry.is_long else self._short
-
-
-def _key(entry: Entry) -> tuple[TeamName, CallerId]:
-    return entry.work.team, entry.work.caller
--- a/src/egretrail/service/_candidates.py
+++ b/src/egretrail/service/_candidates.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from egretrail.identity import AvailabilityZone, UpstreamName
+from egretrail.service._shares import GroupPosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +33,10 @@
     def usable(self, now_s: float) -> Sequence[Candidate]:
         """Return the upstreams that may be given work now, in a stable order."""
 
+    def position(self) -> GroupPosition:
+        """Return this member's place among those that serve the service."""
+        return GroupPosition()
+
     def peer_demands(self, now_s: float) -> Sequence[float]:
         """Return how many slots each other member of the group could use, as last reported."""
         return ()
--- a/src/egretrail/service/_limits.py
+++ b/src/egretrail/service/_limits.py
@@ -14,7 +14,7 @@
 
 
 class UpstreamLimits:
-    """Own requests in flight on each upstream, and how many more it can be given.
+    """Own requests in flight on each upstream, and how many it takes.
 
     Load: upstreams that have fewer slots than they say, or share them with work unknown to us.
     Harm prevented: work that the upstream declines, or that waits in a queue out of our sight.
@@ -24,6 +24,8 @@
     def __init__(self) -> None:
         self._in_flight: dict[UpstreamName, int] = {}
         self._limits: dict[UpstreamName, float] = {}
+        #: Rises with each change of a limit.
+        self.version = 0
 
     def started(self, upstream: UpstreamName) -> None:
         """Count a request that begins."""
@@ -42,15 +44,17 @@
         limit = self._limits.get(upstream)
         if limit is not None:
             self._limits[upstream] = limit + _GROWTH / limit
+            self.version += 1
 
     def shed(self, candidate: Candidate) -> None:
-        """Cut the limit below what was running when the upstream declined."""
-        running = self.in_flight(candidate.name) + candidate.peer_in_flight
-        limit = min(self.limit(candidate), max(1.0, float(running)))
-        self._limits[candidate.name] = max(1.0, limit * _KEPT_ON_SHED)
+        """Cut the limit, down to one request at a time."""
+        self._limits[candidate.name] = max(1.0, self.limit(candidate) * _KEPT_ON_SHED)
+        self.version += 1
 
     def retain(self, candidates: Sequence[Candidate]) -> None:
         """Forget limits that have grown back and upstreams that are gone."""
+        if not self._limits:
+            return
         slots = {each.name: each.slots for each in candidates}
         self._limits = {
             name: limit for name, limit in self._limits.items() if limit < slots.get(name, 0)
@@ -58,6 +62,8 @@
 
     def limit(self, candidate: Candidate) -> float:
         """Return how many requests the upstream takes at once, from all members."""
+        if not self._limits:
+            return candidate.slots
         return min(self._limits.get(candidate.name, candidate.slots), candidate.slots)
 
     def in_flight(self, upstream: UpstreamName) -> int:
@@ -67,12 +73,3 @@
     def all_in_flight(self) -> dict[UpstreamName, int]:
         """Return this instance's requests running on each upstream that has any."""
         return dict(self._in_flight)
-
-    def concurrency(self, candidates: Sequence[Candidate]) -> float:
-        """Return how many requests this instance can have running at once now."""
-        total = 0.0
-        for each in candidates:
-            own = self.in_flight(each.name)
-            free = self.limit(each) - each.peer_in_flight - own
-            total += own + max(0.0, free) * each.weight
-        return total
--- a/src/egretrail/service/_order.py
+++ b/src/egretrail/service/_order.py
@@ -4,6 +4,8 @@
 import heapq
 import itertools
 from collections import deque
+from collections.abc import Hashable
+from typing import Generic, TypeVar
 
 from egretrail.identity import CallerId, TeamName
 from egretrail.service._entry import Entry
@@ -43,6 +45,9 @@
     def _removed(self, entry: Entry) -> None:  # noqa: B027 - only some orders keep more
         """Note that a request waits no longer."""
 
+    def started(self, entry: Entry) -> None:  # noqa: B027 - only some orders keep more
+        """Note that a waiting request is about to start; ``remove`` follows."""
+
     def cost_ahead_s(self, entry: Entry) -> float:
         """Return the expected duration of what would start before this request if it came now."""
         return self.total_s
@@ -88,22 +93,73 @@
         return sum(each.cost_s for each in self._waiting if each.latest_start_s <= limit_s)
 
 
-class _Flow:
-    """What one caller of one team has waiting."""
+_FlowKey = TypeVar("_FlowKey", bound=Hashable)
+
+#: Flows whose past service is remembered. A flow that is forgotten starts level with the others,
+#: so the number only bounds memory.
+_MOST_FLOWS = 1024
 
-    __slots__ = ("finish_s", "waiting", "waiting_s")
+
+class _FairTurns(Generic[_FlowKey]):
+    """Whose turn it is: the active flow that has been served least, by expected duration."""
 
     def __init__(self) -> None:
-        self.finish_s = 0.0
-        self.waiting_s = 0.0
-        self.waiting = 0
+        self._served_s: dict[_FlowKey, float] = {}
+        self._active: dict[_FlowKey, int] = {}
+        self._heap: list[tuple[float, int, _FlowKey]] = []
+        self._serial = itertools.count()
+        self._level_s = 0.0
+
+    def activate(self, key: _FlowKey) -> None:
+        """Add a flow that has something waiting; its idle time earns it no credit."""
+        self._served_s[key] = max(self._served_s.get(key, 0.0), self._level_s)
+        self._queue(key)
+
+    def deactivate(self, key: _FlowKey) -> None:
+        """Take out a flow that has nothing waiting."""
+        del self._active[key]
+        if len(self._served_s) > _MOST_FLOWS:
+            level_s = self._level_s
+            self._served_s = {
+                each: served_s
+                for each, served_s in self._served_s.items()
+                if served_s > level_s or each in self._active
+            }
+
+    def charge(self, key: _FlowKey, cost_s: float) -> None:
+        """Count service of an active flow."""
+        self._served_s[key] += cost_s
+        self._queue(key)
+
+    def first(self) -> _FlowKey | None:
+        """Return the flow whose turn it is."""
+        while self._heap:
+            served_s, serial, key = self._heap[0]
+            if self._active.get(key) == serial:
+                self._level_s = max(self._level_s, served_s)
+                return key
+            heapq.heappop(self._heap)
+        return None
+
+    def _queue(self, key: _FlowKey) -> None:
+        serial = next(self._serial)
+        self._active[key] = serial
+        heapq.heappush(self._heap, (self._served_s[key], serial, key))
 
 
-_FlowKey = tuple[TeamName, CallerId]
+class _Team:
+    """What one team has waiting."""
+
+    __slots__ = ("callers", "queues", "waiting_s")
+
+    def __init__(self) -> None:
+        self.callers: _FairTurns[CallerId] = _FairTurns()
+        self.queues: dict[CallerId, dict[Entry, None]] = {}
+        self.waiting_s: dict[CallerId, float] = {}
 
 
 class FairQueueing(QueueOrder):
-    """Start-time fair queueing between teams, and between the callers of a team.
+    """Fair queueing between teams, and between the callers of a team.
 
     Load: one caller's burst before the requests of many others. Harm prevented: the others wait
     behind the whole burst. A caller's requests start in the order of their arrival; between
@@ -112,53 +168,66 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._heap: list[tuple[float, int, Entry]] = []
-        self._serial = itertools.count()
-        self._virtual_s = 0.0
-        self._flows: dict[_FlowKey, _Flow] = {}
-        self._callers: dict[TeamName, int] = {}
+        self._turns: _FairTurns[TeamName] = _FairTurns()
+        self._teams: dict[TeamName, _Team] = {}
 
     def _insert(self, entry: Entry) -> None:
-        key = (entry.work.team, entry.work.caller)
-        flow = self._flows.get(key)
-        if flow is None:
-            flow = self._flows[key] = _Flow()
-            self._callers[key[0]] = self._callers.get(key[0], 0) + 1
-        start_s = max(self._virtual_s, flow.finish_s)
-        # Each active caller of a team has an equal part of the team's share.
-        flow.finish_s = start_s + entry.cost_s * self._callers[key[0]]
-        flow.waiting_s += entry.cost_s
-        flow.waiting += 1
-        heapq.heappush(self._heap, (start_s, next(self._serial), entry))
+        name, caller = entry.work.team, entry.work.caller
+        team = self._teams.get(name)
+        if team is None:
+            team = self._teams[name] = _Team()
+        if not team.queues:
+            self._turns.activate(name)
+        queue = team.queues.get(caller)
+        if queue is None:
+            queue = team.queues[caller] = {}
+            team.waiting_s[caller] = 0.0
+            team.callers.activate(caller)
+        queue[entry] = None
+        team.waiting_s[caller] += entry.cost_s
 
     def _removed(self, entry: Entry) -> None:
-        key = (entry.work.team, entry.work.caller)
-        flow = self._flows[key]
-        flow.waiting -= 1
-        flow.waiting_s -= entry.cost_s
-        if flow.waiting:
+        name, caller = entry.work.team, entry.work.caller
+        team = self._teams[name]
+        queue = team.queues[caller]
+        del queue[entry]
+        team.waiting_s[caller] -= entry.cost_s
+        if queue:
             return
-        del self._flows[key]
-        self._callers[key[0]] -= 1
-        if not self._callers[key[0]]:
-            del self._callers[key[0]]
+        del team.queues[caller], team.waiting_s[caller]
+        team.callers.deactivate(caller)
+        if not team.queues:
+            self._turns.deactivate(name)
+
+    def started(self, entry: Entry) -> None:
+        """Count the request as service of its caller and team."""
+        self._turns.charge(entry.work.team, entry.cost_s)
+        self._teams[entry.work.team].callers.charge(entry.work.caller, entry.cost_s)
 
     def peek(self, now_s: float) -> Entry | None:
-        """Return the request with the earliest virtual start."""
-        while self._heap and self._heap[0][2] not in self._waiting:
-            heapq.heappop(self._heap)
-        if not self._heap:
+        """Return the oldest request of the caller whose turn it is."""
+        name = self._turns.first()
+        if name is None:
             return None
-        self._virtual_s = max(self._virtual_s, self._heap[0][0])
-        return self._heap[0][2]
+        team = self._teams[name]
+        caller = team.callers.first()
+        return next(iter(team.queues[caller])) if caller is not None else None
 
     def cost_ahead_s(self, entry: Entry) -> float:
         """Return what starts earlier: of each caller at most as much as this one has waiting."""
-        key = (entry.work.team, entry.work.caller)
-        own = self._flows.get(key)
-        own_s = own.waiting_s if own is not None else 0.0
+        team = self._teams.get(entry.work.team)
+        if team is None:
+            return min(self.total_s, entry.cost_s * len(self._teams))
+        own_s = team.waiting_s.get(entry.work.caller, 0.0)
         level_s = own_s + entry.cost_s
-        others = sum(
-            min(flow.waiting_s, level_s) for each, flow in self._flows.items() if each != key
+        in_team_s = own_s + sum(
+            min(waiting_s, level_s)
+            for caller, waiting_s in team.waiting_s.items()
+            if caller != entry.work.caller
+        )
+        others_s = sum(
+            min(sum(each.waiting_s.values()), in_team_s + entry.cost_s)
+            for name, each in self._teams.items()
+            if name != entry.work.team and each.queues
         )
-        return own_s + others
+        return in_team_s + others_s
--- a/src/egretrail/service/_scheduler.py
+++ b/src/egretrail/service/_scheduler.py
@@ -9,12 +9,13 @@
 from egretrail.service._actions import Abandon, Action, Dispatch, Finish, Hedge, Refuse
 from egretrail.service._backlog import Backlog
 from egretrail.service._budget import RetryBudget
-from egretrail.service._candidates import Candidate, UpstreamWeights
+from egretrail.service._candidates import UpstreamWeights
 from egretrail.service._durations import Durations
 from egretrail.service._entry import Entry
 from egretrail.service._limits import UpstreamLimits
 from egretrail.service._order import FairQueueing, QueueOrder
 from egretrail.service._placing import Placing
+from egretrail.service._pool import Pool, Pools
 from egretrail.service._refusals import (
     MayCrashUpstreams,
     NoUsableUpstream,
@@ -24,7 +25,6 @@
     WaitedTooLong,
     WouldWaitTooLong,
 )
-from egretrail.service._shares import fair_share
 from egretrail.service._work import AttemptResult, Work, WorkId
 
 #: Most requests that wait for one service on one instance. At a few kilobytes a request it bounds
@@ -63,9 +63,10 @@
         order: Callable[[], QueueOrder] = FairQueueing,
     ) -> None:
         self._weights = weights
-        self._candidates: Sequence[Candidate] = ()
         self._rng = rng
         self._limits = UpstreamLimits()
+        self._pools = Pools(weights, self._limits)
+        self._pool = Pool((), 0.0, 1.0)
         self._placing = Placing(zone, self._limits, rng)
         self._backlog = Backlog(order)
         self._durations = Durations()
@@ -80,7 +81,7 @@
 
     def submit(self, work: Work, now_s: float) -> Sequence[Action]:
         """Take a request that has just come: it starts, waits or is refused at once."""
-        self._candidates = self._weights.usable(now_s)
+        self._take_pool(now_s)
         cost_s = self._durations.expected_s(work.cost_class)
         entry = Entry(work, now_s, cost_s, self._durations.is_long(work.cost_class))
         refusal = self._refusal_on_arrival(entry, now_s)
@@ -98,7 +99,7 @@
         self, work_id: WorkId, upstream: UpstreamName, result: AttemptResult, now_s: float
     ) -> Sequence[Action]:
         """Take the end of one attempt; the request ends with it, or is tried again."""
-        self._candidates = self._weights.usable(now_s)
+        self._take_pool(now_s)
         entry = self._entries.get(work_id)
         actions: list[Action] = []
         self._count_end(entry, upstream, result, now_s)
@@ -118,8 +119,8 @@
 
     def tick(self, now_s: float) -> Sequence[Action]:
         """Act on the passing of time and on changes of the upstreams."""
-        self._candidates = self._weights.usable(now_s)
-        self._limits.retain(self._candidates)
+        self._limits.retain([each.candidate for each in self._pool.upstreams])
+        self._take_pool(now_s)
         actions: list[Action] = []
         actions += self._start_waiting(now_s)
         actions += self._refuse_expired(now_s)
@@ -147,25 +148,19 @@
         """Return how many slots this instance could use now, for its peers."""
         return float(self._in_flight + len(self._backlog))
 
-    # Admission
-
-    def _concurrency(self, now_s: float) -> float:
-        """Return how many requests this instance may have running at once."""
-        return min(self._limits.concurrency(self._candidates), self._allowance(now_s))
+    def _take_pool(self, now_s: float) -> None:
+        self._pool = self._pools.take(self.demand, now_s)
 
-    def _allowance(self, now_s: float) -> float:
-        """Return this instance's share of all slots, by the demands that peers reported."""
-        peer_demands = self._weights.peer_demands(now_s)
-        capacity = sum(self._limits.limit(each) * each.weight for each in self._candidates)
-        return max(1.0, fair_share(capacity, self.demand, peer_demands))
+    # Admission
 
     def _refusal_on_arrival(self, entry: Entry, now_s: float) -> Refusal | None:
         """Return why a request cannot be served in time, None when it probably can."""
-        if not any(not each.trial or entry.work.idempotent for each in self._candidates):
+        upstreams = self._pool.upstreams
+        if not any(not each.candidate.trial or entry.work.idempotent for each in upstreams):
             return NoUsableUpstream(self._retry_after_s(_NO_UPSTREAM_RETRY_AFTER_S))
         wait_s = 0.0
         if len(self._backlog):
-            wait_s = self._backlog.wait_s(entry, self._concurrency(now_s))
+            wait_s = self._backlog.wait_s(entry, self._pool.allowance)
         allowed_s = max(0.0, entry.latest_start_s - now_s)
         if wait_s > allowed_s or len(self._backlog) >= _MOST_WAITING:
             over_s = min(wait_s, entry.work.deadline_s - now_s) - allowed_s
@@ -178,14 +173,13 @@
         Load: a caller with little waiting comes while another fills the queue. Harm prevented:
         what it pushes back would be refused only after its whole wait.
         """
-        concurrency = self._concurrency(now_s)
         actions: list[Action] = []
         while len(self._backlog) > 1:
             heaviest = self._backlog.heaviest_last()
             if heaviest is None:
                 break
             entry, waiting = heaviest
-            wait_s = self._backlog.wait_as_last_s(entry, concurrency)
+            wait_s = self._backlog.wait_as_last_s(entry, self._pool.allowance)
             over_s = wait_s - (entry.latest_start_s - now_s)
             if over_s <= 0:
                 break
@@ -218,17 +212,17 @@
         return actions
 
     def _start_one(self, now_s: float) -> list[Action]:
-        concurrency = self._allowance(now_s)
+        concurrency = self._pool.allowance
         if self._in_flight >= concurrency:
             return []
         for entry in self._backlog.heads(self._long_in_flight, concurrency, now_s):
             if not self._weights.may_run(entry.work.digest, now_s):
                 self._backlog.remove(entry)
                 return self._end(entry, MayCrashUpstreams(_SUSPECT_RETRY_AFTER_S))
-            chosen = self._placing.choose(entry.work, self._candidates, entry.tried)
+            chosen = self._placing.choose(entry.work, self._pool, entry.tried)
             if chosen is None:
                 continue
-            self._backlog.remove(entry)
+            self._backlog.take(entry)
             if not entry.tried:
                 self.budget.first_try()
             return [self._start(entry, chosen.name, now_s)]
@@ -268,9 +262,9 @@
             self._durations.add(entry.work.cost_class, now_s - started_s)
 
     def _on_shed(self, upstream: UpstreamName) -> None:
-        for each in self._candidates:
-            if each.name == upstream:
-                self._limits.shed(each)
+        for each in self._pool.upstreams:
+            if each.candidate.name == upstream:
+                self._limits.shed(each.candidate)
 
     def _after_attempt(
         self, entry: Entry, upstream: UpstreamName, result: AttemptResult, now_s: float
@@ -302,7 +296,7 @@
             and entry.latest_start_s > now_s
             and self.budget.available()
             and self._weights.may_run(entry.work.digest, now_s)
-            and any(each.name not in entry.tried for each in self._candidates)
+            and any(each.candidate.name not in entry.tried for each in self._pool.upstreams)
         )
 
     def _end(self, entry: Entry, refusal: Refusal) -> list[Action]:
@@ -340,7 +334,7 @@
                 continue
             if not self._weights.may_run(entry.work.digest, now_s):
                 continue
-            chosen = self._placing.choose(entry.work, self._candidates, entry.tried)
+            chosen = self._placing.choose(entry.work, self._pool, entry.tried)
             if chosen is None:
                 continue
             self.budget.take()
--- a/src/egretrail/service/_shares.py
+++ b/src/egretrail/service/_shares.py
@@ -1,6 +1,34 @@
-"""How the members of a group divide an upstream's slots without asking each other first."""
+"""How the members of a group divide the upstreams' slots without asking each other first."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from egretrail.identity import UpstreamName
+
+
+@dataclass(frozen=True, slots=True)
+class GroupPosition:
+    """Which part of the slots is this member's own; alike at every member of the group."""
+
+    #: Its place among the group's members, ordered by name.
+    index: int = 0
+    #: How many members serve the service.
+    size: int = 1
+
+
+def home_slots(upstream: UpstreamName, slots: int, position: GroupPosition) -> int:
+    """Return how many of an upstream's slots are this member's own.
+
+    Load: a group that fills all slots. Harm prevented: members that choose the least loaded
+    upstream independently meet at some upstreams and leave slots of others idle, about a sixth of
+    all slots at 4 slots an upstream. Own slots add up to the slots, without any message. Slots
+    beyond an equal part go to other members for each upstream, so that no member gets them all.
+    """
+    equal, left = divmod(slots, position.size)
+    offset = xxhash.xxh32_intdigest(upstream.encode()) % position.size
+    return equal + ((position.index + offset) % position.size < left)
 
 
 def fair_share(capacity: float, own_demand: float, peer_demands: Sequence[float]) -> float:
--- /dev/null
+++ b/src/egretrail/trace/_recipes.py
@@ -0,0 +1,449 @@
+"""Recipes: a seed makes a whole trace, always the same."""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+from egretrail.identity import (
+    AvailabilityZone,
+    CallerId,
+    InstanceName,
+    ServiceName,
+    TeamName,
+    UpstreamName,
+)
+from egretrail.settings import Detection
+from egretrail.trace._records import (
+    Expectation,
+    Fault,
+    FaultKind,
+    MemberLost,
+    Trace,
+    TracedMember,
+    TracedRequest,
+    TracedUpstream,
+    TraceHeader,
+)
+
+#: When the fault of a recipe begins.
+_FAULT_AT_S = 10.0
+
+
+class Deployment(enum.Enum):
+    """The two deployments, at their sizes of today."""
+
+    #: Sample catalogue: patient callers, three zones, four slots an upstream.
+    LAATTANAYTE = "laattanayte"
+    #: Stand builders: prompt detection, three zones, three slots an upstream.
+    HOANG_LIEN = "hoang-lien"
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """The size and latencies of one deployment's service."""
+
+    #: The service's qualified name.
+    service: ServiceName
+    #: How eagerly it ejects.
+    detection: Detection
+    #: Its availability zones.
+    zones: Sequence[str]
+    #: One-way latency between zones.
+    zone_latency_s: float
+    #: Its upstreams, and how many requests each works on at once.
+    upstream_count: int
+    slots: int
+    #: The instances that serve it.
+    member_count: int
+    #: Typical work of one request.
+    work_s: float
+    #: Time to the deadline and time in the queue that its callers accept.
+    deadline_s: float
+    queue_s: float
+
+
+_UUSIMAA = ("vantaa-a", "espoo-b", "kerava-c")
+_HO_CHI_MINH = ("binh-duong", "thu-duc", "quan-bay")
+
+#: Reads of each deployment; the gray faults are played on these.
+READS: Mapping[Deployment, Site] = {
+    Deployment.LAATTANAYTE: Site(
+        ServiceName("naytteet/katalogi"),
+        Detection.PATIENT,
+        _UUSIMAA,
+        0.0005,
+        10,
+        4,
+        3,
+        0.04,
+        4.0,
+        2.0,
+    ),
+    Deployment.HOANG_LIEN: Site(
+        ServiceName("messut/standplan"),
+        Detection.PROMPT,
+        _HO_CHI_MINH,
+        0.001,
+        7,
+        3,
+        3,
+        0.04,
+        2.0,
+        0.5,
+    ),
+}
+#: Work that may run once of each deployment.
+WRITES: Mapping[Deployment, Site] = {
+    Deployment.LAATTANAYTE: Site(
+        ServiceName("naytteet/varaus"),
+        Detection.PATIENT,
+        _UUSIMAA,
+        0.0005,
+        20,
+        4,
+        5,
+        0.15,
+        6.0,
+        3.0,
+    ),
+    Deployment.HOANG_LIEN: Site(
+        ServiceName("messut/thuphi"),
+        Detection.PROMPT,
+        _HO_CHI_MINH,
+        0.001,
+        6,
+        3,
+        3,
+        0.1,
+        2.0,
+        0.5,
+    ),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """The requests of a recipe."""
+
+    #: Requests a second, over time.
+    rate_per_s: Callable[[float], float]
+    #: Length of the trace.
+    duration_s: float
+    #: Standard deviation of the logarithm of the work: 0.5 is usual, 1.0 a heavy tail.
+    work_spread: float = 0.5
+    #: Share of requests that are idempotent.
+    idempotent_share: float = 0.9
+    #: Callers; their shares fall as 1, 1/2, 1/3, ...
+    caller_count: int = 12
+    #: Share of all requests that one further, greedy caller sends.
+    greedy_share: float = 0.0
+    #: Share of requests that are long, and how much longer.
+    long_share: float = 0.0
+    long_factor: float = 20.0
+    #: Share of requests to members other than evenly: the first gets this much more.
+    member_skew: float = 0.0
+    #: Share of requests that fail anywhere without a fault.
+    background_failures: float = 0.0
+
+
+def header_of(name: str, site: Site, duration_s: float) -> TraceHeader:
+    """Return the header for a service."""
+    upstreams = [
+        TracedUpstream(
+            UpstreamName(f"u{index:02}"),
+            AvailabilityZone(site.zones[index % len(site.zones)]),
+            site.slots,
+            site.slots,
+        )
+        for index in range(site.upstream_count)
+    ]
+    members = [
+        TracedMember(
+            InstanceName(f"e{index:02}"), AvailabilityZone(site.zones[index % len(site.zones)])
+        )
+        for index in range(site.member_count)
+    ]
+    return TraceHeader(
+        name,
+        site.service,
+        site.detection,
+        0.1,
+        5.0,
+        site.zone_latency_s,
+        duration_s,
+        upstreams,
+        members,
+    )
+
+
+def requests_of(site: Site, load: Load, rng: random.Random) -> list[TracedRequest]:
+    """Draw the requests of a trace."""
+    callers = [CallerId(f"c{index:02}") for index in range(load.caller_count)]
+    shares = [1.0 / (index + 1) for index in range(load.caller_count)]
+    members = list(range(site.member_count))
+    member_shares = [1.0 + load.member_skew * (index == 0) for index in members]
+    found: list[TracedRequest] = []
+    now_s = 0.0
+    while True:
+        now_s += rng.expovariate(load.rate_per_s(now_s))
+        if now_s >= load.duration_s:
+            return found
+        greedy = rng.random() < load.greedy_share
+        long = rng.random() < load.long_share
+        idempotent = rng.random() < load.idempotent_share
+        work_s = site.work_s * rng.lognormvariate(-load.work_spread**2 / 2, load.work_spread)
+        kind = "report GET" if long else rng.choice(("list GET", "item GET"))
+        found.append(
+            TracedRequest(
+                now_s,
+                rng.choices(members, member_shares)[0],
+                CallerId("greedy") if greedy else rng.choices(callers, shares)[0],
+                TeamName("own"),
+                kind if idempotent else "order POST",
+                idempotent,
+                work_s * (load.long_factor if long else 1.0),
+                int(2000 * rng.lognormvariate(0.0, 1.5)),
+                site.deadline_s,
+                site.queue_s,
+                rng.getrandbits(63),
+            )
+        )
+
+
+def steady(rate_per_s: float) -> Callable[[float], float]:
+    """Return a rate that does not change."""
+    return lambda _now_s: rate_per_s
+
+
+def capacity_per_s(site: Site) -> float:
+    """Return the requests a second that the service's slots can answer."""
+    return site.upstream_count * site.slots / site.work_s
+
+
+@dataclass(frozen=True, slots=True)
+class Recipe:
+    """Makes a trace for a deployment from a seed."""
+
+    #: Names it in tables.
+    name: str
+    #: Draws the trace.
+    make: Callable[[Deployment, random.Random], Trace]
+
+    def trace(self, deployment: Deployment, seed: int) -> Trace:
+        """Return the trace of a seed."""
+        name = f"{self.name} {deployment.value} {seed}"
+        trace = self.make(deployment, random.Random(name))
+        return dataclasses.replace(trace, header=dataclasses.replace(trace.header, name=name))
+
+
+_FaultMaker = Callable[[Site, random.Random], Sequence[Fault]]
+
+
+def gray(
+    name: str,
+    make_faults: _FaultMaker,
+    expectations: Sequence[Expectation],
+    rate_per_s: float = 50.0,
+    duration_s: float = 40.0,
+) -> Recipe:
+    """Return a recipe with a steady load and faults."""
+
+    def make(deployment: Deployment, rng: random.Random) -> Trace:
+        site = READS[deployment]
+        load = Load(steady(rate_per_s), duration_s)
+        requests = requests_of(site, load, rng)
+        faults = make_faults(site, rng)
+        return Trace(header_of(name, site, duration_s), requests, faults, (), expectations)
+
+    return Recipe(name, make)
+
+
+def one(kind: FaultKind, until_s: float = 40.0, **values: float | int | str) -> _FaultMaker:
+    """Return a maker of one fault at a random upstream."""
+
+    def make(site: Site, rng: random.Random) -> Sequence[Fault]:
+        upstream = UpstreamName(f"u{rng.randrange(site.upstream_count):02}")
+        fault = Fault(kind, upstream, _FAULT_AT_S, until_s)
+        return [dataclasses.replace(fault, **values)]  # type: ignore[arg-type]
+
+    return make
+
+
+def flapping(site: Site, rng: random.Random) -> Sequence[Fault]:
+    """Return a fault that comes and goes every few seconds."""
+    upstream = UpstreamName(f"u{rng.randrange(site.upstream_count):02}")
+    return [
+        Fault(FaultKind.FAILS, upstream, at_s, at_s + 4.0, share=0.6)
+        for at_s in (10.0, 22.0, 34.0, 46.0)
+    ]
+
+
+def all_alike(site: Site, _rng: random.Random) -> Sequence[Fault]:
+    """Return the same fault at every upstream: a bad release."""
+    return [
+        Fault(FaultKind.FAILS, UpstreamName(f"u{index:02}"), _FAULT_AT_S, 30.0, share=0.3)
+        for index in range(site.upstream_count)
+    ]
+
+
+def zone_lost(deployment: Deployment, rng: random.Random) -> Trace:
+    """Return the loss of one availability zone with its upstreams and instances."""
+    site = READS[deployment]
+    requests = requests_of(site, Load(steady(80.0), 40.0), rng)
+    header = header_of("zone-lost", site, 40.0)
+    zone = rng.choice(site.zones)
+    faults = [
+        Fault(FaultKind.UNREACHABLE, each.name, _FAULT_AT_S, 40.0)
+        for each in header.upstreams
+        if each.availability_zone == zone
+    ]
+    gone = [i for i, each in enumerate(header.members) if each.availability_zone == zone]
+    left = [i for i in range(len(header.members)) if i not in gone]
+    moved = [
+        (
+            dataclasses.replace(each, member=left[number % len(left)])
+            if each.at_s >= _FAULT_AT_S and each.member in gone
+            else each
+        )
+        for number, each in enumerate(requests)
+    ]
+    lost = [MemberLost(index, _FAULT_AT_S) for index in gone]
+    return Trace(header, moved, faults, lost, [Expectation("false_ejections", most=0)])
+
+
+def crashing(deployment: Deployment, rng: random.Random) -> Trace:
+    """Return a request that crashes each upstream, sent again every second to any instance."""
+    site = READS[deployment]
+    requests = requests_of(site, Load(steady(50.0), 40.0), rng)
+    digest = 4242
+    bad = [
+        dataclasses.replace(
+            requests[0],
+            at_s=_FAULT_AT_S + number,
+            member=rng.randrange(site.member_count),
+            caller=CallerId("resender"),
+            digest=digest,
+            work_s=site.work_s,
+        )
+        for number in range(12)
+    ]
+    requests = sorted([*requests, *bad], key=lambda each: each.at_s)
+    header = header_of("crashing-request", site, 40.0)
+    faults = [
+        Fault(FaultKind.CRASHES, each.name, _FAULT_AT_S, 40.0, factor=3.0, digest=digest)
+        for each in header.upstreams
+    ]
+    return Trace(header, requests, faults, (), [Expectation("false_ejections", most=0)])
+
+
+def slots_misreported(deployment: Deployment, rng: random.Random) -> Trace:
+    """Return a service whose upstreams have half of the slots that are stated, at 80% load."""
+    site = READS[deployment]
+    header = header_of("slots-misreported", site, 20.0)
+    real = max(1, site.slots // 2)
+    upstreams = [dataclasses.replace(each, slots=real) for each in header.upstreams]
+    rate_per_s = 0.8 * site.upstream_count * real / site.work_s
+    requests = requests_of(site, Load(steady(rate_per_s), 20.0), rng)
+    header = dataclasses.replace(header, upstreams=upstreams)
+    return Trace(header, requests, (), (), [Expectation("false_ejections", most=0)])
+
+
+def healthy(detection: Detection) -> Recipe:
+    """Return a day without faults: heavy tails, bursts, a few failures everywhere."""
+
+    def make(deployment: Deployment, rng: random.Random) -> Trace:
+        site = dataclasses.replace(READS[deployment], detection=detection)
+        bursts = [rng.uniform(5.0, 75.0) for _ in range(4)]
+
+        def rate_per_s(now_s: float) -> float:
+            bursting = any(at_s <= now_s < at_s + 1.5 for at_s in bursts)
+            return 300.0 if bursting else 60.0
+
+        requests = requests_of(site, Load(rate_per_s, 80.0, work_spread=1.0), rng)
+        header = header_of("healthy", site, 80.0)
+        faults = [
+            Fault(FaultKind.FAILS, each.name, 0.0, 80.0, share=0.001) for each in header.upstreams
+        ]
+        expected = [Expectation("false_ejections", most=0), Expectation("goodput", least=0.99)]
+        return Trace(header, requests, faults, (), expected)
+
+    return Recipe(f"healthy-{detection.value}", make)
+
+
+def overload(times: float, duration_s: float) -> Recipe:
+    """Return more load than the slots can carry, with one caller that sends half of it."""
+
+    def make(deployment: Deployment, rng: random.Random) -> Trace:
+        site = WRITES[deployment]
+        if deployment is Deployment.LAATTANAYTE:
+            site = dataclasses.replace(site, work_s=0.4)
+        rate_per_s = times * capacity_per_s(site)
+        load = Load(steady(rate_per_s), duration_s, idempotent_share=0.5, greedy_share=0.5)
+        requests = requests_of(site, load, rng)
+        expected = [Expectation("goodput", least=0.95), Expectation("false_ejections", most=0)]
+        return Trace(header_of("overload", site, duration_s), requests, (), (), expected)
+
+    return Recipe(f"overload-{times:g}", make)
+
+
+def mixed(name: str, load: Callable[[Site], Load]) -> Recipe:
+    """Return a recipe without faults and a load of its own."""
+
+    def make(deployment: Deployment, rng: random.Random) -> Trace:
+        site = WRITES[deployment]
+        made = load(site)
+        requests = requests_of(site, made, rng)
+        expected = [Expectation("false_ejections", most=0)]
+        return Trace(header_of(name, site, made.duration_s), requests, (), (), expected)
+
+    return Recipe(name, make)
+
+
+def _long_and_short(site: Site) -> Load:
+    # A tenth of the requests takes ten times as long, so the mean is 1.9 times the short ones'.
+    return Load(steady(0.9 * capacity_per_s(site) / 1.9), 20.0, long_share=0.1, long_factor=10.0)
+
+
+def _skewed(site: Site) -> Load:
+    return Load(steady(0.85 * capacity_per_s(site)), 15.0, member_skew=4.0)
+
+
+def _starts(site: Site, rng: random.Random) -> Sequence[Fault]:
+    chosen = rng.sample(range(site.upstream_count), 2)
+    return [
+        Fault(FaultKind.STARTS, UpstreamName(f"u{index:02}"), _FAULT_AT_S, 40.0, factor=5.0)
+        for index in chosen
+    ]
+
+
+_NO_FALSE = Expectation("false_ejections", most=0)
+_STOPS = Expectation("undetected", most=0)
+
+#: All recipes, in the order of the table.
+RECIPES: Sequence[Recipe] = (
+    healthy(Detection.PROMPT),
+    healthy(Detection.PATIENT),
+    gray("hard-failing", one(FaultKind.FAILS), (_NO_FALSE, _STOPS)),
+    gray("unreachable", one(FaultKind.UNREACHABLE), (_NO_FALSE, _STOPS)),
+    gray("30%-failing", one(FaultKind.FAILS, share=0.3), (_NO_FALSE, _STOPS)),
+    gray("tenth-fails", one(FaultKind.FAILS, share=0.1), (_NO_FALSE,)),
+    gray("5x-slow", one(FaultKind.SLOW, factor=5.0), (_NO_FALSE, _STOPS)),
+    gray("one-kind-fails", one(FaultKind.FAILS, request_kind="item GET"), (_NO_FALSE, _STOPS)),
+    gray("large-cut", one(FaultKind.CUTS_LARGE, least_size_bytes=4000), (_NO_FALSE, _STOPS)),
+    gray("flapping", flapping, (_NO_FALSE,), duration_s=60.0),
+    gray("one-path-bad", one(FaultKind.PATH, member=0), (_NO_FALSE,)),
+    gray("lying-endpoint", one(FaultKind.SLOW, factor=20.0), (_NO_FALSE, _STOPS)),
+    Recipe("slots-misreported", slots_misreported),
+    gray("all-alike", all_alike, (_NO_FALSE,)),
+    overload(1.2, 12.0),
+    overload(2.0, 10.0),
+    overload(5.0, 6.0),
+    mixed("long-and-short", _long_and_short),
+    mixed("skewed-members", _skewed),
+    Recipe("crashing-request", crashing),
+    Recipe("zone-lost", zone_lost),
+    gray("leaving", one(FaultKind.LEAVES, factor=15.0), (_NO_FALSE, _STOPS)),
+    gray("cold-start", _starts, (_NO_FALSE,)),
+)
