--- a/src/egretrail/upstream/_evidence.py
+++ b/src/egretrail/upstream/_evidence.py
@@ -1,15 +1,17 @@
 """The digest of one member's observations that the members of a group exchange."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 import xxhash
 
 from egretrail.identity import ServiceName, UpstreamName
+from egretrail.upstream._window import Counts
 from egretrail.wire import Message, message
 
-#: Window counts travel as integers in this many parts of one attempt.
-COUNT_SCALE = 32
+#: Window counts travel as integers, in this many parts of one attempt. An eighth of an attempt is
+#: far below what any decision turns on, and most counts then fit in two bytes.
+_PARTS = 8.0
 
 
 def upstream_id(name: UpstreamName) -> int:
@@ -17,6 +19,23 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamObservation:
+    """What one member saw of one upstream: one row of an ``Evidence``."""
+
+    #: Digest of the upstream's name.
+    upstream: int
+    #: Ejections of the upstream that the member knows of.
+    generation: int
+    #: How much longer the member's own ejection lasts; 0: not ejected.
+    ejected_s: float
+    #: Attempts that the member has under way.
+    in_flight: int
+    #: The member's short and long windows.
+    short: Counts
+    long: Counts
+
+
 @message("evidence")
 @dataclass(frozen=True, slots=True)
 class Evidence(Message):
@@ -39,33 +58,47 @@
     ejected_tenths: Sequence[int]
     #: Attempts that the sender has under way.
     in_flight: Sequence[int]
-    #: Scaled attempts and failures in the short window.
-    short_attempts: Sequence[int]
-    short_failures: Sequence[int]
-    #: Scaled count and sum of latency scores in the short window.
-    short_timed: Sequence[int]
-    short_slowness: Sequence[int]
-    #: Scaled attempts and failures in the long window.
-    long_attempts: Sequence[int]
-    long_failures: Sequence[int]
-    #: Scaled count and sum of latency scores in the long window.
-    long_timed: Sequence[int]
-    long_slowness: Sequence[int]
+    #: Eight numbers for each upstream, in parts of an attempt: attempts, failures, timed answers
+    #: and slowness of the short window, then of the long one.
+    counts: Sequence[int]
 
     def __post_init__(self) -> None:
         """Refuse columns of different lengths."""
-        columns = (
-            self.generations,
-            self.ejected_tenths,
-            self.in_flight,
-            self.short_attempts,
-            self.short_failures,
-            self.short_timed,
-            self.short_slowness,
-            self.long_attempts,
-            self.long_failures,
-            self.long_timed,
-            self.long_slowness,
-        )
+        columns = (self.generations, self.ejected_tenths, self.in_flight)
         if any(len(column) != len(self.upstreams) for column in columns):
             raise ValueError("columns of different lengths")
+        if len(self.counts) != 8 * len(self.upstreams):
+            raise ValueError("counts do not fit the upstreams")
+
+    def rows(self) -> Iterable[UpstreamObservation]:
+        """Return the rows that the columns hold."""
+        for index, upstream in enumerate(self.upstreams):
+            numbers = [part / _PARTS for part in self.counts[8 * index : 8 * index + 8]]
+            yield UpstreamObservation(
+                upstream,
+                self.generations[index],
+                self.ejected_tenths[index] / 10.0,
+                self.in_flight[index],
+                Counts(*numbers[:4]),
+                Counts(*numbers[4:]),
+            )
+
+
+def evidence_of(
+    service: ServiceName, sequence: int, rows: Sequence[UpstreamObservation]
+) -> Evidence:
+    """Return the message that carries these rows."""
+    return Evidence(
+        service,
+        sequence,
+        [row.upstream for row in rows],
+        [row.generation for row in rows],
+        [round(row.ejected_s * 10.0) for row in rows],
+        [row.in_flight for row in rows],
+        [part for row in rows for part in (*_parts(row.short), *_parts(row.long))],
+    )
+
+
+def _parts(counts: Counts) -> Sequence[int]:
+    numbers = (counts.attempts, counts.failures, counts.timed, counts.slowness)
+    return [round(number * _PARTS) for number in numbers]
