--- a/src/egretrail/upstream/__init__.py
+++ b/src/egretrail/upstream/__init__.py
@@ -5,6 +5,7 @@
 from egretrail.upstream._health import ServiceHealth
 from egretrail.upstream._rights import EjectionRights, NoRights, UnlimitedRights
 from egretrail.upstream._suspects import (
+    RequestAnswered,
     RequestLoss,
     RequestLosses,
     RequestLossesWanted,
@@ -19,6 +20,7 @@
     "EjectionRights",
     "Evidence",
     "NoRights",
+    "RequestAnswered",
     "RequestLoss",
     "RequestLosses",
     "RequestLossesWanted",
--- a/src/egretrail/upstream/_health.py
+++ b/src/egretrail/upstream/_health.py
@@ -92,11 +92,12 @@
         if upstream.observed.short.counts(now_s).failures >= _URGENT_FAILURES:
             upstream.urgent = True
 
-    def excuse(self, upstream: UpstreamName, now_s: float) -> None:
+    def excuse(self, upstream: UpstreamName, observed_here: bool, now_s: float) -> None:
         """Take back a loss: the request turned out to crash other upstreams as well."""
         known = self._upstreams.get(upstream)
         if known is not None:
-            known.observed.excuse_loss()
+            if observed_here:
+                known.observed.excuse_loss()
             known.lifecycle.excuse(now_s)
             known.lifecycle.crashed(now_s)
 
--- a/src/egretrail/upstream/_suspects.py
+++ b/src/egretrail/upstream/_suspects.py
@@ -5,15 +5,20 @@
 that resends without pause: without it one request takes a service down upstream by upstream.
 """
 
-from collections import OrderedDict
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from collections import Counter, OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from egretrail.identity import ServiceName, UpstreamName
 from egretrail.wire import Message, message
 
 #: A loss is remembered for this long: longer than callers keep resending one request.
-MEMORY_S = 600.0
+MEMORY_S = 3600.0
+
+#: Losses of one upstream with one request within this time are one: copies that were under way
+#: together, and messages that came twice. A process that crashed needs longer to start and be
+#: crashed again.
+_ONE_LOSS_S = 2.0
 
 #: Digests remembered for one service. A crash loses what its upstream had in flight (a few slots),
 #: so that thousands of entries mean hundreds of crashes within the memory.
@@ -51,14 +56,25 @@
     service: ServiceName
 
 
-@dataclass(slots=True)
-class _Suspect:
-    """What is remembered of one digest."""
+@message("request-answered")
+@dataclass(frozen=True, slots=True)
+class RequestAnswered(Message):
+    """Tells a member that an upstream answered a request that others were lost with."""
+
+    #: The service the upstream belongs to.
+    service: ServiceName
+    #: Digest of the request.
+    request_digest: int
 
-    #: Upstreams lost with the request, and when.
-    lost: dict[UpstreamName, float] = field(default_factory=dict)
-    #: Attempts of the request under way at this instance.
-    under_way: int = 0
+
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """An upstream that was lost with a request."""
+
+    #: The upstream.
+    upstream: UpstreamName
+    #: When this instance learnt of it.
+    at_s: float
 
 
 class SuspectRequests:
@@ -66,60 +82,74 @@
 
     def __init__(self, upstreams_per_request: int) -> None:
         self.upstreams_per_request = upstreams_per_request
-        self._suspects: OrderedDict[int, _Suspect] = OrderedDict()
+        self._losses: OrderedDict[int, list[_Loss]] = OrderedDict()
+        self._under_way: dict[int, Counter[UpstreamName]] = {}
 
     def note_loss(self, request_digest: int, upstream: UpstreamName, now_s: float) -> None:
         """Remember that the upstream was lost with the request, here or at another member."""
-        suspect = self._suspects.setdefault(request_digest, _Suspect())
-        suspect.lost[upstream] = now_s
-        self._suspects.move_to_end(request_digest)
+        losses = self._losses.setdefault(request_digest, [])
+        self._losses.move_to_end(request_digest)
+        if not any(loss.upstream == upstream and _one_event(loss, now_s) for loss in losses):
+            losses.append(_Loss(upstream, now_s))
         self._forget(now_s)
 
-    def touched(self, request_digest: int) -> Mapping[UpstreamName, float]:
-        """Return the upstreams lost with the request, and when."""
-        suspect = self._suspects.get(request_digest)
-        return suspect.lost if suspect is not None else {}
+    def note_answer(self, request_digest: int) -> bool:
+        """Clear a request that an upstream answered; return whether it was suspect.
+
+        Made for a popular request whose upstreams are lost for another reason, a rack or a crash
+        by some other request: without it, everybody's copies would be refused.
+        """
+        return self._losses.pop(request_digest, None) is not None
 
-    def is_suspect(self, request_digest: int) -> bool:
-        """Return whether any upstream was lost with the request."""
-        return request_digest in self._suspects
+    def touched(self, request_digest: int) -> Sequence[UpstreamName]:
+        """Return the upstreams lost with the request, each once, first loss first."""
+        losses = self._losses.get(request_digest, ())
+        return list(dict.fromkeys(loss.upstream for loss in losses))
 
     def may_touch_another(self, request_digest: int, now_s: float) -> bool:
         """Return whether the request may be sent to one more upstream.
 
-        Attempts of a suspect that are under way count as losses to come: otherwise parallel
-        resends would pass the limit together.
+        Once a request is suspect, its copies under way count as losses to come: otherwise
+        parallel resends would pass the limit together.
         """
         self._forget(now_s)
-        suspect = self._suspects.get(request_digest)
-        if suspect is None:
+        losses = self._losses.get(request_digest)
+        if not losses:
             return True
-        return len(suspect.lost) + suspect.under_way < self.upstreams_per_request
-
-    def begin(self, request_digest: int) -> None:
-        """Count an attempt of a suspect as under way; others are not tracked."""
-        suspect = self._suspects.get(request_digest)
-        if suspect is not None:
-            suspect.under_way += 1
-
-    def end(self, request_digest: int) -> None:
-        """Count an attempt of a suspect as ended, however it ended."""
-        suspect = self._suspects.get(request_digest)
-        if suspect is not None:
-            suspect.under_way = max(0, suspect.under_way - 1)
+        at_risk = len(self._under_way.get(request_digest, ()))
+        return len(losses) + at_risk < self.upstreams_per_request
+
+    def begin(self, request_digest: int, upstream: UpstreamName) -> None:
+        """Count a copy of the request as under way."""
+        self._under_way.setdefault(request_digest, Counter())[upstream] += 1
+
+    def end(self, request_digest: int, upstream: UpstreamName) -> None:
+        """Count a copy of the request as ended, however it ended."""
+        copies = self._under_way.get(request_digest)
+        if copies is None:
+            return
+        copies[upstream] -= 1
+        if copies[upstream] <= 0:
+            del copies[upstream]
+        if not copies:
+            del self._under_way[request_digest]
 
     def losses(self, service: ServiceName) -> Sequence[RequestLoss]:
         """Return what is remembered, for a member that has just joined the group."""
         return [
-            RequestLoss(service, digest, upstream)
-            for digest, suspect in self._suspects.items()
-            for upstream in suspect.lost
+            RequestLoss(service, digest, loss.upstream)
+            for digest, losses in self._losses.items()
+            for loss in losses
         ]
 
     def _forget(self, now_s: float) -> None:
-        while self._suspects:
-            digest, oldest = next(iter(self._suspects.items()))
-            latest_s = max(oldest.lost.values())
-            if len(self._suspects) <= SUSPECTS and latest_s + MEMORY_S > now_s:
+        while self._losses:
+            digest, oldest = next(iter(self._losses.items()))
+            if len(self._losses) <= SUSPECTS and oldest[-1].at_s + MEMORY_S > now_s:
                 return
-            del self._suspects[digest]
+            del self._losses[digest]
+
+
+def _one_event(loss: _Loss, now_s: float) -> bool:
+    """Return whether a loss of the same upstream now is the same loss told again."""
+    return now_s - loss.at_s <= _ONE_LOSS_S
--- a/src/egretrail/upstream/tests/_simulation.py
+++ b/src/egretrail/upstream/tests/_simulation.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 from egretrail.identity import CallerId, InstanceName, ServiceName, UpstreamName
 from egretrail.settings import Detection
@@ -113,8 +114,8 @@
         """Run to the end and return what happened."""
         self._at(0.0, self._arrive)
         for member in range(self.plan.members):
-            self._at(0.05, lambda now_s, m=member: self._tick(m, now_s))
-            self._at(0.3 * member, lambda now_s, m=member: self._tell(m, now_s))
+            self._at(0.05, partial(self._tick, member))
+            self._at(0.3 * member, partial(self._tell, member))
         while self._events:
             at_s, _, act = heapq.heappop(self._events)
             if at_s > self.plan.seconds:
@@ -183,11 +184,11 @@
         self.outcome.health[member].tick(now_s)
         self._look(member, now_s)
         self._tell_urgent(member, now_s)
-        self._at(now_s + 0.05, lambda at_s: self._tick(member, at_s))
+        self._at(now_s + 0.05, partial(self._tick, member))
 
     def _tell(self, member: int, now_s: float) -> None:
         self._deliver(member, self.outcome.health[member].own_evidence(now_s), now_s)
-        self._at(now_s + 1.0, lambda at_s: self._tell(member, at_s))
+        self._at(now_s + 1.0, partial(self._tell, member))
 
     def _tell_urgent(self, member: int, now_s: float) -> None:
         evidence = self.outcome.health[member].urgent_evidence(now_s)
