--- a/src/egretrail/trace/_egretrail.py
+++ b/src/egretrail/trace/_egretrail.py
@@ -175,13 +175,13 @@
         """Note an attempt that was sent."""
         ticket = self._health.begin(upstream, str(work.cost_class), now_s)
         self._tickets[(work.work_id, upstream)] = ticket
-        self._weights.suspects.begin(int.from_bytes(work.digest, "big"))
+        self._weights.suspects.begin(int.from_bytes(work.digest, "big"), upstream)
 
     def finished(self, work_id: WorkId, attempt: Attempt, now_s: float) -> Sequence[Action]:
         """Take the end of an attempt as evidence, tell the peers, and go on."""
         self._health.end(self._tickets.pop((work_id, attempt.upstream)))
         suspects = self._weights.suspects
-        suspects.end(attempt.request_digest)
+        suspects.end(attempt.request_digest, attempt.upstream)
         if attempt.outcome is AttemptOutcome.LOST:
             suspects.note_loss(attempt.request_digest, attempt.upstream, now_s)
             loss = RequestLoss(self._service, attempt.request_digest, attempt.upstream)
