--- a/src/egretrail/service/_order.py
+++ b/src/egretrail/service/_order.py
@@ -42,10 +42,10 @@
     def _insert(self, entry: Entry) -> None:
         """Put a request where it belongs."""
 
-    def _removed(self, entry: Entry) -> None:  # noqa: B027 - only some orders keep more
+    def _removed(self, entry: Entry) -> None:
         """Note that a request waits no longer."""
 
-    def started(self, entry: Entry) -> None:  # noqa: B027 - only some orders keep more
+    def started(self, entry: Entry) -> None:
         """Note that a waiting request is about to start; ``remove`` follows."""
 
     def cost_ahead_s(self, entry: Entry) -> float:
