--- a/src/egretrail/runtime/_key_generations.py
+++ b/src/egretrail/runtime/_key_generations.py
@@ -28,6 +28,10 @@
 #: The next generation is opened when the present one has this share of its time left, so that a
 #: slow opening leaves no gap in which callers are given no prefix.
 _RENEW_SHARE = 0.25
+#: A home that finds no witness gives out no keys for this long, then keys without one. Harm
+#: prevented: an instance that starts, before it knows its peers, would name keys whose records die
+#: with it. Longer than a few openings take; short, as a fleet of one has to serve, too.
+_ALONE_AFTER_S = 5.0
 _log = structlog.get_logger()
 
 
@@ -49,7 +53,7 @@
         self._rng = rng
         self._avoided: dict[InstanceName, float] = {}
         self._lost = asyncio.Event()
-        self._alone = False
+        self._witnessed_s: float | None = None
 
     def current(self, now_s: float) -> KeyPrefix | None:
         """Return the generation to name to callers."""
@@ -121,10 +125,14 @@
             self._open_alone()
 
     def _open_alone(self) -> None:
-        prefix = self._home.open_alone(asyncio.get_running_loop().time())
-        if prefix is not None and not self._alone:
+        now_s = asyncio.get_running_loop().time()
+        if self._witnessed_s is None:
+            self._witnessed_s = now_s
+        if now_s - self._witnessed_s < _ALONE_AFTER_S:
+            return
+        prefix = self._home.open_alone(now_s)
+        if prefix is not None:
             _log.warning("keys_without_witness", home=str(prefix.home))
-        self._alone = True
 
     async def _open_at(self, member: Member) -> bool:
         opening = self._home.ask_generation()
@@ -136,5 +144,5 @@
         opened = asked.ok_value
         assert opened.prefix is not None
         now_s = asyncio.get_running_loop().time()
-        self._alone = False
+        self._witnessed_s = now_s
         return self._home.open(opened.opening, opened.prefix, now_s)
--- a/src/egretrail/runtime/_keyed.py
+++ b/src/egretrail/runtime/_keyed.py
@@ -7,7 +7,7 @@
 
 from result import Err
 
-from egretrail.fleet import FleetView, Member
+from egretrail.fleet import FleetView
 from egretrail.idempotency import (
     AskPrefix,
     AwaitKeyed,
@@ -25,7 +25,7 @@
     parse_key,
     request_binding,
 )
-from egretrail.identity import Incarnation, ServiceName
+from egretrail.identity import Incarnation, InstanceName
 from egretrail.peer import PeerNetwork
 from egretrail.request import Answer, Outcome, Refusal, RefusalCause, RequestEnvelope
 from egretrail.runtime._key_generations import KeyGenerations
@@ -71,6 +71,7 @@
         self._own = own
         self._fleet_key = fleet_key
         self._network = network
+        self._view = view
         self._home = Home(own, bounds)
         self._witness = Witness(own, bounds)
         chance = rng or random.Random(own.number)
@@ -96,13 +97,14 @@
         loop = asyncio.get_running_loop()
         self._tasks = [loop.create_task(self._renew()), loop.create_task(self._keep())]
 
-    async def drain(self, deadline_s: float) -> Drained:
+    async def drain(self, until_s: float) -> Drained:
         """Prepare a planned stop: take no new keys, finish, leave the outcomes with witnesses.
 
+        Ends at ``until_s`` on the loop's clock at the latest, and says what is left then.
         Prefixes are no longer given out from the first moment; peers are answered until ``stop``.
         """
         self._at_witness.refuse_new()
-        return await self._at_home.drain(deadline_s)
+        return await self._at_home.drain(until_s)
 
     async def stop(self) -> None:
         """End everything; what still runs ends as unknown."""
@@ -141,20 +143,12 @@
         prefix = self._generations.current(asyncio.get_running_loop().time())
         return issue_prefix(prefix, self._fleet_key) if prefix is not None else None
 
-    def prefix_for(self, member: Member, _service: ServiceName) -> str | None:
-        """Return the prefix to name to callers for an instance; None when none is at hand.
-
-        A prefix that is not at hand is asked for in the background, for the next caller.
-        """
-        if member.incarnation == self._own:
-            return self.own_prefix()
-        return self._prefixes.known(member.incarnation)
-
-    async def fetch_prefix(self, member: Member) -> str | None:
-        """Return the prefix to name for an instance, asking it first if need be."""
-        if member.incarnation == self._own:
+    async def prefix_for(self, home: InstanceName) -> str | None:
+        """Return the prefix to name to callers for an instance; None when it gives none now."""
+        if home == self._own.instance:
             return self.own_prefix()
-        return await self._prefixes.fetch(member.incarnation)
+        member = self._view.member(home)
+        return await self._prefixes.fetch(member.incarnation) if member is not None else None
 
     async def _renew(self) -> None:
         while True:
--- a/src/egretrail/runtime/_keyed_home.py
+++ b/src/egretrail/runtime/_keyed_home.py
@@ -116,9 +116,8 @@
         kept = await asyncio.gather(*(self._keep(one) for one in settled))
         return all(kept)
 
-    async def drain(self, deadline_s: float) -> Drained:
+    async def drain(self, until_s: float) -> Drained:
         """Take no new keys, finish what runs, and leave every outcome with its witness."""
-        until_s = asyncio.get_running_loop().time() + deadline_s
         for prefix in self._home.stop():
             if prefix.witness is not None:
                 self._network.send(prefix.witness.instance, CloseGeneration(prefix))
