Bound the records of both roles by count, not only by generation

A full home forgets its oldest settled generations, a full witness its oldest; both answer their keys as unknown from then on. Two explorations added (3,293 and 3,636 states). Outcomes too large to keep no longer travel to the witness whole.

--- a/src/egretrail/idempotency/_home.py
+++ b/src/egretrail/idempotency/_home.py
@@ -3,13 +3,14 @@
 Events come in as calls, what is to be done goes out as the returned step. Nothing here waits.
 """
 
+import itertools
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from egretrail.idempotency._key import IdempotencyKey, KeyPrefix
 from egretrail.idempotency._limits import KeyLimits
 from egretrail.idempotency._messages import RecordVerdict
-from egretrail.idempotency._records import Generation, Phase, Record, RecordStore
+from egretrail.idempotency._records import Phase, Record, RecordStore
 from egretrail.idempotency._refusals import (
     GENERATION_CLOSED,
     GENERATION_FORGOTTEN,
@@ -136,6 +137,7 @@
             return known
         if not self._records.holds(key.prefix):
             return Reply(GENERATION_FORGOTTEN)
+        self._make_room(key.prefix)
         if not self._records.accepts(key.prefix):
             return Reply(GENERATION_CLOSED)
         record = Record(binding, Phase.RECORDING)
@@ -198,21 +200,21 @@
             del self._unkept[key]
             self._unkept[key] = None
 
+    def settled(self, key: IdempotencyKey) -> SettledKey | None:
+        """Return what the witness should hold of a key: its answer, if it is not too large."""
+        record = self._records.find(key)
+        if record is None or record.answer is None or record.binding is None:
+            return None
+        return SettledKey(key, record.binding, record.answer)
+
     def unkept(self, limit_count: int) -> Sequence[SettledKey]:
         """Return keys whose outcome the witness has not confirmed, longest untried first."""
-        found: list[SettledKey] = []
-        for key in self._unkept:
-            record = self._records.find(key)
-            if record is not None and record.answer is not None and record.binding is not None:
-                found.append(SettledKey(key, record.binding, record.answer))
-            if len(found) == limit_count:
-                break
-        return found
+        settled = (self.settled(key) for key in self._unkept)
+        return list(itertools.islice((one for one in settled if one is not None), limit_count))
 
     def unsettled_count(self) -> int:
         """Return how many keys wait for their witness or their answer."""
-        generations = self._records.generations()
-        return sum(_unsettled_count(generation) for _, generation in generations)
+        return self._records.unsettled_count
 
     def close(self, prefix: KeyPrefix) -> None:
         """Take no new keys in one generation, for good; what goes on is finished."""
@@ -241,11 +243,23 @@
     def drop(self, prefix: KeyPrefix) -> None:
         """Forget a generation whose work has all ended; its keys are refused from now on."""
         for held, generation in self._records.generations():
-            if held == prefix and not _unsettled_count(generation):
+            if held == prefix and not generation.unsettled_count:
                 self._records.drop(prefix)
                 for suffix in generation.records:
                     self._unkept.pop(IdempotencyKey(prefix, suffix), None)
 
+    def _make_room(self, wanted: KeyPrefix) -> None:
+        """Forget the oldest generations while there is no room for a new record.
+
+        Load: more new keys than the memory holds for ``retain_s``. Their resends are answered
+        ``unknown``, which costs less than refusing new work.
+        """
+        for prefix, _ in self._records.generations():
+            if not self._records.full:
+                return
+            if prefix != wanted:
+                self.drop(prefix)
+
     def _awaits_opening(self, opening: int) -> bool:
         return opening == self._awaited_opening
 
@@ -257,7 +271,3 @@
 
     def _seal(self, key: IdempotencyKey, record: Record, refusal: Refusal) -> None:
         self._records.settle(key, record, refusal)
-
-
-def _unsettled_count(generation: Generation) -> int:
-    return sum(1 for record in generation.records.values() if record.phase is not Phase.SETTLED)
--- a/src/egretrail/idempotency/_limits.py
+++ b/src/egretrail/idempotency/_limits.py
@@ -20,6 +20,9 @@
     #: New keys that one generation takes. Prevents a caller that floods new keys from filling the
     #: memory: the generation closes early, and its further keys are answered as not run.
     generation_keys: int = 10_000
+    #: Records held in each role. Load: an hour of a caller that floods new keys. Harm prevented:
+    #: memory beyond the node's share; the oldest generations are forgotten, then keys refused.
+    records_count: int = 40_000
     #: How long a generation is named to callers. Short, so that a record's memory is soon freed.
     issue_s: float = 60.0
     #: How long a generation takes new keys: as long as it is named, and a resolve answer lives.
--- a/src/egretrail/idempotency/_records.py
+++ b/src/egretrail/idempotency/_records.py
@@ -47,6 +47,8 @@
     opened_s: float
     #: Whether new keys are taken; once false it stays so.
     accepting: bool = True
+    #: Records that are not settled.
+    unsettled_count: int = 0
     #: Records by suffix; none is ever removed while the generation is held.
     records: dict[str, Record] = field(default_factory=dict)
 
@@ -67,6 +69,7 @@
         self._generations: dict[KeyPrefix, Generation] = {}
         self._answers: OrderedDict[IdempotencyKey, int] = OrderedDict()
         self._answers_bytes = 0
+        self._records_count = 0
 
     @property
     def answers_bytes(self) -> int:
@@ -76,7 +79,17 @@
     @property
     def records_count(self) -> int:
         """Return how many records are held."""
-        return sum(len(generation.records) for generation in self._generations.values())
+        return self._records_count
+
+    @property
+    def unsettled_count(self) -> int:
+        """Return how many records are not settled."""
+        return sum(generation.unsettled_count for generation in self._generations.values())
+
+    @property
+    def full(self) -> bool:
+        """Return whether no record can be added before a generation is dropped."""
+        return self._records_count >= self._limits.records_count
 
     def generations(self) -> Iterator[tuple[KeyPrefix, Generation]]:
         """Return the generations held, oldest first; the caller may drop while iterating."""
@@ -95,7 +108,10 @@
     def drop(self, prefix: KeyPrefix) -> None:
         """Forget a generation."""
         generation = self._generations.pop(prefix, None)
-        for suffix in generation.records if generation is not None else ():
+        if generation is None:
+            return
+        self._records_count -= len(generation.records)
+        for suffix in generation.records:
             self._answers_bytes -= self._answers.pop(IdempotencyKey(prefix, suffix), 0)
 
     def holds(self, prefix: KeyPrefix) -> bool:
@@ -107,7 +123,7 @@
         generation = self._generations.get(prefix)
         if generation is None:
             return False
-        if len(generation.records) >= self._limits.generation_keys:
+        if self.full or len(generation.records) >= self._limits.generation_keys:
             generation.accepting = False
         return generation.accepting
 
@@ -117,12 +133,16 @@
         return generation.records.get(key.suffix) if generation is not None else None
 
     def add(self, key: IdempotencyKey, record: Record) -> None:
-        """Add the record of a new key to a generation that is held."""
-        self._generations[key.prefix].records[key.suffix] = record
+        """Add the record of a new key, not settled yet, to a generation that is held."""
+        generation = self._generations[key.prefix]
+        generation.records[key.suffix] = record
+        generation.unsettled_count += 1
+        self._records_count += 1
 
     def settle(self, key: IdempotencyKey, record: Record, answer: Answer) -> None:
         """Give a record its answer, and make room for it."""
         record.phase = Phase.SETTLED
+        self._generations[key.prefix].unsettled_count -= 1
         size_bytes = answer_size_bytes(answer)
         if size_bytes > self._limits.answer_size_bytes:
             record.answer = ANSWER_DROPPED
--- a/src/egretrail/idempotency/_witness.py
+++ b/src/egretrail/idempotency/_witness.py
@@ -55,7 +55,7 @@
         if record is not None:
             repeated = record.phase is Phase.STARTED and record.binding == binding
             return RecordVerdict.RECORDED if repeated else RecordVerdict.SEALED
-        if not self._records.accepts(key.prefix):
+        if not self._accepts(key.prefix):
             return RecordVerdict.REFUSED
         self._records.add(key, Record(binding, Phase.STARTED))
         return RecordVerdict.RECORDED
@@ -67,7 +67,7 @@
         if sender != key.prefix.home:
             return
         record = self._records.find(key)
-        if record is None and _not_run(answer) and self._records.accepts(key.prefix):
+        if record is None and _not_run(answer) and self._accepts(key.prefix):
             record = Record(binding, Phase.STARTED)
             self._records.add(key, record)
         if record is not None and record.phase is Phase.STARTED:
@@ -104,8 +104,15 @@
         """Forget a generation."""
         self._records.drop(prefix)
 
+    def _accepts(self, wanted: KeyPrefix) -> bool:
+        """Return whether a generation takes a new record, forgetting older ones to make room."""
+        for prefix, _ in self._records.generations():
+            if self._records.full and prefix != wanted:
+                self._records.drop(prefix)
+        return self._records.accepts(wanted)
+
     def _seal(self, key: IdempotencyKey) -> Refusal:
-        if not self._records.accepts(key.prefix):
+        if not self._accepts(key.prefix):
             # A closed generation takes no record any more: all its unknown keys are sealed.
             return GENERATION_CLOSED
         record = Record(None, Phase.STARTED)
--- a/src/egretrail/idempotency/tests/exploration.py
+++ b/src/egretrail/idempotency/tests/exploration.py
@@ -5,6 +5,7 @@
 all covered, and a timeout is a step that may come at any moment.
 """
 
+import copy
 import enum
 from collections import OrderedDict
 from collections.abc import Callable, Hashable, Iterator, Mapping, Sequence
@@ -86,6 +87,10 @@
     opening: int = 0
 
 
+_interned: dict[Sent, Sent] = {}
+_numbers: dict[Hashable, int] = {}
+
+
 @dataclass(slots=True)
 class World:
     """One state of everything."""
@@ -100,6 +105,32 @@
     may_have_run: frozenset[IdempotencyKey] = frozenset()
     told_not_run: frozenset[IdempotencyKey] = frozenset()
     violations: frozenset[Violation] = frozenset()
+    #: Machines that belong to this world alone; the others are shared with the world before.
+    touched: set[int] = field(default_factory=set)
+    #: Fingerprints of the machines that are not touched.
+    prints: dict[int, Hashable] = field(default_factory=dict)
+
+    def home(self, name: str) -> Home | None:
+        """Return the home of an instance, to be changed."""
+        self.homes[name] = self._touch(self.homes[name])
+        return self.homes[name]
+
+    def witness(self, name: str) -> Witness | None:
+        """Return the witness of an instance, to be changed."""
+        self.witnesses[name] = self._touch(self.witnesses[name])
+        return self.witnesses[name]
+
+    def replace(self, name: str, home: Home | None, witness: Witness | None) -> None:
+        """End or start a process."""
+        self.homes[name] = home
+        self.witnesses[name] = witness
+
+    def _touch(self, machine: M) -> M:
+        if machine is None or id(machine) in self.touched:
+            return machine
+        copied = _clone_machine(machine)
+        self.touched.add(id(copied))
+        return copied
 
     def own(self, name: str) -> Incarnation:
         """Return the present incarnation of an instance."""
@@ -107,7 +138,7 @@
 
     def send(self, message: Sent) -> None:
         """Put a message on the network, for good."""
-        self.sent |= {message}
+        self.sent |= {_interned.setdefault(message, message)}
 
     def dispatch(self, key: IdempotencyKey, binding: bytes) -> None:
         """Start the work of a key."""
@@ -253,7 +284,7 @@
 
 def _request(key: IdempotencyKey, binding: bytes) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[key.prefix.home.instance]
+        home = world.home(key.prefix.home.instance)
         assert home is not None
         step = home.on_request(key, binding)
         if isinstance(step, Reply):
@@ -271,7 +302,7 @@
 
 def _await(key: IdempotencyKey, binding: bytes) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[key.prefix.home.instance]
+        home = world.home(key.prefix.home.instance)
         assert home is not None
         step = home.on_await(key, binding) if home.owns(key) else None
         if isinstance(step, Reply):
@@ -284,7 +315,7 @@
 def _query(key: IdempotencyKey, binding: bytes) -> Callable[[World], None]:
     def act(world: World) -> None:
         assert key.prefix.witness is not None
-        witness = world.witnesses[key.prefix.witness.instance]
+        witness = world.witness(key.prefix.witness.instance)
         assert witness is not None
         answer = witness.on_query(key, binding)
         if answer is not None:
@@ -295,7 +326,7 @@
 
 def _verdict(key: IdempotencyKey, verdict: RecordVerdict | None) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[key.prefix.home.instance]
+        home = world.home(key.prefix.home.instance)
         if home is None or not home.owns(key):
             return
         record = home.records.find(key)
@@ -315,7 +346,7 @@
         world.executing -= {(key, binding)}
         if answer == _REFUSED:
             world.may_have_run -= {key}
-        home = world.homes[key.prefix.home.instance]
+        home = world.home(key.prefix.home.instance)
         if home is not None and home.owns(key):
             step = home.on_executed(key, answer)
             world.tell(key, binding, step.answer)
@@ -332,33 +363,33 @@
 
 def _arrive(message: Sent) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home, witness = world.homes[message.to], world.witnesses[message.to]
-        if home is None or witness is None:
+        if world.homes[message.to] is None:
             return
         key, binding = message.key, message.binding
         if message.kind == "record" and key is not None:
-            verdict = witness.on_record(message.sender, key, binding)
+            verdict = _alive(world.witness(message.to)).on_record(message.sender, key, binding)
             own = world.own(message.to)
             world.send(Sent(key.prefix.home.instance, "verdict", own, key, verdict=verdict))
         elif message.kind == "verdict" and key is not None:
             _verdict(key, message.verdict)(world)
         elif message.kind == "outcome" and key is not None and message.answer is not None:
-            witness.on_outcome(message.sender, key, binding, message.answer)
-            home_again = world.homes[key.prefix.home.instance]
+            _alive(world.witness(message.to)).on_outcome(
+                message.sender, key, binding, message.answer
+            )
+            home_again = world.home(key.prefix.home.instance)
             if home_again is not None:
                 home_again.on_kept(key)
         elif message.kind == "close" and message.prefix is not None:
-            witness.on_close(message.sender, message.prefix)
+            _alive(world.witness(message.to)).on_close(message.sender, message.prefix)
         elif message.kind == "opened" and message.prefix is not None:
-            home.open(message.opening, message.prefix, _NOW_S)
+            _alive(world.home(message.to)).open(message.opening, message.prefix, _NOW_S)
 
     return act
 
 
 def _kill(name: str) -> Callable[[World], None]:
     def act(world: World) -> None:
-        world.homes[name] = None
-        world.witnesses[name] = None
+        world.replace(name, None, None)
 
     return act
 
@@ -366,15 +397,15 @@
 def _restart(name: str, case: Case, guards: Guards) -> Callable[[World], None]:
     def act(world: World) -> None:
         world.numbers[name] += 1
-        world.homes[name] = guards.home(world.own(name), case.limits)
-        world.witnesses[name] = guards.witness(world.own(name), case.limits)
+        own = world.own(name)
+        world.replace(name, guards.home(own, case.limits), guards.witness(own, case.limits))
 
     return act
 
 
 def _close(prefix: KeyPrefix) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[prefix.home.instance]
+        home = world.home(prefix.home.instance)
         if home is not None and home.records.holds(prefix):
             home.close(prefix)
             _send_close(world, prefix)
@@ -389,7 +420,7 @@
 
 def _drop_at_home(prefix: KeyPrefix) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[prefix.home.instance]
+        home = world.home(prefix.home.instance)
         if home is not None:
             home.drop(prefix)
 
@@ -398,7 +429,7 @@
 
 def _drop_at_witness(prefix: KeyPrefix) -> Callable[[World], None]:
     def act(world: World) -> None:
-        witness = world.witnesses[prefix.witness.instance] if prefix.witness else None
+        witness = world.witness(prefix.witness.instance) if prefix.witness else None
         if witness is not None:
             witness.drop(prefix)
 
@@ -407,7 +438,7 @@
 
 def _stop(prefix: KeyPrefix) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[prefix.home.instance]
+        home = world.home(prefix.home.instance)
         if home is not None:
             for closed in home.stop():
                 _send_close(world, closed)
@@ -425,12 +456,18 @@
 
 
 def _clone(world: World) -> World:
-    return replace(
-        world,
-        homes={name: _clone_machine(home) for name, home in world.homes.items()},
-        witnesses={name: _clone_machine(one) for name, one in world.witnesses.items()},
-        numbers=dict(world.numbers),
-    )
+    cloned = copy.copy(world)
+    cloned.homes = dict(world.homes)
+    cloned.witnesses = dict(world.witnesses)
+    cloned.numbers = dict(world.numbers)
+    cloned.touched = set()
+    cloned.prints = dict(world.prints)
+    return cloned
+
+
+def _alive(machine: M | None) -> M:
+    assert machine is not None
+    return machine
 
 
 def _clone_machine(machine: M) -> M:
@@ -458,9 +495,14 @@
 
 
 def _fingerprint(world: World) -> Hashable:
+    machines: list[object] = [*world.homes.values(), *world.witnesses.values()]
+    prints = {id(machine): world.prints.get(id(machine)) for machine in machines}
+    for machine in machines:
+        if prints[id(machine)] is None or id(machine) in world.touched:
+            prints[id(machine)] = _machine_fingerprint(machine)
+    world.prints = prints
     return (
-        tuple(_machine_fingerprint(home) for home in world.homes.values()),
-        tuple(_machine_fingerprint(witness) for witness in world.witnesses.values()),
+        tuple(prints[id(machine)] for machine in machines),
         tuple(world.numbers.values()),
         world.sent,
         world.executing,
@@ -472,8 +514,10 @@
 
 def _machine_fingerprint(machine: object) -> Hashable:
     if machine is None:
-        return None
-    return tuple(_value_fingerprint(value) for value in vars(machine).values())
+        return 0
+    print_ = tuple(_value_fingerprint(value) for value in vars(machine).values())
+    # A number stands for each, so that comparing worlds compares numbers.
+    return _numbers.setdefault((type(machine), print_), len(_numbers) + 1)
 
 
 def _value_fingerprint(value: Any) -> Hashable:
--- a/src/egretrail/idempotency/tests/test_exploration.py
+++ b/src/egretrail/idempotency/tests/test_exploration.py
@@ -61,6 +61,12 @@
             "two_keys_answers_displace_each_other": Expected(
                 Case(_SAME_HOME, _TWO, limits=KeyLimits(answers_size_bytes=300)), 2550
             ),
+            "two_generations_displace_each_other": Expected(
+                Case((("a", "b"), ("a", "c")), _TWO, limits=KeyLimits(records_count=1)), 3293
+            ),
+            "two_generations_displace_each_other_at_a_witness": Expected(
+                Case((("a", "c"), ("b", "c")), _TWO, (), limits=KeyLimits(records_count=1)), 3636
+            ),
             "two_keys_in_a_full_generation": Expected(_FULL, 640),
         }
     )
--- a/src/egretrail/runtime/_keyed_home.py
+++ b/src/egretrail/runtime/_keyed_home.py
@@ -91,7 +91,7 @@
         if isinstance(step, AskWitness):
             self._spawn(self._record_and_run(key, binding, request, until_s))
         else:
-            self._spawn(self._run(key, binding, request, until_s))
+            self._spawn(self._run(key, request, until_s))
         return answer
 
     async def reply(self, answer: asyncio.Future[Answer]) -> KeyedReply:
@@ -132,9 +132,10 @@
 
     async def stop(self) -> None:
         """End what still runs; its outcome is unknown."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        while self._tasks:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _record_and_run(
         self, key: IdempotencyKey, binding: bytes, request: RequestEnvelope, until_s: float
@@ -142,9 +143,9 @@
         verdict = await self._record(key, binding)
         step = self._home.on_verdict(key, verdict)
         if isinstance(step, Dispatch):
-            await self._run(key, binding, request, until_s)
+            await self._run(key, request, until_s)
         elif step is not None:
-            self._settle(SettledKey(key, binding, step.answer))
+            self._settle(key, step.answer)
         if verdict in (None, RecordVerdict.REFUSED):
             # Further keys of this generation would wait in vain, too: refuse them at once.
             self._home.close(key.prefix)
@@ -160,9 +161,7 @@
                 return asked.ok_value.verdict
         return None
 
-    async def _run(
-        self, key: IdempotencyKey, binding: bytes, request: RequestEnvelope, until_s: float
-    ) -> None:
+    async def _run(self, key: IdempotencyKey, request: RequestEnvelope, until_s: float) -> None:
         answer: Answer = DISPATCH_FAILED
         try:
             left_s = until_s - asyncio.get_running_loop().time()
@@ -174,14 +173,15 @@
             _log.exception("keyed_dispatch_failed", route=request.route)
         finally:
             settled = self._home.on_executed(key, answer)
-            self._settle(SettledKey(key, binding, settled.answer))
+            self._settle(key, settled.answer)
 
-    def _settle(self, settled: SettledKey) -> None:
-        if settled.key.prefix.witness is not None:
+    def _settle(self, key: IdempotencyKey, answer: Answer) -> None:
+        settled = self._home.settled(key)
+        if settled is not None:
             self._spawn(self._keep_once(settled))
-        waiting = self._waiting.pop(settled.key, None)
+        waiting = self._waiting.pop(key, None)
         if waiting is not None and not waiting.done():
-            waiting.set_result(settled.answer)
+            waiting.set_result(answer)
 
     async def _keep_once(self, settled: SettledKey) -> None:
         await self._keep(settled)
