--- a/src/egretrail/runtime/tests/test_keyed_executor.py
+++ b/src/egretrail/runtime/tests/test_keyed_executor.py
@@ -201,6 +201,31 @@
         self.run_fleet(test)
 
 
+class FloodTest(_FleetTest):
+    def test_a_flood_of_new_keys_stays_within_the_bounds_and_runs_none_twice(self) -> None:
+        limits = KeyLimits(records_count=60, generation_keys=40, answers_size_bytes=2000)
+
+        async def test(fleet: KeyedFleet) -> None:
+            fleet.work_s = 0.01
+            sent = []
+            for number in range(200):
+                request = fleet.request("a", f"order-{number}")
+                if request is not None:
+                    sent.append(request)
+                    fleet.send("abc"[number % 3], request)
+                await asyncio.sleep(0.02)
+                for process in fleet.processes.values():
+                    state = process.executor.state()
+                    self.assertTrue(state.home_records_count <= 60)
+                    self.assertTrue(state.witness_records_count <= 60)
+                    self.assertTrue(state.answers_size_bytes <= 2 * 2000)
+            await asyncio.gather(*(fleet.send("b", request) for request in sent))
+            ran = sum(fleet.dispatched.values())
+            self.assertTrue(ran > 100, f"only {ran} ran")
+
+        self.run_fleet(test, limits=limits)
+
+
 class PlannedStopTest(_FleetTest):
     def test_a_stop_finishes_and_leaves_every_outcome_with_the_witness(self) -> None:
         async def test(fleet: KeyedFleet) -> None:
