--- a/src/egretrail/runtime/tests/test_keyed.py
+++ b/src/egretrail/runtime/tests/test_keyed.py
@@ -174,7 +174,7 @@
 
     @cases(_TABLE)
     def test_a_fault_after_the_answer(self, row: Row) -> None:
-        self.assertEqual(row.after, self.run_paused(self._resend(row.fault, 2.0)))
+        self.assertEqual(row.after, self.run_paused(self._resend(row.fault, 0.4)))
 
     async def _resend(self, fault: Fault, fault_after_s: float | None) -> str:
         """Return what a request that is sent after the fault ends in, at the receiver."""
--- a/src/egretrail/runtime/tests/test_keyed_executor.py
+++ b/src/egretrail/runtime/tests/test_keyed_executor.py
@@ -51,11 +51,12 @@
             for at in ("a", "b"):
                 request = fleet.request("a", f"order-{at}")
                 assert request is not None
-                gone = fleet.send(at, request)
+                gone, waiting = fleet.send(at, request), fleet.send(at, request)
                 await asyncio.sleep(0.1)
                 gone.cancel()
-                answer = await fleet.send("c", request)
-                self.assertEqual(RecordedAnswer(200, (), request.body), answer)
+                whole = RecordedAnswer(200, (), request.body)
+                self.assertEqual(whole, await fleet.send("c", request))
+                self.assertEqual(whole, await waiting)
 
         self.run_fleet(test)
 
