--- a/scaffolding/tests/test_processes.py
+++ b/scaffolding/tests/test_processes.py
@@ -107,7 +107,7 @@
                     await shop.start()
                     await act(shop)
 
-        self.run_real(run(), limit_s=120)
+        self.run_real(run(), limit_s=45)
 
 
 class AtMostOnceTest(ProcessTest):
