--- a/src/egretrail/runtime/tests/keyed_fleet.py
+++ b/src/egretrail/runtime/tests/keyed_fleet.py
@@ -148,7 +148,8 @@
 
     async def stop(self, name: str, deadline_s: float = 5.0) -> None:
         """End a process as planned."""
-        await self.processes[InstanceName(name)].executor.drain(deadline_s)
+        until_s = asyncio.get_running_loop().time() + deadline_s
+        await self.processes[InstanceName(name)].executor.drain(until_s)
         await self.kill(name)
 
     def send(self, name: str, request: RequestEnvelope) -> asyncio.Task[Answer]:
@@ -238,6 +239,6 @@
     fleet = KeyedFleet(network, random.Random(seed), limits or KeyLimits())
     for name in names:
         await fleet.start(name)
-    # The first instance started alone; it finds its witness at its next tick.
-    await asyncio.sleep(1.0)
+    # The first instance finds its witness at its next tick; a single one goes on alone.
+    await asyncio.sleep(1.0 if len(names) > 1 else 6.0)
     return fleet
