--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -5,7 +5,10 @@
 from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._report import ReportDriver
-from egretrail.runtime._settings import SettingsDriver
+from egretrail.runtime._settings import SettingsDriver, SettingsStatus
+from egretrail.runtime._settings_peers import InForce
+from egretrail.runtime._settings_policy import SettingsPolicy
+from egretrail.runtime._settings_writer import StoredSetting
 from egretrail.runtime._upstream_client import (
     DEADLINE_HEADER,
     UpstreamClient,
@@ -19,11 +22,15 @@
     "OUTCOME_HEADER",
     "PROBLEM_CONTENT_TYPE",
     "EvidenceDriver",
+    "InForce",
     "KeyedExecutor",
     "MembershipDriver",
     "Problem",
     "ReportDriver",
     "SettingsDriver",
+    "SettingsPolicy",
+    "SettingsStatus",
+    "StoredSetting",
     "UpstreamClient",
     "UpstreamListDriver",
     "UpstreamRequest",
--- a/src/egretrail/runtime/_settings.py
+++ b/src/egretrail/runtime/_settings.py
@@ -240,8 +240,10 @@
 
     async def _keep_watch(self) -> None:
         while True:
-            if not self._watches() or not await self._reader.refresh(self._policy.watch_wait_s):
-                await asyncio.sleep(self._jittered(self._policy.retry_s))
+            pause_s = self._jittered(self._policy.retry_s)
+            if self._watches() and await self._reader.refresh(self._policy.watch_wait_s):
+                pause_s = self._policy.watch_pause_s
+            await asyncio.sleep(pause_s)
 
     async def _keep_compared(self) -> None:
         while True:
--- a/src/egretrail/runtime/_settings_policy.py
+++ b/src/egretrail/runtime/_settings_policy.py
@@ -20,6 +20,9 @@
     #: How long a watch waits in the store; each renewal is a read there, and until it ends nothing
     #: confirms that the store still answers.
     watch_wait_s: float = 10.0
+    #: Pause between watches. Bursts of changes arrive in one answer, and all watchers together ask
+    #: at most some 300 times a second.
+    watch_pause_s: float = 0.05
     #: Pause after a failure of the store, jittered.
     retry_s: float = 1.0
     #: An instance whose settings the store has not confirmed for this long asks the store itself.
--- a/src/egretrail/runtime/_settings_store.py
+++ b/src/egretrail/runtime/_settings_store.py
@@ -29,13 +29,14 @@
         self._peers = peers
         # After a failure the whole is read again: only that shows whether the store lost writes.
         self._trusted = True
+        self._whole_read = False
         #: Whether the last call failed.
         self.out = False
 
     async def refresh(self, wait_s: float) -> bool:
         """Learn what has changed, waiting for a change at most so long; return whether it did."""
         started_s = asyncio.get_running_loop().time()
-        if self._trusted and self._state.catalogue.complete_revision:
+        if self._trusted and (self._whole_read or self._state.catalogue.complete_revision):
             confirmed = await self._watch(wait_s)
         else:
             confirmed = await self._snapshot()
@@ -56,7 +57,8 @@
         self._state.report_behind(outcome.behind)
         revision = self._state.catalogue.complete_revision
         self._peers.spread(ChangeRun(revision, revision, outcome.applied))
-        return outcome.behind is None
+        self._whole_read = outcome.behind is None
+        return self._whole_read
 
     async def _watch(self, wait_s: float) -> bool:
         asked_at_revision = self._state.catalogue.complete_revision
--- /dev/null
+++ b/src/egretrail/runtime/tests/test_settings.py
@@ -0,0 +1,292 @@
+"""Settings across a fleet: in force in seconds, and never back."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from result import Err, Ok
+
+from egretrail.identity import InstanceName
+from egretrail.runtime.tests.settings_fleet import (
+    ROUTE,
+    SERVICE,
+    SettingsFleet,
+    floor_of,
+)
+from egretrail.settings import LostRace, StoreBehind, StoreOut, WriteUnresolved
+from egretrail.testing import EgretrailTestCase, FakeStore, cases
+
+
+class SettingsTestCase(EgretrailTestCase):
+    def run_fleet(
+        self, size: int, body: Callable[[SettingsFleet], Coroutine[object, object, None]]
+    ) -> None:
+        """Run a coroutine on a started fleet with a service of floor 1."""
+
+        async def run() -> None:
+            fleet = SettingsFleet(size)
+            await fleet.start()
+            await fleet.put_floor(1)
+            await fleet.until_floor(1)
+            try:
+                await body(fleet)
+            finally:
+                await fleet.stop()
+
+        self.run_paused(run())
+
+
+class SpreadTest(SettingsTestCase):
+    def test_a_change_is_in_force_everywhere_within_seconds(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            revision = await fleet.put_floor(2)
+            self.assertLess(await fleet.until_floor(2), 6.0)
+            found = await fleet.some().in_force(SERVICE, revision)
+            self.assertEqual((44, [], []), (len(found.have), found.lack, found.silent))
+
+        self.run_fleet(44, body)
+
+    def test_lost_and_doubled_messages_only_slow_it(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            fleet.network.loss_share = 0.3
+            fleet.network.double_share = 0.3
+            await fleet.put_floor(2)
+            self.assertLess(await fleet.until_floor(2), 20.0)
+
+        self.run_fleet(12, body)
+
+    def test_a_change_written_around_the_tool_is_watched(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            await fleet.store.put("egretrail/settings/t/services/b", "floor = 3", 0)
+            await asyncio.sleep(6.0)
+            floors = {d.settings().services["t/b"].floor for d in fleet.drivers.values()}  # type: ignore[index]
+            self.assertEqual({3}, floors)
+
+        self.run_fleet(12, body)
+
+    def test_nobody_watching_is_only_slow(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            for driver in fleet.drivers.values():
+                driver._watches = lambda: False  # type: ignore[method-assign]
+            await asyncio.sleep(15.0)
+            await fleet.store.put("egretrail/settings/t/services/b", "floor = 3", 0)
+            await asyncio.sleep(90.0)
+            self.assertTrue(all(len(d.settings().services) == 2 for d in fleet.drivers.values()))
+
+        self.run_fleet(6, body)
+
+    def test_a_frozen_watcher_holds_nothing_up(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            watching = [n for n, d in fleet.drivers.items() if d.status().watches]
+            for name in watching[:3]:
+                fleet.network.frozen[name] = asyncio.Event()
+            await fleet.store.put("egretrail/settings/t/services/b", "floor = 3", 0)
+            await asyncio.sleep(6.0)
+            lacking = [n for n, d in fleet.drivers.items() if len(d.settings().services) != 2]
+            self.assertLess(set(lacking), {*watching[:3], InstanceName("")})
+            for name in watching[:3]:
+                fleet.network.frozen.pop(name).set()
+            await asyncio.sleep(6.0)
+            self.assertTrue(all(len(d.settings().services) == 2 for d in fleet.drivers.values()))
+
+        self.run_fleet(12, body)
+
+
+class WriteTest(SettingsTestCase):
+    @cases({"once": 1, "thrice": 3})
+    def test_a_lost_reply_is_resolved_by_reading_back(self, lost: int) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            fleet.store.lose_replies = lost
+            revision = await fleet.put_floor(2)
+            entry = fleet.store.entries["egretrail/settings/t/services/a"]
+            self.assertEqual(entry.revision, revision)
+            self.assertEqual(2, len(fleet.store.history))
+
+        self.run_fleet(3, body)
+
+    def test_a_lost_reply_and_an_outage_are_resolved_by_sending_again(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            driver = fleet.some()
+            fleet.store.lose_replies = 1
+
+            async def outage(name: str) -> Ok[None]:
+                return Err(StoreOut(name, "out"))  # type: ignore[return-value]
+
+            get = fleet.store.get
+            fleet.store.get = outage  # type: ignore[method-assign,assignment]
+            seen = 1
+            answer = await driver.put(SERVICE, "floor = 2", seen, "change-two", "t")
+            assert isinstance(answer, Err)
+            self.assertIsInstance(answer.err_value, (WriteUnresolved, LostRace))
+            fleet.store.get = get  # type: ignore[method-assign]
+            again = await driver.put(SERVICE, "floor = 2", seen, "change-two", "t")
+            self.assertEqual(2, again.unwrap().revision)
+            self.assertEqual(2, len(fleet.store.history))
+
+        self.run_fleet(3, body)
+
+    def test_of_two_operators_one_loses_and_is_shown_both_changes(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            fleet.store.delay_s = 0.05
+            one, other, *_ = fleet.drivers.values()
+            answers = await asyncio.gather(
+                one.put(SERVICE, "floor = 2", 1, "change-two", "ann"),
+                other.put(SERVICE, "floor = 3", 1, "change-three", "bob"),
+            )
+            (lost,) = [a.err_value for a in answers if isinstance(a, Err)]
+            assert isinstance(lost, LostRace)
+            texts = {lost.yours.text, lost.theirs.text}
+            self.assertEqual({"floor = 2", "floor = 3"}, texts)
+            self.assertEqual((1, 2), (lost.expected_revision, lost.actual_revision))
+            assert lost.theirs.text is not None
+            await fleet.until_floor(int(lost.theirs.text[-1]))
+
+        self.run_fleet(6, body)
+
+    def test_an_outage_refuses_clearly_and_serving_goes_on(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            fleet.store.set_out(True)
+            await asyncio.sleep(2 * 3600.0)
+            answer = await fleet.some().put(SERVICE, "floor = 2", 1, "change-two", "t")
+            assert isinstance(answer, Err)
+            self.assertIsInstance(answer.err_value, StoreOut)
+            self.assertEqual({1}, set(fleet.floors().values()))
+            fleet.store.set_out(False)
+            await fleet.put_floor(3)
+            self.assertLess(await fleet.until_floor(3), 6.0)
+
+        self.run_fleet(6, body)
+
+    def test_a_route_needs_its_service_and_a_used_service_stays(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            driver = fleet.some()
+            text = 'service = "{}"\npath_prefix = "/x"'
+            wrong = await driver.put(ROUTE, text.format("b"), 0, "change-wrong", "t")
+            right = await driver.put(ROUTE, text.format("a"), 0, "change-right", "t")
+            used = await driver.delete(SERVICE, 1, "change-delete", "t")
+            kinds = [type(answer) for answer in (wrong, right, used)]
+            self.assertEqual([Err, Ok, Err], kinds)
+
+        self.run_fleet(3, body)
+
+
+class JoinTest(SettingsTestCase):
+    def test_who_joins_during_an_outage_learns_from_peers_in_two_zones(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            await fleet.put_floor(2)
+            await fleet.until_floor(2)
+            fleet.store.set_out(True)
+            joined = fleet.add("new", "zone-0")
+            await joined.start()
+            await joined.wait_until_caught_up()
+            self.assertEqual(2, floor_of(joined))
+
+        self.run_fleet(6, body)
+
+    def test_who_reaches_nobody_does_not_become_ready(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            fleet.store.set_out(True)
+            joined = fleet.add("new", "zone-0")
+            fleet.isolate("new")
+            await joined.start()
+            await asyncio.sleep(3600.0)
+            self.assertFalse(joined.caught_up)
+            fleet.isolate("new", cut=False)
+            await joined.wait_until_caught_up()
+            self.assertEqual(1, floor_of(joined))
+
+        self.run_fleet(6, body)
+
+    def test_a_fresh_fleet_without_the_store_does_not_become_ready(self) -> None:
+        async def run() -> None:
+            fleet = SettingsFleet(6)
+            fleet.store.set_out(True)
+            for driver in fleet.drivers.values():
+                await driver.start()
+            await asyncio.sleep(3600.0)
+            self.assertFalse(any(d.caught_up for d in fleet.drivers.values()))
+            await fleet.stop()
+
+        self.run_paused(run())
+
+    def test_one_stale_peer_is_not_believed_at_once(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            fleet.isolate("i000")
+            await fleet.put_floor(2, fleet.drivers[InstanceName("i001")])
+            await asyncio.sleep(6.0)
+            stale = fleet.drivers[InstanceName("i000")]
+            fleet.store.set_out(True)
+            joined = fleet.add("new", "zone-0", FakeStore())
+            joined_store = FakeStore()
+            joined_store.set_out(True)
+            joined = fleet.add("new", "zone-0", joined_store)
+            await joined.start()
+            await joined.wait_until_caught_up()
+            self.assertEqual(2, floor_of(joined))
+            del stale
+
+        self.run_fleet(6, body)
+
+
+class ReturnTest(SettingsTestCase):
+    def test_a_cut_off_instance_that_returns_brings_nothing_old_back(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            own_store = FakeStore()
+            own_store.set_out(True)
+            cut = fleet.add("cut", "zone-1", own_store)
+            await cut.start()
+            await cut.wait_until_caught_up()
+            self.assertEqual(1, floor_of(cut))
+            fleet.isolate("cut")
+            await fleet.put_floor(2)
+            seen = (await fleet.some().read(SERVICE)).unwrap().visible_revision
+            await fleet.some().delete(SERVICE, seen, "change-delete", "t")
+            await asyncio.sleep(3600.0)
+            self.assertEqual(1, floor_of(cut))
+            others = {n: d for n, d in fleet.drivers.items() if d is not cut}
+            fleet.isolate("cut", cut=False)
+            for _ in range(1000):
+                await asyncio.sleep(0.01)
+                self.assertEqual({None}, {floor_of(d) for d in others.values()})
+            self.assertIsNone(floor_of(cut))
+
+        self.run_fleet(6, body)
+
+    def test_a_paused_process_catches_up_before_it_serves(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            driver = fleet.some()
+            loop = asyncio.get_running_loop()
+            skipped_s = loop._skipping  # type: ignore[attr-defined]
+            skipped_s.now_s += 60.0
+            fleet.store.delay_s = 0.5
+            await asyncio.sleep(1.2)
+            self.assertFalse(driver.caught_up)
+            await driver.wait_until_caught_up()
+
+        self.run_fleet(6, body)
+
+
+class RestoredStoreTest(SettingsTestCase):
+    def test_a_store_that_lost_writes_reverts_nothing_and_is_reported(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            await fleet.put_floor(2)
+            await fleet.until_floor(2)
+            store = fleet.store
+            store.set_out(True)
+            await asyncio.sleep(5.0)
+            old = store.history[0]
+            store.history = [old]
+            store.entries = {old.path: old}
+            store.revision = old.revision
+            store.set_out(False)
+            await asyncio.sleep(60.0)
+            self.assertEqual({2}, set(fleet.floors().values()))
+            self.assertTrue(any(d.status().behind for d in fleet.drivers.values()))
+            answer = await fleet.some().put(SERVICE, "floor = 3", 2, "change-three", "t")
+            assert isinstance(answer, Err)
+            self.assertIsInstance(answer.err_value, StoreBehind)
+            for number in range(5):
+                await store.put(f"other/{number}", "x", 0)
+            await fleet.put_floor(4)
+            await fleet.until_floor(4)
+
+        self.run_fleet(6, body)
