Detect a store that lost writes by the highest generation held

The complete revision lags behind a change that arrived from a peer, so that a restored store at just that revision went unnoticed; a test showed it.

--- a/src/egretrail/runtime/_settings_store.py
+++ b/src/egretrail/runtime/_settings_store.py
@@ -46,7 +46,7 @@
         return confirmed
 
     async def _snapshot(self) -> bool:
-        asked_at_revision = self._state.catalogue.complete_revision
+        asked_at_revision = self._state.catalogue.highest_revision
         answer = await self._store.snapshot(STORE_PREFIX)
         if isinstance(answer, Err):
             return self._failed(str(answer.err_value))
@@ -62,6 +62,7 @@
 
     async def _watch(self, wait_s: float) -> bool:
         asked_at_revision = self._state.catalogue.complete_revision
+        known_revision = self._state.catalogue.highest_revision
         answer = await self._store.watch(STORE_PREFIX, asked_at_revision, wait_s)
         if isinstance(answer, Err):
             if isinstance(answer.err_value, StoreRefused):
@@ -70,8 +71,8 @@
             return self._failed(str(answer.err_value))
         self._answered()
         events = answer.ok_value
-        if events.revision < asked_at_revision:
-            self._state.report_behind(StoreBehind(events.revision, asked_at_revision, []))
+        if events.revision < known_revision:
+            self._state.report_behind(StoreBehind(events.revision, known_revision, []))
             return False
         self._state.report_behind(None)
         after_revision = min(asked_at_revision, self._state.quiet_from_revision)
--- a/src/egretrail/runtime/_settings_writer.py
+++ b/src/egretrail/runtime/_settings_writer.py
@@ -116,7 +116,7 @@
 
     async def _stored(self, path: SettingPath) -> Result[StoredSetting, SettingsRefusal]:
         """Read the path's team from the store, so that the checks see all that was accepted."""
-        seen_revision = self._state.catalogue.complete_revision
+        seen_revision = self._state.catalogue.highest_revision
         answer = await self._store.snapshot(f"{STORE_PREFIX}{path.team}/")
         if isinstance(answer, Err):
             return Err(StoreOut(str(path), str(answer.err_value)))
--- a/src/egretrail/settings/_catalogue.py
+++ b/src/egretrail/settings/_catalogue.py
@@ -102,12 +102,18 @@
         #: The held values as settings.
         self.in_force = InForce()
         self._complete_revision = 0
+        self._highest_generation = 0
 
     @property
     def complete_revision(self) -> int:
         """Return the revision up to which every change has been seen."""
         return self._complete_revision
 
+    @property
+    def highest_revision(self) -> int:
+        """Return the highest revision that the store is known to have reached."""
+        return max(self._highest_generation, self._complete_revision)
+
     @property
     def tree(self) -> DigestTree:
         """Return the digests of the live paths."""
@@ -153,7 +159,7 @@
     ) -> SnapshotOutcome:
         """Apply the store's whole content at a revision.
 
-        ``asked_at_revision`` is the complete revision at the time the store was asked: an answer
+        ``asked_at_revision`` is the highest revision known when the store was asked: an answer
         below it, or one that shows a path older than it was by then, comes from a store that has
         lost writes. What such a store does not show is not taken as deleted.
         """
@@ -167,7 +173,7 @@
             elif outcome is Outcome.OLDER and known_revision <= revision:
                 older.append(change.path)
         if older or revision < asked_at_revision:
-            return SnapshotOutcome(applied, StoreBehind(revision, self._complete_revision, older))
+            return SnapshotOutcome(applied, StoreBehind(revision, self.highest_revision, older))
         shown = {change.path for change in changes}
         for held in list(self._held.values()):
             if held.path not in shown and held.generation <= revision:
@@ -227,6 +233,7 @@
         return Difference(changes, wanted)
 
     def _replace(self, change: SettingChange) -> None:
+        self._highest_generation = max(change.generation, self._highest_generation)
         previous = self._held.pop(change.path, None)
         if previous is not None:
             self._tree.toggle(previous)
