Add the operators' settings face with team tokens, and the egretrail tool

Problems go out as text since falcon answers 415 for media of a content type it does not know; the tool's tests against a real face showed it. Sending a change again with its id counts once. The token is taken from the environment alone.

--- a/src/egretrail/cli/__init__.py
+++ b/src/egretrail/cli/__init__.py
@@ -1,5 +1,5 @@
-"""The operators command-line tool, ``egretrail``."""
+"""The operators' command-line tool, ``egretrail``."""
 
+from egretrail.cli._main import main
 
-def main() -> None:
-    """Run the tool."""
+__all__ = ["main"]
--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -6,6 +6,7 @@
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._report import ReportDriver
 from egretrail.runtime._settings import SettingsDriver, SettingsStatus
+from egretrail.runtime._settings_face import OperatorTokenMiddleware, add_settings_routes
 from egretrail.runtime._settings_peers import InForce
 from egretrail.runtime._settings_policy import SettingsPolicy
 from egretrail.runtime._settings_writer import StoredSetting
@@ -25,6 +26,7 @@
     "InForce",
     "KeyedExecutor",
     "MembershipDriver",
+    "OperatorTokenMiddleware",
     "Problem",
     "ReportDriver",
     "SettingsDriver",
@@ -35,5 +37,6 @@
     "UpstreamListDriver",
     "UpstreamRequest",
     "UpstreamResult",
+    "add_settings_routes",
     "problem_of",
 ]
--- /dev/null
+++ b/src/egretrail/runtime/_settings_problem.py
@@ -0,0 +1,88 @@
+"""Refusals of the operators' face as RFC 9457 problem details."""
+
+import dataclasses
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import falcon.asgi
+
+from egretrail.runtime._problem import PROBLEM_CONTENT_TYPE
+from egretrail.settings import (
+    InvalidSettings,
+    LostRace,
+    SettingsRefusal,
+    StoreBehind,
+    StoreOut,
+    WriteUnresolved,
+)
+
+#: When an operator may try again while the store is out.
+_STORE_RETRY_AFTER_S = 5
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorProblem:
+    """One refusal."""
+
+    #: Names the kind of problem, the last part of its URN.
+    name: str
+    #: The HTTP status.
+    status: int
+    #: One sentence that is the same for all problems of the kind.
+    title: str
+    #: What is particular about this problem.
+    detail: str = ""
+    #: Further members of the problem document.
+    members: Mapping[str, object] = field(default_factory=dict)
+
+    def answer(self, resp: falcon.asgi.Response) -> None:
+        """Answer with the problem."""
+        resp.status = self.status
+        resp.content_type = PROBLEM_CONTENT_TYPE
+        if self.status == 503:
+            resp.set_header("Retry-After", str(_STORE_RETRY_AFTER_S))
+        document = {
+            "type": f"urn:egretrail:problem:{self.name}",
+            "title": self.title,
+            "status": self.status,
+            "detail": self.detail,
+            **self.members,
+        }
+        # The framework writes media only for content types that it knows.
+        resp.text = json.dumps(document)
+
+
+def settings_problem(refusal: SettingsRefusal) -> OperatorProblem:
+    """Return the problem that tells an operator of a refusal."""
+    detail = str(refusal)
+    match refusal:
+        case InvalidSettings():
+            faults = [dataclasses.asdict(fault) for fault in refusal.faults]
+            members: dict[str, object] = {"path": refusal.source, "faults": faults}
+            return OperatorProblem(
+                "invalid-settings", 422, "The settings are not valid", detail, members
+            )
+        case LostRace():
+            return OperatorProblem(
+                "lost-race",
+                409,
+                "Another change came first",
+                detail,
+                dataclasses.asdict(refusal),
+            )
+        case StoreOut():
+            return OperatorProblem("store-out", 503, "The store cannot be reached", detail)
+        case StoreBehind():
+            return OperatorProblem(
+                "store-behind",
+                503,
+                "The store has lost writes",
+                detail,
+                dataclasses.asdict(refusal),
+            )
+        case WriteUnresolved():
+            members = {"path": refusal.path, "change_id": refusal.change_id}
+            return OperatorProblem(
+                "write-unresolved", 504, "Whether it was accepted is not known", detail, members
+            )
--- a/src/egretrail/settings/__init__.py
+++ b/src/egretrail/settings/__init__.py
@@ -59,6 +59,7 @@
     SettingsDifference,
     SettingsRun,
 )
+from egretrail.settings._tokens import OperatorTokens, parse_operator_tokens
 from egretrail.settings._watchers import watchers
 
 __all__ = [
@@ -88,6 +89,7 @@
     "ListenSection",
     "LogSection",
     "LostRace",
+    "OperatorTokens",
     "Outcome",
     "PlatformSection",
     "Revised",
@@ -112,6 +114,7 @@
     "decode_envelope",
     "is_change_id",
     "parse_instance_settings",
+    "parse_operator_tokens",
     "parse_setting",
     "watchers",
 ]
--- a/src/egretrail/settings/_fleet.py
+++ b/src/egretrail/settings/_fleet.py
@@ -156,7 +156,7 @@
         """Read ``TEAM/services/NAME`` or ``TEAM/routes/NAME``."""
         parts = path.split("/")
         kinds = {kind.value: kind for kind in SettingKind}
-        if len(parts) == 3 and parts[1] in kinds and _is_name(parts[0]) and _is_name(parts[2]):
+        if len(parts) == 3 and parts[1] in kinds and is_name(parts[0]) and is_name(parts[2]):
             return Ok(SettingPath(TeamName(parts[0]), kinds[parts[1]], parts[2]))
         reason = "a path is TEAM/services/NAME or TEAM/routes/NAME, names in a-z, 0-9 and -"
         return Err(InvalidSettings(path, [SettingsFault("", reason)]))
@@ -177,7 +177,8 @@
 _NAME = TypeAdapter(_Name)
 
 
-def _is_name(text: str) -> bool:
+def is_name(text: str) -> bool:
+    """Return whether a text may name a team, a service or a route."""
     try:
         _NAME.validate_python(text)
     except ValidationError:
