--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -6,7 +6,11 @@
 from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._report import ReportDriver
-from egretrail.runtime._settings import SettingsDriver
+from egretrail.runtime._settings import SettingsDriver, SettingsStatus
+from egretrail.runtime._settings_face import OperatorTokenMiddleware, add_settings_routes
+from egretrail.runtime._settings_peers import InForce
+from egretrail.runtime._settings_policy import SettingsPolicy
+from egretrail.runtime._settings_writer import StoredSetting
 from egretrail.runtime._upstream_client import (
     DEADLINE_HEADER,
     UpstreamClient,
@@ -22,15 +26,21 @@
     "Drained",
     "EvidenceDriver",
     "Execute",
+    "InForce",
     "KeyedExecutor",
     "KeyedState",
     "MembershipDriver",
+    "OperatorTokenMiddleware",
     "Problem",
     "ReportDriver",
     "SettingsDriver",
+    "SettingsPolicy",
+    "SettingsStatus",
+    "StoredSetting",
     "UpstreamClient",
     "UpstreamListDriver",
     "UpstreamRequest",
     "UpstreamResult",
+    "add_settings_routes",
     "problem_of",
 ]
