--- a/src/egretrail/idempotency/tests/test_exploration.py
+++ b/src/egretrail/idempotency/tests/test_exploration.py
@@ -15,7 +15,8 @@
     Settled,
     Witness,
 )
-from egretrail.idempotency.tests.exploration import Case, Guards, Violation, explore
+from egretrail.idempotency.tests.exploration import Case, Guards, explore
+from egretrail.idempotency.tests.exploration_world import Violation
 from egretrail.identity import Incarnation
 from egretrail.request import Answer, Outcome, Refusal, RefusalCause
 from egretrail.testing import EgretrailTestCase, cases
