--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -97,6 +97,7 @@
 
 async def _run(rate_per_s: float, length_s: float, turns: int) -> list[Figures]:
     async with fleet_processes(_OUTPUT) as fleet:
+        fleet.teams = (_DEPLOYMENT.team,)
         await fleet.start_platform()
         await fleet.start_upstreams(
             f"{_DEPLOYMENT.team}/{_LINE.name}",
--- a/scaffolding/demo.py
+++ b/scaffolding/demo.py
@@ -19,7 +19,7 @@
 
 from scaffolding.caller import Caller, Told
 from scaffolding.demo_trace import TRACES, DemoTrace, Deployment, Event, ServiceLine, read_trace
-from scaffolding.processes import FleetProcesses, fleet_processes
+from scaffolding.processes import OPERATOR_TOKEN, FleetProcesses, fleet_processes
 
 _OUTPUT = Path("demo-output")
 _POLL_S = 0.05
@@ -70,6 +70,7 @@
     async def _set_up(self) -> None:
         deployment = self._deployment
         fleet = self._fleet
+        fleet.teams = (deployment.team,)
         await fleet.start_platform()
         for line in deployment.services:
             await fleet.start_upstreams(
@@ -168,7 +169,10 @@
     port = fleet.instances[0].operator_port
     for kind, document in (("services", service), ("routes", route)):
         url = f"http://127.0.0.1:{port}/v1/settings/{deployment.team}/{kind}/{line.name}?revision=0"
-        async with fleet.session.put(url, data=tomli_w.dumps(document)) as response:
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        async with fleet.session.put(
+            url, data=tomli_w.dumps(document), headers=headers
+        ) as response:
             if response.status != 200:
                 raise click.ClickException(await response.text())
     await fleet.until_in_force(f"/{line.name}/items")
--- a/scaffolding/processes.py
+++ b/scaffolding/processes.py
@@ -14,6 +14,8 @@
 import aiohttp
 import tomli_w
 
+#: The token of every team, on loopback only.
+OPERATOR_TOKEN = "a token for loopback only"
 #: What a process writes once it listens: ports that the system chose.
 _LISTENING = re.compile(rb"listening .*?((?:\w+=\d+ ?)+)")
 
@@ -35,9 +37,11 @@
     async def ports(self, name: str) -> dict[str, int]:
         """Wait until a process has written that it listens; return its ports by name."""
         log = self.directory / f"{name}.log"
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(30):
             while True:
                 found = _LISTENING.findall(log.read_bytes())
+                if self.running[name].returncode is not None:
+                    raise ChildProcessError(f"{name} ended: {log.read_text()[-2000:]}")
                 if found:
                     pairs = (pair.split("=") for pair in found[-1].decode().split())
                     return {key: int(value) for key, value in pairs}
@@ -94,6 +98,8 @@
     store_port: int = 0
     list_port: int = 0
     instances: list[InstanceProcess] = field(default_factory=list)
+    #: Teams that may write settings, each with the same token.
+    teams: Sequence[str] = ("team",)
     #: Ports of each service's upstreams.
     upstreams: dict[str, list[int]] = field(default_factory=dict)
 
@@ -135,6 +141,8 @@
         """Start instances, spread over the availability zones, and list them."""
         key_file = self.processes.directory / "fleet.key"
         key_file.write_text("a fleet key for loopback only")
+        tokens_file = self.processes.directory / "tokens.toml"
+        tokens_file.write_text("".join(f'{team} = "{OPERATOR_TOKEN}"\n' for team in self.teams))
         added = range(len(self.instances), len(self.instances) + count)
         for index in added:
             name, zone = f"entry-{index}", zones[index % len(zones)]
@@ -166,16 +174,20 @@
             await self.until_answers(f"http://127.0.0.1:{instance.operator_port}/readyz")
 
     async def until_in_force(self, path: str) -> None:
-        """Wait until every instance resolves a path."""
+        """Wait until every instance resolves a path to addresses that all have a key prefix."""
+        query = urllib.parse.urlencode({"path": path})
         for instance in self.instances:
-            query = urllib.parse.urlencode({"path": path})
-            await self.until_answers(
-                f"http://127.0.0.1:{instance.caller_port}/.well-known/egretrail/resolve?{query}"
-            )
+            resolve = f"/.well-known/egretrail/resolve?{query}"
+            await self.until_answers(f"http://127.0.0.1:{instance.caller_port}{resolve}")
+            while True:
+                addresses = (await self.get(instance.caller_port, resolve))["addresses"]
+                if all(address["key_prefix"] for address in addresses):
+                    break
+                await asyncio.sleep(0.1)
 
     async def until_answers(self, url: str) -> None:
         """Wait until a URL answers with status 200, for at most a minute."""
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(30):
             while True:
                 with contextlib.suppress(aiohttp.ClientError):
                     async with self.session.get(url) as response:
@@ -197,6 +209,7 @@
         any_port = {"host": "127.0.0.1", "port": 0}
         return {
             "fleet_key_file": key_file,
+            "operator_tokens_file": str(self.processes.directory / "tokens.toml"),
             "instance": {"name": name, "availability_zone": zone},
             "caller_face": any_port,
             "peer_face": any_port,
--- a/src/egretrail/cli/_main.py
+++ b/src/egretrail/cli/_main.py
@@ -6,6 +6,7 @@
 
 from egretrail.cli._client import OperatorClient
 from egretrail.cli._output import Context
+from egretrail.cli._report import report
 from egretrail.cli._settings import settings
 from egretrail.cli._views import explain, instances, routes, upstreams
 
@@ -31,5 +32,5 @@
     context.obj = Context(OperatorClient(operator_url or "", token, timeout_s))
 
 
-for _command in (settings, routes, upstreams, instances, explain):
+for _command in (settings, routes, upstreams, instances, explain, report):
     main.add_command(_command)
--- a/src/egretrail/cli/_report.py
+++ b/src/egretrail/cli/_report.py
@@ -4,15 +4,38 @@
 import html
 import io
 from collections.abc import Mapping, Sequence
+from pathlib import Path
 
+import click
+from pydantic import TypeAdapter
+
+from egretrail.cli._output import Context, json_option, print_json, unwrap
 from egretrail.report import BurnRate, FleetReport, ServiceSummary, budget_left
 
+_REPORT = TypeAdapter(FleetReport)
+
 #: Burn rates from which a window is worth waking someone (14.4: a thirtieth of a 30-day budget in
 #: an hour) and worth a ticket (1: the budget ends with its period).
 _PAGE_RATE = 14.4
 _TICKET_RATE = 1.0
 
 
+@click.command()
+@click.option("--html", "page", type=click.Path(path_type=Path), help="Write a page with plots.")
+@json_option
+@click.pass_obj
+def report(context: Context, page: Path | None) -> None:
+    """Show how fast each service's error budget burns, and what burns it, fleet-wide."""
+    document = unwrap(context, context.client.call("GET", "/v1/report"))
+    gathered = _REPORT.validate_python(document)
+    if page is not None:
+        page.write_text(report_page(gathered))
+    if context.as_json:
+        print_json(document)
+    else:
+        click.echo(report_table(gathered))
+
+
 def _window_name(window_s: float) -> str:
     return f"{window_s / 3600:g}h" if window_s >= 3600 else f"{window_s / 60:g}m"
 
--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -5,7 +5,7 @@
 import secrets
 import signal
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -32,8 +32,6 @@
 from egretrail.daemon._resolve import Resolver
 from egretrail.daemon._routing import SettingsRouting
 from egretrail.daemon._service_state import ServiceStates
-from egretrail.daemon._settings_put import SettingResource
-from egretrail.daemon._upstreams import ListedUpstreams
 from egretrail.fleet import Member, group_size
 from egretrail.idempotency import KeyLimits
 from egretrail.identity import Incarnation, ServiceName
@@ -44,11 +42,14 @@
     EvidenceDriver,
     KeyedExecutor,
     MembershipDriver,
+    OperatorTokenMiddleware,
     ReportDriver,
     SettingsDriver,
     UpstreamClient,
+    UpstreamListDriver,
+    add_settings_routes,
 )
-from egretrail.settings import InstanceSettings, ServiceSettings
+from egretrail.settings import InstanceSettings, OperatorTokens, ServiceSettings
 from egretrail.upstream import NoRights, ServiceHealth, SuspectRequests
 
 #: Random low bits of an incarnation's number, below the milliseconds of its start.
@@ -61,8 +62,11 @@
 class Daemon:
     """One entry instance."""
 
-    def __init__(self, settings: InstanceSettings, fleet_key: bytes) -> None:
+    def __init__(
+        self, settings: InstanceSettings, fleet_key: bytes, tokens: OperatorTokens | None
+    ) -> None:
         self._settings = settings
+        self._tokens = tokens
         self._fleet_key = fleet_key
         number = (time.time_ns() // 1_000_000 << _INCARNATION_BITS) | secrets.randbits(
             _INCARNATION_BITS
@@ -122,8 +126,9 @@
             list_interval_s=platform.list_interval_s,
             rng=rng,
         )
-        self._source = ListedUpstreams()
-        self._view.on_list(self._source.take)
+        self._source = UpstreamListDriver(
+            self._view, self._network, self._serves, self._served_services, rng
+        )
         self._settings_driver = SettingsDriver(self._own, self._network, self._view, store, rng)
         self._routing = SettingsRouting(self._settings_driver)
         self._evidence = EvidenceDriver(
@@ -131,6 +136,8 @@
         )
         self._client = UpstreamClient(limits.answer_body_size_bytes)
         self._build_request_path()
+        self._settings_driver.subscribe(lambda _changed: self._source.services_changed())
+        await self._source.start()
         await self._view.start()
         await self._settings_driver.start()
         await self._evidence.start()
@@ -189,7 +196,7 @@
         self._face = CallerFace(settings, requests, resolver)
 
     def _operator_app(self) -> Any:
-        app = falcon.asgi.App()
+        app = falcon.asgi.App(middleware=[OperatorTokenMiddleware(self._tokens)])
         refresh = MetricsRefresh(self._metrics, self._view, self._services)
         app.add_route("/healthz", LiveResource())
         app.add_route("/readyz", ReadyResource(self._view))
@@ -197,7 +204,7 @@
         app.add_route("/v1/instances", InstancesResource(self._view))
         app.add_route("/v1/upstreams", UpstreamsResource(self._services))
         app.add_route("/v1/routes", RoutesResource(self._settings_driver.settings))
-        app.add_route("/v1/settings/{team}/{kind}/{name}", SettingResource(self._settings_driver))
+        add_settings_routes(app, self._settings_driver)
         app.add_route("/v1/report", ReportResource(self._report))
         app.add_route(
             "/v1/explain",
@@ -212,11 +219,21 @@
         }
 
     def _group_size(self, service: ServiceName) -> int:
-        settings = self._routing.service(service)
-        upstreams = len(self._source.upstreams(service))
-        if settings is None:
-            return group_size(upstreams, 1)
-        return group_size(upstreams, settings.slots, settings.group_size)
+        """Return a service's group size from its settings alone.
+
+        The floor stands for the number of upstreams: instances that do not serve the service do
+        not know its rows, and all have to come to the same group.
+        """
+        settings = self._routing.service(service) or ServiceSettings(floor=0)
+        return group_size(settings.floor, settings.slots, settings.group_size)
+
+    def _serves(self, service: ServiceName) -> bool:
+        own = self._settings.instance.name
+        return any(member.name == own for member in self._view.group(service))
+
+    def _served_services(self) -> Sequence[ServiceName]:
+        services = self._settings_driver.settings().services
+        return [service for service in services if self._serves(service)]
 
     def _make_health(self, service: ServiceName) -> ServiceHealth:
         settings = self._routing.service(service) or ServiceSettings(floor=0)
@@ -264,6 +281,7 @@
     async def _end_parts(self) -> None:
         await self._evidence.stop()
         await self._settings_driver.stop()
+        await self._source.stop()
         await self._view.stop()
         await self._operator_server.stop()
         await self._client.stop()
--- a/src/egretrail/daemon/_execution.py
+++ b/src/egretrail/daemon/_execution.py
@@ -7,7 +7,7 @@
 from typing import assert_never
 
 from egretrail.daemon._accounting import Accounting
-from egretrail.daemon._interfaces import LocalExecution, UpstreamSource
+from egretrail.daemon._interfaces import LocalExecution
 from egretrail.daemon._service_state import ServiceState, ServiceStates, short_digest
 from egretrail.identity import UpstreamName
 from egretrail.request import (
@@ -19,7 +19,13 @@
     RequestEnvelope,
     request_digest,
 )
-from egretrail.runtime import EvidenceDriver, UpstreamClient, UpstreamRequest, UpstreamResult
+from egretrail.runtime import (
+    EvidenceDriver,
+    UpstreamClient,
+    UpstreamListDriver,
+    UpstreamRequest,
+    UpstreamResult,
+)
 from egretrail.service import (
     Abandon,
     Action,
@@ -93,7 +99,7 @@
     def __init__(
         self,
         services: ServiceStates,
-        source: UpstreamSource,
+        source: UpstreamListDriver,
         evidence: EvidenceDriver,
         client: UpstreamClient,
         accounting: Accounting,
--- a/src/egretrail/daemon/_interfaces.py
+++ b/src/egretrail/daemon/_interfaces.py
@@ -1,12 +1,10 @@
 """What the request path asks of the drivers."""
 
 import abc
-from collections.abc import Sequence
 
 from result import Result
 
-from egretrail.identity import RouteName, ServiceName, UpstreamName
-from egretrail.platform import ListedInstance
+from egretrail.identity import RouteName, ServiceName
 from egretrail.request import Answer, RequestEnvelope
 from egretrail.route import RouteMatch, UnsafePath
 from egretrail.settings import RouteSettings, ServiceSettings
@@ -34,15 +32,3 @@
     @abc.abstractmethod
     async def execute(self, request: RequestEnvelope, route: RouteSettings) -> Answer:
         """Queue, place and send a request; return the answer or a truthful refusal."""
-
-
-class UpstreamSource(abc.ABC):
-    """Tells which upstreams of a service may be given work."""
-
-    @abc.abstractmethod
-    def upstreams(self, service: ServiceName) -> Sequence[ListedInstance]:
-        """Return the upstreams that are live and not leaving, in a stable order."""
-
-    @abc.abstractmethod
-    def note_drain(self, service: ServiceName, upstream: UpstreamName) -> None:
-        """Take an upstream's own word that it is draining."""
--- a/src/egretrail/daemon/_main.py
+++ b/src/egretrail/daemon/_main.py
@@ -2,19 +2,22 @@
 
 import asyncio
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 
 import click
 import structlog
-from result import Err
+from result import Err, Ok, Result
 
 from egretrail.daemon._daemon import Daemon
 from egretrail.daemon._log import configure_log
 from egretrail.settings import (
     InstanceSettings,
     InvalidSettings,
+    OperatorTokens,
     SettingsFault,
     parse_instance_settings,
+    parse_operator_tokens,
 )
 
 _LEAST_KEY_BYTES = 16
@@ -37,39 +40,54 @@
     what was cut. Exit codes: 0 stopped, 1 requests were cut, 2 invalid settings.
     """
     read = _read(settings_file)
-    if isinstance(read, InvalidSettings):
-        click.echo(str(read), err=True)
+    if isinstance(read, Err):
+        click.echo(str(read.err_value), err=True)
         sys.exit(2)
-    settings, fleet_key = read
+    files = read.ok_value
     if check:
         click.echo(f"{settings_file}: valid")
         return
-    configure_log(settings.log.level)
-    cut = asyncio.run(_run(settings, fleet_key))
+    configure_log(files.settings.log.level)
+    cut = asyncio.run(_run(files))
     sys.exit(1 if cut else 0)
 
 
-def _read(path: Path) -> tuple[InstanceSettings, bytes] | InvalidSettings:
-    """Return the settings and the fleet key, or every fault of the files."""
+@dataclass(frozen=True, slots=True)
+class _Files:
+    #: What the instance's files hold.
+    settings: InstanceSettings
+    fleet_key: bytes
+    tokens: OperatorTokens | None
+
+
+def _read(path: Path) -> Result[_Files, InvalidSettings]:
+    """Read the settings and the files they name; the failure lists every fault of one file."""
     try:
         parsed = parse_instance_settings(path.read_text(), str(path))
     except (OSError, UnicodeDecodeError) as error:
-        return InvalidSettings(str(path), [SettingsFault("", str(error))])
+        return Err(InvalidSettings(str(path), [SettingsFault("", str(error))]))
     if isinstance(parsed, Err):
-        return parsed.err_value
+        return parsed
     settings = parsed.ok_value
     try:
         fleet_key = Path(settings.fleet_key_file).read_bytes().strip()
     except OSError as error:
-        return InvalidSettings(str(path), [SettingsFault("fleet_key_file", str(error))])
+        return Err(InvalidSettings(str(path), [SettingsFault("fleet_key_file", str(error))]))
     if len(fleet_key) < _LEAST_KEY_BYTES:
         reason = f"the file holds {len(fleet_key)} bytes, fewer than {_LEAST_KEY_BYTES}"
-        return InvalidSettings(str(path), [SettingsFault("fleet_key_file", reason)])
-    return settings, fleet_key
+        return Err(InvalidSettings(str(path), [SettingsFault("fleet_key_file", reason)]))
+    if settings.operator_tokens_file is None:
+        return Ok(_Files(settings, fleet_key, None))
+    try:
+        text = Path(settings.operator_tokens_file).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(InvalidSettings(str(path), [SettingsFault("operator_tokens_file", str(error))]))
+    tokens = parse_operator_tokens(text, settings.operator_tokens_file)
+    return tokens.map(lambda held: _Files(settings, fleet_key, held))
 
 
-async def _run(settings: InstanceSettings, fleet_key: bytes) -> bool:
-    daemon = Daemon(settings, fleet_key)
+async def _run(files: _Files) -> bool:
+    daemon = Daemon(files.settings, files.fleet_key, files.tokens)
     try:
         return await daemon.run()
     except OSError as error:
--- a/src/egretrail/daemon/_operator_face.py
+++ b/src/egretrail/daemon/_operator_face.py
@@ -6,10 +6,11 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from result import Err
 
-from egretrail.daemon._interfaces import Routing, UpstreamSource
+from egretrail.daemon._interfaces import Routing
 from egretrail.daemon._metrics import Metrics
 from egretrail.daemon._service_state import ServiceStates
 from egretrail.fleet import FleetView
+from egretrail.runtime import UpstreamListDriver
 from egretrail.settings import FleetSettings
 
 
@@ -149,7 +150,7 @@
         routing: Routing,
         view: FleetView,
         services: ServiceStates,
-        source: UpstreamSource,
+        source: UpstreamListDriver,
     ) -> None:
         self._routing = routing
         self._view = view
--- a/src/egretrail/daemon/_service_state.py
+++ b/src/egretrail/daemon/_service_state.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable, Sequence
 
 from egretrail.daemon._accounting import Accounting
-from egretrail.daemon._interfaces import UpstreamSource
 from egretrail.identity import AvailabilityZone, ServiceName, TeamName, UpstreamName
 from egretrail.platform import Endpoint
-from egretrail.runtime import EvidenceDriver
+from egretrail.runtime import EvidenceDriver, UpstreamListDriver
 from egretrail.service import Candidate, Scheduler, UpstreamWeights
 from egretrail.settings import ServiceSettings
 from egretrail.upstream import UpstreamState, Verdict
@@ -37,7 +36,7 @@
         name: ServiceName,
         settings: ServiceSettings,
         zone: AvailabilityZone,
-        source: UpstreamSource,
+        source: UpstreamListDriver,
         evidence: EvidenceDriver,
         accounting: Accounting,
         rng: random.Random,
@@ -99,7 +98,7 @@
         self,
         settings_of: Callable[[ServiceName], ServiceSettings | None],
         zone: AvailabilityZone,
-        source: UpstreamSource,
+        source: UpstreamListDriver,
         evidence: EvidenceDriver,
         accounting: Accounting,
         seed: int,
--- a/src/egretrail/runtime/_upstream_list.py
+++ b/src/egretrail/runtime/_upstream_list.py
@@ -29,6 +29,9 @@
 _ASK_PERIOD_S_PER_MEMBER = 0.1
 _SHORTEST_ASK_PERIOD_S = 2.0
 _ASK_TIMEOUT_S = 1.0
+#: How soon an instance that begins to serve a service asks for its rows. Prevents the refusals of
+#: an instance that is already named to callers and knows no upstream yet.
+_NEWLY_SERVED_S = 0.1
 #: A drain sign is told to each member of the group this often until it acknowledges. More than
 #: that is not worth its traffic: members also ask each other for signs.
 _TELLINGS = 4
@@ -59,6 +62,12 @@
         self._all_rows: Mapping[ServiceName, Sequence[UpstreamRow]] = {}
         self._read_s: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._services_changed = True
+        self._seen_membership = -1
+
+    def services_changed(self) -> None:
+        """Have rows asked for soon: the settings name other services than before."""
+        self._services_changed = True
 
     async def start(self) -> None:
         """Take in the list's readings and begin to ask; start this before the membership."""
@@ -68,6 +77,7 @@
         self._network.on(DrainSigns, self._on_signs)
         self._membership.on_list(self._on_list)
         self._spawn(self._ask_forever())
+        self._spawn(self._ask_newly_served_forever())
 
     async def stop(self) -> None:
         """Stop asking and telling."""
@@ -150,6 +160,27 @@
             self._directory.tick(_now_s())
             await asyncio.sleep(period_s * self._rng.uniform(0.7, 1.3))
 
+    async def _ask_newly_served_forever(self) -> None:
+        """Ask for the rows of services that this instance has begun to serve.
+
+        Looks at all services only after the settings or the membership changed: at full size that
+        look costs thousands of group lookups.
+        """
+        while True:
+            await asyncio.sleep(_NEWLY_SERVED_S)
+            membership = self._membership.changes
+            if not self._services_changed and membership == self._seen_membership:
+                continue
+            self._services_changed = False
+            self._seen_membership = membership
+            known = self._directory.services()
+            new = [service for service in self._services() if service not in known]
+            for service in new:
+                await self._ask_rows(service)
+            # One that no reader could tell yet is asked for again.
+            known = self._directory.services()
+            self._services_changed |= any(service not in known for service in new)
+
     async def _ask_rows(self, service: ServiceName) -> None:
         own = self._membership.own.name
         readers = [name for name in self._membership.list_readers() if name != own]
