--- /dev/null
+++ b/src/egretrail/floor/tests/_exploration.py
@@ -0,0 +1,94 @@
+"""A breadth-first search over every order of actions of a small world."""
+
+import pickle
+from collections import deque
+from collections.abc import Callable, Hashable, Iterator, Sequence
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from egretrail.floor import RightsHolder
+
+W = TypeVar("W")
+
+#: Names an action and carries it out on the world it is given.
+Action = tuple[str, Callable[[W], None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Explored:
+    """What a search found."""
+
+    #: Distinct states reached.
+    states: int
+    #: The shortest sequence of actions that breaks the invariant; None when none does.
+    counter_example: Sequence[str] | None
+
+
+class Exploration(Generic[W]):
+    """Searches until every state was reached or the invariant broke.
+
+    ``key`` tells which worlds behave alike; times in it are relative to the world's clock and cut
+    off where they no longer matter, so that the search covers executions of any length.
+    """
+
+    def __init__(
+        self,
+        actions: Callable[[W], Iterator[Action[W]]],
+        holds: Callable[[W], bool],
+        key: Callable[[W], Hashable],
+        states_limit: int = 400_000,
+    ) -> None:
+        self._actions = actions
+        self._holds = holds
+        self._key = key
+        self._states_limit = states_limit
+
+    def run(self, world: W) -> Explored:
+        first = self._key(world)
+        parents: dict[Hashable, tuple[Hashable, str] | None] = {first: None}
+        waiting = deque([(first, pickle.dumps(world))])
+        while waiting:
+            if len(parents) > self._states_limit:
+                raise AssertionError(f"more than {self._states_limit} states")
+            state, stored = waiting.popleft()
+            for label, act in list(self._actions(pickle.loads(stored))):
+                changed = pickle.loads(stored)
+                act(changed)
+                key = self._key(changed)
+                if key in parents:
+                    continue
+                parents[key] = (state, label)
+                if not self._holds(changed):
+                    return Explored(len(parents), _path(parents, key))
+                waiting.append((key, pickle.dumps(changed)))
+        return Explored(len(parents), None)
+
+
+def _path(parents: dict[Hashable, tuple[Hashable, str] | None], state: Hashable) -> Sequence[str]:
+    labels = []
+    step = parents[state]
+    while step is not None:
+        state, label = step
+        labels.append(label)
+        step = parents[state]
+    return labels[::-1]
+
+
+def holder_key(holder: RightsHolder, now_s: float) -> Hashable:
+    """Return what of a holder's state can still make a difference."""
+    held = tuple(
+        (
+            number,
+            each.right.epoch,
+            tuple(each.right.heirs),
+            each.upstream,
+            (each.shown, each.quiet_at_s - now_s) if each.quiet_at_s >= now_s else None,
+            each.locked,
+        )
+        for number, each in sorted(holder._held.items())
+    )
+    return (
+        held,
+        tuple(sorted(holder._promised.items())),
+        tuple(sorted(holder._latest_epoch.items())),
+    )
--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -6,6 +6,7 @@
 from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._report import ReportDriver
+from egretrail.runtime._rights import FloorSource, RightsDriver, RightsReport
 from egretrail.runtime._settings import SettingsDriver, SettingsStatus
 from egretrail.runtime._settings_face import OperatorTokenMiddleware, add_settings_routes
 from egretrail.runtime._settings_peers import InForce
@@ -26,6 +27,7 @@
     "Drained",
     "EvidenceDriver",
     "Execute",
+    "FloorSource",
     "InForce",
     "KeyedExecutor",
     "KeyedState",
@@ -33,6 +35,8 @@
     "OperatorTokenMiddleware",
     "Problem",
     "ReportDriver",
+    "RightsDriver",
+    "RightsReport",
     "SettingsDriver",
     "SettingsPolicy",
     "SettingsStatus",
--- a/src/egretrail/runtime/_membership.py
+++ b/src/egretrail/runtime/_membership.py
@@ -87,7 +87,7 @@
         self._network.on(Ping, self._on_ping)
         self._network.on(IndirectPing, self._on_indirect_ping)
         self._network.on(SyncAsk, self._on_sync_ask)
-        await self._read_list()
+        await self.read_list()
         await self._greet()
         self._spawn(self._probe_forever())
         self._spawn(self._sync_forever())
@@ -313,7 +313,7 @@
     async def _read_list_forever(self) -> None:
         while True:
             await asyncio.sleep(self._list_wait_s() * self._rng.uniform(0.8, 1.2))
-            await self._read_list()
+            await self.read_list()
 
     def _list_wait_s(self) -> float:
         """Return how long to wait before the next reading.
@@ -325,16 +325,18 @@
             return self._list_interval_s
         return self._list_interval_s * max(_FALLBACK_INTERVALS, self._table.size)
 
-    async def _read_list(self) -> None:
+    async def read_list(self) -> bool:
+        """Read the platform's list now; return whether it answered."""
         reading = await self._instance_list.read()
         if isinstance(reading, Err):
             _log.info("instance_list_unavailable", cause=str(reading.err_value))
-            return
+            return False
         rows = reading.ok_value
         own_rows = [row for row in rows if row.service == FLEET_SERVICE]
         self._table.seed([_listed_member(row) for row in own_rows], _now_s())
         for listener in self._listeners:
             await listener(rows)
+        return True
 
     def _spawn(self, coroutine: Any) -> None:
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)
--- /dev/null
+++ b/src/egretrail/runtime/_rights.py
@@ -0,0 +1,426 @@
+"""Obtains, shows, passes on and registers the rights to eject."""
+
+import abc
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+from result import Err, Ok
+
+from egretrail.fleet import MemberState
+from egretrail.floor import (
+    EjectionsAnswer,
+    EjectionsAsk,
+    EjectionsChanged,
+    FloorRecord,
+    HonouredEjections,
+    Promise,
+    PromiseAsk,
+    Proposal,
+    RecordedRight,
+    Right,
+    RightAnswer,
+    RightAsk,
+    RightsHolder,
+    RightsTiming,
+    allowance,
+    apply,
+    dump_record,
+    must_promise,
+    parse_record,
+    propose,
+    reconcile,
+    record_path,
+)
+from egretrail.identity import Incarnation, InstanceName, ServiceName, UpstreamName
+from egretrail.peer import PeerNetwork
+from egretrail.platform import Store, WriteUnknown
+from egretrail.runtime._membership import MembershipDriver
+from egretrail.upstream import EjectionRights
+
+#: While a service has ejections, its group's members ask each other this often, so that an
+#: answer is replaced some four times before it runs out.
+_ASK_PERIOD_S = 1.0
+#: Without ejections, one random member is asked this often, in case every hint was lost.
+_IDLE_ASK_PERIOD_S = 15.0
+#: How long after a hint a service counts as having ejections.
+_HINT_S = 5.0
+_ASK_TIMEOUT_S = 1.0
+#: Each member looks after its share of a service's rights in the store this often: at 3,500
+#: services and 8 members each, about 230 reads a second of the store's two thousand.
+_REGISTER_PERIOD_S = 120.0
+#: A member that needs a right and got none waits this long before it tries again.
+_OBTAIN_GAP_S = 1.0
+#: Compare-and-swap tries in a row before the next period.
+_SWAP_TRIES = 3
+#: No process has a higher number: asks whether any process of a name may be running.
+_ANY_PROCESS = (1 << 63) - 1
+
+_log = structlog.get_logger()
+
+
+class FloorSource(abc.ABC):
+    """Tells what the allowance of a service is made of, as this instance knows it now."""
+
+    @abc.abstractmethod
+    def services(self) -> Sequence[ServiceName]:
+        """Return the services whose group this instance is in."""
+
+    @abc.abstractmethod
+    def floor(self, service: ServiceName) -> int:
+        """Return the fewest healthy upstreams that ejections may leave."""
+
+    @abc.abstractmethod
+    def capacity(self, service: ServiceName) -> Sequence[UpstreamName]:
+        """Return the upstreams that are listed live and neither draining nor departed."""
+
+
+@dataclass(frozen=True, slots=True)
+class RightsReport:
+    """One service's rights as this instance sees them, for operators."""
+
+    #: How many upstreams may be out of service.
+    allowance: int
+    #: The numbers of the rights held here.
+    held: Sequence[int]
+    #: The upstreams that rights held here keep out.
+    own_ejections: Mapping[int, UpstreamName]
+    #: The ejections of others that count here now, with their holders.
+    honoured: Mapping[UpstreamName, InstanceName]
+    #: The processes that registered the rights in the store, when last read.
+    registered: Mapping[int, Incarnation]
+
+
+class _ServiceRights:
+    """One service's state."""
+
+    def __init__(self, timing: RightsTiming, started_s: float) -> None:
+        self.holder = RightsHolder(timing, started_s)
+        self.honoured = HonouredEjections(timing)
+        self.record = FloorRecord()
+        self.hinted_s = float("-inf")
+        self.idle_asked_s = float("-inf")
+        self.register_at_s = float("-inf")
+        self.obtain_at_s = float("-inf")
+        self.pending_revision: int | None = None
+        self.lock = asyncio.Lock()
+
+
+class RightsDriver(EjectionRights):
+    """One instance's rights for all services that it serves."""
+
+    def __init__(
+        self,
+        membership: MembershipDriver,
+        network: PeerNetwork,
+        store: Store,
+        source: FloorSource,
+        timing: RightsTiming | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._membership = membership
+        self._network = network
+        self._store = store
+        self._source = source
+        self._timing = timing or RightsTiming()
+        self._own = membership.own.incarnation
+        self._rng = rng or random.Random(self._own.number)
+        self._services: dict[ServiceName, _ServiceRights] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._started_s = 0.0
+        self._leaving = False
+
+    async def start(self) -> None:
+        """Answer questions, and begin to ask and to register."""
+        self._started_s = _now_s()
+        self._network.on(EjectionsAsk, self._on_ejections_ask)
+        self._network.on(EjectionsChanged, self._on_changed)
+        self._network.on(RightAsk, self._on_right_ask)
+        self._network.on(PromiseAsk, self._on_promise_ask)
+        self._spawn(self._ask_forever())
+        self._spawn(self._register_forever())
+
+    async def stop(self) -> None:
+        """Stop; what is still held is reissued once this process is proved gone."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def hand_over(self) -> None:
+        """Let every ejection of this instance end and offer its rights to the heirs."""
+        self._leaving = True
+        for service, state in self._services.items():
+            state.holder.release_all()
+            self._hint_group(service)
+        await asyncio.sleep(self._timing.wait_s)
+        for service in self._services:
+            self._hint_group(service)
+        await asyncio.sleep(_ASK_PERIOD_S)
+
+    def may_eject(self, service: ServiceName, upstream: UpstreamName, now_s: float) -> bool:
+        """Return whether an ejection is covered by a right now; if not, begin to obtain one."""
+        if self.is_ejected(service, upstream):
+            return True
+        if self._leaving or upstream not in self._source.capacity(service):
+            return False
+        state = self._state(service)
+        if state.holder.eject(upstream, self._allowance(service), now_s):
+            self._hint_group(service)
+            return True
+        if now_s >= state.obtain_at_s and not state.lock.locked():
+            state.obtain_at_s = now_s + _OBTAIN_GAP_S * self._rng.uniform(0.8, 1.6)
+            self._spawn(self._obtain(service, state))
+        return False
+
+    def release(self, service: ServiceName, upstream: UpstreamName, now_s: float) -> None:
+        """Let an upstream back into service; its right is free once nobody honours it."""
+        if self._state(service).holder.release(upstream):
+            self._hint_group(service)
+
+    def is_ejected(self, service: ServiceName, upstream: UpstreamName) -> bool:
+        """Return whether a right keeps the upstream out at this moment; ask at each placement."""
+        state = self._services.get(service)
+        if state is None:
+            return False
+        limit = self._allowance(service)
+        return state.holder.is_ejected(upstream, limit) or state.honoured.is_ejected(
+            upstream, limit, _now_s()
+        )
+
+    def held(self, service: ServiceName) -> Sequence[int]:
+        """Return the numbers of the rights that this instance holds."""
+        return [right.number for right in self._state(service).holder.rights()]
+
+    def explain(self, service: ServiceName) -> RightsReport:
+        """Return a service's rights as this instance sees them."""
+        state = self._state(service)
+        return RightsReport(
+            self._allowance(service),
+            self.held(service),
+            state.holder.ejections(),
+            state.honoured.ejections(_now_s()),
+            {recorded.right.number: recorded.owner for recorded in state.record.rights},
+        )
+
+    def _allowance(self, service: ServiceName) -> int:
+        return allowance(len(self._source.capacity(service)), self._source.floor(service))
+
+    def _state(self, service: ServiceName) -> _ServiceRights:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _ServiceRights(self._timing, self._started_s)
+        return state
+
+    def _peers(self, service: ServiceName) -> Sequence[InstanceName]:
+        """Return who may hold rights: the group, and whoever registered one."""
+        names = [member.name for member in self._membership.group(service)]
+        owners = [recorded.owner.instance for recorded in self._state(service).record.rights]
+        known = dict.fromkeys([*names, *owners])
+        return [
+            name
+            for name in known
+            if name != self._own.instance and self._membership.member(name) is not None
+        ]
+
+    def _hint_group(self, service: ServiceName) -> None:
+        for name in self._peers(service):
+            self._network.send(name, EjectionsChanged(service))
+
+    async def _ask_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_ASK_PERIOD_S * self._rng.uniform(0.8, 1.0))
+            served = set(self._source.services())
+            for service, state in list(self._services.items()):
+                if service not in served and state.holder.ejections():
+                    state.holder.release_all()
+                    self._hint_group(service)
+            for service in served:
+                self._ask_when_due(service, self._state(service))
+
+    def _ask_when_due(self, service: ServiceName, state: _ServiceRights) -> None:
+        now_s = _now_s()
+        state.honoured.forget_expired(now_s)
+        peers = self._peers(service)
+        if now_s - state.hinted_s < _HINT_S or state.honoured.ejections(now_s):
+            for peer in peers:
+                self._spawn(self._ask(service, state, peer))
+        elif peers and now_s - state.idle_asked_s > _IDLE_ASK_PERIOD_S:
+            state.idle_asked_s = now_s
+            self._spawn(self._ask(service, state, self._rng.choice(peers)))
+
+    async def _ask(self, service: ServiceName, state: _ServiceRights, peer: InstanceName) -> None:
+        asked_s = _now_s()
+        ask = EjectionsAsk(service)
+        reply = await self._network.ask(peer, ask, EjectionsAnswer, _ASK_TIMEOUT_S)
+        if isinstance(reply, Err):
+            return
+        answer = reply.ok_value
+        state.honoured.note(peer, answer.ejections, asked_s)
+        member = self._membership.member(peer)
+        leaving = member is not None and member.state is MemberState.LEAVING
+        if leaving and answer.free and not self._leaving:
+            await self._take_from(service, state, peer)
+
+    async def _obtain(self, service: ServiceName, state: _ServiceRights) -> None:
+        """Get a right from a peer, or from the store when it is there."""
+        peers = list(self._peers(service))
+        self._rng.shuffle(peers)
+        for peer in peers:
+            if await self._take_from(service, state, peer):
+                return
+        await self._register(service, state, needed=True)
+
+    async def _take_from(
+        self, service: ServiceName, state: _ServiceRights, peer: InstanceName
+    ) -> bool:
+        if not state.holder.may_accept(_now_s()):
+            return False
+        ask = RightAsk(service, self._allowance(service))
+        reply = await self._network.ask(peer, ask, RightAnswer, _ASK_TIMEOUT_S)
+        if isinstance(reply, Err) or reply.ok_value.right is None:
+            return False
+        return state.holder.accept(reply.ok_value.right, _now_s())
+
+    async def _register_forever(self) -> None:
+        while True:
+            for service in self._source.services():
+                state = self._state(service)
+                if _now_s() >= state.register_at_s and not self._leaving:
+                    state.register_at_s = _now_s() + _REGISTER_PERIOD_S * self._rng.uniform(
+                        0.8, 1.2
+                    )
+                    await self._register(service, state, needed=False)
+            await asyncio.sleep(_ASK_PERIOD_S * 2 * self._rng.uniform(0.8, 1.2))
+
+    async def _register(self, service: ServiceName, state: _ServiceRights, needed: bool) -> None:
+        async with state.lock:
+            for _ in range(_SWAP_TRIES):
+                if await self._swap(service, state, needed):
+                    return
+
+    async def _swap(self, service: ServiceName, state: _ServiceRights, needed: bool) -> bool:
+        """Read the record and write what should be; return whether there is no more to do now."""
+        path = record_path(service)
+        read = await self._store.get(path)
+        if isinstance(read, Err):
+            return True
+        entry = read.ok_value
+        revision = entry.revision if entry is not None else 0
+        text = entry.value if entry is not None else None
+        parsed = parse_record(service, text) if text is not None else Ok(FloorRecord())
+        if isinstance(parsed, Err):
+            _log.error("floor_record_unreadable", service=service)
+            return True
+        state.record = parsed.ok_value
+        reconcile(state.record, state.holder, self._own, _now_s())
+        if state.pending_revision is not None and state.pending_revision != revision:
+            state.holder.unlock()
+            state.pending_revision = None
+        proposal = await self._proposal(service, state, needed)
+        if proposal is None:
+            return True
+        return await self._write(path, state, proposal, revision)
+
+    async def _write(
+        self, path: str, state: _ServiceRights, proposal: Proposal, revision: int
+    ) -> bool:
+        state.holder.lock(proposal.renewed)
+        written = await self._store.put(path, dump_record(proposal.record), revision)
+        if isinstance(written, Err) and isinstance(written.err_value, WriteUnknown):
+            state.pending_revision = revision
+            return False
+        if isinstance(written, Ok):
+            state.record = proposal.record
+            apply(proposal, state.holder, _now_s())
+            state.pending_revision = None
+        if state.pending_revision is None:
+            state.holder.unlock()
+        return isinstance(written, Ok)
+
+    async def _proposal(
+        self, service: ServiceName, state: _ServiceRights, needed: bool
+    ) -> Proposal | None:
+        heirs = [member.name for member in self._membership.group(service)]
+        wanted = self._wanted(service, state, heirs, needed)
+        unheld = [recorded for recorded in state.record.rights if recorded.right.number in wanted]
+        promised = [
+            recorded for recorded in unheld if await self._all_promise(service, state, recorded)
+        ]
+        return propose(state.record, state.holder, self._own, heirs, wanted, promised)
+
+    def _wanted(
+        self,
+        service: ServiceName,
+        state: _ServiceRights,
+        group: Sequence[InstanceName],
+        needed: bool,
+    ) -> set[int]:
+        """Return the rights to claim: an even share of those that nobody holds, or all at need."""
+        if not group or self._own.instance not in group:
+            return set()
+        held = {right.number for right in state.holder.rights()}
+        return {
+            number
+            for number in range(self._allowance(service))
+            if number not in held and (needed or group[number % len(group)] == self._own.instance)
+        }
+
+    async def _all_promise(
+        self, service: ServiceName, state: _ServiceRights, recorded: RecordedRight
+    ) -> bool:
+        """Return whether every heir denies to hold the right and will refuse it from now on."""
+        began_s = _now_s()
+        right = recorded.right
+        owner = recorded.owner
+        if owner != self._own and not self._membership.is_gone(owner):
+            if not await self._promises(owner.instance, service, right):
+                return False
+        # Only a fresh reading proves that no process of an heir's name has started since.
+        if not await self._membership.read_list():
+            return False
+        asked = must_promise(recorded, self._own, self._membership.is_gone, self._is_name_gone)
+        for name in asked:
+            if not await self._promises(name, service, right):
+                return False
+        if state.holder.promise(right.number, right.epoch):
+            return False
+        return _now_s() - began_s <= self._timing.reissue_window_s
+
+    async def _promises(self, name: InstanceName, service: ServiceName, right: Right) -> bool:
+        ask = PromiseAsk(service, right.number, right.epoch)
+        reply = await self._network.ask(name, ask, Promise, _ASK_TIMEOUT_S)
+        return isinstance(reply, Ok) and not reply.ok_value.holds
+
+    def _is_name_gone(self, name: InstanceName) -> bool:
+        return self._membership.is_gone(Incarnation(name, _ANY_PROCESS))
+
+    async def _on_ejections_ask(self, _: Incarnation, ask: EjectionsAsk) -> EjectionsAnswer:
+        state = self._state(ask.service)
+        now_s = _now_s()
+        return EjectionsAnswer(ask.service, state.holder.answer(now_s), state.holder.free(now_s))
+
+    async def _on_changed(self, sender: Incarnation, hint: EjectionsChanged) -> None:
+        if hint.service not in self._source.services():
+            return
+        state = self._state(hint.service)
+        state.hinted_s = _now_s()
+        self._spawn(self._ask(hint.service, state, sender.instance))
+
+    async def _on_right_ask(self, sender: Incarnation, ask: RightAsk) -> RightAnswer:
+        holder = self._state(ask.service).holder
+        return RightAnswer(ask.service, holder.give(sender.instance, ask.allowance, _now_s()))
+
+    async def _on_promise_ask(self, _: Incarnation, ask: PromiseAsk) -> Promise:
+        return Promise(self._state(ask.service).holder.promise(ask.number, ask.epoch))
+
+    def _spawn(self, coroutine: Any) -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
