--- a/src/egretrail/runtime/_settings.py
+++ b/src/egretrail/runtime/_settings.py
@@ -28,7 +28,7 @@
     SettingsFault,
     SettingsRefusal,
     StoreBehind,
-    watchers,
+    is_watcher,
 )
 
 _log = structlog.get_logger()
@@ -240,15 +240,19 @@
 
     async def _keep_watch(self) -> None:
         while True:
-            pause_s = self._jittered(self._policy.retry_s)
-            if self._watches() and await self._reader.refresh(self._policy.watch_wait_s):
+            pause_s = self._jittered(self._policy.watcher_check_s)
+            if self._watches():
+                confirmed = await self._reader.refresh(self._policy.watch_wait_s)
                 pause_s = self._policy.watch_pause_s
+                if not confirmed:
+                    pause_s = self._jittered(self._policy.retry_s)
             await asyncio.sleep(pause_s)
 
     async def _keep_compared(self) -> None:
         while True:
             await asyncio.sleep(self._jittered(self._policy.compare_interval_s))
-            await self._peers.compare_with_random()
+            # Not waited for: a peer that does not answer must not delay the next comparison.
+            self._peers.compare_with_random()
 
     async def _keep_polled(self) -> None:
         """Ask the store when its last confirmation is old.
@@ -268,7 +272,7 @@
     def _watches(self) -> bool:
         zones = {member.name: member.availability_zone for member in self._peers.others()}
         zones[self._own.instance] = self._view.own.availability_zone
-        return self._own.instance in watchers(zones)
+        return is_watcher(self._own.instance, zones)
 
     def _jittered(self, interval_s: float) -> float:
         return interval_s * self._rng.uniform(0.5, 1.5)
--- a/src/egretrail/runtime/_settings_peers.py
+++ b/src/egretrail/runtime/_settings_peers.py
@@ -100,10 +100,11 @@
         for member in self._rng.sample(others, min(self._policy.fanout, len(others))):
             self._network.send(member.name, SettingsRun(run))
 
-    async def compare_with_random(self) -> bool:
-        """Compare with one random peer; return whether it had caught up and both now agree."""
+    def compare_with_random(self) -> None:
+        """Begin a comparison with one random peer."""
         others = self.others()
-        return bool(others) and await self.compare(self._rng.choice(others).name)
+        if others:
+            self._comparison(self._rng.choice(others).name)
 
     async def compare(self, peer: InstanceName) -> bool:
         """Compare with a peer; one comparison with each at a time."""
--- a/src/egretrail/runtime/_settings_policy.py
+++ b/src/egretrail/runtime/_settings_policy.py
@@ -16,13 +16,15 @@
     fanout: int = 4
     #: Mean time between comparisons with a random peer: what a lost message costs at most, within
     #: the 6 s that a change may take everywhere.
-    compare_interval_s: float = 1.5
+    compare_interval_s: float = 1.0
     #: How long a watch waits in the store; each renewal is a read there, and until it ends nothing
     #: confirms that the store still answers.
     watch_wait_s: float = 10.0
     #: Pause between watches. Bursts of changes arrive in one answer, and all watchers together ask
     #: at most some 300 times a second.
     watch_pause_s: float = 0.05
+    #: How often an instance looks whether the watch falls to it; it costs a pass over the fleet.
+    watcher_check_s: float = 2.0
     #: Pause after a failure of the store, jittered.
     retry_s: float = 1.0
     #: An instance whose settings the store has not confirmed for this long asks the store itself.
@@ -40,7 +42,7 @@
     #: A loop that wakes this much too late was paused, and catches up before it serves on.
     paused_s: float = 5.0
     #: How long a peer's reply is waited for.
-    ask_timeout_s: float = 2.0
+    ask_timeout_s: float = 1.0
     #: Largest part of a difference in one message.
     reply_limit_bytes: int = 128 * 1024
     #: Most marks in one question about differences.
--- a/src/egretrail/settings/__init__.py
+++ b/src/egretrail/settings/__init__.py
@@ -60,7 +60,7 @@
     SettingsRun,
 )
 from egretrail.settings._tokens import OperatorTokens, parse_operator_tokens
-from egretrail.settings._watchers import watchers
+from egretrail.settings._watchers import is_watcher
 
 __all__ = [
     "BUCKETS",
@@ -113,8 +113,8 @@
     "change_of",
     "decode_envelope",
     "is_change_id",
+    "is_watcher",
     "parse_instance_settings",
     "parse_operator_tokens",
     "parse_setting",
-    "watchers",
 ]
--- a/src/egretrail/settings/_fleet.py
+++ b/src/egretrail/settings/_fleet.py
@@ -100,7 +100,9 @@
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
 
     #: The service that takes the requests, a name in the same team.
-    service: Annotated[ServiceName, _Name, Field(description="A service of the same team.")]
+    service: Annotated[
+        ServiceName, Field(pattern=_NAME_PATTERN, description="A service of the same team.")
+    ]
     #: Path prefix of the requests, whole segments.
     path_prefix: Annotated[
         str, Field(pattern=r"^/[^?#]*$", max_length=512, description="Prefix, whole segments.")
--- a/src/egretrail/settings/_instance.py
+++ b/src/egretrail/settings/_instance.py
@@ -16,7 +16,7 @@
 
 _STRICT = ConfigDict(extra="forbid")
 
-_Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+_NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 _Host = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+$", description="An IP number.")]
 _Port = Annotated[
     int, Field(ge=0, le=65535, description="A TCP port; 0 lets the system choose one.")
@@ -30,13 +30,16 @@
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
 
     #: The instance's name, unique in the fleet.
-    name: Annotated[InstanceName, _Name, Field(description="Unique in the fleet.")]
+    name: Annotated[InstanceName, Field(pattern=_NAME_PATTERN, description="Unique in the fleet.")]
     #: The availability zone it runs in.
     availability_zone: Annotated[
-        AvailabilityZone, _Name, Field(description="The availability zone it runs in.")
+        AvailabilityZone,
+        Field(pattern=_NAME_PATTERN, description="The availability zone it runs in."),
     ]
     #: The region the availability zone belongs to.
-    region: Annotated[_Name, Field(description="The region of the availability zone.")] = "default"
+    region: Annotated[
+        str, Field(pattern=_NAME_PATTERN, description="The region of the availability zone.")
+    ] = "default"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/settings/_watchers.py
+++ b/src/egretrail/settings/_watchers.py
@@ -8,22 +8,21 @@
 _WATCHERS_IN_FEW_ZONES = 2
 #: With more zones than this, the zones stand in for each other.
 _FEW_ZONES = 4
-#: Watchers in all: the store counts each waiting watch, and its rates grow slowly.
-_WATCHERS_LIMIT = 16
+#: Zones with a watcher: the store counts each waiting watch, and its rates grow slowly.
+_ZONES_LIMIT = 16
 
 
-def watchers(members: Mapping[InstanceName, AvailabilityZone]) -> set[InstanceName]:
-    """Return the members that watch, two in each zone of a few, else one.
+def is_watcher(own: InstanceName, members: Mapping[InstanceName, AvailabilityZone]) -> bool:
+    """Return whether an instance watches: two in each zone of a few, else one.
 
     Each instance works this out from its own view. Views that differ only make a few more
-    instances watch, or fewer for a while; comparisons then carry the changes.
+    instances watch, or fewer for a while; comparisons then carry the changes. Only the instance's
+    own zone is ranked, which costs a tenth of the fleet's size rather than all of it.
     """
-    zones: dict[AvailabilityZone, list[InstanceName]] = {}
-    for member, home in members.items():
-        zones.setdefault(home, []).append(member)
+    own_zone = members[own]
+    zones = set(members.values())
+    if own_zone not in rendezvous_order("settings-watch", zones)[:_ZONES_LIMIT]:
+        return False
+    rivals = [name for name, zone in members.items() if zone == own_zone]
     each = _WATCHERS_IN_FEW_ZONES if len(zones) <= _FEW_ZONES else 1
-    chosen: set[InstanceName] = set()
-    for zone in rendezvous_order("settings-watch", zones)[:_WATCHERS_LIMIT]:
-        order = rendezvous_order(f"settings-watch/{zone}", zones[AvailabilityZone(zone)])
-        chosen.update(InstanceName(name) for name in order[:each])
-    return chosen
+    return own in rendezvous_order(f"settings-watch/{own_zone}", rivals)[:each]
