--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo prove measure bench slopes check format lock
+.PHONY: setup test demo prove measure bench slopes check format lock docs-settings
 
 setup: $(VENV)/installed
 
@@ -29,6 +29,9 @@
 demo: setup
 	$(BIN)/python -m scaffolding.demo
 
+docs-settings: setup
+	$(BIN)/python -m egretrail.settings > docs/settings.md
+
 lock:
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
 
--- a/src/egretrail/runtime/tests/test_settings.py
+++ b/src/egretrail/runtime/tests/test_settings.py
@@ -168,8 +168,50 @@
 
         self.run_fleet(3, body)
 
+    def test_a_race_across_paths_is_shown_to_the_operators(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            fleet.store.delay_s = 0.05
+            one, other, *_ = fleet.drivers.values()
+            text = 'service = "a"\npath_prefix = "/x"'
+            deleted, put = await asyncio.gather(
+                one.delete(SERVICE, 1, "change-delete", "t"),
+                other.put(ROUTE, text, 0, "change-route", "t"),
+            )
+            shown = [*deleted.unwrap().conflicts, *put.unwrap().conflicts]
+            self.assertEqual({"t/routes/r"}, {fault.key for fault in shown})
+            await fleet.until_floor(None)
+            await asyncio.sleep(3.0)
+            self.assertTrue(all(d.status().conflicts for d in fleet.drivers.values()))
+
+        self.run_fleet(3, body)
+
+    def test_an_outage_draws_few_calls(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            fleet.store.set_out(True)
+            calls = fleet.store.calls.total()
+            await asyncio.sleep(60.0)
+            # Six watchers, one try a second each.
+            self.assertLess(fleet.store.calls.total() - calls, 6 * 60 * 2)
+
+        self.run_fleet(12, body)
+
 
 class JoinTest(SettingsTestCase):
+    def test_who_joins_learns_many_paths_in_parts(self) -> None:
+        async def body(fleet: SettingsFleet) -> None:
+            for number in range(3000):
+                path = f"egretrail/settings/t/services/s{number}"
+                await fleet.store.put(path, f"floor = {number}", 0)
+            await asyncio.sleep(10.0)
+            fleet.store.set_out(True)
+            joined = fleet.add("new", "zone-0")
+            await joined.start()
+            await joined.wait_until_caught_up()
+            self.assertEqual(3001, len(joined.catalogue))
+            self.assertEqual(fleet.some().settings(), joined.settings())
+
+        self.run_fleet(4, body)
+
     def test_who_joins_during_an_outage_learns_from_peers_in_two_zones(self) -> None:
         async def body(fleet: SettingsFleet) -> None:
             await fleet.put_floor(2)
--- a/src/egretrail/settings/__init__.py
+++ b/src/egretrail/settings/__init__.py
@@ -59,6 +59,7 @@
     SettingsDifference,
     SettingsRun,
 )
+from egretrail.settings._reference import settings_reference
 from egretrail.settings._tokens import OperatorTokens, parse_operator_tokens
 from egretrail.settings._watchers import is_watcher
 
@@ -117,4 +118,5 @@
     "parse_instance_settings",
     "parse_operator_tokens",
     "parse_setting",
+    "settings_reference",
 ]
