Add sequential tests on failures and slowness, confirmed against the other upstreams

Cause: windows need to fill before a partial fault shows. Sums of log likelihood ratios count from the change on; the group's evidence is their sum.

--- a/src/egretrail/upstream/_evidence.py
+++ b/src/egretrail/upstream/_evidence.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from egretrail.identity import ServiceName, UpstreamName
+from egretrail.upstream._drift import Drifts
 from egretrail.upstream._window import Counts
 from egretrail.wire import Message, message
 
@@ -13,6 +14,10 @@
 #: far below what any decision turns on, and most counts then fit in two bytes.
 _PARTS = 8.0
 
+#: Numbers in a row of the columns that hold several.
+_COUNTS = 8
+_DRIFTS = 3
+
 
 def upstream_id(name: UpstreamName) -> int:
     """Return the 32-bit digest that stands for an upstream's name within one service."""
@@ -34,6 +39,8 @@
     #: The member's short and long windows.
     short: Counts
     long: Counts
+    #: The member's sequential tests.
+    drifts: Drifts
 
 
 @message("evidence")
@@ -61,19 +68,24 @@
     #: Eight numbers for each upstream, in parts of an attempt: attempts, failures, timed answers
     #: and slowness of the short window, then of the long one.
     counts: Sequence[int]
+    #: Three numbers for each upstream, in the same parts: its sequential tests.
+    drifts: Sequence[int]
 
     def __post_init__(self) -> None:
         """Refuse columns of different lengths."""
         columns = (self.generations, self.ejected_tenths, self.in_flight)
         if any(len(column) != len(self.upstreams) for column in columns):
             raise ValueError("columns of different lengths")
-        if len(self.counts) != 8 * len(self.upstreams):
+        if len(self.counts) != _COUNTS * len(self.upstreams):
             raise ValueError("counts do not fit the upstreams")
+        if len(self.drifts) != _DRIFTS * len(self.upstreams):
+            raise ValueError("drifts do not fit the upstreams")
 
     def rows(self) -> Iterable[UpstreamObservation]:
         """Return the rows that the columns hold."""
         for index, upstream in enumerate(self.upstreams):
-            numbers = [part / _PARTS for part in self.counts[8 * index : 8 * index + 8]]
+            numbers = [part / _PARTS for part in _row(self.counts, index, _COUNTS)]
+            drifts = [part / _PARTS for part in _row(self.drifts, index, _DRIFTS)]
             yield UpstreamObservation(
                 upstream,
                 self.generations[index],
@@ -81,6 +93,7 @@
                 self.in_flight[index],
                 Counts(*numbers[:4]),
                 Counts(*numbers[4:]),
+                Drifts(*drifts),
             )
 
 
@@ -95,10 +108,19 @@
         [row.generation for row in rows],
         [round(row.ejected_s * 10.0) for row in rows],
         [row.in_flight for row in rows],
-        [part for row in rows for part in (*_parts(row.short), *_parts(row.long))],
+        [part for row in rows for part in (*_count_parts(row.short), *_count_parts(row.long))],
+        [part for row in rows for part in _drift_parts(row.drifts)],
     )
 
 
-def _parts(counts: Counts) -> Sequence[int]:
+def _row(column: Sequence[int], index: int, width: int) -> Sequence[int]:
+    return column[width * index : width * (index + 1)]
+
+
+def _count_parts(counts: Counts) -> Sequence[int]:
     numbers = (counts.attempts, counts.failures, counts.timed, counts.slowness)
     return [round(number * _PARTS) for number in numbers]
+
+
+def _drift_parts(drifts: Drifts) -> Sequence[int]:
+    return [round(number * _PARTS) for number in (drifts.frequent, drifts.rare, drifts.slow)]
--- a/src/egretrail/upstream/_health.py
+++ b/src/egretrail/upstream/_health.py
@@ -23,9 +23,6 @@
 #: Declining this much more often than the service's upstreams on average shifts work away.
 _SHED_NOTABLE = 0.2
 
-#: Other members are told at once of an upstream whose short window holds this many failures.
-_URGENT_FAILURES = 0.5
-
 
 class ServiceHealth:
     """Judges the upstreams of one service from real work, its own and its group's.
@@ -51,8 +48,8 @@
         self._by_id: dict[int, TrackedUpstream] = {}
         self._started = False
         self._under_way = AttemptsUnderWay()
-        self._recorder = Recorder()
-        self._jury = Jury(self._limits)
+        self._recorder = Recorder(self._limits)
+        self._jury = Jury(self._limits, self._recorder)
         self._sequence = 0
         self._peer_sequences: dict[InstanceName, int] = {}
 
@@ -89,7 +86,7 @@
             return
         self._recorder.record(upstream, attempt, now_s, suspect)
         self._evaluate(upstream, now_s)
-        if upstream.observed.short.counts(now_s).failures >= _URGENT_FAILURES:
+        if upstream.observed.worth_telling(now_s):
             upstream.urgent = True
 
     def excuse(self, upstream: UpstreamName, observed_here: bool, now_s: float) -> None:
@@ -172,7 +169,7 @@
         now_s: float,
     ) -> None:
         upstream.observed.peers[sender] = PeerObservation(
-            row.short, row.long, row.in_flight, row.generation, now_s
+            row.short, row.long, row.drifts, row.in_flight, row.generation, now_s
         )
         lifecycle = upstream.lifecycle
         if row.generation > lifecycle.generation:
@@ -181,7 +178,7 @@
                 lifecycle.adopt(row.generation, row.ejected_s, now_s)
             else:
                 lifecycle.generation = row.generation
-        elif row.short.failures > 0 or row.long.failures > 0 or row.short.slowness > 0:
+        elif row.short.failures > 0 or row.long.failures > 0 or row.drifts.slow > 0:
             self._evaluate(upstream, now_s)
 
     def _evidence(self, upstreams: Sequence[TrackedUpstream], now_s: float) -> Evidence:
@@ -200,6 +197,7 @@
             upstream.observed.in_flight,
             upstream.observed.own_short(now_s),
             upstream.observed.own_long(now_s),
+            upstream.observed.own_drifts(now_s),
         )
 
     def _advance(self, upstream: TrackedUpstream, now_s: float) -> None:
@@ -217,8 +215,7 @@
 
     def _judge(self, upstream: TrackedUpstream, now_s: float) -> None:
         lifecycle = upstream.lifecycle
-        spread = self._recorder.reference.spread
-        judgement = self._jury.judge(upstream, self._upstreams.values(), spread, now_s)
+        judgement = self._jury.judge(upstream, self._upstreams.values(), now_s)
         lifecycle.suspicion = judgement.suspicion
         if judgement.finding is Finding.UPSTREAM:
             self._eject(upstream, judgement.cause, now_s)
--- a/src/egretrail/upstream/_jury.py
+++ b/src/egretrail/upstream/_jury.py
@@ -6,9 +6,11 @@
 """
 
 import enum
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from egretrail.upstream._drift import NO_DRIFT, DriftComparison, Drifts
+from egretrail.upstream._recorder import Recorder
 from egretrail.upstream._score import (
     Baseline,
     Comparison,
@@ -23,8 +25,9 @@
 from egretrail.upstream._window import NOTHING, Counts
 
 #: The other members' evidence must reach this part of the ejecting score by itself. Without it one
-#: member's bad path would eject an upstream that all others find good.
-_CORROBORATION = 0.3
+#: member's bad path would eject an upstream that all others find good. One failure by chance at
+#: another member must not suffice.
+_CORROBORATION = 0.42
 
 #: When the other members saw less than this of the upstream, their silence says nothing.
 _FEWEST_ELSEWHERE = 2.0
@@ -33,6 +36,14 @@
 #: computing it takes time for each upstream of the service.
 _COMPARISON_LIFE_S = 0.05
 
+#: A sequential test on failures convicts only together with a window that reaches this part of the
+#: ejecting score: what was summed when a fault that hits all began is not taken back by the sum.
+_CONFIRMATION = 0.3
+
+#: What the sequential tests of the other upstreams reach on average counts against those of one
+#: upstream, this many times: at the begin of a fault that hits all, all of them rise.
+_COMMON_DRIFT = 2.0
+
 #: A failure of at least this weight ends a trial.
 _TRIAL_FAILURE = 0.5
 
@@ -62,51 +73,61 @@
 
 INNOCENT = Judgement(Finding.NOTHING, 0.0, Cause.NONE)
 
-_Score = Callable[[Counts], float]
-
 
 @dataclass(frozen=True, slots=True)
 class _Charge:
-    """One way to look at the evidence: a window, and failures or slowness."""
+    """One way to look at the evidence, weighed."""
 
+    #: Whether failures or slowness speak against the upstream.
     cause: Cause
-    #: Each member's counts, this member's first.
-    members: Sequence[Counts]
-    #: Scores counts against the baseline of this window.
-    score: _Score
-    #: What of a member's counts speaks against the upstream.
-    complaint: Callable[[Counts], float]
+    #: The group's score, and this member's alone.
+    score: float
+    own_score: float
+    #: The score without the member whose evidence is the strongest.
+    elsewhere_score: float
+    #: Whether this member's evidence is the strongest.
+    own_is_strongest: bool
+
+    @property
+    def strongest_score(self) -> float:
+        """Return the score that convicts, of the group or of this member's path."""
+        return max(self.score, self.own_score)
+
+
+@dataclass(frozen=True, slots=True)
+class _Testimony:
+    """Everything that the members observed of one upstream, this member first."""
+
+    short: Sequence[Counts]
+    long: Sequence[Counts]
+    drifts: Sequence[Drifts]
 
 
 class Jury:
     """Judges the upstreams of one service."""
 
-    def __init__(self, limits: Thresholds) -> None:
+    def __init__(self, limits: Thresholds, recorder: Recorder) -> None:
         self._limits = limits
+        self._recorder = recorder
         self._short = Comparison()
         self._long = Comparison()
+        self._drifts = DriftComparison()
         self._compared_s = float("-inf")
 
     def judge(
-        self,
-        upstream: TrackedUpstream,
-        all_upstreams: Iterable[TrackedUpstream],
-        spread: float,
-        now_s: float,
+        self, upstream: TrackedUpstream, all_upstreams: Iterable[TrackedUpstream], now_s: float
     ) -> Judgement:
         """Return what the evidence says of an upstream that is in service."""
-        generation = upstream.lifecycle.generation
-        short = upstream.observed.members_short(generation, now_s)
-        long = upstream.observed.members_long(generation, now_s)
-        if not self._worth_comparing(short, long):
+        testimony = _testimony(upstream, now_s)
+        if not self._worth_comparing(testimony):
             return INNOCENT
         if now_s - self._compared_s > _COMPARISON_LIFE_S:
             self._compare(all_upstreams, now_s)
-        judgement = self._judge(upstream, short, long, spread)
+        judgement = self._judge(upstream, testimony)
         if judgement.finding is Finding.NOTHING or now_s == self._compared_s:
             return judgement
         self._compare(all_upstreams, now_s)
-        return self._judge(upstream, short, long, spread)
+        return self._judge(upstream, testimony)
 
     def trial_failed(self, upstream: TrackedUpstream, now_s: float) -> bool:
         """Return whether the trickle of work shows the upstream to be bad still."""
@@ -123,10 +144,13 @@
         seen = upstream.observed.pooled_long(upstream.lifecycle.generation, now_s)
         return seen.attempts >= self._limits.trial_answers - 0.5
 
-    def _worth_comparing(self, short: Sequence[Counts], long: Sequence[Counts]) -> bool:
+    def _worth_comparing(self, testimony: _Testimony) -> bool:
         """Return whether any member's evidence could possibly stand out."""
+        drifts = sum(testimony.drifts, NO_DRIFT)
+        if max(drifts.frequent, drifts.rare, drifts.slow) > 0.0:
+            return True
         tolerated_log = self._limits.tolerated_log
-        for members in (short, long):
+        for members in (testimony.short, testimony.long):
             for counts in (members[0], sum(members, NOTHING)):
                 if failures_stand_out(counts) or slowness_stands_out(counts, tolerated_log):
                     return True
@@ -136,6 +160,7 @@
         self._compared_s = now_s
         self._short = Comparison()
         self._long = Comparison()
+        self._drifts = DriftComparison()
         for upstream in all_upstreams:
             if upstream.lifecycle.state is UpstreamState.EJECTED:
                 continue
@@ -143,60 +168,104 @@
             observed = upstream.observed
             self._short.add(upstream.name, observed.pooled_short(generation, now_s))
             self._long.add(upstream.name, observed.pooled_long(generation, now_s))
+            drifts = sum(observed.members_drifts(generation, now_s), NO_DRIFT)
+            self._drifts.add(upstream.name, drifts)
 
-    def _judge(
-        self,
-        upstream: TrackedUpstream,
-        short: Sequence[Counts],
-        long: Sequence[Counts],
-        spread: float,
-    ) -> Judgement:
+    def _judge(self, upstream: TrackedUpstream, testimony: _Testimony) -> Judgement:
         needed = self._limits.eject_score * upstream.lifecycle.threshold_factor
+        windows = [
+            *self._window_charges(testimony.short, self._baseline(self._short, upstream)),
+            *self._window_charges(testimony.long, self._baseline(self._long, upstream)),
+        ]
+        confirmed = any(
+            charge.cause is Cause.FAILURES and charge.strongest_score >= _CONFIRMATION * needed
+            for charge in windows
+        )
+        common = self._drifts.others(upstream.name).times(_COMMON_DRIFT)
+        drifts = _drift_charges(testimony.drifts, common)
         charges = [
-            *self._charges(short, self._short.baseline(upstream.name), spread),
-            *self._charges(long, self._long.baseline(upstream.name), spread),
+            *windows,
+            *(charge for charge in drifts if confirmed or charge.cause is Cause.SLOWNESS),
         ]
-        judgements = [_try(charge, needed) for charge in charges]
-        return max(judgements, key=_gravity)
-
-    def _charges(
-        self, members: Sequence[Counts], baseline: Baseline, spread: float
-    ) -> Iterable[_Charge]:
-        tolerated_log = self._limits.tolerated_log
-        yield _Charge(
-            Cause.FAILURES,
-            members,
-            lambda counts: failure_score(counts, baseline),
-            lambda counts: counts.failures,
+        seen_elsewhere = min(
+            sum(members, NOTHING).attempts - max(counts.attempts for counts in members)
+            for members in (testimony.short, testimony.long)
         )
+        known_elsewhere = seen_elsewhere >= _FEWEST_ELSEWHERE
+        return max((_weigh(charge, needed, known_elsewhere) for charge in charges), key=_gravity)
+
+    def _baseline(self, comparison: Comparison, upstream: TrackedUpstream) -> Baseline:
+        neighbours = self._recorder.neighbours
+        return Baseline(
+            comparison.others(upstream.name),
+            neighbours.failure_share(upstream.name),
+            neighbours.mean_slowness(upstream.name),
+        )
+
+    def _window_charges(self, members: Sequence[Counts], baseline: Baseline) -> Iterable[_Charge]:
+        pooled = sum(members, NOTHING)
+        for cause, score, strength in (
+            (Cause.FAILURES, self._failure_score, _failures_of),
+            (Cause.SLOWNESS, self._slowness_score, _slowness_of),
+        ):
+            strengths = [strength(counts) for counts in members]
+            strongest = strengths.index(max(strengths))
+            yield _Charge(
+                cause,
+                score(pooled, baseline),
+                score(members[0], baseline),
+                score(pooled - members[strongest], baseline),
+                strongest == 0,
+            )
+
+    def _failure_score(self, counts: Counts, baseline: Baseline) -> float:
+        return failure_score(counts, baseline)
+
+    def _slowness_score(self, counts: Counts, baseline: Baseline) -> float:
+        spread = self._recorder.reference.spread
+        return slowness_score(counts, baseline, self._limits.tolerated_log, spread)
+
+
+def _testimony(upstream: TrackedUpstream, now_s: float) -> _Testimony:
+    generation = upstream.lifecycle.generation
+    observed = upstream.observed
+    return _Testimony(
+        observed.members_short(generation, now_s),
+        observed.members_long(generation, now_s),
+        observed.members_drifts(generation, now_s),
+    )
+
+
+def _failures_of(counts: Counts) -> float:
+    return counts.failures
+
+
+def _slowness_of(counts: Counts) -> float:
+    return counts.slowness
+
+
+def _drift_charges(members: Sequence[Drifts], common: Drifts) -> Iterable[_Charge]:
+    for cause, values, allowance in (
+        (Cause.FAILURES, [drifts.frequent for drifts in members], common.frequent),
+        (Cause.FAILURES, [drifts.rare for drifts in members], common.rare),
+        (Cause.SLOWNESS, [drifts.slow for drifts in members], common.slow),
+    ):
+        strongest = max(values)
+        total = sum(values) - allowance
         yield _Charge(
-            Cause.SLOWNESS,
-            members,
-            lambda counts: slowness_score(counts, baseline, tolerated_log, spread),
-            lambda counts: counts.slowness,
+            cause, total, values[0] - allowance, total - strongest, values[0] == strongest
         )
 
 
-def _try(charge: _Charge, needed: float) -> Judgement:
+def _weigh(charge: _Charge, needed: float, known_elsewhere: bool) -> Judgement:
     """Weigh one charge: the group's evidence, then who brings it."""
-    pooled = sum(charge.members, NOTHING)
-    score = charge.score(pooled)
-    own_score = charge.score(charge.members[0])
-    if max(score, own_score) <= 0.0:
-        return INNOCENT
-    complaints = [charge.complaint(counts) for counts in charge.members]
-    loudest = complaints.index(max(complaints))
-    elsewhere = pooled - charge.members[loudest]
-    elsewhere_score = charge.score(elsewhere)
-    known_elsewhere = elsewhere.attempts >= _FEWEST_ELSEWHERE
-    if not known_elsewhere or elsewhere_score >= _CORROBORATION * needed:
-        finding = Finding.UPSTREAM if score >= needed else Finding.NOTHING
-        return Judgement(finding, score / needed, charge.cause)
-    if loudest == 0:
-        strongest = max(score, own_score)
-        finding = Finding.PATH if strongest >= needed else Finding.NOTHING
-        return Judgement(finding, strongest / needed, charge.cause)
-    return Judgement(Finding.NOTHING, elsewhere_score / needed, charge.cause)
+    if not known_elsewhere or charge.elsewhere_score >= _CORROBORATION * needed:
+        finding = Finding.UPSTREAM if charge.score >= needed else Finding.NOTHING
+        return Judgement(finding, charge.score / needed, charge.cause)
+    if charge.own_is_strongest:
+        finding = Finding.PATH if charge.strongest_score >= needed else Finding.NOTHING
+        return Judgement(finding, charge.strongest_score / needed, charge.cause)
+    return Judgement(Finding.NOTHING, charge.elsewhere_score / needed, charge.cause)
 
 
 _RANK = {Finding.NOTHING: 0, Finding.PATH: 1, Finding.UPSTREAM: 2}
--- a/src/egretrail/upstream/_observed.py
+++ b/src/egretrail/upstream/_observed.py
@@ -3,11 +3,17 @@
 from dataclasses import dataclass
 
 from egretrail.identity import InstanceName
+from egretrail.upstream._drift import Drifts, SequentialTests
 from egretrail.upstream._window import LONG, NOTHING, SHORT, Counts, Window
 
 #: Observations of a member that has said nothing for so long are dropped: it may be gone.
 _STALE_S = 30.0
 
+#: Other members are told at once of an upstream whose short window holds this many failures, or
+#: whose sequential tests have come this far.
+_URGENT_FAILURES = 0.5
+_URGENT_DRIFT = 1.0
+
 #: Losses within this time on one upstream are one event: a crash loses all that was in flight.
 _ONE_CRASH_S = 0.2
 
@@ -19,6 +25,8 @@
     #: Its counts as it sent them.
     short: Counts
     long: Counts
+    #: Its sequential tests as it sent them.
+    drifts: Drifts
     #: Attempts that it had under way.
     in_flight: int
     #: Ejections of the upstream that it knew of.
@@ -33,6 +41,7 @@
     def __init__(self, now_s: float) -> None:
         self.short = Window(SHORT, now_s)
         self.long = Window(LONG, now_s)
+        self.tests = SequentialTests(now_s)
         self.in_flight = 0
         #: Attempts under way for longer than answers take, and their least log latency ratio.
         self.overdue = 0
@@ -46,6 +55,7 @@
         """Forget what this member observed."""
         self.short.clear(now_s)
         self.long.clear(now_s)
+        self.tests = SequentialTests(now_s)
 
     def add_answer(self, slowness: float | None, now_s: float) -> None:
         """Count a good answer."""
@@ -67,15 +77,26 @@
         """Take back one loss that a request turned out to cause."""
         self.short.excuse(1.0)
         self.long.excuse(1.0)
+        self.tests.excuse()
 
     def own_short(self, now_s: float) -> Counts:
         """Return this member's short window, overdue attempts included."""
         return self.short.counts_with(self.overdue, self.overdue_slowness, now_s)
 
+    def own_drifts(self, now_s: float) -> Drifts:
+        """Return this member's sequential tests."""
+        return self.tests.drifts(now_s)
+
     def own_long(self, now_s: float) -> Counts:
         """Return this member's long window, overdue attempts included."""
         return self.long.counts_with(self.overdue, self.overdue_slowness, now_s)
 
+    def worth_telling(self, now_s: float) -> bool:
+        """Return whether the group should know of this member's observations at once."""
+        drifts = self.own_drifts(now_s)
+        failures = self.short.counts(now_s).failures
+        return failures >= _URGENT_FAILURES or max(drifts.frequent, drifts.slow) >= _URGENT_DRIFT
+
     def members_short(self, generation: int, now_s: float) -> list[Counts]:
         """Return each member's short window, this member's first."""
         peers = self._current(generation, now_s)
@@ -88,6 +109,11 @@
         faded = [peer.long.times(LONG.kept_after(now_s - peer.at_s)) for peer in peers]
         return [self.own_long(now_s), *faded]
 
+    def members_drifts(self, generation: int, now_s: float) -> list[Drifts]:
+        """Return each member's sequential tests, this member's first."""
+        peers = self._current(generation, now_s)
+        return [self.own_drifts(now_s), *(peer.drifts.after(now_s - peer.at_s) for peer in peers)]
+
     def pooled_short(self, generation: int, now_s: float) -> Counts:
         """Return the group's short window."""
         return sum(self.members_short(generation, now_s), NOTHING)
--- a/src/egretrail/upstream/_recorder.py
+++ b/src/egretrail/upstream/_recorder.py
@@ -6,6 +6,9 @@
 from egretrail.upstream._attempt import Attempt, AttemptOutcome
 from egretrail.upstream._blame import SharedFailures
 from egretrail.upstream._latency import LatencyReference
+from egretrail.upstream._neighbours import Neighbours
+from egretrail.upstream._score import LEAST_SPREAD, TOLERATED_FAILURE_SHARE
+from egretrail.upstream._thresholds import Thresholds
 from egretrail.upstream._tracked import TrackedUpstream
 from egretrail.upstream._verdict import UpstreamState
 
@@ -38,8 +41,10 @@
 class Recorder:
     """Records the attempts of one service."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: Thresholds) -> None:
+        self._limits = limits
         self.reference = LatencyReference()
+        self.neighbours = Neighbours()
         #: Share of recent attempts that any upstream declined because of its load.
         self.shed_share = 0.0
         self._shared = SharedFailures()
@@ -59,6 +64,7 @@
     def forget_upstream(self, name: UpstreamName) -> None:
         """Drop what is known of an upstream that has left."""
         self._shared.forget_upstream(name)
+        self.neighbours.forget(name)
 
     def _answer(self, upstream: TrackedUpstream, attempt: Attempt, now_s: float) -> None:
         for subject in _subjects(attempt):
@@ -66,7 +72,7 @@
         slowness = self.reference.slowness(attempt.request_kind, attempt.latency_s)
         # A cold upstream is slow for a while, which is no fault.
         warm = upstream.lifecycle.state is not UpstreamState.RAMPING
-        upstream.observed.add_answer(slowness if warm else None, now_s)
+        self._observe_answer(upstream, slowness if warm else None, now_s)
         sound = not upstream.lifecycle.out and upstream.lifecycle.suspicion < _SUSPECT_PART
         if warm and sound:
             self.reference.add(attempt.request_kind, attempt.latency_s)
@@ -75,7 +81,19 @@
     def _cancelled(self, upstream: TrackedUpstream, attempt: Attempt, now_s: float) -> None:
         slowness = self.reference.slowness(attempt.request_kind, attempt.latency_s)
         if slowness is not None and slowness >= _CANCELLED_LOG:
-            upstream.observed.add_answer(slowness, now_s)
+            self._observe_answer(upstream, slowness, now_s)
+
+    def _observe_answer(
+        self, upstream: TrackedUpstream, slowness: float | None, now_s: float
+    ) -> None:
+        upstream.observed.add_answer(slowness, now_s)
+        tests = upstream.observed.tests
+        tests.add_outcome(0.0, TOLERATED_FAILURE_SHARE, now_s)
+        if slowness is not None:
+            others = max(0.0, self.neighbours.mean_slowness(upstream.name))
+            spread = max(LEAST_SPREAD, self.reference.spread)
+            tests.add_slowness(slowness - others - self._limits.tolerated_log, spread, now_s)
+        self.neighbours.add(upstream.name, 0.0, slowness)
 
     def _failure(
         self, upstream: TrackedUpstream, attempt: Attempt, now_s: float, suspect: bool
@@ -87,6 +105,9 @@
         if self._is_crash(upstream, attempt.outcome, now_s, suspect):
             weight *= _EXPLAINED_WEIGHT
         upstream.observed.add_failure(weight, now_s)
+        expected = self.neighbours.failure_share(upstream.name)
+        upstream.observed.tests.add_outcome(weight, expected, now_s)
+        self.neighbours.add(upstream.name, min(1.0, weight), None)
 
     def _explained(self, upstream: TrackedUpstream, attempt: Attempt, now_s: float) -> float:
         """Return the share of such requests that fail at the other upstreams as well."""
--- a/src/egretrail/upstream/_score.py
+++ b/src/egretrail/upstream/_score.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from egretrail.identity import UpstreamName
+from egretrail.upstream._latency import SLOWNESS_LEAST
 from egretrail.upstream._window import NOTHING, Counts
 
 #: A healthy upstream may fail one request in a hundred without being compared at all: below it,
@@ -16,7 +17,7 @@
 
 #: One of so many others is left out of the comparison, the worst first, so that a second or third
 #: bad upstream does not hide the first.
-_OTHERS_PER_OUTLIER = 4
+OTHERS_PER_OUTLIER = 4
 
 #: Latencies of consecutive answers are correlated (they wait in the same queue), so that they
 #: carry less information than independent ones.
@@ -32,7 +33,7 @@
 _OTHERS_FASTER_LOG = 0.3
 
 #: The least spread of log latencies that is believed.
-_LEAST_SPREAD = 0.35
+LEAST_SPREAD = 0.35
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +42,10 @@
 
     #: Their counts, without the worst of them.
     others: Counts
+    #: What they did in this member's last few attempts: the share of failures that would be
+    #: unremarkable, and their mean log latency ratio.
+    latest_failure_share: float = 0.0
+    latest_slowness: float = SLOWNESS_LEAST
 
     @property
     def usable(self) -> bool:
@@ -53,7 +58,8 @@
         attempts = self.others.attempts + 1.0
         share = min(1.0, max(0.0, self.others.failures / attempts))
         deviation = math.sqrt(share * (1.0 - share) / attempts)
-        return min(0.99, max(TOLERATED_FAILURE_SHARE, _FAILURE_MARGIN * share + 2.0 * deviation))
+        unremarkable = _FAILURE_MARGIN * share + 2.0 * deviation
+        return min(0.99, max(TOLERATED_FAILURE_SHARE, unremarkable, self.latest_failure_share))
 
 
 class Comparison:
@@ -73,15 +79,15 @@
         self._counts[name] = counts
         self._total = self._total + counts
 
-    def baseline(self, name: UpstreamName) -> Baseline:
-        """Return what the upstreams other than this one do."""
+    def others(self, name: UpstreamName) -> Counts:
+        """Return the counts of the upstreams other than this one."""
         others = self._total - self._counts.get(name, NOTHING)
         for outlier in self._outliers(name):
             others = others - self._counts[outlier]
-        return Baseline(others)
+        return others
 
     def _outliers(self, name: UpstreamName) -> list[UpstreamName]:
-        left_out = (len(self._counts) - 1) // _OTHERS_PER_OUTLIER
+        left_out = (len(self._counts) - 1) // OTHERS_PER_OUTLIER
         if self._worst is None:
             by_share = sorted(self._counts, key=lambda n: -self._counts[n].failure_share)
             self._worst = by_share[: left_out + 1]
@@ -126,9 +132,10 @@
     others = baseline.others
     if counts.timed < _FEWEST_TIMED or others.timed < _FEWEST_OTHERS:
         return 0.0
-    excess = counts.mean_slowness - others.mean_slowness - tolerated_log
+    others_mean = max(others.mean_slowness, baseline.latest_slowness)
+    excess = counts.mean_slowness - others_mean - tolerated_log
     if excess <= 0.0:
         return 0.0
-    believed = max(_LEAST_SPREAD, spread)
+    believed = max(LEAST_SPREAD, spread)
     variance = _CORRELATION * believed * believed * (1.0 + counts.timed / others.timed)
     return counts.timed * excess * excess / (2.0 * variance)
--- a/src/egretrail/upstream/tests/_simulation.py
+++ b/src/egretrail/upstream/tests/_simulation.py
@@ -177,7 +177,7 @@
             request.size_bytes,
         )
         health.record(attempt, now_s)
-        self._look(request.member, now_s)
+        self._look_at(request.member, request.upstream, now_s)
         self._tell_urgent(request.member, now_s)
 
     def _tick(self, member: int, now_s: float) -> None:
@@ -211,11 +211,15 @@
         self._look(to, now_s)
 
     def _look(self, member: int, now_s: float) -> None:
-        for index, verdict in enumerate(self.outcome.health[member].verdicts(now_s).values()):
-            out = verdict.state is UpstreamState.EJECTED
-            if out and not self._was_out[member][index]:
-                self.outcome.ejections.append((now_s, member, index))
-            self._was_out[member][index] = out
+        for index in range(len(self.names)):
+            self._look_at(member, index, now_s)
+
+    def _look_at(self, member: int, index: int, now_s: float) -> None:
+        verdict = self.outcome.health[member].verdict(self.names[index], now_s)
+        out = verdict.state is UpstreamState.EJECTED
+        if out and not self._was_out[member][index]:
+            self.outcome.ejections.append((now_s, member, index))
+        self._was_out[member][index] = out
 
 
 def simulate(plan: Plan, seed: int) -> Outcome:
