Compare with what the others did since failures began, and count overdue attempts

Cause: the first failures of a fault that hits all fall on one upstream by chance. The evidence test's other upstreams now get their even share of work, as in service (one answer elsewhere for each failure is no comparison); its bound of five requests is unchanged.

--- a/src/egretrail/runtime/tests/test_evidence.py
+++ b/src/egretrail/runtime/tests/test_evidence.py
@@ -178,7 +178,9 @@
             digest = 1000
             while _states(group)[0] is not UpstreamState.EJECTED and sent < 20:
                 await group.attempt(NAMES[sent % 3], 0, AttemptOutcome.FAILED, digest + sent)
-                await group.attempt(NAMES[sent % 3], 1, AttemptOutcome.ANSWERED, digest + 500)
+                for other in range(1, 6):
+                    name = NAMES[(sent + other) % 3]
+                    await group.attempt(name, other, AttemptOutcome.ANSWERED, digest + 500 + other)
                 sent += 1
             await asyncio.sleep(0.1)
             states = _states(group)
@@ -210,7 +212,9 @@
             await _warm(group)
             for sent in range(12):
                 await group.attempt(NAMES[sent % 3], 0, AttemptOutcome.FAILED, 2000 + sent)
-                await group.attempt(NAMES[sent % 3], 1, AttemptOutcome.ANSWERED, 3000)
+                for other in range(1, 6):
+                    name = NAMES[(sent + other) % 3]
+                    await group.attempt(name, other, AttemptOutcome.ANSWERED, 3000 + other)
             await asyncio.sleep(1.5)
             states = _states(group)
             await group.stop()
--- a/src/egretrail/upstream/_blame.py
+++ b/src/egretrail/upstream/_blame.py
@@ -13,6 +13,12 @@
 #: Kinds and callers followed at once; the least recently used is forgotten.
 _FOLLOWED = 256
 
+#: The part of a failure that a subject explains which has failed only here and been nowhere else.
+_UNDECIDED = 0.5
+
+#: Attempts elsewhere that are assumed to have gone well.
+_PRIOR_ATTEMPTS = 0.5
+
 #: What a kind or caller did this long ago counts 1/e.
 _LIFE_S = 20.0
 
@@ -63,8 +69,13 @@
         tallies = self._followed.get(subject)
         if tallies is None:
             return 0.0
-        attempts = 1.0
+        attempts = _PRIOR_ATTEMPTS
         failures = 0.0
+        own = tallies.get(upstream)
+        if own is not None and own.failures > 0.0 and len(tallies) == 1:
+            # It failed here before and was not seen elsewhere since: nothing tells yet whether
+            # the subject or the upstream is at fault.
+            return _UNDECIDED
         for name, tally in tallies.items():
             if name != upstream:
                 tally.fade(now_s)
--- a/src/egretrail/upstream/_drift.py
+++ b/src/egretrail/upstream/_drift.py
@@ -111,9 +111,8 @@
         """Count an answer whose log latency exceeds the tolerated one by this much."""
         held = self.drifts(now_s)
         self._at_s = now_s
-        variance = _CORRELATION * spread * spread
-        ratio = _SLOWER_LOG / variance * (excess_log - _SLOWER_LOG / 2.0)
-        self._drifts = Drifts(held.frequent, held.rare, _step(held.slow, ratio))
+        slow = _step(held.slow, slowness_ratio(excess_log, spread))
+        self._drifts = Drifts(held.frequent, held.rare, slow)
 
     def excuse(self) -> None:
         """Take back what one failure may have added."""
@@ -124,6 +123,12 @@
         )
 
 
+def slowness_ratio(excess_log: float, spread: float) -> float:
+    """Return the log likelihood ratio of one answer's latency above the tolerated one."""
+    variance = _CORRELATION * spread * spread
+    return _SLOWER_LOG / variance * (excess_log - _SLOWER_LOG / 2.0)
+
+
 def _outcome_ratio(failed: float, expected_share: float, sought_share: float) -> float:
     """Return the log likelihood ratio of one attempt's outcome; 0 where nothing can be told."""
     if expected_share >= sought_share:
--- a/src/egretrail/upstream/_health.py
+++ b/src/egretrail/upstream/_health.py
@@ -125,7 +125,7 @@
 
     def tick(self, now_s: float) -> None:
         """Let time pass: overdue attempts, ends of ejections, ramps."""
-        self._under_way.find_overdue(self._upstreams, self._recorder.reference, now_s)
+        self._under_way.find_overdue(self._upstreams, self._recorder, now_s)
         for upstream in self._upstreams.values():
             lifecycle = upstream.lifecycle
             if upstream.observed.overdue or lifecycle.suspicion or lifecycle.out:
@@ -172,6 +172,8 @@
             row.short, row.long, row.drifts, row.in_flight, row.generation, now_s
         )
         lifecycle = upstream.lifecycle
+        if row.short.failures > 0 and row.generation >= lifecycle.generation:
+            upstream.observed.note_failure(now_s)
         if row.generation > lifecycle.generation:
             upstream.observed.clear(now_s)
             if row.ejected_s > 0:
--- a/src/egretrail/upstream/_jury.py
+++ b/src/egretrail/upstream/_jury.py
@@ -19,6 +19,7 @@
     slowness_score,
     slowness_stands_out,
 )
+from egretrail.upstream._since import onset_score
 from egretrail.upstream._thresholds import Thresholds
 from egretrail.upstream._tracked import TrackedUpstream
 from egretrail.upstream._verdict import Cause, UpstreamState
@@ -40,6 +41,16 @@
 #: ejecting score: what was summed when a fault that hits all began is not taken back by the sum.
 _CONFIRMATION = 0.3
 
+#: Failures convict only when they stand out to this part of the ejecting score against what the
+#: other upstreams did since these failures began.
+_ONSET = 0.85
+
+#: Below this many failures in the group's short windows, failures have ended.
+_FADED_FAILURES = 0.4
+
+#: While the others fail to this share, a failure says nothing about a trial.
+_TRIAL_OTHERS_SHARE = 0.5
+
 #: What the sequential tests of the other upstreams reach on average counts against those of one
 #: upstream, this many times: at the begin of a fault that hits all, all of them rise.
 _COMMON_DRIFT = 2.0
@@ -119,6 +130,8 @@
     ) -> Judgement:
         """Return what the evidence says of an upstream that is in service."""
         testimony = _testimony(upstream, now_s)
+        if sum(testimony.short, NOTHING).failures < _FADED_FAILURES:
+            upstream.observed.note_recovery()
         if not self._worth_comparing(testimony):
             return INNOCENT
         if now_s - self._compared_s > _COMPARISON_LIFE_S:
@@ -133,7 +146,8 @@
         """Return whether the trickle of work shows the upstream to be bad still."""
         seen = upstream.observed.pooled_long(upstream.lifecycle.generation, now_s)
         if seen.failures >= _TRIAL_FAILURE:
-            return True
+            others_share = self._recorder.neighbours.failure_share(upstream.name)
+            return others_share < _TRIAL_OTHERS_SHARE
         tolerated = 1.5 * self._limits.tolerated_log
         return seen.timed >= self._limits.trial_answers - 1 and seen.mean_slowness > tolerated
 
@@ -177,29 +191,39 @@
             *self._window_charges(testimony.short, self._baseline(self._short, upstream)),
             *self._window_charges(testimony.long, self._baseline(self._long, upstream)),
         ]
-        confirmed = any(
-            charge.cause is Cause.FAILURES and charge.strongest_score >= _CONFIRMATION * needed
-            for charge in windows
-        )
         common = self._drifts.others(upstream.name).times(_COMMON_DRIFT)
+        confirmed = _confirmed(windows, needed)
         drifts = _drift_charges(testimony.drifts, common)
-        charges = [
-            *windows,
-            *(charge for charge in drifts if confirmed or charge.cause is Cause.SLOWNESS),
-        ]
+        charges = [*windows, *(charge for charge in drifts if charge.cause in confirmed)]
         seen_elsewhere = min(
             sum(members, NOTHING).attempts - max(counts.attempts for counts in members)
             for members in (testimony.short, testimony.long)
         )
         known_elsewhere = seen_elsewhere >= _FEWEST_ELSEWHERE
-        return max((_weigh(charge, needed, known_elsewhere) for charge in charges), key=_gravity)
+        worst = max((_weigh(charge, needed, known_elsewhere) for charge in charges), key=_gravity)
+        if worst.cause is Cause.FAILURES and not self._stands_out_since(
+            upstream, testimony, needed
+        ):
+            return Judgement(Finding.NOTHING, min(1.0, worst.suspicion), worst.cause)
+        return worst
+
+    def _stands_out_since(
+        self, upstream: TrackedUpstream, testimony: _Testimony, needed: float
+    ) -> bool:
+        """Return whether the other upstreams did well since this one's failures began."""
+        since_s = upstream.observed.failing_since_s
+        if since_s is None:
+            return True
+        failures = sum(testimony.long, NOTHING).failures
+        others_share = self._recorder.recent.others_failure_share(upstream.name, since_s)
+        return onset_score(failures, others_share) >= _ONSET * needed
 
     def _baseline(self, comparison: Comparison, upstream: TrackedUpstream) -> Baseline:
         neighbours = self._recorder.neighbours
         return Baseline(
             comparison.others(upstream.name),
             neighbours.failure_share(upstream.name),
-            neighbours.mean_slowness(upstream.name),
+            neighbours.common_slowness(upstream.name),
         )
 
     def _window_charges(self, members: Sequence[Counts], baseline: Baseline) -> Iterable[_Charge]:
@@ -236,6 +260,16 @@
     )
 
 
+def _confirmed(windows: Iterable[_Charge], needed: float) -> set[Cause]:
+    """Return the causes for which a window supports a sequential test."""
+    confirmed = set()
+    for charge in windows:
+        part = _CONFIRMATION if charge.cause is Cause.FAILURES else 0.0
+        if charge.strongest_score > part * needed:
+            confirmed.add(charge.cause)
+    return confirmed
+
+
 def _failures_of(counts: Counts) -> float:
     return counts.failures
 
--- a/src/egretrail/upstream/_neighbours.py
+++ b/src/egretrail/upstream/_neighbours.py
@@ -15,6 +15,9 @@
 #: An upstream must fail this many times as often as the others to be remarkable.
 _FAILURE_MARGIN = 1.5
 
+#: An upstream must exceed this many times the others' common slowness.
+_SLOWNESS_MARGIN = 2.0
+
 
 @dataclass(slots=True)
 class _Recent:
@@ -65,11 +68,16 @@
         share = _FAILURE_MARGIN * failures / attempts
         return min(1.0, max(TOLERATED_FAILURE_SHARE, share))
 
-    def mean_slowness(self, upstream: UpstreamName) -> float:
-        """Return the others' mean log latency ratio."""
+    def common_slowness(self, upstream: UpstreamName) -> float:
+        """Return the log latency ratio that would be unremarkable for this upstream now.
+
+        More than the others' mean while they are slow: under an overload the queues before the
+        upstreams differ, and the longest of them is no fault of its upstream.
+        """
         own = self._own(upstream)
         timed = self._all.timed - own.timed + 1.0
-        return (self._all.slowness - own.slowness) / timed
+        mean = (self._all.slowness - own.slowness) / timed
+        return mean if mean <= 0.0 else _SLOWNESS_MARGIN * mean
 
     def forget(self, upstream: UpstreamName) -> None:
         """Drop an upstream that has left."""
--- a/src/egretrail/upstream/_observed.py
+++ b/src/egretrail/upstream/_observed.py
@@ -46,13 +46,27 @@
         #: Attempts under way for longer than answers take, and their least log latency ratio.
         self.overdue = 0
         self.overdue_slowness = 0.0
+        #: What each of them adds to the sequential test on slowness.
+        self.overdue_ratio = 0.0
         #: Share of recent attempts that the upstream declined because of its load.
         self.shed_share = 0.0
         self.peers: dict[InstanceName, PeerObservation] = {}
+        #: When the failures that count now began; None while there are none.
+        self.failing_since_s: float | None = None
         self._last_loss_s = float("-inf")
 
+    def note_failure(self, at_s: float) -> None:
+        """Note a failure, this member's or another's: failures began no later."""
+        if self.failing_since_s is None:
+            self.failing_since_s = at_s
+
+    def note_recovery(self) -> None:
+        """Note that failures have faded from the group's short windows."""
+        self.failing_since_s = None
+
     def clear(self, now_s: float) -> None:
         """Forget what this member observed."""
+        self.failing_since_s = None
         self.short.clear(now_s)
         self.long.clear(now_s)
         self.tests = SequentialTests(now_s)
@@ -84,8 +98,8 @@
         return self.short.counts_with(self.overdue, self.overdue_slowness, now_s)
 
     def own_drifts(self, now_s: float) -> Drifts:
-        """Return this member's sequential tests."""
-        return self.tests.drifts(now_s)
+        """Return this member's sequential tests, overdue attempts included."""
+        return self.tests.drifts(now_s) + Drifts(slow=self.overdue * self.overdue_ratio)
 
     def own_long(self, now_s: float) -> Counts:
         """Return this member's long window, overdue attempts included."""
--- a/src/egretrail/upstream/_recorder.py
+++ b/src/egretrail/upstream/_recorder.py
@@ -5,9 +5,11 @@
 from egretrail.identity import UpstreamName
 from egretrail.upstream._attempt import Attempt, AttemptOutcome
 from egretrail.upstream._blame import SharedFailures
+from egretrail.upstream._drift import slowness_ratio
 from egretrail.upstream._latency import LatencyReference
 from egretrail.upstream._neighbours import Neighbours
 from egretrail.upstream._score import LEAST_SPREAD, TOLERATED_FAILURE_SHARE
+from egretrail.upstream._since import RecentAttempts
 from egretrail.upstream._thresholds import Thresholds
 from egretrail.upstream._tracked import TrackedUpstream
 from egretrail.upstream._verdict import UpstreamState
@@ -45,6 +47,7 @@
         self._limits = limits
         self.reference = LatencyReference()
         self.neighbours = Neighbours()
+        self.recent = RecentAttempts()
         #: Share of recent attempts that any upstream declined because of its load.
         self.shed_share = 0.0
         self._shared = SharedFailures()
@@ -61,6 +64,10 @@
         elif attempt.outcome in _FAILURE_WEIGHT:
             self._failure(upstream, attempt, now_s, suspect)
 
+    def overdue_ratio(self, upstream: TrackedUpstream, slowness: float) -> float:
+        """Return what an attempt under way for so long adds to the test on slowness."""
+        return max(0.0, slowness_ratio(self._excess(upstream, slowness), self._spread()))
+
     def forget_upstream(self, name: UpstreamName) -> None:
         """Drop what is known of an upstream that has left."""
         self._shared.forget_upstream(name)
@@ -73,6 +80,7 @@
         # A cold upstream is slow for a while, which is no fault.
         warm = upstream.lifecycle.state is not UpstreamState.RAMPING
         self._observe_answer(upstream, slowness if warm else None, now_s)
+        self.recent.add(upstream.name, attempt.started_s, failed=False)
         sound = not upstream.lifecycle.out and upstream.lifecycle.suspicion < _SUSPECT_PART
         if warm and sound:
             self.reference.add(attempt.request_kind, attempt.latency_s)
@@ -90,11 +98,16 @@
         tests = upstream.observed.tests
         tests.add_outcome(0.0, TOLERATED_FAILURE_SHARE, now_s)
         if slowness is not None:
-            others = max(0.0, self.neighbours.mean_slowness(upstream.name))
-            spread = max(LEAST_SPREAD, self.reference.spread)
-            tests.add_slowness(slowness - others - self._limits.tolerated_log, spread, now_s)
+            tests.add_slowness(self._excess(upstream, slowness), self._spread(), now_s)
         self.neighbours.add(upstream.name, 0.0, slowness)
 
+    def _excess(self, upstream: TrackedUpstream, slowness: float) -> float:
+        others = max(0.0, self.neighbours.common_slowness(upstream.name))
+        return slowness - others - self._limits.tolerated_log
+
+    def _spread(self) -> float:
+        return max(LEAST_SPREAD, self.reference.spread)
+
     def _failure(
         self, upstream: TrackedUpstream, attempt: Attempt, now_s: float, suspect: bool
     ) -> None:
@@ -108,6 +121,8 @@
         expected = self.neighbours.failure_share(upstream.name)
         upstream.observed.tests.add_outcome(weight, expected, now_s)
         self.neighbours.add(upstream.name, min(1.0, weight), None)
+        self.recent.add(upstream.name, attempt.started_s, failed=True)
+        upstream.observed.note_failure(attempt.started_s)
 
     def _explained(self, upstream: TrackedUpstream, attempt: Attempt, now_s: float) -> float:
         """Return the share of such requests that fail at the other upstreams as well."""
--- a/src/egretrail/upstream/_under_way.py
+++ b/src/egretrail/upstream/_under_way.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from egretrail.identity import UpstreamName
-from egretrail.upstream._latency import LatencyReference
+from egretrail.upstream._recorder import Recorder
 from egretrail.upstream._tracked import TrackedUpstream
 
 #: An attempt is overdue from this log latency ratio on (about five times the median); younger ones
@@ -49,17 +49,18 @@
     def find_overdue(
         self,
         upstreams: Mapping[UpstreamName, TrackedUpstream],
-        reference: LatencyReference,
+        recorder: Recorder,
         now_s: float,
     ) -> None:
         """Set each upstream's number of overdue attempts."""
         for upstream in upstreams.values():
             upstream.observed.overdue = 0
         for attempt in self._attempts.values():
-            slowness = reference.slowness(attempt.request_kind, now_s - attempt.started_s)
+            slowness = recorder.reference.slowness(attempt.request_kind, now_s - attempt.started_s)
             upstream_of = upstreams.get(attempt.upstream)
             if upstream_of is None or slowness is None or slowness < _OVERDUE_LOG:
                 continue
             upstream_of.observed.overdue += 1
             upstream_of.observed.overdue_slowness = _OVERDUE_LOG
+            upstream_of.observed.overdue_ratio = recorder.overdue_ratio(upstream_of, _OVERDUE_LOG)
             upstream_of.urgent = True
--- /dev/null
+++ b/src/egretrail/upstream/tests/_measure.py
@@ -0,0 +1,64 @@
+"""Prints detection times and false ejections: ``python -m egretrail.upstream.tests._measure N``.
+
+Seeds 0 to 2N/3 were used for tuning, the last third was held out; both are printed.
+"""
+
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+
+from egretrail.settings import Detection
+from egretrail.upstream.tests._faults import BAD, INNOCENT, ONSET_S
+from egretrail.upstream.tests._simulation import Plan, simulate
+
+
+@dataclass(frozen=True, slots=True)
+class _Run:
+    """One simulation's outcome."""
+
+    stopped_s: float
+    sent: int
+    false: int
+
+
+def _run(plan: Plan, seed: int, bad: bool) -> _Run:
+    outcome = simulate(plan, seed)
+    stopped_s = outcome.stopped_s(0, ONSET_S)
+    sent = outcome.sent_between(0, ONSET_S, ONSET_S + stopped_s)
+    false = len(outcome.ejected() - ({0} if bad else set()))
+    early = bad and any(at_s < ONSET_S for at_s, _, _ in outcome.ejections)
+    return _Run(stopped_s, sent, false + early)
+
+
+def _row(name: str, part: str, detection: Detection, runs: Sequence[_Run], bad: bool) -> str:
+    false = sum(run.false for run in runs)
+    if not bad:
+        return f"| {name} | {detection.value} | {part} | {len(runs)} | | | {false} |"
+    times = sorted(run.stopped_s for run in runs)
+    sent = sorted(run.sent for run in runs)
+    middle = len(runs) // 2
+    most = int(len(runs) * 0.9)
+    return (
+        f"| {name} | {detection.value} | {part} | {len(runs)} "
+        f"| {times[middle]:.2f} / {times[most]:.2f} / {times[-1]:.2f} "
+        f"| {sent[middle]} / {sent[most]} / {sent[-1]} | {false} |"
+    )
+
+
+def main(seeds: int, names: Sequence[str]) -> None:
+    """Print the table."""
+    print("| trace | detection | seeds | runs | s p50/p90/max | requests p50/p90/max | false |")
+    print("|---|---|---|---|---|---|---|")
+    for name, plan in {**BAD, **INNOCENT}.items():
+        if names and name not in names:
+            continue
+        for detection in Detection:
+            tasted = replace(plan, detection=detection)
+            runs = [_run(tasted, seed, name in BAD) for seed in range(seeds)]
+            held_out = seeds * 2 // 3
+            print(_row(name, "tuned", detection, runs[:held_out], name in BAD))
+            print(_row(name, "held out", detection, runs[held_out:], name in BAD), flush=True)
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), sys.argv[2:])
