--- a/src/egretrail/service/_entry.py
+++ b/src/egretrail/service/_entry.py
@@ -14,6 +14,8 @@
     work: Work
     #: When it came.
     arrived_s: float
+    #: When it was queued last; a retry waits anew, within its deadline.
+    queued_s: float
     #: Expected duration when it came, the cost it brings to the queue.
     cost_s: float
     #: Whether its class takes much longer than the service's shortest.
@@ -39,4 +41,4 @@
         """
         half_s = (self.work.deadline_s - self.arrived_s) / 2
         last_s = self.work.deadline_s - min(self.cost_s, half_s)
-        return min(self.arrived_s + self.work.queue_s, last_s)
+        return min(self.queued_s + self.work.queue_s, last_s)
--- a/src/egretrail/service/_scheduler.py
+++ b/src/egretrail/service/_scheduler.py
@@ -83,7 +83,7 @@
         """Take a request that has just come: it starts, waits or is refused at once."""
         self._take_pool(now_s)
         cost_s = self._durations.expected_s(work.cost_class)
-        entry = Entry(work, now_s, cost_s, self._durations.is_long(work.cost_class))
+        entry = Entry(work, now_s, now_s, cost_s, self._durations.is_long(work.cost_class))
         refusal = self._refusal_on_arrival(entry, now_s)
         if refusal is not None:
             return [Refuse(work.work_id, refusal)]
@@ -275,6 +275,7 @@
             entry.last_run = upstream
         if entry.running:
             return []
+        entry.queued_s = now_s
         if self._may_retry(entry, result, now_s):
             self.budget.take()
             self._backlog.push(entry)
--- a/src/egretrail/trace/_egretrail.py
+++ b/src/egretrail/trace/_egretrail.py
@@ -38,8 +38,8 @@
 _EVIDENCE_S = 1.0
 #: Upstreams that one request may be lost with, the settings' default.
 _UPSTREAMS_PER_REQUEST = 2
-#: Verdicts are taken anew after this long, or at once after a failure or a message.
-_VERDICTS_VALID_S = 0.05
+#: Verdicts are taken anew after this long, or at once after a failure or a peer's evidence.
+_VERDICTS_VALID_S = 0.1
 
 RESULTS = {
     AttemptOutcome.ANSWERED: AttemptResult.ANSWERED,
@@ -218,7 +218,6 @@
         if now_s >= self._report_s:
             self._report_s = now_s + REPORT_INTERVAL_S
             self._health.tick(now_s)
-            self._weights.expire()
             self._tell_urgent(now_s)
             self._tell_demand(now_s)
         if now_s >= self._evidence_s and self._variant.share_evidence:
@@ -232,8 +231,9 @@
 
     def ejected(self, now_s: float) -> frozenset[UpstreamName]:
         """Return the upstreams that health has ejected."""
-        verdicts = self._health.verdicts(now_s)
-        return frozenset(name for name, each in verdicts.items() if not each.in_service)
+        usable = {each.name for each in self._weights.usable(now_s)}
+        listed = set(self._weights.listed) - self._weights.draining
+        return frozenset(listed - usable)
 
     def _drains(self, upstream: UpstreamName) -> None:
         self._weights.draining.add(upstream)
--- a/src/egretrail/trace/_figures.py
+++ b/src/egretrail/trace/_figures.py
@@ -17,6 +17,8 @@
 _AFTER_FAULT_S = 2.0
 #: Callers with fewer requests are left out of the fairness figure.
 _LEAST_REQUESTS = 20
+#: Failures rarer than this are part of a healthy day.
+_LEAST_SHARE = 0.05
 #: Faults after which an upstream should get no more work.
 _DETECTABLE = (
     FaultKind.FAILS,
@@ -99,7 +101,7 @@
         for done in log.requests
     ]
     return Figures(
-        [_detection(trace, log, fault) for fault in trace.faults if fault.kind in _DETECTABLE],
+        [_detection(trace, log, fault) for fault in trace.faults if _detectable(fault)],
         _false_ejections(trace, log),
         len(trace.requests),
         sum(by_end),
@@ -122,6 +124,10 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
 
 
+def _detectable(fault: Fault) -> bool:
+    return fault.kind in _DETECTABLE and fault.share >= _LEAST_SHARE
+
+
 def _detection(trace: Trace, log: PlayLog, fault: Fault) -> Detection:
     end_s = min(fault.until_s, trace.header.duration_s)
     visits = [
@@ -163,7 +169,7 @@
     blamed: set[UpstreamName] = {
         fault.upstream
         for fault in trace.faults
-        if fault.kind in _DETECTABLE
+        if _detectable(fault)
         and fault.member in (-1, member)
         and fault.at_s <= at_s < fault.until_s + _AFTER_FAULT_S
     }
--- a/src/egretrail/trace/_policy.py
+++ b/src/egretrail/trace/_policy.py
@@ -28,10 +28,13 @@
     def finished(self, work_id: WorkId, attempt: Attempt, now_s: float) -> Sequence[Action]:
         """Take the end of an attempt."""
 
+    @abc.abstractmethod
     def listed(self, upstreams: Sequence[UpstreamName], now_s: float) -> None:
         """Take a new state of the instance list."""
 
-    def started(self, upstream: UpstreamName, work: Work, now_s: float) -> None:
+    def started(  # noqa: B027 - only some policies note it
+        self, upstream: UpstreamName, work: Work, now_s: float
+    ) -> None:
         """Note that an attempt was sent."""
 
     def received(self, sender: int, message: object, now_s: float) -> Sequence[Action]:
--- a/src/egretrail/trace/_upstreams.py
+++ b/src/egretrail/trace/_upstreams.py
@@ -52,7 +52,7 @@
         self.name = traced.name
         self.slots = traced.slots
         self._clock = clock
-        self._faults = faults
+        self.faults = faults
         self._running: set[Visit] = set()
         self._waiting: deque[Visit] = deque()
         self._down_until_s = 0.0
@@ -64,7 +64,7 @@
         """Return the faults that the request would meet, whatever share of requests they hit."""
         return [
             fault
-            for fault in self._faults
+            for fault in self.faults
             if fault.active(now_s)
             and fault.member in (-1, member)
             and fault.request_kind in ("", request.kind)
