--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -23,7 +23,9 @@
     Unmet,
     Variant,
     play,
+    slowdown,
     table,
+    targets,
 )
 
 _STANDARD: Sequence[PolicyFactory] = (EgretrailFactory(), *BASELINES)
@@ -44,6 +46,9 @@
 #: Recipes in which requests wait; the comparisons of orders and slots are played on these.
 _LOADED = ("healthy", "overload", "long", "skewed", "burst", "slots", "tight")
 
+#: The recipe whose p99 is compared with that of the same requests without the fault.
+_SLOW = "5x-slow"
+
 _Job = tuple[int, Deployment, Sequence[int], str]
 
 
@@ -52,6 +57,12 @@
     return play(RECIPES[index], deployment, seeds, _COMPARISONS[comparison])
 
 
+def _slowdown(job: tuple[Deployment, Sequence[int]]) -> float:
+    deployment, seeds = job
+    (recipe,) = (each for each in RECIPES if each.name == _SLOW)
+    return slowdown(recipe, deployment, seeds, _STANDARD[0])
+
+
 def _arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--comparison", choices=sorted(_COMPARISONS), default="standard")
@@ -84,6 +95,10 @@
             lines = [f"## {title}, seeds {', '.join(map(str, seeds))}", "", *table(rows), ""]
             lines += [f"Stated outcomes not met: {len(unmet)}", ""]
             lines += [f"- {each}" for each in unmet]
+            if arguments.comparison == "standard" and not arguments.recipe:
+                slow = pool.map(_slowdown, [(each, seeds) for each in Deployment])
+                found = targets(rows, dict(zip(Deployment, slow, strict=True)))
+                lines += ["", "Targets:", "", *(f"- {each}" for each in found)]
             sys.stdout.write("\n".join(lines) + "\n\n")
 
 
--- a/src/egretrail/trace/__init__.py
+++ b/src/egretrail/trace/__init__.py
@@ -19,6 +19,7 @@
     TraceHeader,
 )
 from egretrail.trace._summary import HELD_OUT_SEEDS, TUNING_SEEDS, Row, Unmet, play, table
+from egretrail.trace._targets import Target, slowdown, targets
 
 __all__ = [
     "BASELINES",
@@ -42,6 +43,7 @@
     "Recipe",
     "RequestLog",
     "Row",
+    "Target",
     "Trace",
     "TraceHeader",
     "TracedMember",
@@ -52,5 +54,7 @@
     "figures",
     "play",
     "quantile",
+    "slowdown",
     "table",
+    "targets",
 ]
--- a/src/egretrail/trace/_figures.py
+++ b/src/egretrail/trace/_figures.py
@@ -64,8 +64,9 @@
     refused: int
     #: Requests answered with a failure.
     failed: int
-    #: Time beyond the upstream's work, of answered requests.
+    #: Time beyond the upstream's work, of answered requests, and the whole time.
     added_s: Sequence[float]
+    latency_s: Sequence[float]
     #: Smallest share that a caller got of what is fair for it.
     least_share: float
     #: First attempts, and further ones.
@@ -116,6 +117,7 @@
         endings[Ending.REFUSED],
         endings[Ending.FAILED],
         added_s,
+        [done.ended_s - asked.at_s for asked, done in pairs if done.ending is Ending.ANSWERED],
         _least_share(trace, by_end, oracle),
         len(tried),
         sum(each.attempts - 1 for each in tried),
--- a/src/egretrail/trace/_player.py
+++ b/src/egretrail/trace/_player.py
@@ -325,4 +325,5 @@
         request.queue_s,
         CostClass(request.kind),
         request.digest.to_bytes(8, "big"),
+        request.hedge,
     )
--- a/src/egretrail/trace/_recipes.py
+++ b/src/egretrail/trace/_recipes.py
@@ -55,6 +55,8 @@
     #: Its upstreams, and how many requests each works on at once.
     upstream_count: int
     slots: int
+    #: Connections that each upstream accepts.
+    connections: int
     #: The instances that serve it.
     member_count: int
     #: Typical work of one request.
@@ -76,6 +78,7 @@
         0.0005,
         10,
         4,
+        400,
         3,
         0.04,
         4.0,
@@ -88,6 +91,7 @@
         0.001,
         7,
         3,
+        330,
         3,
         0.04,
         2.0,
@@ -103,6 +107,7 @@
         0.0005,
         20,
         4,
+        400,
         5,
         0.15,
         6.0,
@@ -115,6 +120,7 @@
         0.001,
         6,
         3,
+        330,
         3,
         0.1,
         2.0,
@@ -144,8 +150,8 @@
     long_factor: float = 20.0
     #: Share of requests to members other than evenly: the first gets this much more.
     member_skew: float = 0.0
-    #: Share of requests that fail anywhere without a fault.
-    background_failures: float = 0.0
+    #: Whether slow idempotent requests may be sent a second time.
+    hedge: bool = False
 
 
 def header_of(name: str, site: Site, duration_s: float) -> TraceHeader:
@@ -156,6 +162,7 @@
             AvailabilityZone(site.zones[index % len(site.zones)]),
             site.slots,
             site.slots,
+            site.connections,
         )
         for index in range(site.upstream_count)
     ]
@@ -208,6 +215,7 @@
                 site.deadline_s,
                 site.queue_s,
                 rng.getrandbits(63),
+                load.hedge,
             )
         )
 
@@ -247,12 +255,13 @@
     expectations: Sequence[Expectation],
     rate_per_s: float = 50.0,
     duration_s: float = 30.0,
+    hedge: bool = False,
 ) -> Recipe:
     """Return a recipe with a steady load and faults."""
 
     def make(deployment: Deployment, rng: random.Random) -> Trace:
         site = READS[deployment]
-        load = Load(steady(rate_per_s), duration_s)
+        load = Load(steady(rate_per_s), duration_s, hedge=hedge)
         requests = requests_of(site, load, rng)
         faults = make_faults(site, rng)
         return Trace(header_of(name, site, duration_s), requests, faults, (), expectations)
@@ -339,11 +348,13 @@
 
 
 def slots_misreported(deployment: Deployment, rng: random.Random) -> Trace:
-    """Return a service whose upstreams have half of the slots that are stated, at 80% load."""
+    """Return a service at 80% load with half of the stated slots, which sheds what exceeds them."""
     site = dataclasses.replace(READS[deployment], work_s=0.08)
     header = header_of("slots-misreported", site, 12.0)
     real = max(1, site.slots // 2)
-    upstreams = [dataclasses.replace(each, slots=real) for each in header.upstreams]
+    upstreams = [
+        dataclasses.replace(each, slots=real, connections=2 * real) for each in header.upstreams
+    ]
     rate_per_s = 0.8 * site.upstream_count * real / site.work_s
     requests = requests_of(site, Load(steady(rate_per_s), 12.0), rng)
     header = dataclasses.replace(header, upstreams=upstreams)
@@ -432,6 +443,7 @@
     gray("30%-failing", one(FaultKind.FAILS, share=0.3), (_NO_FALSE, _STOPS)),
     gray("tenth-fails", one(FaultKind.FAILS, share=0.1), (_NO_FALSE,)),
     gray("5x-slow", one(FaultKind.SLOW, factor=5.0), (_NO_FALSE, _STOPS)),
+    gray("5x-slow-hedged", one(FaultKind.SLOW, factor=5.0), (_NO_FALSE, _STOPS), hedge=True),
     gray("one-kind-fails", one(FaultKind.FAILS, request_kind="item GET"), (_NO_FALSE, _STOPS)),
     gray("large-cut", one(FaultKind.CUTS_LARGE, least_size_bytes=4000), (_NO_FALSE, _STOPS)),
     gray("flapping", flapping, (_NO_FALSE,), duration_s=48.0),
--- a/src/egretrail/trace/_records.py
+++ b/src/egretrail/trace/_records.py
@@ -27,6 +27,8 @@
     slots: int
     #: Requests that the settings say it works on at once.
     stated_slots: int
+    #: Requests that it accepts, those that wait for a slot included; it sheds beyond them.
+    connections: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +91,8 @@
     queue_s: float
     #: Equal for resends of the same request.
     digest: int
+    #: Whether a second upstream may be tried while the first is slow.
+    hedge: bool = False
 
 
 class FaultKind(enum.Enum):
--- a/src/egretrail/trace/_summary.py
+++ b/src/egretrail/trace/_summary.py
@@ -27,6 +27,7 @@
     "refused",
     "failed",
     "added ms p50/p99",
+    "latency ms p99",
     "least share",
     "retries",
 )
@@ -82,6 +83,7 @@
             self._share([each.refused for each in self.figures]),
             self._share([each.failed for each in self.figures]),
             f"{1e3 * quantile(added_s, 0.5):.1f}/{1e3 * quantile(added_s, 0.99):.1f}",
+            f"{1e3 * self.latency_p99_s:.0f}",
             f"{min(each.least_share for each in self.figures):.2f}",
             f"{self.retries:.3f}",
         )
@@ -92,6 +94,11 @@
         answered = sum(each.answered for each in self.figures)
         return answered / max(1, sum(each.oracle_answered for each in self.figures))
 
+    @property
+    def latency_p99_s(self) -> float:
+        """Return the time within which 99 of 100 answered requests were answered."""
+        return quantile([each for one in self.figures for each in one.latency_s], 0.99)
+
     @property
     def retries(self) -> float:
         """Return the greatest share of further attempts in any seed."""
--- a/src/egretrail/trace/_upstreams.py
+++ b/src/egretrail/trace/_upstreams.py
@@ -11,8 +11,6 @@
 from egretrail.trace._records import Fault, FaultKind, TracedRequest, TracedUpstream
 from egretrail.upstream import AttemptOutcome
 
-#: Requests that an upstream lets wait, as a multiple of its slots; it sheds beyond them.
-_QUEUE_FACTOR = 2
 #: How long opening a connection to an upstream that is gone takes to fail.
 CONNECT_TIMEOUT_S = 1.0
 #: How long a cold start keeps an upstream slow.
@@ -51,6 +49,7 @@
     ) -> None:
         self.name = traced.name
         self.slots = traced.slots
+        self._connections = traced.connections
         self._clock = clock
         self.faults = faults
         self._running: set[Visit] = set()
@@ -106,7 +105,7 @@
             self._end(visit, AttemptOutcome.DRAINING)
         elif len(self._running) < self.slots:
             self._start(visit)
-        elif len(self._waiting) < self.slots * _QUEUE_FACTOR:
+        elif len(self._running) + len(self._waiting) < self._connections:
             self._waiting.append(visit)
         else:
             self._end(visit, AttemptOutcome.SHED)
@@ -153,6 +152,8 @@
             return
         visit.done = True
         self._running.discard(visit)
+        if not visit.running and visit in self._waiting:
+            self._waiting.remove(visit)
         visit.ended(outcome)
         self._next()
 
