--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import Sequence
 
-from egretrail.service import EarliestDeadline, Fifo, SlackAndLoad
+from egretrail.service import EarliestDeadline, FairQueueing, Fifo, SlackAndLoad
 from egretrail.trace import (
     BASELINES,
     HELD_OUT_SEEDS,
@@ -30,7 +30,8 @@
 
 _STANDARD: Sequence[PolicyFactory] = (EgretrailFactory(), *BASELINES)
 _ORDERS: Sequence[PolicyFactory] = (
-    EgretrailFactory(Variant("fair queueing")),
+    EgretrailFactory(Variant("fair, deadline within")),
+    EgretrailFactory(Variant("fair, fifo within", order=lambda: FairQueueing(Fifo))),
     EgretrailFactory(Variant("fifo", order=Fifo)),
     EgretrailFactory(Variant("earliest deadline", order=EarliestDeadline)),
     EgretrailFactory(Variant("slack and load", order=SlackAndLoad)),
--- a/src/egretrail/service/_order.py
+++ b/src/egretrail/service/_order.py
@@ -4,7 +4,7 @@
 import heapq
 import itertools
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
 from egretrail.identity import CallerId, RouteName, TeamName
@@ -156,24 +156,24 @@
 class _Team:
     """What one team has waiting."""
 
-    __slots__ = ("callers", "queues", "waiting_s")
+    __slots__ = ("callers", "queues")
 
     def __init__(self) -> None:
         self.callers: _FairTurns[CallerId] = _FairTurns()
-        self.queues: dict[CallerId, dict[Entry, None]] = {}
-        self.waiting_s: dict[CallerId, float] = {}
+        self.queues: dict[CallerId, QueueOrder] = {}
 
 
 class FairQueueing(QueueOrder):
     """Fair queueing between teams, and between the callers of a team.
 
     Load: one caller's burst before the requests of many others. Harm prevented: the others wait
-    behind the whole burst. A caller's requests start in the order of their arrival; between
-    callers the expected duration counts, so that long requests use up a share sooner.
+    behind the whole burst. A caller's requests start by their latest start; between callers the
+    expected duration counts, so that long requests use up a share sooner.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, within: Callable[[], QueueOrder] = EarliestDeadline) -> None:
         super().__init__()
+        self._within = within
         self._turns: _FairTurns[TeamName] = _FairTurns()
         self._teams: dict[TeamName, _Team] = {}
 
@@ -186,21 +186,18 @@
             self._turns.activate(name)
         queue = team.queues.get(caller)
         if queue is None:
-            queue = team.queues[caller] = {}
-            team.waiting_s[caller] = 0.0
+            queue = team.queues[caller] = self._within()
             team.callers.activate(caller)
-        queue[entry] = None
-        team.waiting_s[caller] += entry.cost_s
+        queue.push(entry)
 
     def _removed(self, entry: Entry) -> None:
         name, caller = entry.work.team, entry.work.caller
         team = self._teams[name]
         queue = team.queues[caller]
-        del queue[entry]
-        team.waiting_s[caller] -= entry.cost_s
-        if queue:
+        queue.remove(entry)
+        if len(queue):
             return
-        del team.queues[caller], team.waiting_s[caller]
+        del team.queues[caller]
         team.callers.deactivate(caller)
         if not team.queues:
             self._turns.deactivate(name)
@@ -211,28 +208,29 @@
         self._teams[entry.work.team].callers.charge(entry.work.caller, entry.cost_s)
 
     def peek(self, now_s: float) -> Entry | None:
-        """Return the oldest request of the caller whose turn it is."""
+        """Return the first request of the caller whose turn it is."""
         name = self._turns.first()
         if name is None:
             return None
         team = self._teams[name]
         caller = team.callers.first()
-        return next(iter(team.queues[caller])) if caller is not None else None
+        return team.queues[caller].peek(now_s) if caller is not None else None
 
     def cost_ahead_s(self, entry: Entry) -> float:
         """Return what starts earlier: of each caller at most as much as this one has waiting."""
         team = self._teams.get(entry.work.team)
         if team is None:
             return min(self.total_s, entry.cost_s * len(self._teams))
-        own_s = team.waiting_s.get(entry.work.caller, 0.0)
+        own = team.queues.get(entry.work.caller)
+        own_s = own.cost_ahead_s(entry) if own is not None else 0.0
         level_s = own_s + entry.cost_s
         in_team_s = own_s + sum(
-            min(waiting_s, level_s)
-            for caller, waiting_s in team.waiting_s.items()
+            min(queue.total_s, level_s)
+            for caller, queue in team.queues.items()
             if caller != entry.work.caller
         )
         others_s = sum(
-            min(sum(each.waiting_s.values()), in_team_s + entry.cost_s)
+            min(sum(queue.total_s for queue in each.queues.values()), in_team_s + entry.cost_s)
             for name, each in self._teams.items()
             if name != entry.work.team and each.queues
         )
--- a/src/egretrail/trace/_egretrail.py
+++ b/src/egretrail/trace/_egretrail.py
@@ -27,6 +27,7 @@
     Attempt,
     AttemptOutcome,
     Evidence,
+    RequestAnswered,
     RequestLoss,
     ServiceHealth,
     SuspectRequests,
@@ -34,8 +35,11 @@
     UpstreamState,
 )
 
-#: All evidence is sent this often; urgent evidence at once.
+#: All evidence is sent this often, as by the daemon; urgent evidence at once, but not in a storm.
 _EVIDENCE_S = 1.0
+_URGENT_S = 0.02
+#: How often health is given the time, as by the daemon.
+_HEALTH_S = 0.0499
 #: Upstreams that one request may be lost with, the settings' default.
 _UPSTREAMS_PER_REQUEST = 2
 #: Verdicts are taken anew after this long, or at once after a failure or a peer's evidence.
@@ -158,6 +162,8 @@
         self._reporter = DemandReporter(header.service)
         self._service = header.service
         self._report_s = 0.0
+        self._health_s = 0.0
+        self._urgent_s = 0.0
         self._evidence_s = _EVIDENCE_S * rng.random()
         self._tickets: dict[tuple[WorkId, UpstreamName], int] = {}
 
@@ -182,12 +188,10 @@
         self._health.end(self._tickets.pop((work_id, attempt.upstream)))
         suspects = self._weights.suspects
         suspects.end(attempt.request_digest, attempt.upstream)
-        if attempt.outcome is AttemptOutcome.LOST:
-            suspects.note_loss(attempt.request_digest, attempt.upstream, now_s)
-            loss = RequestLoss(self._service, attempt.request_digest, attempt.upstream)
-            self._peers.tell(loss)
-        suspect = len(suspects.touched(attempt.request_digest)) > 1
+        touched = suspects.touched(attempt.request_digest)
+        suspect = any(name != attempt.upstream for name in touched)
         self._health.record(attempt, now_s, suspect)
+        self._tell_of_request(attempt, now_s)
         if attempt.outcome is AttemptOutcome.DRAINING:
             self._drains(attempt.upstream)
             self._peers.tell(DrainNotice(attempt.upstream))
@@ -202,7 +206,9 @@
             case Evidence():
                 self._health.merge(self._names[sender], message, now_s)
             case RequestLoss():
-                self._weights.suspects.note_loss(message.request_digest, message.upstream, now_s)
+                self._note_loss(message.request_digest, message.upstream, False, now_s)
+            case RequestAnswered():
+                self._weights.suspects.note_answer(message.request_digest)
             case DrainNotice():
                 self._drains(message.upstream)
             case DemandReport():
@@ -215,10 +221,12 @@
 
     def tick(self, now_s: float) -> Sequence[Action]:
         """Let time pass for health and the scheduler, and send what is due."""
-        if now_s >= self._report_s:
-            self._report_s = now_s + REPORT_INTERVAL_S
+        if now_s >= self._health_s:
+            self._health_s = now_s + _HEALTH_S
             self._health.tick(now_s)
             self._tell_urgent(now_s)
+        if now_s >= self._report_s:
+            self._report_s = now_s + REPORT_INTERVAL_S
             self._tell_demand(now_s)
         if now_s >= self._evidence_s and self._variant.share_evidence:
             self._evidence_s = now_s + _EVIDENCE_S
@@ -235,13 +243,37 @@
         listed = set(self._weights.listed) - self._weights.draining
         return frozenset(listed - usable)
 
+    def _tell_of_request(self, attempt: Attempt, now_s: float) -> None:
+        """Tell the peers of a request that upstreams are lost with, or that it was answered."""
+        digest = attempt.request_digest
+        if attempt.outcome in (AttemptOutcome.LOST, AttemptOutcome.TRUNCATED):
+            self._note_loss(digest, attempt.upstream, True, now_s)
+            self._peers.tell(RequestLoss(self._service, digest, attempt.upstream))
+            return
+        answered = attempt.outcome is AttemptOutcome.ANSWERED
+        if answered and self._weights.suspects.note_answer(digest):
+            self._peers.tell(RequestAnswered(self._service, digest))
+
+    def _note_loss(
+        self, digest: int, upstream: UpstreamName, observed_here: bool, now_s: float
+    ) -> None:
+        """Remember a loss; a second one shows that the request is to blame for the first."""
+        suspects = self._weights.suspects
+        before = [name for name in suspects.touched(digest) if name != upstream]
+        suspects.note_loss(digest, upstream, now_s)
+        for name in before:
+            self._health.excuse(name, observed_here, now_s)
+
     def _drains(self, upstream: UpstreamName) -> None:
         self._weights.draining.add(upstream)
         self._weights.expire()
 
     def _tell_urgent(self, now_s: float) -> None:
+        if now_s < self._urgent_s:
+            return
         evidence = self._health.urgent_evidence(now_s)
         if evidence is not None and self._variant.share_evidence:
+            self._urgent_s = now_s + _URGENT_S
             self._peers.tell(evidence)
 
     def _tell_demand(self, now_s: float) -> None:
--- a/src/egretrail/trace/_player.py
+++ b/src/egretrail/trace/_player.py
@@ -23,7 +23,7 @@
 from egretrail.upstream import Attempt, AttemptOutcome
 
 #: How often every policy is given the time.
-_TICK_S = 0.1
+_TICK_S = 0.05
 #: Played on after the last request, for answers that are under way.
 _AFTER_S = 5.0
 
--- a/src/egretrail/trace/_policy.py
+++ b/src/egretrail/trace/_policy.py
@@ -32,9 +32,7 @@
     def listed(self, upstreams: Sequence[UpstreamName], now_s: float) -> None:
         """Take a new state of the instance list."""
 
-    def started(  # noqa: B027 - only some policies note it
-        self, upstream: UpstreamName, work: Work, now_s: float
-    ) -> None:
+    def started(self, upstream: UpstreamName, work: Work, now_s: float) -> None:
         """Note that an attempt was sent."""
 
     def received(self, sender: int, message: object, now_s: float) -> Sequence[Action]:
--- a/src/egretrail/trace/_recipes.py
+++ b/src/egretrail/trace/_recipes.py
@@ -27,8 +27,10 @@
     TraceHeader,
 )
 
+#: Deadline of a request in a hurry, as a share of the usual one.
+_TIGHT = 1.0 / 3.0
 #: When the fault of a recipe begins.
-_FAULT_AT_S = 8.0
+_FAULT_AT_S = 6.0
 
 
 class Deployment(enum.Enum):
@@ -150,6 +152,8 @@
     long_factor: float = 20.0
     #: Share of requests to members other than evenly: the first gets this much more.
     member_skew: float = 0.0
+    #: Share of requests with a third of the deadline and of the time in the queue.
+    tight_share: float = 0.0
     #: Whether slow idempotent requests may be sent a second time.
     hedge: bool = False
 
@@ -200,6 +204,7 @@
         greedy = rng.random() < load.greedy_share
         long = rng.random() < load.long_share
         idempotent = rng.random() < load.idempotent_share
+        patience = _TIGHT if rng.random() < load.tight_share else 1.0
         work_s = site.work_s * rng.lognormvariate(-load.work_spread**2 / 2, load.work_spread)
         kind = "report GET" if long else rng.choice(("list GET", "item GET"))
         found.append(
@@ -208,12 +213,12 @@
                 rng.choices(members, member_shares)[0],
                 CallerId("greedy") if greedy else rng.choices(callers, shares)[0],
                 TeamName("own"),
-                kind if idempotent else "order POST",
+                kind if idempotent else "order POST" if patience == 1.0 else "rush POST",
                 idempotent,
                 work_s * (load.long_factor if long else 1.0),
                 int(2000 * rng.lognormvariate(0.0, 1.5)),
-                site.deadline_s,
-                site.queue_s,
+                site.deadline_s * patience,
+                site.queue_s * patience,
                 rng.getrandbits(63),
                 load.hedge,
             )
@@ -254,7 +259,7 @@
     make_faults: _FaultMaker,
     expectations: Sequence[Expectation],
     rate_per_s: float = 50.0,
-    duration_s: float = 30.0,
+    duration_s: float = 24.0,
     hedge: bool = False,
 ) -> Recipe:
     """Return a recipe with a steady load and faults."""
@@ -269,7 +274,7 @@
     return Recipe(name, make)
 
 
-def one(kind: FaultKind, until_s: float = 30.0, **values: float | int | str) -> _FaultMaker:
+def one(kind: FaultKind, until_s: float = 24.0, **values: float | int | str) -> _FaultMaker:
     """Return a maker of one fault at a random upstream."""
 
     def make(site: Site, rng: random.Random) -> Sequence[Fault]:
@@ -292,7 +297,7 @@
 def all_alike(site: Site, _rng: random.Random) -> Sequence[Fault]:
     """Return the same fault at every upstream: a bad release."""
     return [
-        Fault(FaultKind.FAILS, UpstreamName(f"u{index:02}"), _FAULT_AT_S, 24.0, share=0.3)
+        Fault(FaultKind.FAILS, UpstreamName(f"u{index:02}"), _FAULT_AT_S, 20.0, share=0.3)
         for index in range(site.upstream_count)
     ]
 
@@ -366,16 +371,16 @@
 
     def make(deployment: Deployment, rng: random.Random) -> Trace:
         site = dataclasses.replace(READS[deployment], detection=detection)
-        bursts = [rng.uniform(5.0, 55.0) for _ in range(3)]
+        bursts = [rng.uniform(5.0, 25.0) for _ in range(2)]
 
         def rate_per_s(now_s: float) -> float:
             bursting = any(at_s <= now_s < at_s + 1.5 for at_s in bursts)
             return 300.0 if bursting else 60.0
 
-        requests = requests_of(site, Load(rate_per_s, 60.0, work_spread=1.0), rng)
-        header = header_of("healthy", site, 60.0)
+        requests = requests_of(site, Load(rate_per_s, 30.0, work_spread=1.0), rng)
+        header = header_of("healthy", site, 30.0)
         faults = [
-            Fault(FaultKind.FAILS, each.name, 0.0, 60.0, share=0.001) for each in header.upstreams
+            Fault(FaultKind.FAILS, each.name, 0.0, 30.0, share=0.001) for each in header.upstreams
         ]
         expected = [Expectation("false_ejections", most=0), Expectation("goodput", least=0.99)]
         return Trace(header, requests, faults, (), expected)
@@ -388,13 +393,16 @@
 
     def make(deployment: Deployment, rng: random.Random) -> Trace:
         site = WRITES[deployment]
+        length_s = duration_s
         if deployment is Deployment.LAATTANAYTE:
-            site = dataclasses.replace(site, work_s=0.4)
+            # Its deadline is three times as long, so that a queue takes longer to do its harm.
+            site = dataclasses.replace(site, work_s=0.8)
+            length_s = 1.6 * duration_s
         rate_per_s = times * capacity_per_s(site)
-        load = Load(steady(rate_per_s), duration_s, idempotent_share=0.5, greedy_share=0.5)
+        load = Load(steady(rate_per_s), length_s, idempotent_share=0.5, greedy_share=0.5)
         requests = requests_of(site, load, rng)
         expected = [Expectation("goodput", least=0.95), Expectation("false_ejections", most=0)]
-        return Trace(header_of("overload", site, duration_s), requests, (), (), expected)
+        return Trace(header_of("overload", site, length_s), requests, (), (), expected)
 
     return Recipe(f"overload-{times:g}", make)
 
@@ -419,8 +427,13 @@
     return Load(steady(0.9 * capacity_per_s(site) / 1.9), 20.0, long_share=0.1, long_factor=10.0)
 
 
+def _tight(site: Site) -> Load:
+    rate = steady(1.1 * capacity_per_s(site))
+    return Load(rate, 15.0, tight_share=0.3, idempotent_share=0.4)
+
+
 def _skewed(site: Site) -> Load:
-    return Load(steady(0.85 * capacity_per_s(site)), 15.0, member_skew=4.0)
+    return Load(steady(0.85 * capacity_per_s(site)), 10.0, member_skew=4.0)
 
 
 def _starts(site: Site, rng: random.Random) -> Sequence[Fault]:
@@ -455,6 +468,7 @@
     overload(2.0, 10.0),
     overload(5.0, 6.0),
     mixed("long-and-short", _long_and_short),
+    mixed("tight-deadlines", _tight),
     mixed("skewed-members", _skewed),
     Recipe("crashing-request", crashing),
     Recipe("zone-lost", zone_lost),
--- a/src/egretrail/trace/_targets.py
+++ b/src/egretrail/trace/_targets.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 from egretrail.trace._figures import figures, quantile
-from egretrail.trace._oracle import Oracle
 from egretrail.trace._player import Player
 from egretrail.trace._policy import PolicyFactory
 from egretrail.trace._recipes import Deployment, Recipe
@@ -89,7 +88,8 @@
         for faults, latencies_s in ((trace.faults, with_s), ((), without_s)):
             played = dataclasses.replace(trace, faults=faults)
             log = Player(played, factory, seed).run()
-            latencies_s += figures(played, log, Oracle(played).run()).latency_s
+            unknown = [False] * len(played.requests)
+            latencies_s += figures(played, log, unknown).latency_s
     return quantile(with_s, 0.99) / quantile(without_s, 0.99)
 
 
