--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 BIN := $(VENV)/bin
 
 .PHONY: setup test demo prove measure bench slopes check format lock docs-settings
+.PHONY: setup test demo prove measure bench bench-decisions slopes check format lock
 
 setup: $(VENV)/installed
 
@@ -40,3 +41,9 @@
 
 slopes: setup
 	$(BIN)/python -m benchmarks.slopes
+
+measure: setup
+	$(BIN)/python -m benchmarks.measure
+
+bench-decisions: setup
+	$(BIN)/python -m benchmarks.decisions
--- a/src/egretrail/service/_order.py
+++ b/src/egretrail/service/_order.py
@@ -4,10 +4,10 @@
 import heapq
 import itertools
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
-from egretrail.identity import CallerId, TeamName
+from egretrail.identity import CallerId, RouteName, TeamName
 from egretrail.service._entry import Entry
 
 
@@ -93,6 +93,12 @@
         return sum(each.cost_s for each in self._waiting if each.latest_start_s <= limit_s)
 
 
+#: The exponent that the paper found good, and a slack that keeps the urgency finite.
+_SLACK_POWER = 3
+_LEAST_SLACK_S = 0.001
+#: Weight of the newest length of a route's queue in its usual length.
+_USUAL_GAIN = 0.01
+
 _FlowKey = TypeVar("_FlowKey", bound=Hashable)
 
 #: Flows whose past service is remembered. A flow that is forgotten starts level with the others,
@@ -150,24 +156,24 @@
 class _Team:
     """What one team has waiting."""
 
-    __slots__ = ("callers", "queues", "waiting_s")
+    __slots__ = ("callers", "queues")
 
     def __init__(self) -> None:
         self.callers: _FairTurns[CallerId] = _FairTurns()
-        self.queues: dict[CallerId, dict[Entry, None]] = {}
-        self.waiting_s: dict[CallerId, float] = {}
+        self.queues: dict[CallerId, QueueOrder] = {}
 
 
 class FairQueueing(QueueOrder):
     """Fair queueing between teams, and between the callers of a team.
 
     Load: one caller's burst before the requests of many others. Harm prevented: the others wait
-    behind the whole burst. A caller's requests start in the order of their arrival; between
-    callers the expected duration counts, so that long requests use up a share sooner.
+    behind the whole burst. A caller's requests start by their latest start; between callers the
+    expected duration counts, so that long requests use up a share sooner.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, within: Callable[[], QueueOrder] = EarliestDeadline) -> None:
         super().__init__()
+        self._within = within
         self._turns: _FairTurns[TeamName] = _FairTurns()
         self._teams: dict[TeamName, _Team] = {}
 
@@ -180,21 +186,18 @@
             self._turns.activate(name)
         queue = team.queues.get(caller)
         if queue is None:
-            queue = team.queues[caller] = {}
-            team.waiting_s[caller] = 0.0
+            queue = team.queues[caller] = self._within()
             team.callers.activate(caller)
-        queue[entry] = None
-        team.waiting_s[caller] += entry.cost_s
+        queue.push(entry)
 
     def _removed(self, entry: Entry) -> None:
         name, caller = entry.work.team, entry.work.caller
         team = self._teams[name]
         queue = team.queues[caller]
-        del queue[entry]
-        team.waiting_s[caller] -= entry.cost_s
-        if queue:
+        queue.remove(entry)
+        if len(queue):
             return
-        del team.queues[caller], team.waiting_s[caller]
+        del team.queues[caller]
         team.callers.deactivate(caller)
         if not team.queues:
             self._turns.deactivate(name)
@@ -205,29 +208,70 @@
         self._teams[entry.work.team].callers.charge(entry.work.caller, entry.cost_s)
 
     def peek(self, now_s: float) -> Entry | None:
-        """Return the oldest request of the caller whose turn it is."""
+        """Return the first request of the caller whose turn it is."""
         name = self._turns.first()
         if name is None:
             return None
         team = self._teams[name]
         caller = team.callers.first()
-        return next(iter(team.queues[caller])) if caller is not None else None
+        return team.queues[caller].peek(now_s) if caller is not None else None
 
     def cost_ahead_s(self, entry: Entry) -> float:
         """Return what starts earlier: of each caller at most as much as this one has waiting."""
         team = self._teams.get(entry.work.team)
         if team is None:
             return min(self.total_s, entry.cost_s * len(self._teams))
-        own_s = team.waiting_s.get(entry.work.caller, 0.0)
+        own = team.queues.get(entry.work.caller)
+        own_s = own.cost_ahead_s(entry) if own is not None else 0.0
         level_s = own_s + entry.cost_s
         in_team_s = own_s + sum(
-            min(waiting_s, level_s)
-            for caller, waiting_s in team.waiting_s.items()
+            min(queue.total_s, level_s)
+            for caller, queue in team.queues.items()
             if caller != entry.work.caller
         )
         others_s = sum(
-            min(sum(each.waiting_s.values()), in_team_s + entry.cost_s)
+            min(sum(queue.total_s for queue in each.queues.values()), in_team_s + entry.cost_s)
             for name, each in self._teams.items()
             if name != entry.work.team and each.queues
         )
         return in_team_s + others_s
+
+
+class SlackAndLoad(QueueOrder):
+    """The route whose oldest request has the least slack for its load comes first.
+
+    After Rafique et al., "Symphony: A Scheduler for Client-Server Applications on Coprocessor-based
+    Heterogeneous Clusters": the urgency of a route is its number of waiting requests, as a share of
+    the usual number, over the cube of its oldest request's slack. Within a route requests start in
+    the order of their arrival.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._routes: dict[RouteName, dict[Entry, None]] = {}
+        self._usual: dict[RouteName, float] = {}
+
+    def _insert(self, entry: Entry) -> None:
+        route = entry.work.route
+        waiting = self._routes.setdefault(route, {})
+        waiting[entry] = None
+        usual = self._usual.get(route, 1.0)
+        self._usual[route] = usual + _USUAL_GAIN * (len(waiting) - usual)
+
+    def _removed(self, entry: Entry) -> None:
+        waiting = self._routes[entry.work.route]
+        del waiting[entry]
+        if not waiting:
+            del self._routes[entry.work.route]
+
+    def peek(self, now_s: float) -> Entry | None:
+        """Return the oldest request of the most urgent route."""
+        if not self._routes:
+            return None
+        route = max(self._routes, key=lambda each: self._urgency(each, now_s))
+        return next(iter(self._routes[route]))
+
+    def _urgency(self, route: RouteName, now_s: float) -> float:
+        waiting = self._routes[route]
+        slack_s = max(_LEAST_SLACK_S, next(iter(waiting)).latest_start_s - now_s)
+        return len(waiting) / max(1.0, self._usual[route]) / slack_s**_SLACK_POWER
--- a/src/egretrail/trace/_upstreams.py
+++ b/src/egretrail/trace/_upstreams.py
@@ -11,8 +11,6 @@
 from egretrail.trace._records import Fault, FaultKind, TracedRequest, TracedUpstream
 from egretrail.upstream import AttemptOutcome
 
-#: Requests that an upstream lets wait, as a multiple of its slots; it sheds beyond them.
-_QUEUE_FACTOR = 2
 #: How long opening a connection to an upstream that is gone takes to fail.
 CONNECT_TIMEOUT_S = 1.0
 #: How long a cold start keeps an upstream slow.
@@ -51,8 +49,9 @@
     ) -> None:
         self.name = traced.name
         self.slots = traced.slots
+        self._connections = traced.connections
         self._clock = clock
-        self._faults = faults
+        self.faults = faults
         self._running: set[Visit] = set()
         self._waiting: deque[Visit] = deque()
         self._down_until_s = 0.0
@@ -64,7 +63,7 @@
         """Return the faults that the request would meet, whatever share of requests they hit."""
         return [
             fault
-            for fault in self._faults
+            for fault in self.faults
             if fault.active(now_s)
             and fault.member in (-1, member)
             and fault.request_kind in ("", request.kind)
@@ -106,7 +105,7 @@
             self._end(visit, AttemptOutcome.DRAINING)
         elif len(self._running) < self.slots:
             self._start(visit)
-        elif len(self._waiting) < self.slots * _QUEUE_FACTOR:
+        elif len(self._running) + len(self._waiting) < self._connections:
             self._waiting.append(visit)
         else:
             self._end(visit, AttemptOutcome.SHED)
@@ -153,6 +152,8 @@
             return
         visit.done = True
         self._running.discard(visit)
+        if not visit.running and visit in self._waiting:
+            self._waiting.remove(visit)
         visit.ended(outcome)
         self._next()
 
