--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -5,7 +5,7 @@
 import secrets
 import signal
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -15,6 +15,7 @@
 from egretrail.daemon._accounting import Accounting
 from egretrail.daemon._caller_face import CallerFace
 from egretrail.daemon._execution import Executor
+from egretrail.daemon._floors import SettingsFloors
 from egretrail.daemon._http_server import HttpServer
 from egretrail.daemon._metrics import Metrics
 from egretrail.daemon._operator_face import (
@@ -44,13 +45,14 @@
     MembershipDriver,
     OperatorTokenMiddleware,
     ReportDriver,
+    RightsDriver,
     SettingsDriver,
     UpstreamClient,
     UpstreamListDriver,
     add_settings_routes,
 )
 from egretrail.settings import InstanceSettings, OperatorTokens, ServiceSettings
-from egretrail.upstream import NoRights, ServiceHealth, SuspectRequests
+from egretrail.upstream import ServiceHealth, SuspectRequests
 
 #: Random low bits of an incarnation's number, below the milliseconds of its start.
 _INCARNATION_BITS = 20
@@ -131,6 +133,13 @@
         )
         self._settings_driver = SettingsDriver(self._own, self._network, self._view, store, rng)
         self._routing = SettingsRouting(self._settings_driver)
+        self._rights = RightsDriver(
+            self._view,
+            self._network,
+            store,
+            SettingsFloors(self._routing, self._source, self._served_services),
+            rng=rng,
+        )
         self._evidence = EvidenceDriver(
             self._own, self._network, self._view, self._make_health, self._make_suspects
         )
@@ -140,6 +149,7 @@
         await self._source.start()
         await self._view.start()
         await self._settings_driver.start()
+        await self._rights.start()
         await self._evidence.start()
         await self._keyed.start()
         self._operator_server.start(self._operator_app())
@@ -238,7 +248,7 @@
     def _make_health(self, service: ServiceName) -> ServiceHealth:
         settings = self._routing.service(service) or ServiceSettings(floor=0)
         seed = random.Random(f"{self._own.number}{service}")
-        return ServiceHealth(service, settings.detection, settings.ramp_s, NoRights(), seed)
+        return ServiceHealth(service, settings.detection, settings.ramp_s, self._rights, seed)
 
     def _make_suspects(self, service: ServiceName) -> SuspectRequests:
         settings = self._routing.service(service) or ServiceSettings(floor=0)
@@ -257,9 +267,10 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + self._settings.stop.deadline_s
         await self._view.announce_leaving()
-        await self._unless_told_twice(
-            asyncio.sleep(self._settings.callers.resolve_ttl_s), deadline_s
+        leaving = asyncio.gather(
+            asyncio.sleep(self._settings.callers.resolve_ttl_s), self._rights.hand_over()
         )
+        await self._unless_told_twice(leaving, deadline_s)
         whole = await self._unless_told_twice(self._end_requests(deadline_s), deadline_s)
         cut = list(self._face.in_flight.values())
         for request in cut:
@@ -280,6 +291,7 @@
 
     async def _end_parts(self) -> None:
         await self._evidence.stop()
+        await self._rights.stop()
         await self._settings_driver.stop()
         await self._source.stop()
         await self._view.stop()
@@ -287,10 +299,10 @@
         await self._client.stop()
         await self._network.stop()
 
-    async def _unless_told_twice(self, waiting: Any, deadline_s: float) -> bool:
+    async def _unless_told_twice(self, waiting: Awaitable[Any], deadline_s: float) -> bool:
         """Wait, but neither beyond the deadline nor a second signal; return whether it ended."""
         loop = asyncio.get_running_loop()
-        task = loop.create_task(waiting)
+        task = asyncio.ensure_future(waiting)
         while not task.done() and self._signals < 2 and loop.time() < deadline_s:
             await asyncio.wait((task,), timeout=0.05)
         ended = task.done()
--- a/src/egretrail/daemon/_execution.py
+++ b/src/egretrail/daemon/_execution.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import assert_never
 
+import structlog
+
 from egretrail.daemon._accounting import Accounting
 from egretrail.daemon._interfaces import LocalExecution
 from egretrail.daemon._service_state import ServiceState, ServiceStates, short_digest
@@ -65,7 +67,7 @@
     WouldWaitTooLong: RefusalCause.QUEUE_FULL,
     OverFairShare: RefusalCause.QUEUE_FULL,
     WaitedTooLong: RefusalCause.DEADLINE,
-    UpstreamsDeclined: RefusalCause.NO_UPSTREAM,
+    UpstreamsDeclined: RefusalCause.UPSTREAMS_DECLINED,
     MayCrashUpstreams: RefusalCause.SUSPECT_REQUEST,
 }
 _FAILURE_CAUSES: Mapping[AttemptOutcome, RefusalCause] = {
@@ -75,6 +77,7 @@
 }
 #: Time to come back after a loss: long enough for the upstream to be judged.
 _AFTER_LOSS_S = 1.0
+_log = structlog.get_logger()
 _NO_SUCH_SERVICE = Refusal(Outcome.NOT_RUN, RefusalCause.NO_UPSTREAM)
 
 
@@ -232,6 +235,7 @@
         maybe_run = any(not result.certainly_not_run for result in running.results.values())
         outcome = Outcome.UNKNOWN if maybe_run else Outcome.NOT_RUN
         cause = _CAUSES[type(refusal)]
+        _log.debug("refused", service=running.state.name, cause=cause.value, why=str(refusal))
         return Refusal(outcome, cause, refusal.retry_after_s)
 
     def _set_wakeup(self, state: ServiceState) -> None:
@@ -260,6 +264,6 @@
     if result.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED):
         return RecordedAnswer(result.status, result.headers, result.body)
     if result.certainly_not_run:
-        return Refusal(Outcome.NOT_RUN, RefusalCause.NO_UPSTREAM, _AFTER_LOSS_S)
+        return Refusal(Outcome.NOT_RUN, RefusalCause.UPSTREAMS_DECLINED, _AFTER_LOSS_S)
     cause = _FAILURE_CAUSES.get(result.outcome, RefusalCause.UPSTREAM_LOST)
     return Refusal(Outcome.UNKNOWN, cause, _AFTER_LOSS_S)
--- a/src/egretrail/request/_answer.py
+++ b/src/egretrail/request/_answer.py
@@ -24,6 +24,8 @@
     DEADLINE = "deadline"
     #: No upstream of the service takes work.
     NO_UPSTREAM = "no-upstream"
+    #: Every upstream that was tried refused the connection or declined before any work.
+    UPSTREAMS_DECLINED = "upstreams-declined"
     #: The connection to the upstream was lost after the request had been sent.
     UPSTREAM_LOST = "upstream-lost"
     #: The upstream's answer was cut, crossed or malformed.
--- a/src/egretrail/runtime/_problem.py
+++ b/src/egretrail/runtime/_problem.py
@@ -54,6 +54,7 @@
     RefusalCause.QUEUE_FULL: (503, "The service has more work than it can take"),
     RefusalCause.DEADLINE: (504, "The request cannot be answered within its deadline"),
     RefusalCause.NO_UPSTREAM: (503, "No upstream of the service takes work"),
+    RefusalCause.UPSTREAMS_DECLINED: (503, "The upstreams that were tried took no work"),
     RefusalCause.UPSTREAM_LOST: (502, "The upstream was lost while it had the request"),
     RefusalCause.ANSWER_INVALID: (502, "The upstream's answer was not a whole answer"),
     RefusalCause.ANSWER_TOO_LARGE: (502, "The upstream's answer is larger than the limit"),
--- a/src/egretrail/runtime/_rights.py
+++ b/src/egretrail/runtime/_rights.py
@@ -375,9 +375,9 @@
         began_s = _now_s()
         right = recorded.right
         owner = recorded.owner
-        if owner != self._own and not self._membership.is_gone(owner):
-            if not await self._promises(owner.instance, service, right):
-                return False
+        alive = owner != self._own and not self._membership.is_gone(owner)
+        if alive and not await self._promises(owner.instance, service, right):
+            return False
         # Only a fresh reading proves that no process of an heir's name has started since.
         if not await self._membership.read_list():
             return False
