--- a/src/egretrail/trace/__init__.py
+++ b/src/egretrail/trace/__init__.py
@@ -18,10 +18,14 @@
     TracedUpstream,
     TraceHeader,
 )
+from egretrail.trace._summary import HELD_OUT_SEEDS, TUNING_SEEDS, Row, Unmet, play, table
+from egretrail.trace._targets import Target, slowdown, targets
 
 __all__ = [
     "BASELINES",
+    "HELD_OUT_SEEDS",
     "RECIPES",
+    "TUNING_SEEDS",
     "Deployment",
     "Detection",
     "EgretrailFactory",
@@ -38,12 +42,19 @@
     "PolicyFactory",
     "Recipe",
     "RequestLog",
+    "Row",
+    "Target",
     "Trace",
     "TraceHeader",
     "TracedMember",
     "TracedRequest",
     "TracedUpstream",
+    "Unmet",
     "Variant",
     "figures",
+    "play",
     "quantile",
+    "slowdown",
+    "table",
+    "targets",
 ]
--- a/src/egretrail/trace/_figures.py
+++ b/src/egretrail/trace/_figures.py
@@ -1,5 +1,6 @@
 """The figures of one played trace."""
 
+import math
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -17,6 +18,8 @@
 _AFTER_FAULT_S = 2.0
 #: Callers with fewer requests are left out of the fairness figure.
 _LEAST_REQUESTS = 20
+#: Failures rarer than this are part of a healthy day.
+_LEAST_SHARE = 0.05
 #: Faults after which an upstream should get no more work.
 _DETECTABLE = (
     FaultKind.FAILS,
@@ -61,8 +64,9 @@
     refused: int
     #: Requests answered with a failure.
     failed: int
-    #: Time beyond the upstream's work, of answered requests.
+    #: Time beyond the upstream's work, of answered requests, and the whole time.
     added_s: Sequence[float]
+    latency_s: Sequence[float]
     #: Smallest share that a caller got of what is fair for it.
     least_share: float
     #: First attempts, and further ones.
@@ -78,6 +82,11 @@
         """Return the requests answered in time as a share of the oracle's."""
         return self.answered / max(1, self.oracle_answered)
 
+    @property
+    def undetected(self) -> int:
+        """Return how many failing upstreams kept receiving work."""
+        return sum(not each.stopped for each in self.detections)
+
     @property
     def retry_share(self) -> float:
         """Return further attempts as a share of first ones."""
@@ -99,7 +108,7 @@
         for done in log.requests
     ]
     return Figures(
-        [_detection(trace, log, fault) for fault in trace.faults if fault.kind in _DETECTABLE],
+        [_detection(trace, log, fault) for fault in _detectable_faults(trace)],
         _false_ejections(trace, log),
         len(trace.requests),
         sum(by_end),
@@ -108,6 +117,7 @@
         endings[Ending.REFUSED],
         endings[Ending.FAILED],
         added_s,
+        [done.ended_s - asked.at_s for asked, done in pairs if done.ending is Ending.ANSWERED],
         _least_share(trace, by_end, oracle),
         len(tried),
         sum(each.attempts - 1 for each in tried),
@@ -119,7 +129,18 @@
 def quantile(values: Sequence[float], share: float) -> float:
     """Return the value below which a share of the values lies; 0 for no values."""
     ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)] if ordered else 0.0
+
+
+def _detectable(fault: Fault) -> bool:
+    return fault.kind in _DETECTABLE and fault.share >= _LEAST_SHARE
+
+
+def _detectable_faults(trace: Trace) -> Sequence[Fault]:
+    """Return the faults to detect: none where all upstreams fail alike."""
+    faults = [fault for fault in trace.faults if _detectable(fault)]
+    alike = len({fault.upstream for fault in faults}) == len(trace.header.upstreams)
+    return [] if alike else faults
 
 
 def _detection(trace: Trace, log: PlayLog, fault: Fault) -> Detection:
@@ -163,7 +184,7 @@
     blamed: set[UpstreamName] = {
         fault.upstream
         for fault in trace.faults
-        if fault.kind in _DETECTABLE
+        if _detectable(fault)
         and fault.member in (-1, member)
         and fault.at_s <= at_s < fault.until_s + _AFTER_FAULT_S
     }
--- a/src/egretrail/trace/_policy.py
+++ b/src/egretrail/trace/_policy.py
@@ -28,6 +28,7 @@
     def finished(self, work_id: WorkId, attempt: Attempt, now_s: float) -> Sequence[Action]:
         """Take the end of an attempt."""
 
+    @abc.abstractmethod
     def listed(self, upstreams: Sequence[UpstreamName], now_s: float) -> None:
         """Take a new state of the instance list."""
 
--- a/src/egretrail/trace/_recipes.py
+++ b/src/egretrail/trace/_recipes.py
@@ -27,8 +27,10 @@
     TraceHeader,
 )
 
+#: Deadline of a request in a hurry, as a share of the usual one.
+_TIGHT = 1.0 / 3.0
 #: When the fault of a recipe begins.
-_FAULT_AT_S = 10.0
+_FAULT_AT_S = 6.0
 
 
 class Deployment(enum.Enum):
@@ -55,6 +57,8 @@
     #: Its upstreams, and how many requests each works on at once.
     upstream_count: int
     slots: int
+    #: Connections that each upstream accepts.
+    connections: int
     #: The instances that serve it.
     member_count: int
     #: Typical work of one request.
@@ -76,6 +80,7 @@
         0.0005,
         10,
         4,
+        400,
         3,
         0.04,
         4.0,
@@ -88,6 +93,7 @@
         0.001,
         7,
         3,
+        330,
         3,
         0.04,
         2.0,
@@ -103,6 +109,7 @@
         0.0005,
         20,
         4,
+        400,
         5,
         0.15,
         6.0,
@@ -115,6 +122,7 @@
         0.001,
         6,
         3,
+        330,
         3,
         0.1,
         2.0,
@@ -144,8 +152,10 @@
     long_factor: float = 20.0
     #: Share of requests to members other than evenly: the first gets this much more.
     member_skew: float = 0.0
-    #: Share of requests that fail anywhere without a fault.
-    background_failures: float = 0.0
+    #: Share of requests with a third of the deadline and of the time in the queue.
+    tight_share: float = 0.0
+    #: Whether slow idempotent requests may be sent a second time.
+    hedge: bool = False
 
 
 def header_of(name: str, site: Site, duration_s: float) -> TraceHeader:
@@ -156,6 +166,7 @@
             AvailabilityZone(site.zones[index % len(site.zones)]),
             site.slots,
             site.slots,
+            site.connections,
         )
         for index in range(site.upstream_count)
     ]
@@ -193,6 +204,7 @@
         greedy = rng.random() < load.greedy_share
         long = rng.random() < load.long_share
         idempotent = rng.random() < load.idempotent_share
+        patience = _TIGHT if rng.random() < load.tight_share else 1.0
         work_s = site.work_s * rng.lognormvariate(-load.work_spread**2 / 2, load.work_spread)
         kind = "report GET" if long else rng.choice(("list GET", "item GET"))
         found.append(
@@ -201,13 +213,14 @@
                 rng.choices(members, member_shares)[0],
                 CallerId("greedy") if greedy else rng.choices(callers, shares)[0],
                 TeamName("own"),
-                kind if idempotent else "order POST",
+                kind if idempotent else "order POST" if patience == 1.0 else "rush POST",
                 idempotent,
                 work_s * (load.long_factor if long else 1.0),
                 int(2000 * rng.lognormvariate(0.0, 1.5)),
-                site.deadline_s,
-                site.queue_s,
+                site.deadline_s * patience,
+                site.queue_s * patience,
                 rng.getrandbits(63),
+                load.hedge,
             )
         )
 
@@ -246,13 +259,14 @@
     make_faults: _FaultMaker,
     expectations: Sequence[Expectation],
     rate_per_s: float = 50.0,
-    duration_s: float = 40.0,
+    duration_s: float = 24.0,
+    hedge: bool = False,
 ) -> Recipe:
     """Return a recipe with a steady load and faults."""
 
     def make(deployment: Deployment, rng: random.Random) -> Trace:
         site = READS[deployment]
-        load = Load(steady(rate_per_s), duration_s)
+        load = Load(steady(rate_per_s), duration_s, hedge=hedge)
         requests = requests_of(site, load, rng)
         faults = make_faults(site, rng)
         return Trace(header_of(name, site, duration_s), requests, faults, (), expectations)
@@ -260,7 +274,7 @@
     return Recipe(name, make)
 
 
-def one(kind: FaultKind, until_s: float = 40.0, **values: float | int | str) -> _FaultMaker:
+def one(kind: FaultKind, until_s: float = 24.0, **values: float | int | str) -> _FaultMaker:
     """Return a maker of one fault at a random upstream."""
 
     def make(site: Site, rng: random.Random) -> Sequence[Fault]:
@@ -276,14 +290,14 @@
     upstream = UpstreamName(f"u{rng.randrange(site.upstream_count):02}")
     return [
         Fault(FaultKind.FAILS, upstream, at_s, at_s + 4.0, share=0.6)
-        for at_s in (10.0, 22.0, 34.0, 46.0)
+        for at_s in (8.0, 18.0, 28.0, 38.0)
     ]
 
 
 def all_alike(site: Site, _rng: random.Random) -> Sequence[Fault]:
     """Return the same fault at every upstream: a bad release."""
     return [
-        Fault(FaultKind.FAILS, UpstreamName(f"u{index:02}"), _FAULT_AT_S, 30.0, share=0.3)
+        Fault(FaultKind.FAILS, UpstreamName(f"u{index:02}"), _FAULT_AT_S, 20.0, share=0.3)
         for index in range(site.upstream_count)
     ]
 
@@ -291,11 +305,11 @@
 def zone_lost(deployment: Deployment, rng: random.Random) -> Trace:
     """Return the loss of one availability zone with its upstreams and instances."""
     site = READS[deployment]
-    requests = requests_of(site, Load(steady(80.0), 40.0), rng)
-    header = header_of("zone-lost", site, 40.0)
+    requests = requests_of(site, Load(steady(80.0), 30.0), rng)
+    header = header_of("zone-lost", site, 30.0)
     zone = rng.choice(site.zones)
     faults = [
-        Fault(FaultKind.UNREACHABLE, each.name, _FAULT_AT_S, 40.0)
+        Fault(FaultKind.UNREACHABLE, each.name, _FAULT_AT_S, 30.0)
         for each in header.upstreams
         if each.availability_zone == zone
     ]
@@ -316,7 +330,7 @@
 def crashing(deployment: Deployment, rng: random.Random) -> Trace:
     """Return a request that crashes each upstream, sent again every second to any instance."""
     site = READS[deployment]
-    requests = requests_of(site, Load(steady(50.0), 40.0), rng)
+    requests = requests_of(site, Load(steady(50.0), 30.0), rng)
     digest = 4242
     bad = [
         dataclasses.replace(
@@ -330,22 +344,24 @@
         for number in range(12)
     ]
     requests = sorted([*requests, *bad], key=lambda each: each.at_s)
-    header = header_of("crashing-request", site, 40.0)
+    header = header_of("crashing-request", site, 30.0)
     faults = [
-        Fault(FaultKind.CRASHES, each.name, _FAULT_AT_S, 40.0, factor=3.0, digest=digest)
+        Fault(FaultKind.CRASHES, each.name, _FAULT_AT_S, 30.0, factor=3.0, digest=digest)
         for each in header.upstreams
     ]
     return Trace(header, requests, faults, (), [Expectation("false_ejections", most=0)])
 
 
 def slots_misreported(deployment: Deployment, rng: random.Random) -> Trace:
-    """Return a service whose upstreams have half of the slots that are stated, at 80% load."""
-    site = READS[deployment]
-    header = header_of("slots-misreported", site, 20.0)
+    """Return a service at 80% load with half of the stated slots, which sheds what exceeds them."""
+    site = dataclasses.replace(READS[deployment], work_s=0.08)
+    header = header_of("slots-misreported", site, 12.0)
     real = max(1, site.slots // 2)
-    upstreams = [dataclasses.replace(each, slots=real) for each in header.upstreams]
+    upstreams = [
+        dataclasses.replace(each, slots=real, connections=2 * real) for each in header.upstreams
+    ]
     rate_per_s = 0.8 * site.upstream_count * real / site.work_s
-    requests = requests_of(site, Load(steady(rate_per_s), 20.0), rng)
+    requests = requests_of(site, Load(steady(rate_per_s), 12.0), rng)
     header = dataclasses.replace(header, upstreams=upstreams)
     return Trace(header, requests, (), (), [Expectation("false_ejections", most=0)])
 
@@ -355,16 +371,16 @@
 
     def make(deployment: Deployment, rng: random.Random) -> Trace:
         site = dataclasses.replace(READS[deployment], detection=detection)
-        bursts = [rng.uniform(5.0, 75.0) for _ in range(4)]
+        bursts = [rng.uniform(5.0, 25.0) for _ in range(2)]
 
         def rate_per_s(now_s: float) -> float:
             bursting = any(at_s <= now_s < at_s + 1.5 for at_s in bursts)
             return 300.0 if bursting else 60.0
 
-        requests = requests_of(site, Load(rate_per_s, 80.0, work_spread=1.0), rng)
-        header = header_of("healthy", site, 80.0)
+        requests = requests_of(site, Load(rate_per_s, 30.0, work_spread=1.0), rng)
+        header = header_of("healthy", site, 30.0)
         faults = [
-            Fault(FaultKind.FAILS, each.name, 0.0, 80.0, share=0.001) for each in header.upstreams
+            Fault(FaultKind.FAILS, each.name, 0.0, 30.0, share=0.001) for each in header.upstreams
         ]
         expected = [Expectation("false_ejections", most=0), Expectation("goodput", least=0.99)]
         return Trace(header, requests, faults, (), expected)
@@ -377,13 +393,16 @@
 
     def make(deployment: Deployment, rng: random.Random) -> Trace:
         site = WRITES[deployment]
+        length_s = duration_s
         if deployment is Deployment.LAATTANAYTE:
-            site = dataclasses.replace(site, work_s=0.4)
+            # Its deadline is three times as long, so that a queue takes longer to do its harm.
+            site = dataclasses.replace(site, work_s=0.8)
+            length_s = 1.6 * duration_s
         rate_per_s = times * capacity_per_s(site)
-        load = Load(steady(rate_per_s), duration_s, idempotent_share=0.5, greedy_share=0.5)
+        load = Load(steady(rate_per_s), length_s, idempotent_share=0.5, greedy_share=0.5)
         requests = requests_of(site, load, rng)
         expected = [Expectation("goodput", least=0.95), Expectation("false_ejections", most=0)]
-        return Trace(header_of("overload", site, duration_s), requests, (), (), expected)
+        return Trace(header_of("overload", site, length_s), requests, (), (), expected)
 
     return Recipe(f"overload-{times:g}", make)
 
@@ -393,6 +412,8 @@
 
     def make(deployment: Deployment, rng: random.Random) -> Trace:
         site = WRITES[deployment]
+        if deployment is Deployment.LAATTANAYTE:
+            site = dataclasses.replace(site, work_s=0.3)
         made = load(site)
         requests = requests_of(site, made, rng)
         expected = [Expectation("false_ejections", most=0)]
@@ -406,14 +427,19 @@
     return Load(steady(0.9 * capacity_per_s(site) / 1.9), 20.0, long_share=0.1, long_factor=10.0)
 
 
+def _tight(site: Site) -> Load:
+    rate = steady(1.1 * capacity_per_s(site))
+    return Load(rate, 15.0, tight_share=0.3, idempotent_share=0.4)
+
+
 def _skewed(site: Site) -> Load:
-    return Load(steady(0.85 * capacity_per_s(site)), 15.0, member_skew=4.0)
+    return Load(steady(0.85 * capacity_per_s(site)), 10.0, member_skew=4.0)
 
 
 def _starts(site: Site, rng: random.Random) -> Sequence[Fault]:
     chosen = rng.sample(range(site.upstream_count), 2)
     return [
-        Fault(FaultKind.STARTS, UpstreamName(f"u{index:02}"), _FAULT_AT_S, 40.0, factor=5.0)
+        Fault(FaultKind.STARTS, UpstreamName(f"u{index:02}"), _FAULT_AT_S, 30.0, factor=5.0)
         for index in chosen
     ]
 
@@ -430,9 +456,10 @@
     gray("30%-failing", one(FaultKind.FAILS, share=0.3), (_NO_FALSE, _STOPS)),
     gray("tenth-fails", one(FaultKind.FAILS, share=0.1), (_NO_FALSE,)),
     gray("5x-slow", one(FaultKind.SLOW, factor=5.0), (_NO_FALSE, _STOPS)),
+    gray("5x-slow-hedged", one(FaultKind.SLOW, factor=5.0), (_NO_FALSE, _STOPS), hedge=True),
     gray("one-kind-fails", one(FaultKind.FAILS, request_kind="item GET"), (_NO_FALSE, _STOPS)),
     gray("large-cut", one(FaultKind.CUTS_LARGE, least_size_bytes=4000), (_NO_FALSE, _STOPS)),
-    gray("flapping", flapping, (_NO_FALSE,), duration_s=60.0),
+    gray("flapping", flapping, (_NO_FALSE,), duration_s=48.0),
     gray("one-path-bad", one(FaultKind.PATH, member=0), (_NO_FALSE,)),
     gray("lying-endpoint", one(FaultKind.SLOW, factor=20.0), (_NO_FALSE, _STOPS)),
     Recipe("slots-misreported", slots_misreported),
@@ -441,6 +468,7 @@
     overload(2.0, 10.0),
     overload(5.0, 6.0),
     mixed("long-and-short", _long_and_short),
+    mixed("tight-deadlines", _tight),
     mixed("skewed-members", _skewed),
     Recipe("crashing-request", crashing),
     Recipe("zone-lost", zone_lost),
--- a/src/egretrail/upstream/_recorder.py
+++ b/src/egretrail/upstream/_recorder.py
@@ -5,7 +5,12 @@
 from egretrail.identity import UpstreamName
 from egretrail.upstream._attempt import Attempt, AttemptOutcome
 from egretrail.upstream._blame import SharedFailures
+from egretrail.upstream._drift import slowness_ratio
 from egretrail.upstream._latency import LatencyReference
+from egretrail.upstream._neighbours import Neighbours
+from egretrail.upstream._score import LEAST_SPREAD, TOLERATED_FAILURE_SHARE
+from egretrail.upstream._since import RecentAttempts
+from egretrail.upstream._thresholds import Thresholds
 from egretrail.upstream._tracked import TrackedUpstream
 from egretrail.upstream._verdict import UpstreamState
 
@@ -38,8 +43,11 @@
 class Recorder:
     """Records the attempts of one service."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: Thresholds) -> None:
+        self._limits = limits
         self.reference = LatencyReference()
+        self.neighbours = Neighbours()
+        self.recent = RecentAttempts()
         #: Share of recent attempts that any upstream declined because of its load.
         self.shed_share = 0.0
         self._shared = SharedFailures()
@@ -56,9 +64,14 @@
         elif attempt.outcome in _FAILURE_WEIGHT:
             self._failure(upstream, attempt, now_s, suspect)
 
+    def overdue_ratio(self, upstream: TrackedUpstream, slowness: float) -> float:
+        """Return what an attempt under way for so long adds to the test on slowness."""
+        return max(0.0, slowness_ratio(self._excess(upstream, slowness), self._spread()))
+
     def forget_upstream(self, name: UpstreamName) -> None:
         """Drop what is known of an upstream that has left."""
         self._shared.forget_upstream(name)
+        self.neighbours.forget(name)
 
     def _answer(self, upstream: TrackedUpstream, attempt: Attempt, now_s: float) -> None:
         for subject in _subjects(attempt):
@@ -66,7 +79,8 @@
         slowness = self.reference.slowness(attempt.request_kind, attempt.latency_s)
         # A cold upstream is slow for a while, which is no fault.
         warm = upstream.lifecycle.state is not UpstreamState.RAMPING
-        upstream.observed.add_answer(slowness if warm else None, now_s)
+        self._observe_answer(upstream, slowness if warm else None, now_s)
+        self.recent.add(upstream.name, attempt.started_s, failed=False)
         sound = not upstream.lifecycle.out and upstream.lifecycle.suspicion < _SUSPECT_PART
         if warm and sound:
             self.reference.add(attempt.request_kind, attempt.latency_s)
@@ -75,7 +89,24 @@
     def _cancelled(self, upstream: TrackedUpstream, attempt: Attempt, now_s: float) -> None:
         slowness = self.reference.slowness(attempt.request_kind, attempt.latency_s)
         if slowness is not None and slowness >= _CANCELLED_LOG:
-            upstream.observed.add_answer(slowness, now_s)
+            self._observe_answer(upstream, slowness, now_s)
+
+    def _observe_answer(
+        self, upstream: TrackedUpstream, slowness: float | None, now_s: float
+    ) -> None:
+        upstream.observed.add_answer(slowness, now_s)
+        tests = upstream.observed.tests
+        tests.add_outcome(0.0, TOLERATED_FAILURE_SHARE, now_s)
+        if slowness is not None:
+            tests.add_slowness(self._excess(upstream, slowness), self._spread(), now_s)
+        self.neighbours.add(upstream.name, 0.0, slowness)
+
+    def _excess(self, upstream: TrackedUpstream, slowness: float) -> float:
+        others = max(0.0, self.neighbours.common_slowness(upstream.name))
+        return slowness - others - self._limits.tolerated_log
+
+    def _spread(self) -> float:
+        return max(LEAST_SPREAD, self.reference.spread)
 
     def _failure(
         self, upstream: TrackedUpstream, attempt: Attempt, now_s: float, suspect: bool
@@ -87,6 +118,11 @@
         if self._is_crash(upstream, attempt.outcome, now_s, suspect):
             weight *= _EXPLAINED_WEIGHT
         upstream.observed.add_failure(weight, now_s)
+        expected = self.neighbours.failure_share(upstream.name)
+        upstream.observed.tests.add_outcome(weight, expected, now_s)
+        self.neighbours.add(upstream.name, min(1.0, weight), None)
+        self.recent.add(upstream.name, attempt.started_s, failed=True)
+        upstream.observed.note_failure(attempt.started_s)
 
     def _explained(self, upstream: TrackedUpstream, attempt: Attempt, now_s: float) -> float:
         """Return the share of such requests that fail at the other upstreams as well."""
