--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -197,7 +197,8 @@
             self._network,
             self._view,
             lambda envelope: requests.execute(envelope),
-            KeyLimits(answers_size_bytes=settings.limits.kept_answers_size_bytes),
+            # Each of the two roles, home and witness, has half.
+            KeyLimits(answers_size_bytes=settings.limits.kept_answers_size_bytes // 2),
         )
         requests = RequestPath(
             self._routing, self._view, self._network, self._keyed, executor, accounting
