--- a/src/egretrail/runtime/_membership.py
+++ b/src/egretrail/runtime/_membership.py
@@ -238,7 +238,8 @@
         reached = [reply.answer for reply in answered if reply.answer is not None]
         for word in reached:
             self._table.heard(word, _now_s())
-        if not reached:
+        # When not even the helpers answer, this instance is the likelier cause.
+        if not reached and (answered or not helpers):
             self._table.suspect(target, _now_s())
 
     async def _ping(self, target: InstanceName, timeout_s: float) -> bool:
--- a/src/egretrail/runtime/_upstream_list.py
+++ b/src/egretrail/runtime/_upstream_list.py
@@ -59,6 +59,8 @@
         self._serves = serves
         self._rng = rng or random.Random(membership.own.incarnation.number)
         self._directory = UpstreamDirectory(serves)
+        self._answers: dict[ServiceName, Sequence[ListedInstance]] = {}
+        self._answered_changes = -1
         self._all_rows: Mapping[ServiceName, Sequence[UpstreamRow]] = {}
         self._read_s: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -92,7 +94,14 @@
 
     def upstreams(self, service: ServiceName) -> Sequence[ListedInstance]:
         """Return the upstreams that may get new work, in a stable order."""
-        return [_listed(service, row) for row in self._directory.upstreams(service)]
+        if self._directory.changes != self._answered_changes:
+            self._answers.clear()
+            self._answered_changes = self._directory.changes
+        answer = self._answers.get(service)
+        if answer is None:
+            answer = [_listed(service, row) for row in self._directory.upstreams(service)]
+            self._answers[service] = answer
+        return answer
 
     def names(self, service: ServiceName) -> Sequence[UpstreamName]:
         """Return the names of the upstreams that count as capacity."""
