--- a/src/egretrail/runtime/_upstream_list.py
+++ b/src/egretrail/runtime/_upstream_list.py
@@ -60,6 +60,7 @@
         self._rng = rng or random.Random(membership.own.incarnation.number)
         self._directory = UpstreamDirectory(serves)
         self._answers: dict[ServiceName, Sequence[ListedInstance]] = {}
+        self._names: dict[ServiceName, Sequence[UpstreamName]] = {}
         self._answered_changes = -1
         self._all_rows: Mapping[ServiceName, Sequence[UpstreamRow]] = {}
         self._read_s: float | None = None
@@ -94,9 +95,7 @@
 
     def upstreams(self, service: ServiceName) -> Sequence[ListedInstance]:
         """Return the upstreams that may get new work, in a stable order."""
-        if self._directory.changes != self._answered_changes:
-            self._answers.clear()
-            self._answered_changes = self._directory.changes
+        self._forget_old_answers()
         answer = self._answers.get(service)
         if answer is None:
             answer = [_listed(service, row) for row in self._directory.upstreams(service)]
@@ -105,7 +104,19 @@
 
     def names(self, service: ServiceName) -> Sequence[UpstreamName]:
         """Return the names of the upstreams that count as capacity."""
-        return [row.name for row in self._directory.upstreams(service)]
+        self._forget_old_answers()
+        names = self._names.get(service)
+        if names is None:
+            names = [row.name for row in self._directory.upstreams(service)]
+            self._names[service] = names
+        return names
+
+    def _forget_old_answers(self) -> None:
+        """Drop answers given before the last change: both are asked for at every placement."""
+        if self._directory.changes != self._answered_changes:
+            self._answers.clear()
+            self._names.clear()
+            self._answered_changes = self._directory.changes
 
     def listings(self, service: ServiceName) -> Mapping[UpstreamName, UpstreamListing]:
         """Return what is known of each upstream, for operators."""
