--- a/src/egretrail/route/_path.py
+++ b/src/egretrail/route/_path.py
@@ -14,6 +14,8 @@
 
 from result import Err, Ok, Result
 
+#: Most paths have nothing of what is looked at more closely.
+_SUSPECT = re.compile(r"/\.\.?(?:/|$)|[\\%\x00-\x1f\x7f]")
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
 _SEPARATORS = re.compile(r"[/\\]")
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
@@ -48,6 +50,8 @@
     if not bare.startswith("/"):
         return Err(UnsafePath(path, PathFault.NOT_ABSOLUTE))
     segments = [segment for segment in bare.split("/") if segment]
+    if not _SUSPECT.search(bare):
+        return Ok(segments)
     if "%" in bare:
         if _BAD_ESCAPE.search(bare):
             return Err(UnsafePath(path, PathFault.BAD_ESCAPE))
--- a/src/egretrail/runtime/tests/test_settings.py
+++ b/src/egretrail/runtime/tests/test_settings.py
@@ -116,7 +116,7 @@
             seen = 1
             answer = await driver.put(SERVICE, "floor = 2", seen, "change-two", "t")
             assert isinstance(answer, Err)
-            self.assertIsInstance(answer.err_value, (WriteUnresolved, LostRace))
+            self.assertIsInstance(answer.err_value, WriteUnresolved)
             fleet.store.get = get  # type: ignore[method-assign]
             again = await driver.put(SERVICE, "floor = 2", seen, "change-two", "t")
             self.assertEqual(2, again.unwrap().revision)
