Keep what a restored store lacks until operators have put it again

Cause: once operators had mended the older paths, a whole read looked right and the paths that the restored copy lacks were taken as deleted. The revision up to which writes were lost now travels with comparisons.

--- a/src/egretrail/runtime/_settings.py
+++ b/src/egretrail/runtime/_settings.py
@@ -245,7 +245,7 @@
                 confirmed = await self._reader.refresh(self._policy.watch_wait_s)
                 pause_s = self._policy.watch_pause_s
                 if not confirmed:
-                    pause_s = self._jittered(self._policy.retry_s)
+                    pause_s = self._jittered(self._retry_s())
             await asyncio.sleep(pause_s)
 
     async def _keep_compared(self) -> None:
@@ -269,6 +269,11 @@
             if stale and not self._watches():
                 await self._reader.refresh(0.0)
 
+    def _retry_s(self) -> float:
+        # A store that lost writes is read whole each time, until operators have mended it.
+        behind = self._state.behind is not None
+        return self._policy.stale_after_s if behind else self._policy.retry_s
+
     def _watches(self) -> bool:
         zones = {member.name: member.availability_zone for member in self._peers.others()}
         zones[self._own.instance] = self._view.own.availability_zone
--- a/src/egretrail/runtime/_settings_peers.py
+++ b/src/egretrail/runtime/_settings_peers.py
@@ -147,13 +147,14 @@
         while idle < _IDLE_ROUNDS_LIMIT:
             root = self._state.catalogue.tree.root
             asked_s = asyncio.get_running_loop().time()
-            question = CompareSettings(root, self._state.catalogue.complete_revision)
+            question = self._question(root)
             answer = await self._network.ask(
                 peer, question, SettingsCompared, self._policy.ask_timeout_s
             )
             if isinstance(answer, Err):
                 return False
             compared = answer.ok_value
+            self._state.catalogue.distrust_upto(compared.lost_upto_revision)
             if not compared.buckets:
                 return self._agreed(compared, asked_s)
             if len(compared.buckets) != BUCKETS or not await self._pull(peer, compared.buckets):
@@ -162,6 +163,10 @@
             before = (root, compared.buckets)
         return False
 
+    def _question(self, root: int) -> CompareSettings:
+        catalogue = self._state.catalogue
+        return CompareSettings(root, catalogue.complete_revision, catalogue.lost_upto_revision)
+
     def _agreed(self, compared: SettingsCompared, asked_s: float) -> bool:
         # Both held the same live paths when the peer answered, so that what it had seen is held.
         self._state.complete_upto(compared.complete_revision)
@@ -212,6 +217,7 @@
 
     async def _on_compare(self, _: Incarnation, body: CompareSettings) -> Message | None:
         catalogue = self._state.catalogue
+        catalogue.distrust_upto(body.lost_upto_revision)
         same = body.root == catalogue.tree.root
         if same:
             self._state.complete_upto(body.complete_revision)
@@ -219,6 +225,7 @@
         now_s = asyncio.get_running_loop().time()
         return SettingsCompared(
             complete_revision=catalogue.complete_revision,
+            lost_upto_revision=catalogue.lost_upto_revision,
             buckets=() if same else catalogue.tree.buckets,
             caught_up=self.caught_up.is_set(),
             confirmed_age_s=None if confirmed_at_s is None else now_s - confirmed_at_s,
--- a/src/egretrail/runtime/_settings_state.py
+++ b/src/egretrail/runtime/_settings_state.py
@@ -37,6 +37,7 @@
         self.compared_at_s: float | None = None
         #: The store's last answer that was older than the fleet; None once it has caught up.
         self.behind: StoreBehind | None = None
+        self._behind_at_s = 0.0
         #: No path has changed after this revision and up to the complete revision.
         self.quiet_from_revision = 0
         self._listeners: list[SettingsListener] = []
@@ -80,8 +81,10 @@
         """Note that the store confirmed at a time what is held."""
         self.confirmed_at_s = max(at_s, self.confirmed_at_s or at_s)
         self.compared_at_s = max(at_s, self.compared_at_s or at_s)
+        if self.behind is not None and at_s > self._behind_at_s:
+            self.behind = None
 
-    def report_behind(self, behind: StoreBehind | None) -> None:
+    def report_behind(self, behind: StoreBehind | None, at_s: float) -> None:
         """Keep and log that the store shows an older state than the fleet, or no longer does."""
         if behind is not None and behind != self.behind:
             _log.error(
@@ -91,6 +94,7 @@
                 paths=",".join(behind.paths[:10]),
             )
         self.behind = behind
+        self._behind_at_s = at_s
 
     def _bring_into_force(self, applied: Sequence[SettingChange]) -> None:
         paths = []
--- a/src/egretrail/runtime/_settings_store.py
+++ b/src/egretrail/runtime/_settings_store.py
@@ -35,7 +35,7 @@
 
     async def refresh(self, wait_s: float) -> bool:
         """Learn what has changed, waiting for a change at most so long; return whether it did."""
-        started_s = asyncio.get_running_loop().time()
+        started_s = _now_s()
         if self._trusted and (self._whole_read or self._state.catalogue.complete_revision):
             confirmed = await self._watch(wait_s)
         else:
@@ -54,7 +54,7 @@
         snapshot = answer.ok_value
         changes = _changes(snapshot.entries)
         outcome = self._state.apply_snapshot(changes, snapshot.revision, asked_at_revision)
-        self._state.report_behind(outcome.behind)
+        self._state.report_behind(outcome.behind, _now_s())
         revision = self._state.catalogue.complete_revision
         self._peers.spread(ChangeRun(revision, revision, outcome.applied))
         self._whole_read = outcome.behind is None
@@ -72,9 +72,11 @@
         self._answered()
         events = answer.ok_value
         if events.revision < known_revision:
-            self._state.report_behind(StoreBehind(events.revision, known_revision, []))
+            self._state.catalogue.distrust_upto(known_revision)
+            behind = StoreBehind(events.revision, known_revision, [])
+            self._state.report_behind(behind, _now_s())
             return False
-        self._state.report_behind(None)
+        self._state.report_behind(None, _now_s())
         after_revision = min(asked_at_revision, self._state.quiet_from_revision)
         run = ChangeRun(after_revision, events.revision, _changes(events.entries))
         if self._state.apply_run(run).applied:
@@ -93,5 +95,9 @@
         self.out = False
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _changes(entries: Sequence[Entry]) -> Sequence[SettingChange]:
     return [change_of(entry.path, entry.value, entry.revision) for entry in entries]
--- a/src/egretrail/runtime/tests/test_settings.py
+++ b/src/egretrail/runtime/tests/test_settings.py
@@ -12,9 +12,11 @@
     SettingsFleet,
     floor_of,
 )
-from egretrail.settings import LostRace, StoreBehind, StoreOut, WriteUnresolved
+from egretrail.settings import LostRace, SettingPath, StoreBehind, StoreOut, WriteUnresolved
 from egretrail.testing import EgretrailTestCase, FakeStore, cases
 
+_OTHER = SettingPath.parse("t/services/b").unwrap()
+
 
 class SettingsTestCase(EgretrailTestCase):
     def run_fleet(
@@ -318,6 +320,7 @@
         async def body(fleet: SettingsFleet) -> None:
             await fleet.put_floor(2)
             await fleet.until_floor(2)
+            await fleet.some().put(_OTHER, "floor = 1", 0, "change-other", "t")
             store = fleet.store
             store.set_out(True)
             await asyncio.sleep(5.0)
@@ -336,5 +339,17 @@
                 await store.put(f"other/{number}", "x", 0)
             await fleet.put_floor(4)
             await fleet.until_floor(4)
+            # The restored copy lacks the second service too; it stays, also on who joins.
+            joined = fleet.add("new", "zone-0")
+            await joined.start()
+            await asyncio.sleep(120.0)
+            for driver in fleet.drivers.values():
+                self.assertEqual(2, len(driver.settings().services))
+            behind = [d.status().behind for d in fleet.drivers.values() if d.status().behind]
+            self.assertEqual({("t/services/b",)}, {tuple(b.paths) for b in behind if b})
+            again = await fleet.some().put(_OTHER, "floor = 1", 3, "change-again", "t")
+            self.assertIsInstance(again, Ok)
+            await asyncio.sleep(120.0)
+            self.assertFalse(any(d.status().behind for d in fleet.drivers.values()))
 
         self.run_fleet(6, body)
--- a/src/egretrail/settings/_catalogue.py
+++ b/src/egretrail/settings/_catalogue.py
@@ -103,6 +103,7 @@
         self.in_force = InForce()
         self._complete_revision = 0
         self._highest_generation = 0
+        self._lost_upto_revision = 0
 
     @property
     def complete_revision(self) -> int:
@@ -114,6 +115,19 @@
         """Return the highest revision that the store is known to have reached."""
         return max(self._highest_generation, self._complete_revision)
 
+    @property
+    def lost_upto_revision(self) -> int:
+        """Return the revision up to which the store may have lost writes; 0: none were missed."""
+        return self._lost_upto_revision
+
+    def distrust_upto(self, revision: int) -> None:
+        """Take what the store does not show as deleted only if it is above a revision.
+
+        Load: a store restored from an old copy, while operators mend it path by path. Harm
+        prevented: paths that the copy lacks vanishing once the mended ones look right.
+        """
+        self._lost_upto_revision = max(revision, self._lost_upto_revision)
+
     @property
     def tree(self) -> DigestTree:
         """Return the digests of the live paths."""
@@ -173,10 +187,14 @@
             elif outcome is Outcome.OLDER and known_revision <= revision:
                 older.append(change.path)
         if older or revision < asked_at_revision:
-            return SnapshotOutcome(applied, StoreBehind(revision, self.highest_revision, older))
+            self.distrust_upto(asked_at_revision)
         shown = {change.path for change in changes}
-        for held in list(self._held.values()):
-            if held.path not in shown and held.generation <= revision:
+        absent = [c for c in self._held.values() if c.path not in shown]
+        older += [c.path for c in absent if c.generation <= self._lost_upto_revision]
+        if older or revision < asked_at_revision:
+            return SnapshotOutcome(applied, StoreBehind(revision, self.highest_revision, older))
+        for held in absent:
+            if held.generation <= revision:
                 gone = SettingChange(held.path, revision, "", None)
                 self.apply(gone)
                 applied.append(gone)
--- a/src/egretrail/settings/_messages.py
+++ b/src/egretrail/settings/_messages.py
@@ -26,6 +26,8 @@
     root: int
     #: The revision up to which the asker has seen every change.
     complete_revision: int
+    #: The revision up to which the asker knows that the store lost writes.
+    lost_upto_revision: int
 
 
 @message("settings.compared")
@@ -35,6 +37,8 @@
 
     #: The revision up to which the receiver has seen every change.
     complete_revision: int
+    #: The revision up to which the receiver knows that the store lost writes.
+    lost_upto_revision: int
     #: The receiver's digests by bucket; empty when both hold the same.
     buckets: Sequence[int]
     #: Whether the receiver has caught up since its start.
