--- a/src/egretrail/runtime/_evidence.py
+++ b/src/egretrail/runtime/_evidence.py
@@ -11,7 +11,7 @@
 from egretrail.wire import Message
 
 #: How often time is let pass: overdue attempts and ends of ejections are found this late.
-TICK_S = 0.05
+TICK_S = 0.1
 
 #: All observations of a service are sent this often; what matters at once is sent at once.
 INTERVAL_S = 1.0
@@ -25,8 +25,8 @@
 BUDGET_BYTES_PER_S = 2500.0
 
 #: Size of one upstream's row and of the rest of a message, as measured; see docs/design/health.md.
-_ROW_SIZE_BYTES = 32
-_HEAD_SIZE_BYTES = 130
+_ROW_SIZE_BYTES = 20
+_HEAD_SIZE_BYTES = 160
 
 #: Losses after which the upstream, and so perhaps the request, is suspected.
 _LOSSES = (AttemptOutcome.LOST, AttemptOutcome.TRUNCATED)
--- a/src/egretrail/upstream/_drift.py
+++ b/src/egretrail/upstream/_drift.py
@@ -97,6 +97,11 @@
         """Return the sums as faded by now."""
         return self._drifts.after(now_s - self._at_s)
 
+    @property
+    def most(self) -> float:
+        """Return the highest sum as it was after the last attempt."""
+        return max(self._drifts.frequent, self._drifts.rare, self._drifts.slow)
+
     def add_outcome(self, failed: float, expected_share: float, now_s: float) -> None:
         """Count an attempt that failed with a weight (0: answered)."""
         held = self.drifts(now_s)
--- a/src/egretrail/upstream/_health.py
+++ b/src/egretrail/upstream/_health.py
@@ -23,6 +23,10 @@
 #: Declining this much more often than the service's upstreams on average shifts work away.
 _SHED_NOTABLE = 0.2
 
+#: From this part of the ejecting score on, an upstream is judged as time passes, not only when
+#: something happens.
+_DOUBTFUL = 0.5
+
 
 class ServiceHealth:
     """Judges the upstreams of one service from real work, its own and its group's.
@@ -85,6 +89,8 @@
         if upstream is None or upstream.lifecycle.predates_return(attempt.started_s):
             return
         self._recorder.record(upstream, attempt, now_s, suspect)
+        if self._needs_no_judgement(upstream):
+            return
         self._evaluate(upstream, now_s)
         if upstream.observed.worth_telling(now_s):
             upstream.urgent = True
@@ -128,7 +134,8 @@
         self._under_way.find_overdue(self._upstreams, self._recorder, now_s)
         for upstream in self._upstreams.values():
             lifecycle = upstream.lifecycle
-            if upstream.observed.overdue or lifecycle.suspicion or lifecycle.out:
+            doubtful = lifecycle.suspicion >= _DOUBTFUL or lifecycle.out
+            if doubtful or upstream.observed.overdue:
                 self._evaluate(upstream, now_s)
             else:
                 self._advance(upstream, now_s)
@@ -157,6 +164,12 @@
         known = self._upstreams.get(upstream)
         return known.observed.in_flight if known is not None else 0
 
+    def _needs_no_judgement(self, upstream: TrackedUpstream) -> bool:
+        """Return whether an attempt changes nothing: a healthy upstream did well again."""
+        lifecycle = upstream.lifecycle
+        healthy = lifecycle.state is UpstreamState.HEALTHY and lifecycle.suspicion < _DOUBTFUL
+        return healthy and upstream.observed.is_quiet() and not upstream.observed.overdue
+
     def _track(self, name: UpstreamName, now_s: float) -> TrackedUpstream:
         lifecycle = Lifecycle(self._limits, self._ramp_s, self._rng, now_s, new=self._started)
         return TrackedUpstream(name, Observed(now_s), lifecycle)
@@ -180,7 +193,7 @@
                 lifecycle.adopt(row.generation, row.ejected_s, now_s)
             else:
                 lifecycle.generation = row.generation
-        elif row.short.failures > 0 or row.long.failures > 0 or row.drifts.slow > 0:
+        elif upstream.observed.peers[sender].worth_telling:
             self._evaluate(upstream, now_s)
 
     def _evidence(self, upstreams: Sequence[TrackedUpstream], now_s: float) -> Evidence:
--- a/src/egretrail/upstream/_jury.py
+++ b/src/egretrail/upstream/_jury.py
@@ -55,6 +55,9 @@
 #: upstream, this many times: at the begin of a fault that hits all, all of them rise.
 _COMMON_DRIFT = 2.0
 
+#: Sequential tests below this decide nothing: the least ejecting score is several times higher.
+_LEAST_DRIFT = 1.5
+
 #: A failure of at least this weight ends a trial.
 _TRIAL_FAILURE = 0.5
 
@@ -161,7 +164,7 @@
     def _worth_comparing(self, testimony: _Testimony) -> bool:
         """Return whether any member's evidence could possibly stand out."""
         drifts = sum(testimony.drifts, NO_DRIFT)
-        if max(drifts.frequent, drifts.rare, drifts.slow) > 0.0:
+        if max(drifts.frequent, drifts.rare, drifts.slow) > _LEAST_DRIFT:
             return True
         tolerated_log = self._limits.tolerated_log
         for members in (testimony.short, testimony.long):
@@ -187,10 +190,7 @@
 
     def _judge(self, upstream: TrackedUpstream, testimony: _Testimony) -> Judgement:
         needed = self._limits.eject_score * upstream.lifecycle.threshold_factor
-        windows = [
-            *self._window_charges(testimony.short, self._baseline(self._short, upstream)),
-            *self._window_charges(testimony.long, self._baseline(self._long, upstream)),
-        ]
+        windows = self._windows(upstream, testimony)
         common = self._drifts.others(upstream.name).times(_COMMON_DRIFT)
         confirmed = _confirmed(windows, needed)
         drifts = _drift_charges(testimony.drifts, common)
@@ -218,13 +218,16 @@
         others_share = self._recorder.recent.others_failure_share(upstream.name, since_s)
         return onset_score(failures, others_share) >= _ONSET * needed
 
-    def _baseline(self, comparison: Comparison, upstream: TrackedUpstream) -> Baseline:
+    def _windows(self, upstream: TrackedUpstream, testimony: _Testimony) -> Sequence[_Charge]:
         neighbours = self._recorder.neighbours
-        return Baseline(
-            comparison.others(upstream.name),
-            neighbours.failure_share(upstream.name),
-            neighbours.common_slowness(upstream.name),
-        )
+        share = neighbours.failure_share(upstream.name)
+        slowness = neighbours.common_slowness(upstream.name)
+        short = Baseline(self._short.others(upstream.name), share, slowness)
+        long = Baseline(self._long.others(upstream.name), share, slowness)
+        return [
+            *self._window_charges(testimony.short, short),
+            *self._window_charges(testimony.long, long),
+        ]
 
     def _window_charges(self, members: Sequence[Counts], baseline: Baseline) -> Iterable[_Charge]:
         pooled = sum(members, NOTHING)
--- a/src/egretrail/upstream/_observed.py
+++ b/src/egretrail/upstream/_observed.py
@@ -14,6 +14,9 @@
 _URGENT_FAILURES = 0.5
 _URGENT_DRIFT = 1.0
 
+#: Sequential tests below this decide nothing: the least ejecting score is several times higher.
+_QUIET_DRIFT = 1.5
+
 #: Losses within this time on one upstream are one event: a crash loses all that was in flight.
 _ONE_CRASH_S = 0.2
 
@@ -34,6 +37,11 @@
     #: When it was received.
     at_s: float
 
+    @property
+    def worth_telling(self) -> bool:
+        """Return whether the observation says anything against the upstream."""
+        return _worth_telling(self.short, self.drifts)
+
 
 class Observed:
     """Own and peers' observations of one upstream."""
@@ -105,11 +113,17 @@
         """Return this member's long window, overdue attempts included."""
         return self.long.counts_with(self.overdue, self.overdue_slowness, now_s)
 
+    def is_quiet(self) -> bool:
+        """Return whether nothing that this member observed can speak against the upstream.
+
+        Almost every answer of a healthy service ends here: the fading, which only lowers what is
+        compared, is left out.
+        """
+        return self.failing_since_s is None and self.tests.most <= _QUIET_DRIFT
+
     def worth_telling(self, now_s: float) -> bool:
         """Return whether the group should know of this member's observations at once."""
-        drifts = self.own_drifts(now_s)
-        failures = self.short.counts(now_s).failures
-        return failures >= _URGENT_FAILURES or max(drifts.frequent, drifts.slow) >= _URGENT_DRIFT
+        return _worth_telling(self.short.counts(now_s), self.own_drifts(now_s))
 
     def members_short(self, generation: int, now_s: float) -> list[Counts]:
         """Return each member's short window, this member's first."""
@@ -143,3 +157,8 @@
             for peer in self.peers.values()
             if peer.generation >= generation and now_s - peer.at_s <= _STALE_S
         ]
+
+
+def _worth_telling(short: Counts, drifts: Drifts) -> bool:
+    most = max(drifts.frequent, drifts.rare, drifts.slow)
+    return short.failures >= _URGENT_FAILURES or most >= _URGENT_DRIFT
--- a/src/egretrail/upstream/_score.py
+++ b/src/egretrail/upstream/_score.py
@@ -26,6 +26,9 @@
 #: Fewer compared answers say nothing about slowness.
 _FEWEST_TIMED = 4.0
 
+#: A single failure never convicts.
+_FEWEST_FAILURES = 1.2
+
 #: Fewer attempts at the others are no comparison.
 _FEWEST_OTHERS = 2.0
 
@@ -95,8 +98,9 @@
 
 
 def failures_stand_out(counts: Counts) -> bool:
-    """Return whether the share of failures is more than any healthy upstream's may be."""
-    return counts.failures > TOLERATED_FAILURE_SHARE * counts.attempts
+    """Return whether there are more failures than any healthy upstream may have."""
+    few = counts.failures < _FEWEST_FAILURES
+    return not few and counts.failures > TOLERATED_FAILURE_SHARE * counts.attempts
 
 
 def slowness_stands_out(counts: Counts, tolerated_log: float) -> bool:
--- a/src/egretrail/upstream/tests/_faults.py
+++ b/src/egretrail/upstream/tests/_faults.py
@@ -131,6 +131,7 @@
 INNOCENT: Mapping[str, Plan] = {
     "healthy": Plan(),
     "heavy_tail": Plan(spread=1.0),
+    "heavy_tail_long": Plan(spread=1.0, seconds=300.0),
     "failing_background": Plan(background_failures=0.005),
     "bursts": Plan(rate_per_s=bursts, spread=1.0),
     "all_fail": Plan(fault=all_fail),
