--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -10,7 +10,8 @@
 import sys
 from collections.abc import Sequence
 
-from egretrail.service import EarliestDeadline, FairQueueing, Fifo, SlackAndLoad
+from benchmarks.slack_and_load import SlackAndLoad
+from egretrail.service import EarliestDeadline, FairQueueing, Fifo
 from egretrail.trace import (
     BASELINES,
     HELD_OUT_SEEDS,
--- a/src/egretrail/service/__init__.py
+++ b/src/egretrail/service/__init__.py
@@ -8,7 +8,8 @@
     DemandReporter,
     PeerDemands,
 )
-from egretrail.service._order import EarliestDeadline, FairQueueing, Fifo, QueueOrder, SlackAndLoad
+from egretrail.service._entry import Entry
+from egretrail.service._order import EarliestDeadline, FairQueueing, Fifo, QueueOrder
 from egretrail.service._refusals import (
     MayCrashUpstreams,
     NoUsableUpstream,
@@ -33,6 +34,7 @@
     "DemandReporter",
     "Dispatch",
     "EarliestDeadline",
+    "Entry",
     "FairQueueing",
     "Fifo",
     "Finish",
@@ -46,7 +48,6 @@
     "Refusal",
     "Refuse",
     "Scheduler",
-    "SlackAndLoad",
     "UpstreamWeights",
     "UpstreamsDeclined",
     "WaitedTooLong",
--- a/src/egretrail/service/_backlog.py
+++ b/src/egretrail/service/_backlog.py
@@ -8,11 +8,6 @@
 from egretrail.service._entry import Entry
 from egretrail.service._order import QueueOrder
 
-#: Share of the concurrency that long requests may hold while short ones wait.
-_LONG_SHARE_CONTENDED = 0.5
-#: Share that long requests may hold at all. The rest stays free, since a short request that finds
-#: every slot taken by long ones waits many times its own duration.
-_LONG_SHARE = 0.75
 #: Keeps the expected wait finite while no slot is free for this instance.
 _LEAST_CONCURRENCY = 0.1
 
@@ -68,30 +63,34 @@
         if not callers:
             del self._teams[entry.work.team]
 
-    def heads(self, long_in_flight: int, concurrency: float, now_s: float) -> Iterator[Entry]:
+    def waiting_of(self, entry: Entry) -> int:
+        """Return how many requests of the same caller wait."""
+        callers = self._teams.get(entry.work.team, {})
+        return len(callers.get(entry.work.caller, ()))
+
+    @property
+    def short_waiting(self) -> int:
+        """Return how many short requests wait."""
+        return len(self._short)
+
+    def heads(self, long_in_flight: int, long_limit: float, now_s: float) -> Iterator[Entry]:
         """Yield the requests that may start next, the preferred one first."""
         yield from list(self._again)
         short = self._short.peek(now_s)
         long = self._long.peek(now_s)
-        share = _LONG_SHARE if short is None else _LONG_SHARE_CONTENDED
-        if long is not None and long_in_flight < max(1.0, share * concurrency):
+        if long is not None and long_in_flight < max(1.0, long_limit):
             yield long
         if short is not None:
             yield short
 
-    def wait_s(self, entry: Entry, concurrency: float) -> float:
+    def wait_s(self, entry: Entry, concurrency: float, long_limit: float) -> float:
         """Return how long the request would wait if it came now."""
-        return self._lane(entry).cost_ahead_s(entry) / self._part(entry, concurrency)
+        return self._lane(entry).cost_ahead_s(entry) / _part(entry, concurrency, long_limit)
 
-    def wait_as_last_s(self, entry: Entry, concurrency: float) -> float:
+    def wait_as_last_s(self, entry: Entry, concurrency: float, long_limit: float) -> float:
         """Return how long a waiting request would wait if it were the last to start."""
-        return (self._lane(entry).total_s - entry.cost_s) / self._part(entry, concurrency)
-
-    def _part(self, entry: Entry, concurrency: float) -> float:
-        """Return the part of the concurrency that serves the request's queue."""
-        contended = len(self._short) and len(self._long)
-        share = _LONG_SHARE_CONTENDED if contended else (_LONG_SHARE if entry.is_long else 1.0)
-        return max(_LEAST_CONCURRENCY, share * concurrency)
+        ahead_s = self._lane(entry).total_s - entry.cost_s
+        return ahead_s / _part(entry, concurrency, long_limit)
 
     def heaviest_last(self) -> tuple[Entry, int] | None:
         """Return the newest request of the caller with most waiting, and how many it has.
@@ -122,3 +121,9 @@
 
     def _lane(self, entry: Entry) -> QueueOrder:
         return self._long if entry.is_long else self._short
+
+
+def _part(entry: Entry, concurrency: float, long_limit: float) -> float:
+    """Return the part of the concurrency that serves the request's queue."""
+    part = long_limit if entry.is_long else concurrency
+    return max(_LEAST_CONCURRENCY, part)
--- a/src/egretrail/service/_entry.py
+++ b/src/egretrail/service/_entry.py
@@ -20,6 +20,9 @@
     cost_s: float
     #: Whether its class takes much longer than the service's shortest.
     is_long: bool
+    #: The wait that was expected at its arrival, uncorrected, and what its caller had waiting then.
+    raw_wait_s: float = 0.0
+    caller_waiting: int = 0
     #: Upstreams it was sent to, in order.
     tried: list[UpstreamName] = field(default_factory=list)
     #: Start of each attempt that runs.
--- a/src/egretrail/service/_order.py
+++ b/src/egretrail/service/_order.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
-from egretrail.identity import CallerId, RouteName, TeamName
+from egretrail.identity import CallerId, TeamName
 from egretrail.service._entry import Entry
 
 
@@ -93,12 +93,6 @@
         return sum(each.cost_s for each in self._waiting if each.latest_start_s <= limit_s)
 
 
-#: The exponent that the paper found good, and a slack that keeps the urgency finite.
-_SLACK_POWER = 3
-_LEAST_SLACK_S = 0.001
-#: Weight of the newest length of a route's queue in its usual length.
-_USUAL_GAIN = 0.01
-
 _FlowKey = TypeVar("_FlowKey", bound=Hashable)
 
 #: Flows whose past service is remembered. A flow that is forgotten starts level with the others,
@@ -235,43 +229,3 @@
             if name != entry.work.team and each.queues
         )
         return in_team_s + others_s
-
-
-class SlackAndLoad(QueueOrder):
-    """The route whose oldest request has the least slack for its load comes first.
-
-    After Rafique et al., "Symphony: A Scheduler for Client-Server Applications on Coprocessor-based
-    Heterogeneous Clusters": the urgency of a route is its number of waiting requests, as a share of
-    the usual number, over the cube of its oldest request's slack. Within a route requests start in
-    the order of their arrival.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._routes: dict[RouteName, dict[Entry, None]] = {}
-        self._usual: dict[RouteName, float] = {}
-
-    def _insert(self, entry: Entry) -> None:
-        route = entry.work.route
-        waiting = self._routes.setdefault(route, {})
-        waiting[entry] = None
-        usual = self._usual.get(route, 1.0)
-        self._usual[route] = usual + _USUAL_GAIN * (len(waiting) - usual)
-
-    def _removed(self, entry: Entry) -> None:
-        waiting = self._routes[entry.work.route]
-        del waiting[entry]
-        if not waiting:
-            del self._routes[entry.work.route]
-
-    def peek(self, now_s: float) -> Entry | None:
-        """Return the oldest request of the most urgent route."""
-        if not self._routes:
-            return None
-        route = max(self._routes, key=lambda each: self._urgency(each, now_s))
-        return next(iter(self._routes[route]))
-
-    def _urgency(self, route: RouteName, now_s: float) -> float:
-        waiting = self._routes[route]
-        slack_s = max(_LEAST_SLACK_S, next(iter(waiting)).latest_start_s - now_s)
-        return len(waiting) / max(1.0, self._usual[route]) / slack_s**_SLACK_POWER
--- a/src/egretrail/service/_scheduler.py
+++ b/src/egretrail/service/_scheduler.py
@@ -13,6 +13,7 @@
 from egretrail.service._durations import Durations
 from egretrail.service._entry import Entry
 from egretrail.service._limits import UpstreamLimits
+from egretrail.service._long_share import LongShare
 from egretrail.service._order import FairQueueing, QueueOrder
 from egretrail.service._placing import Placing
 from egretrail.service._pool import Pool, Pools
@@ -25,6 +26,7 @@
     WaitedTooLong,
     WouldWaitTooLong,
 )
+from egretrail.service._waits import WaitCorrection
 from egretrail.service._work import AttemptResult, Work, WorkId
 
 #: Most requests that wait for one service on one instance. At a few kilobytes a request it bounds
@@ -70,6 +72,8 @@
         self._placing = Placing(zone, self._limits, rng)
         self._backlog = Backlog(order)
         self._durations = Durations()
+        self._waits = WaitCorrection()
+        self._long_share = LongShare()
         #: First tries and further attempts so far.
         self.budget = RetryBudget(retry_budget)
         self._entries: dict[WorkId, Entry] = {}
@@ -149,6 +153,8 @@
         return float(self._in_flight + len(self._backlog))
 
     def _take_pool(self, now_s: float) -> None:
+        short = self._in_flight - self._long_in_flight + self._backlog.short_waiting
+        self._long_share.note(short, now_s)
         self._pool = self._pools.take(self.demand, now_s)
 
     # Admission
@@ -160,13 +166,25 @@
             return NoUsableUpstream(self._retry_after_s(_NO_UPSTREAM_RETRY_AFTER_S))
         wait_s = 0.0
         if len(self._backlog):
-            wait_s = self._backlog.wait_s(entry, self._pool.allowance)
+            wait_s = self._expected_wait_s(entry)
         allowed_s = max(0.0, entry.latest_start_s - now_s)
         if wait_s > allowed_s or len(self._backlog) >= _MOST_WAITING:
             over_s = min(wait_s, entry.work.deadline_s - now_s) - allowed_s
             return WouldWaitTooLong(self._retry_after_s(over_s), wait_s, allowed_s)
         return None
 
+    def _expected_wait_s(self, entry: Entry) -> float:
+        entry.caller_waiting = self._backlog.waiting_of(entry)
+        entry.raw_wait_s = self._backlog.wait_s(entry, self._short_part(), self._long_limit())
+        return self._waits.expected_s(entry.raw_wait_s, entry.caller_waiting)
+
+    def _long_limit(self) -> float:
+        return self._long_share.share(self._pool.allowance) * self._pool.allowance
+
+    def _short_part(self) -> float:
+        """Return the concurrency that short requests have beside the long ones that run."""
+        return max(1.0, self._pool.allowance - self._long_in_flight)
+
     def _refuse_over_share(self, now_s: float) -> list[Action]:
         """Refuse the newest requests of the heaviest callers that can no longer start in time.
 
@@ -179,7 +197,8 @@
             if heaviest is None:
                 break
             entry, waiting = heaviest
-            wait_s = self._backlog.wait_as_last_s(entry, self._pool.allowance)
+            raw_s = self._backlog.wait_as_last_s(entry, self._short_part(), self._long_limit())
+            wait_s = self._waits.expected_s(raw_s, waiting)
             over_s = wait_s - (entry.latest_start_s - now_s)
             if over_s <= 0:
                 break
@@ -192,6 +211,7 @@
         actions: list[Action] = []
         for entry in self._backlog.expired(now_s):
             waited_s = now_s - entry.arrived_s
+            self._waits.note(entry.raw_wait_s, entry.caller_waiting, waited_s)
             actions += self._end(entry, WaitedTooLong(self._retry_after_s(0.0), waited_s))
         return actions
 
@@ -215,7 +235,7 @@
         concurrency = self._pool.allowance
         if self._in_flight >= concurrency:
             return []
-        for entry in self._backlog.heads(self._long_in_flight, concurrency, now_s):
+        for entry in self._backlog.heads(self._long_in_flight, self._long_limit(), now_s):
             if not self._weights.may_run(entry.work.digest, now_s):
                 self._backlog.remove(entry)
                 return self._end(entry, MayCrashUpstreams(_SUSPECT_RETRY_AFTER_S))
@@ -224,6 +244,7 @@
                 continue
             self._backlog.take(entry)
             if not entry.tried:
+                self._waits.note(entry.raw_wait_s, entry.caller_waiting, now_s - entry.arrived_s)
                 self.budget.first_try()
             return [self._start(entry, chosen.name, now_s)]
         return []
--- a/src/egretrail/trace/__init__.py
+++ b/src/egretrail/trace/__init__.py
@@ -3,10 +3,23 @@
 from egretrail.trace._baselines import BASELINES
 from egretrail.trace._egretrail import EgretrailFactory, Variant
 from egretrail.trace._figures import Detection, Figures, figures, quantile
+from egretrail.trace._format import TRACE_VERSION, MalformedTrace, parse_trace, trace_lines
 from egretrail.trace._oracle import Oracle
 from egretrail.trace._player import Ending, Player, PlayLog, RequestLog
 from egretrail.trace._policy import Policy, PolicyFactory
-from egretrail.trace._recipes import RECIPES, Deployment, Recipe
+from egretrail.trace._recipes import (
+    READS,
+    RECIPES,
+    WRITES,
+    Deployment,
+    Load,
+    Recipe,
+    Site,
+    capacity_per_s,
+    header_of,
+    requests_of,
+    steady,
+)
 from egretrail.trace._records import (
     Expectation,
     Fault,
@@ -24,8 +37,11 @@
 __all__ = [
     "BASELINES",
     "HELD_OUT_SEEDS",
+    "READS",
     "RECIPES",
+    "TRACE_VERSION",
     "TUNING_SEEDS",
+    "WRITES",
     "Deployment",
     "Detection",
     "EgretrailFactory",
@@ -34,6 +50,8 @@
     "Fault",
     "FaultKind",
     "Figures",
+    "Load",
+    "MalformedTrace",
     "MemberLost",
     "Oracle",
     "PlayLog",
@@ -43,6 +61,7 @@
     "Recipe",
     "RequestLog",
     "Row",
+    "Site",
     "Target",
     "Trace",
     "TraceHeader",
@@ -51,10 +70,16 @@
     "TracedUpstream",
     "Unmet",
     "Variant",
+    "capacity_per_s",
     "figures",
+    "header_of",
+    "parse_trace",
     "play",
     "quantile",
+    "requests_of",
     "slowdown",
+    "steady",
     "table",
     "targets",
+    "trace_lines",
 ]
