Tell long work apart from a ratio of 3, and keep for short work what its spread needs

Cause: durations under load hold the wait at the upstream, so that 12 times the work was measured as under 5 times, and the long requests ran as short ones.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,102 @@
+"""Microbenchmarks of the scheduler's decisions by the number of upstreams; prints one table.
+
+A request is submitted and finished with slots free (placing), or submitted to a full queue and
+refused (admitting). The upstreams' candidates are taken anew for each event, as the daemon does.
+"""
+
+import random
+import sys
+import time
+from collections.abc import Callable, Sequence
+
+from egretrail.identity import AvailabilityZone, CallerId, RouteName, TeamName, UpstreamName
+from egretrail.service import (
+    AttemptResult,
+    Candidate,
+    CostClass,
+    Dispatch,
+    GroupPosition,
+    Scheduler,
+    UpstreamWeights,
+    Work,
+    WorkId,
+)
+
+_UPSTREAM_COUNTS = (10, 31, 200)
+_SLOTS = 4
+_ROUNDS = 2000
+_REPEATS = 5
+_ZONE = AvailabilityZone("espoo-b")
+
+
+class _Weights(UpstreamWeights):
+    """A fixed set of upstreams, in a new sequence each time."""
+
+    def __init__(self, count: int) -> None:
+        self._candidates = [
+            Candidate(UpstreamName(f"u{index}"), _ZONE, 1.0, False, _SLOTS)
+            for index in range(count)
+        ]
+
+    def usable(self, now_s: float) -> Sequence[Candidate]:
+        """Return the upstreams."""
+        return list(self._candidates)
+
+    def position(self) -> GroupPosition:
+        """Return one of three members."""
+        return GroupPosition(1, 3)
+
+
+def _work(number: int, now_s: float) -> Work:
+    return Work(
+        WorkId(str(number)),
+        CallerId(f"c{number % 7}"),
+        TeamName("tiles"),
+        RouteName("catalogue"),
+        True,
+        now_s + 2.0,
+        0.5,
+        CostClass("GET"),
+    )
+
+
+def _placing(count: int) -> None:
+    scheduler = Scheduler(_ZONE, _Weights(count), 0.1, random.Random(1))
+    for number in range(_ROUNDS):
+        now_s = number * 0.001
+        (action,) = scheduler.submit(_work(number, now_s), now_s)
+        assert isinstance(action, Dispatch)
+        scheduler.finished(action.work_id, action.upstream, AttemptResult.ANSWERED, now_s + 0.0005)
+
+
+def _admitting(count: int) -> None:
+    scheduler = Scheduler(_ZONE, _Weights(count), 0.1, random.Random(1))
+    for number in range(count * _SLOTS + _ROUNDS):
+        scheduler.submit(_work(number, 0.0), 0.0)
+
+
+def _microseconds(run: Callable[[int], None], count: int, events: int) -> float:
+    """Return the least time of an event over the repeats."""
+    found = []
+    for _ in range(_REPEATS):
+        begun_s = time.process_time()
+        run(count)
+        found.append(time.process_time() - begun_s)
+    return 1e6 * min(found) / events
+
+
+def main() -> None:
+    """Print the table."""
+    lines = [
+        "| upstreams | placing, us a request | admitting to a full queue, us |",
+        "| --- | --- | --- |",
+    ]
+    for count in _UPSTREAM_COUNTS:
+        placing = _microseconds(_placing, count, _ROUNDS)
+        admitting = _microseconds(_admitting, count, _ROUNDS + count * _SLOTS)
+        lines.append(f"| {count} | {placing:.0f} | {admitting:.0f} |")
+    sys.stdout.write("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/egretrail/service/_durations.py
+++ b/src/egretrail/service/_durations.py
@@ -8,8 +8,9 @@
 #: Assumed for a class until its first answer, the middle of what the deployments report.
 _FIRST_GUESS_S = 0.05
 #: A class is long when it takes this many times the shortest class. Below that, mixing classes
-#: costs less than the slots that parting them would leave idle.
-_LONG_RATIO = 5.0
+#: costs less than the slots that parting them would leave idle. Durations include what a request
+#: waits at its upstream, so that the measured ratio under load is smaller than that of the work.
+_LONG_RATIO = 3.0
 #: Most classes remembered; one for each route and method of a service is far fewer.
 _MOST_CLASSES = 256
 #: Deviations above the mean at which a request counts as slow, near the 95th percentile.
@@ -19,16 +20,19 @@
 class _Duration:
     """Moving mean and mean deviation of one class."""
 
-    __slots__ = ("deviation_s", "mean_s")
+    __slots__ = ("count", "deviation_s", "mean_s")
 
     def __init__(self, first_s: float) -> None:
+        self.count = 1
         self.mean_s = first_s
         self.deviation_s = first_s / 2
 
     def add(self, duration_s: float) -> None:
+        self.count += 1
+        gain = max(_GAIN, 1.0 / self.count)
         error_s = duration_s - self.mean_s
-        self.mean_s += _GAIN * error_s
-        self.deviation_s += _GAIN * (abs(error_s) - self.deviation_s)
+        self.mean_s += gain * error_s
+        self.deviation_s += gain * (abs(error_s) - self.deviation_s)
 
 
 class Durations:
--- a/src/egretrail/service/_long_share.py
+++ b/src/egretrail/service/_long_share.py
@@ -4,8 +4,8 @@
 
 #: Time over which the demand of short requests is averaged: a few long requests.
 _AVERAGED_S = 3.0
-#: Slots kept for short requests beyond their average, for their spread.
-_HEADROOM = 1.3
+#: Slots kept for short requests beyond their average, in standard deviations of what runs of them.
+_SPREADS = 1.5
 #: Long requests may always hold a quarter of the slots, and never more than nine tenths, so that
 #: neither kind stops while the other is busy.
 _LEAST_SHARE = 0.25
@@ -32,5 +32,6 @@
 
     def share(self, concurrency: float) -> float:
         """Return the share of the concurrency that long requests may hold."""
-        left = 1.0 - _HEADROOM * self._short / max(1.0, concurrency)
+        kept = self._short + _SPREADS * math.sqrt(self._short)
+        left = 1.0 - kept / max(1.0, concurrency)
         return min(_MOST_SHARE, max(_LEAST_SHARE, left))
--- a/src/egretrail/service/_pool.py
+++ b/src/egretrail/service/_pool.py
@@ -8,7 +8,8 @@
 from egretrail.service._shares import GroupPosition, fair_share, home_slots
 
 #: Requests sent beyond the own part of the slots. What the members know of each other is a tenth
-#: of a second old; without some excess, slots stand idle while requests wait for them.
+#: of a second old; without some excess, slots stand idle while requests wait for them. None while
+#: long requests run: what is sent in excess could wait behind one at its upstream.
 _OVERCOMMIT = 1.1
 
 
@@ -49,7 +50,7 @@
         self._home = 0.0
         self._full_weight = 0.0
 
-    def take(self, demand: float, now_s: float) -> Pool:
+    def take(self, demand: float, long_in_flight: int, now_s: float) -> Pool:
         """Return the pool as health, the limits and the peers' demands make it now."""
         candidates = self._weights.usable(now_s)
         if candidates is not self._candidates or self._version != self._limits.version:
@@ -57,7 +58,8 @@
             self._version = self._limits.version
             self._make(candidates)
         fair = fair_share(self._capacity, demand, self._weights.peer_demands(now_s))
-        allowance = max(1.0, max(self._home, fair) * _OVERCOMMIT)
+        excess = 1.0 if long_in_flight else _OVERCOMMIT
+        allowance = max(1.0, max(self._home, fair) * excess)
         return Pool(self._upstreams, self._full_weight, allowance)
 
     def _make(self, candidates: Sequence[Candidate]) -> None:
--- a/src/egretrail/service/_scheduler.py
+++ b/src/egretrail/service/_scheduler.py
@@ -155,7 +155,7 @@
     def _take_pool(self, now_s: float) -> None:
         short = self._in_flight - self._long_in_flight + self._backlog.short_waiting
         self._long_share.note(short, now_s)
-        self._pool = self._pools.take(self.demand, now_s)
+        self._pool = self._pools.take(self.demand, self._long_in_flight, now_s)
 
     # Admission
 
--- a/src/egretrail/trace/tests/test_load_shapes.py
+++ b/src/egretrail/trace/tests/test_load_shapes.py
@@ -124,7 +124,7 @@
             if done.ending is Ending.ANSWERED
         ]
         self.assertGreaterEqual(len(waits_s) / len(short), 0.97)
-        self.assertLessEqual(quantile(waits_s, 0.95), 0.1)
+        self.assertLessEqual(quantile(waits_s, 0.95), WRITE.queue_s / 2)
 
 
 class SaturationTest(EgretrailTestCase):
