--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -5,7 +5,7 @@
 import secrets
 import signal
 import time
-from collections.abc import Mapping
+from collections.abc import Awaitable, Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -15,6 +15,7 @@
 from egretrail.daemon._accounting import Accounting
 from egretrail.daemon._caller_face import CallerFace
 from egretrail.daemon._execution import Executor
+from egretrail.daemon._floors import SettingsFloors
 from egretrail.daemon._http_server import HttpServer
 from egretrail.daemon._metrics import Metrics
 from egretrail.daemon._operator_face import (
@@ -32,8 +33,6 @@
 from egretrail.daemon._resolve import Resolver
 from egretrail.daemon._routing import SettingsRouting
 from egretrail.daemon._service_state import ServiceStates
-from egretrail.daemon._settings_put import SettingResource
-from egretrail.daemon._upstreams import ListedUpstreams
 from egretrail.fleet import Member, group_size
 from egretrail.idempotency import KeyLimits
 from egretrail.identity import Incarnation, ServiceName
@@ -44,12 +43,16 @@
     EvidenceDriver,
     KeyedExecutor,
     MembershipDriver,
+    OperatorTokenMiddleware,
     ReportDriver,
+    RightsDriver,
     SettingsDriver,
     UpstreamClient,
+    UpstreamListDriver,
+    add_settings_routes,
 )
-from egretrail.settings import InstanceSettings, ServiceSettings
-from egretrail.upstream import NoRights, ServiceHealth, SuspectRequests
+from egretrail.settings import InstanceSettings, OperatorTokens, ServiceSettings
+from egretrail.upstream import ServiceHealth, SuspectRequests
 
 #: Random low bits of an incarnation's number, below the milliseconds of its start.
 _INCARNATION_BITS = 20
@@ -61,8 +64,11 @@
 class Daemon:
     """One entry instance."""
 
-    def __init__(self, settings: InstanceSettings, fleet_key: bytes) -> None:
+    def __init__(
+        self, settings: InstanceSettings, fleet_key: bytes, tokens: OperatorTokens | None
+    ) -> None:
         self._settings = settings
+        self._tokens = tokens
         self._fleet_key = fleet_key
         number = (time.time_ns() // 1_000_000 << _INCARNATION_BITS) | secrets.randbits(
             _INCARNATION_BITS
@@ -122,17 +128,28 @@
             list_interval_s=platform.list_interval_s,
             rng=rng,
         )
-        self._source = ListedUpstreams()
-        self._view.on_list(self._source.take)
+        self._source = UpstreamListDriver(
+            self._view, self._network, self._serves, self._served_services, rng
+        )
         self._settings_driver = SettingsDriver(self._own, self._network, self._view, store, rng)
         self._routing = SettingsRouting(self._settings_driver)
+        self._rights = RightsDriver(
+            self._view,
+            self._network,
+            store,
+            SettingsFloors(self._routing, self._source, self._served_services),
+            rng=rng,
+        )
         self._evidence = EvidenceDriver(
             self._own, self._network, self._view, self._make_health, self._make_suspects
         )
         self._client = UpstreamClient(limits.answer_body_size_bytes)
         self._build_request_path()
+        self._settings_driver.subscribe(lambda _changed: self._source.services_changed())
+        await self._source.start()
         await self._view.start()
         await self._settings_driver.start()
+        await self._rights.start()
         await self._evidence.start()
         await self._keyed.start()
         self._operator_server.start(self._operator_app())
@@ -189,7 +206,7 @@
         self._face = CallerFace(settings, requests, resolver)
 
     def _operator_app(self) -> Any:
-        app = falcon.asgi.App()
+        app = falcon.asgi.App(middleware=[OperatorTokenMiddleware(self._tokens)])
         refresh = MetricsRefresh(self._metrics, self._view, self._services)
         app.add_route("/healthz", LiveResource())
         app.add_route("/readyz", ReadyResource(self._view))
@@ -197,7 +214,7 @@
         app.add_route("/v1/instances", InstancesResource(self._view))
         app.add_route("/v1/upstreams", UpstreamsResource(self._services))
         app.add_route("/v1/routes", RoutesResource(self._settings_driver.settings))
-        app.add_route("/v1/settings/{team}/{kind}/{name}", SettingResource(self._settings_driver))
+        add_settings_routes(app, self._settings_driver)
         app.add_route("/v1/report", ReportResource(self._report))
         app.add_route(
             "/v1/explain",
@@ -212,16 +229,26 @@
         }
 
     def _group_size(self, service: ServiceName) -> int:
-        settings = self._routing.service(service)
-        upstreams = len(self._source.upstreams(service))
-        if settings is None:
-            return group_size(upstreams, 1)
-        return group_size(upstreams, settings.slots, settings.group_size)
+        """Return a service's group size from its settings alone.
+
+        The floor stands for the number of upstreams: instances that do not serve the service do
+        not know its rows, and all have to come to the same group.
+        """
+        settings = self._routing.service(service) or ServiceSettings(floor=0)
+        return group_size(settings.floor, settings.slots, settings.group_size)
+
+    def _serves(self, service: ServiceName) -> bool:
+        own = self._settings.instance.name
+        return any(member.name == own for member in self._view.group(service))
+
+    def _served_services(self) -> Sequence[ServiceName]:
+        services = self._settings_driver.settings().services
+        return [service for service in services if self._serves(service)]
 
     def _make_health(self, service: ServiceName) -> ServiceHealth:
         settings = self._routing.service(service) or ServiceSettings(floor=0)
         seed = random.Random(f"{self._own.number}{service}")
-        return ServiceHealth(service, settings.detection, settings.ramp_s, NoRights(), seed)
+        return ServiceHealth(service, settings.detection, settings.ramp_s, self._rights, seed)
 
     def _make_suspects(self, service: ServiceName) -> SuspectRequests:
         settings = self._routing.service(service) or ServiceSettings(floor=0)
@@ -240,9 +267,10 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + self._settings.stop.deadline_s
         await self._view.announce_leaving()
-        await self._unless_told_twice(
-            asyncio.sleep(self._settings.callers.resolve_ttl_s), deadline_s
+        leaving = asyncio.gather(
+            asyncio.sleep(self._settings.callers.resolve_ttl_s), self._rights.hand_over()
         )
+        await self._unless_told_twice(leaving, deadline_s)
         whole = await self._unless_told_twice(self._end_requests(deadline_s), deadline_s)
         cut = list(self._face.in_flight.values())
         for request in cut:
@@ -263,16 +291,18 @@
 
     async def _end_parts(self) -> None:
         await self._evidence.stop()
+        await self._rights.stop()
         await self._settings_driver.stop()
+        await self._source.stop()
         await self._view.stop()
         await self._operator_server.stop()
         await self._client.stop()
         await self._network.stop()
 
-    async def _unless_told_twice(self, waiting: Any, deadline_s: float) -> bool:
+    async def _unless_told_twice(self, waiting: Awaitable[Any], deadline_s: float) -> bool:
         """Wait, but neither beyond the deadline nor a second signal; return whether it ended."""
         loop = asyncio.get_running_loop()
-        task = loop.create_task(waiting)
+        task = asyncio.ensure_future(waiting)
         while not task.done() and self._signals < 2 and loop.time() < deadline_s:
             await asyncio.wait((task,), timeout=0.05)
         ended = task.done()
--- a/src/egretrail/idempotency/tests/exploration.py
+++ b/src/egretrail/idempotency/tests/exploration.py
@@ -5,26 +5,29 @@
 all covered, and a timeout is a step that may come at any moment.
 """
 
-import enum
-from collections import OrderedDict
 from collections.abc import Callable, Hashable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field, replace
-from typing import Any, TypeVar
+from dataclasses import dataclass, field
+from typing import TypeVar
 
 from egretrail.idempotency import (
     AskWitness,
     Dispatch,
-    Generation,
     Home,
     IdempotencyKey,
     KeyLimits,
     KeyPrefix,
-    RecordStore,
     RecordVerdict,
     Reply,
     Settled,
     Witness,
 )
+from egretrail.idempotency.tests.exploration_world import (
+    Sent,
+    Violation,
+    World,
+    clone,
+    fingerprint,
+)
 from egretrail.identity import Incarnation, InstanceName
 from egretrail.request import Answer, Outcome, RecordedAnswer, Refusal, RefusalCause
 
@@ -62,78 +65,6 @@
     limits: KeyLimits = field(default_factory=KeyLimits)
 
 
-class Violation(enum.Enum):
-    """What must never happen."""
-
-    SECOND_DISPATCH = "dispatched a second time"
-    FALSE_NOT_RUN = "told not-run, and it has run or may run"
-    FALSE_RAN = "told ran, and it has not run"
-    CROSSED_ANSWER = "told another request's answer"
-
-
-@dataclass(frozen=True, slots=True)
-class Sent:
-    """A message on the network: its receiver's instance, and what it says."""
-
-    to: str
-    kind: str
-    sender: Incarnation
-    key: IdempotencyKey | None = None
-    binding: bytes = b""
-    verdict: RecordVerdict | None = None
-    answer: Answer | None = None
-    prefix: KeyPrefix | None = None
-    opening: int = 0
-
-
-@dataclass(slots=True)
-class World:
-    """One state of everything."""
-
-    homes: dict[str, Home | None]
-    witnesses: dict[str, Witness | None]
-    numbers: dict[str, int]
-    keys: tuple[IdempotencyKey, ...]
-    sent: frozenset[Sent] = frozenset()
-    executing: frozenset[tuple[IdempotencyKey, bytes]] = frozenset()
-    dispatched: frozenset[IdempotencyKey] = frozenset()
-    may_have_run: frozenset[IdempotencyKey] = frozenset()
-    told_not_run: frozenset[IdempotencyKey] = frozenset()
-    violations: frozenset[Violation] = frozenset()
-
-    def own(self, name: str) -> Incarnation:
-        """Return the present incarnation of an instance."""
-        return Incarnation(InstanceName(name), self.numbers[name])
-
-    def send(self, message: Sent) -> None:
-        """Put a message on the network, for good."""
-        self.sent |= {message}
-
-    def dispatch(self, key: IdempotencyKey, binding: bytes) -> None:
-        """Start the work of a key."""
-        if key in self.dispatched:
-            self.violations |= {Violation.SECOND_DISPATCH}
-        self.dispatched |= {key}
-        self.may_have_run |= {key}
-        self.executing |= {(key, binding)}
-        self._check_not_run(key)
-
-    def tell(self, key: IdempotencyKey, binding: bytes, answer: Answer) -> None:
-        """Tell a caller what the answer to its request is."""
-        if isinstance(answer, RecordedAnswer):
-            if answer.body != binding:
-                self.violations |= {Violation.CROSSED_ANSWER}
-        elif answer.outcome is Outcome.NOT_RUN:
-            self.told_not_run |= {key}
-        elif answer.outcome is Outcome.RAN and key not in self.may_have_run:
-            self.violations |= {Violation.FALSE_RAN}
-        self._check_not_run(key)
-
-    def _check_not_run(self, key: IdempotencyKey) -> None:
-        if key in self.told_not_run and key in self.may_have_run:
-            self.violations |= {Violation.FALSE_NOT_RUN}
-
-
 #: One thing that may happen next: its name, and how it changes a world.
 Event = tuple[str, Callable[[World], None]]
 
@@ -157,21 +88,21 @@
     """
     kinds = guards or Guards()
     first = _first_world(case, kinds)
-    parents: dict[Hashable, tuple[Hashable, str] | None] = {_fingerprint(first): None}
+    parents: dict[Hashable, tuple[Hashable, str] | None] = {fingerprint(first): None}
     layer = [first]
     steps_count = 0
     while layer:
         following: list[World] = []
         for state in layer:
-            here = _fingerprint(state)
+            here = fingerprint(state)
             for name, act in _events(state, case, kinds):
-                world = _clone(state)
+                world = clone(state)
                 act(world)
                 steps_count += 1
                 if sought in world.violations or (sought is None and world.violations):
                     return Explored(len(parents), steps_count, [*_way(parents, here), name])
                 world.violations = frozenset()
-                reached = _fingerprint(world)
+                reached = fingerprint(world)
                 if reached not in parents:
                     parents[reached] = (here, name)
                     following.append(world)
@@ -253,7 +184,7 @@
 
 def _request(key: IdempotencyKey, binding: bytes) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[key.prefix.home.instance]
+        home = world.home(key.prefix.home.instance)
         assert home is not None
         step = home.on_request(key, binding)
         if isinstance(step, Reply):
@@ -271,7 +202,7 @@
 
 def _await(key: IdempotencyKey, binding: bytes) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[key.prefix.home.instance]
+        home = world.home(key.prefix.home.instance)
         assert home is not None
         step = home.on_await(key, binding) if home.owns(key) else None
         if isinstance(step, Reply):
@@ -284,7 +215,7 @@
 def _query(key: IdempotencyKey, binding: bytes) -> Callable[[World], None]:
     def act(world: World) -> None:
         assert key.prefix.witness is not None
-        witness = world.witnesses[key.prefix.witness.instance]
+        witness = world.witness(key.prefix.witness.instance)
         assert witness is not None
         answer = witness.on_query(key, binding)
         if answer is not None:
@@ -295,7 +226,7 @@
 
 def _verdict(key: IdempotencyKey, verdict: RecordVerdict | None) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[key.prefix.home.instance]
+        home = world.home(key.prefix.home.instance)
         if home is None or not home.owns(key):
             return
         record = home.records.find(key)
@@ -315,7 +246,7 @@
         world.executing -= {(key, binding)}
         if answer == _REFUSED:
             world.may_have_run -= {key}
-        home = world.homes[key.prefix.home.instance]
+        home = world.home(key.prefix.home.instance)
         if home is not None and home.owns(key):
             step = home.on_executed(key, answer)
             world.tell(key, binding, step.answer)
@@ -332,33 +263,33 @@
 
 def _arrive(message: Sent) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home, witness = world.homes[message.to], world.witnesses[message.to]
-        if home is None or witness is None:
+        if world.homes[message.to] is None:
             return
         key, binding = message.key, message.binding
         if message.kind == "record" and key is not None:
-            verdict = witness.on_record(message.sender, key, binding)
+            verdict = _alive(world.witness(message.to)).on_record(message.sender, key, binding)
             own = world.own(message.to)
             world.send(Sent(key.prefix.home.instance, "verdict", own, key, verdict=verdict))
         elif message.kind == "verdict" and key is not None:
             _verdict(key, message.verdict)(world)
         elif message.kind == "outcome" and key is not None and message.answer is not None:
-            witness.on_outcome(message.sender, key, binding, message.answer)
-            home_again = world.homes[key.prefix.home.instance]
+            _alive(world.witness(message.to)).on_outcome(
+                message.sender, key, binding, message.answer
+            )
+            home_again = world.home(key.prefix.home.instance)
             if home_again is not None:
                 home_again.on_kept(key)
         elif message.kind == "close" and message.prefix is not None:
-            witness.on_close(message.sender, message.prefix)
+            _alive(world.witness(message.to)).on_close(message.sender, message.prefix)
         elif message.kind == "opened" and message.prefix is not None:
-            home.open(message.opening, message.prefix, _NOW_S)
+            _alive(world.home(message.to)).open(message.opening, message.prefix, _NOW_S)
 
     return act
 
 
 def _kill(name: str) -> Callable[[World], None]:
     def act(world: World) -> None:
-        world.homes[name] = None
-        world.witnesses[name] = None
+        world.replace(name, None, None)
 
     return act
 
@@ -366,15 +297,15 @@
 def _restart(name: str, case: Case, guards: Guards) -> Callable[[World], None]:
     def act(world: World) -> None:
         world.numbers[name] += 1
-        world.homes[name] = guards.home(world.own(name), case.limits)
-        world.witnesses[name] = guards.witness(world.own(name), case.limits)
+        own = world.own(name)
+        world.replace(name, guards.home(own, case.limits), guards.witness(own, case.limits))
 
     return act
 
 
 def _close(prefix: KeyPrefix) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[prefix.home.instance]
+        home = world.home(prefix.home.instance)
         if home is not None and home.records.holds(prefix):
             home.close(prefix)
             _send_close(world, prefix)
@@ -389,7 +320,7 @@
 
 def _drop_at_home(prefix: KeyPrefix) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[prefix.home.instance]
+        home = world.home(prefix.home.instance)
         if home is not None:
             home.drop(prefix)
 
@@ -398,7 +329,7 @@
 
 def _drop_at_witness(prefix: KeyPrefix) -> Callable[[World], None]:
     def act(world: World) -> None:
-        witness = world.witnesses[prefix.witness.instance] if prefix.witness else None
+        witness = world.witness(prefix.witness.instance) if prefix.witness else None
         if witness is not None:
             witness.drop(prefix)
 
@@ -407,7 +338,7 @@
 
 def _stop(prefix: KeyPrefix) -> Callable[[World], None]:
     def act(world: World) -> None:
-        home = world.homes[prefix.home.instance]
+        home = world.home(prefix.home.instance)
         if home is not None:
             for closed in home.stop():
                 _send_close(world, closed)
@@ -424,71 +355,6 @@
     return way[::-1]
 
 
-def _clone(world: World) -> World:
-    return replace(
-        world,
-        homes={name: _clone_machine(home) for name, home in world.homes.items()},
-        witnesses={name: _clone_machine(one) for name, one in world.witnesses.items()},
-        numbers=dict(world.numbers),
-    )
-
-
-def _clone_machine(machine: M) -> M:
-    """Copy a machine; whatever it holds is immutable, a dictionary of such, or its records."""
-    if machine is None:
-        return machine
-    copied: M = object.__new__(type(machine))
-    for name, value in vars(machine).items():
-        vars(copied)[name] = _clone_value(value)
-    return copied
-
-
-def _clone_value(value: Any) -> Any:
-    if isinstance(value, RecordStore):
-        copied = _clone_machine(value)
-        vars(copied)["_generations"] = {
-            prefix: replace(
-                generation,
-                records={suffix: replace(r) for suffix, r in generation.records.items()},
-            )
-            for prefix, generation in value.generations()
-        }
-        return copied
-    return value.copy() if isinstance(value, (dict, OrderedDict)) else value
-
-
-def _fingerprint(world: World) -> Hashable:
-    return (
-        tuple(_machine_fingerprint(home) for home in world.homes.values()),
-        tuple(_machine_fingerprint(witness) for witness in world.witnesses.values()),
-        tuple(world.numbers.values()),
-        world.sent,
-        world.executing,
-        world.dispatched,
-        world.may_have_run,
-        world.told_not_run,
-    )
-
-
-def _machine_fingerprint(machine: object) -> Hashable:
-    if machine is None:
-        return None
-    return tuple(_value_fingerprint(value) for value in vars(machine).values())
-
-
-def _value_fingerprint(value: Any) -> Hashable:
-    if not isinstance(value, RecordStore):
-        return frozenset(value) if isinstance(value, dict) else value
-    generations = tuple(
-        (prefix, generation.accepting, _records_fingerprint(generation))
-        for prefix, generation in value.generations()
-    )
-    return (generations, tuple(vars(value)["_answers"]))
-
-
-def _records_fingerprint(generation: Generation) -> Hashable:
-    # As a set: in which order keys came in decides nothing.
-    return frozenset(
-        (suffix, record.binding, record.phase, record.answer)
-        for suffix, record in generation.records.items()
-    )
+def _alive(machine: M | None) -> M:
+    assert machine is not None
+    return machine
--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -1,11 +1,17 @@
 """Asynchronous drivers: they connect the decision packages to sockets, peers and the clock."""
 
 from egretrail.runtime._evidence import EvidenceDriver
-from egretrail.runtime._keyed import KeyedExecutor
+from egretrail.runtime._keyed import KeyedExecutor, KeyedState
+from egretrail.runtime._keyed_home import Drained, Execute
 from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._report import ReportDriver
-from egretrail.runtime._settings import SettingsDriver
+from egretrail.runtime._rights import FloorSource, RightsDriver, RightsReport
+from egretrail.runtime._settings import SettingsDriver, SettingsStatus
+from egretrail.runtime._settings_face import OperatorTokenMiddleware, add_settings_routes
+from egretrail.runtime._settings_peers import InForce
+from egretrail.runtime._settings_policy import SettingsPolicy
+from egretrail.runtime._settings_writer import StoredSetting
 from egretrail.runtime._upstream_client import (
     DEADLINE_HEADER,
     UpstreamClient,
@@ -18,15 +24,27 @@
     "DEADLINE_HEADER",
     "OUTCOME_HEADER",
     "PROBLEM_CONTENT_TYPE",
+    "Drained",
     "EvidenceDriver",
+    "Execute",
+    "FloorSource",
+    "InForce",
     "KeyedExecutor",
+    "KeyedState",
     "MembershipDriver",
+    "OperatorTokenMiddleware",
     "Problem",
     "ReportDriver",
+    "RightsDriver",
+    "RightsReport",
     "SettingsDriver",
+    "SettingsPolicy",
+    "SettingsStatus",
+    "StoredSetting",
     "UpstreamClient",
     "UpstreamListDriver",
     "UpstreamRequest",
     "UpstreamResult",
+    "add_settings_routes",
     "problem_of",
 ]
--- a/src/egretrail/runtime/_settings_store.py
+++ b/src/egretrail/runtime/_settings_store.py
@@ -29,13 +29,14 @@
         self._peers = peers
         # After a failure the whole is read again: only that shows whether the store lost writes.
         self._trusted = True
+        self._whole_read = False
         #: Whether the last call failed.
         self.out = False
 
     async def refresh(self, wait_s: float) -> bool:
         """Learn what has changed, waiting for a change at most so long; return whether it did."""
         started_s = asyncio.get_running_loop().time()
-        if self._trusted and self._state.catalogue.complete_revision:
+        if self._trusted and (self._whole_read or self._state.catalogue.complete_revision):
             confirmed = await self._watch(wait_s)
         else:
             confirmed = await self._snapshot()
@@ -45,7 +46,7 @@
         return confirmed
 
     async def _snapshot(self) -> bool:
-        asked_at_revision = self._state.catalogue.complete_revision
+        asked_at_revision = self._state.catalogue.highest_revision
         answer = await self._store.snapshot(STORE_PREFIX)
         if isinstance(answer, Err):
             return self._failed(str(answer.err_value))
@@ -56,10 +57,12 @@
         self._state.report_behind(outcome.behind)
         revision = self._state.catalogue.complete_revision
         self._peers.spread(ChangeRun(revision, revision, outcome.applied))
-        return outcome.behind is None
+        self._whole_read = outcome.behind is None
+        return self._whole_read
 
     async def _watch(self, wait_s: float) -> bool:
         asked_at_revision = self._state.catalogue.complete_revision
+        known_revision = self._state.catalogue.highest_revision
         answer = await self._store.watch(STORE_PREFIX, asked_at_revision, wait_s)
         if isinstance(answer, Err):
             if isinstance(answer.err_value, StoreRefused):
@@ -68,8 +71,8 @@
             return self._failed(str(answer.err_value))
         self._answered()
         events = answer.ok_value
-        if events.revision < asked_at_revision:
-            self._state.report_behind(StoreBehind(events.revision, asked_at_revision, []))
+        if events.revision < known_revision:
+            self._state.report_behind(StoreBehind(events.revision, known_revision, []))
             return False
         self._state.report_behind(None)
         after_revision = min(asked_at_revision, self._state.quiet_from_revision)
--- a/src/egretrail/settings/__init__.py
+++ b/src/egretrail/settings/__init__.py
@@ -59,7 +59,9 @@
     SettingsDifference,
     SettingsRun,
 )
-from egretrail.settings._watchers import watchers
+from egretrail.settings._reference import settings_reference
+from egretrail.settings._tokens import OperatorTokens, parse_operator_tokens
+from egretrail.settings._watchers import is_watcher
 
 __all__ = [
     "BUCKETS",
@@ -88,6 +90,7 @@
     "ListenSection",
     "LogSection",
     "LostRace",
+    "OperatorTokens",
     "Outcome",
     "PlatformSection",
     "Revised",
@@ -111,7 +114,9 @@
     "change_of",
     "decode_envelope",
     "is_change_id",
+    "is_watcher",
     "parse_instance_settings",
+    "parse_operator_tokens",
     "parse_setting",
-    "watchers",
+    "settings_reference",
 ]
