--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -43,8 +43,8 @@
         return list(self._candidates)
 
     def position(self) -> GroupPosition:
-        """Return one of three members."""
-        return GroupPosition(1, 3)
+        """Return one member of a group with 16 slots for each, as groups are made."""
+        return GroupPosition(1, max(3, len(self._candidates) * _SLOTS // 16))
 
 
 def _work(number: int, now_s: float) -> Work:
--- a/src/egretrail/service/_placing.py
+++ b/src/egretrail/service/_placing.py
@@ -1,7 +1,7 @@
 """Which upstream gets a request."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 from egretrail.identity import AvailabilityZone, UpstreamName
 from egretrail.service._candidates import Candidate
@@ -42,16 +42,25 @@
         trial = self._choose_trial(work, pool, tried)
         if trial is not None:
             return trial
+        best, load = self._least_loaded(pool.own, pool, tried)
+        if best is not None and load < _BORROWED:
+            return best
+        other, other_load = self._least_loaded(pool.others, pool, tried)
+        return other if best is None or (other is not None and other_load < load) else best
+
+    def _least_loaded(
+        self, upstreams: Sequence[PooledUpstream], pool: Pool, tried: Collection[UpstreamName]
+    ) -> tuple[Candidate | None, float]:
         best: Candidate | None = None
         best_load = 0.0
-        for each in pool.upstreams:
+        for each in upstreams:
             candidate = each.candidate
-            if candidate.trial or candidate.name in tried or self._left_out(candidate, pool):
+            if candidate.name in tried or self._left_out(candidate, pool):
                 continue
             load = self._load(each)
             if load is not None and (best is None or load < best_load):
                 best, best_load = candidate, load
-        return best
+        return best, best_load
 
     def _left_out(self, candidate: Candidate, pool: Pool) -> bool:
         """Return whether an upstream of reduced weight sits this request out.
@@ -89,9 +98,8 @@
             return None
         idle = [
             each.candidate
-            for each in pool.upstreams
-            if each.candidate.trial
-            and not self._limits.in_flight(each.candidate.name) + each.candidate.peer_in_flight
+            for each in pool.on_trial
+            if not self._limits.in_flight(each.candidate.name) + each.candidate.peer_in_flight
         ]
         if not idle:
             return None
--- a/src/egretrail/service/_pool.py
+++ b/src/egretrail/service/_pool.py
@@ -31,6 +31,11 @@
 
     #: The upstreams in a stable order.
     upstreams: Sequence[PooledUpstream]
+    #: Those with slots of this member's own, and those without; ones on trial are in neither.
+    own: Sequence[PooledUpstream]
+    others: Sequence[PooledUpstream]
+    #: Those on trial.
+    on_trial: Sequence[PooledUpstream]
     #: The greatest weight among upstreams that are not on trial.
     full_weight: float
     #: Requests that this member may have running at once.
@@ -43,24 +48,34 @@
     def __init__(self, weights: UpstreamWeights, limits: UpstreamLimits) -> None:
         self._weights = weights
         self._limits = limits
-        self._candidates: Sequence[Candidate] | None = None
+        self._candidates: list[Candidate] | None = None
         self._version = -1
         self._upstreams: Sequence[PooledUpstream] = ()
+        self._own: Sequence[PooledUpstream] = ()
+        self._others: Sequence[PooledUpstream] = ()
+        self._on_trial: Sequence[PooledUpstream] = ()
         self._capacity = 0.0
         self._home = 0.0
         self._full_weight = 0.0
 
     def take(self, demand: float, long_in_flight: int, now_s: float) -> Pool:
         """Return the pool as health, the limits and the peers' demands make it now."""
-        candidates = self._weights.usable(now_s)
-        if candidates is not self._candidates or self._version != self._limits.version:
+        candidates = list(self._weights.usable(now_s))
+        if candidates != self._candidates or self._version != self._limits.version:
             self._candidates = candidates
             self._version = self._limits.version
             self._make(candidates)
         fair = fair_share(self._capacity, demand, self._weights.peer_demands(now_s))
         excess = 1.0 if long_in_flight else _OVERCOMMIT
         allowance = max(1.0, max(self._home, fair) * excess)
-        return Pool(self._upstreams, self._full_weight, allowance)
+        return Pool(
+            self._upstreams,
+            self._own,
+            self._others,
+            self._on_trial,
+            self._full_weight,
+            allowance,
+        )
 
     def _make(self, candidates: Sequence[Candidate]) -> None:
         position = self._weights.position()
@@ -69,7 +84,10 @@
             PooledUpstream(each, limit, _home(each, limit, position))
             for each, limit in zip(candidates, limits, strict=True)
         ]
+        self._on_trial = [each for each in self._upstreams if each.candidate.trial]
         sound = [each for each in self._upstreams if not each.candidate.trial]
+        self._own = [each for each in sound if each.home]
+        self._others = [each for each in sound if not each.home]
         self._capacity = sum(each.limit * each.candidate.weight for each in sound)
         self._home = sum(each.home * each.candidate.weight for each in sound)
         self._full_weight = max((each.candidate.weight for each in sound), default=0.0)
--- a/src/egretrail/service/_scheduler.py
+++ b/src/egretrail/service/_scheduler.py
@@ -68,7 +68,7 @@
         self._rng = rng
         self._limits = UpstreamLimits()
         self._pools = Pools(weights, self._limits)
-        self._pool = Pool((), 0.0, 1.0)
+        self._pool = Pool((), (), (), (), 0.0, 1.0)
         self._placing = Placing(zone, self._limits, rng)
         self._backlog = Backlog(order)
         self._durations = Durations()
