--- a/src/egretrail/trace/_egretrail.py
+++ b/src/egretrail/trace/_egretrail.py
@@ -39,7 +39,7 @@
 _EVIDENCE_S = 1.0
 _URGENT_S = 0.02
 #: How often health is given the time, as by the daemon.
-_HEALTH_S = 0.0499
+_HEALTH_S = 0.0999
 #: Upstreams that one request may be lost with, the settings' default.
 _UPSTREAMS_PER_REQUEST = 2
 #: Verdicts are taken anew after this long, or at once after a failure or a peer's evidence.
