Register rights at once when the allowance or the group changes

An instance that knew no upstreams at its start registered its share only two minutes later, so that an outage in between left it without rights. The test fails with the period alone. The registrar has a module of its own.

--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -6,7 +6,8 @@
 from egretrail.runtime._membership import MembershipDriver
 from egretrail.runtime._problem import OUTCOME_HEADER, PROBLEM_CONTENT_TYPE, Problem, problem_of
 from egretrail.runtime._report import ReportDriver
-from egretrail.runtime._rights import FloorSource, RightsDriver, RightsReport
+from egretrail.runtime._rights import RightsDriver, RightsReport
+from egretrail.runtime._rights_register import FloorSource
 from egretrail.runtime._settings import SettingsDriver, SettingsStatus
 from egretrail.runtime._settings_face import OperatorTokenMiddleware, add_settings_routes
 from egretrail.runtime._settings_peers import InForce
--- a/src/egretrail/runtime/_rights.py
+++ b/src/egretrail/runtime/_rights.py
@@ -1,6 +1,5 @@
 """Obtains, shows, passes on and registers the rights to eject."""
 
-import abc
 import asyncio
 import random
 from collections.abc import Mapping, Sequence
@@ -8,37 +7,24 @@
 from typing import Any
 
 import structlog
-from result import Err, Ok
+from result import Err
 
 from egretrail.fleet import MemberState
 from egretrail.floor import (
     EjectionsAnswer,
     EjectionsAsk,
     EjectionsChanged,
-    FloorRecord,
-    HonouredEjections,
     Promise,
     PromiseAsk,
-    Proposal,
-    RecordedRight,
-    Right,
     RightAnswer,
     RightAsk,
-    RightsHolder,
     RightsTiming,
-    allowance,
-    apply,
-    dump_record,
-    must_promise,
-    parse_record,
-    propose,
-    reconcile,
-    record_path,
 )
 from egretrail.identity import Incarnation, InstanceName, ServiceName, UpstreamName
 from egretrail.peer import PeerNetwork
-from egretrail.platform import Store, WriteUnknown
+from egretrail.platform import Store
 from egretrail.runtime._membership import MembershipDriver
+from egretrail.runtime._rights_register import FloorSource, RightsRegistrar, ServiceRights
 from egretrail.upstream import EjectionRights
 
 #: While a service has ejections, its group's members ask each other this often, so that an
@@ -50,34 +36,15 @@
 _HINT_S = 5.0
 _ASK_TIMEOUT_S = 1.0
 #: Each member looks after its share of a service's rights in the store this often: at 3,500
-#: services and 8 members each, about 230 reads a second of the store's two thousand.
+#: services and 8 members each, about 230 reads a second of the store's two thousand. A change of
+#: the allowance or the group is registered at once: the store may be out a minute later.
 _REGISTER_PERIOD_S = 120.0
 #: A member that needs a right and got none waits this long before it tries again.
 _OBTAIN_GAP_S = 1.0
-#: Compare-and-swap tries in a row before the next period.
-_SWAP_TRIES = 3
-#: No process has a higher number: asks whether any process of a name may be running.
-_ANY_PROCESS = (1 << 63) - 1
 
 _log = structlog.get_logger()
 
 
-class FloorSource(abc.ABC):
-    """Tells what the allowance of a service is made of, as this instance knows it now."""
-
-    @abc.abstractmethod
-    def services(self) -> Sequence[ServiceName]:
-        """Return the services whose group this instance is in."""
-
-    @abc.abstractmethod
-    def floor(self, service: ServiceName) -> int:
-        """Return the fewest healthy upstreams that ejections may leave."""
-
-    @abc.abstractmethod
-    def capacity(self, service: ServiceName) -> Sequence[UpstreamName]:
-        """Return the upstreams that are listed live and neither draining nor departed."""
-
-
 @dataclass(frozen=True, slots=True)
 class RightsReport:
     """One service's rights as this instance sees them, for operators."""
@@ -94,21 +61,6 @@
     registered: Mapping[int, Incarnation]
 
 
-class _ServiceRights:
-    """One service's state."""
-
-    def __init__(self, timing: RightsTiming, started_s: float) -> None:
-        self.holder = RightsHolder(timing, started_s)
-        self.honoured = HonouredEjections(timing)
-        self.record = FloorRecord()
-        self.hinted_s = float("-inf")
-        self.idle_asked_s = float("-inf")
-        self.register_at_s = float("-inf")
-        self.obtain_at_s = float("-inf")
-        self.pending_revision: int | None = None
-        self.lock = asyncio.Lock()
-
-
 class RightsDriver(EjectionRights):
     """One instance's rights for all services that it serves."""
 
@@ -123,12 +75,12 @@
     ) -> None:
         self._membership = membership
         self._network = network
-        self._store = store
         self._source = source
         self._timing = timing or RightsTiming()
         self._own = membership.own.incarnation
         self._rng = rng or random.Random(self._own.number)
-        self._services: dict[ServiceName, _ServiceRights] = {}
+        self._registrar = RightsRegistrar(membership, network, store, source, self._timing)
+        self._services: dict[ServiceName, ServiceRights] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._started_s = 0.0
         self._leaving = False
@@ -206,12 +158,12 @@
         )
 
     def _allowance(self, service: ServiceName) -> int:
-        return allowance(len(self._source.capacity(service)), self._source.floor(service))
+        return self._source.allowance(service)
 
-    def _state(self, service: ServiceName) -> _ServiceRights:
+    def _state(self, service: ServiceName) -> ServiceRights:
         state = self._services.get(service)
         if state is None:
-            state = self._services[service] = _ServiceRights(self._timing, self._started_s)
+            state = self._services[service] = ServiceRights(self._timing, self._started_s)
         return state
 
     def _peers(self, service: ServiceName) -> Sequence[InstanceName]:
@@ -240,7 +192,7 @@
             for service in served:
                 self._ask_when_due(service, self._state(service))
 
-    def _ask_when_due(self, service: ServiceName, state: _ServiceRights) -> None:
+    def _ask_when_due(self, service: ServiceName, state: ServiceRights) -> None:
         now_s = _now_s()
         state.honoured.forget_expired(now_s)
         peers = self._peers(service)
@@ -251,7 +203,7 @@
             state.idle_asked_s = now_s
             self._spawn(self._ask(service, state, self._rng.choice(peers)))
 
-    async def _ask(self, service: ServiceName, state: _ServiceRights, peer: InstanceName) -> None:
+    async def _ask(self, service: ServiceName, state: ServiceRights, peer: InstanceName) -> None:
         asked_s = _now_s()
         ask = EjectionsAsk(service)
         reply = await self._network.ask(peer, ask, EjectionsAnswer, _ASK_TIMEOUT_S)
@@ -264,17 +216,17 @@
         if leaving and answer.free and not self._leaving:
             await self._take_from(service, state, peer)
 
-    async def _obtain(self, service: ServiceName, state: _ServiceRights) -> None:
+    async def _obtain(self, service: ServiceName, state: ServiceRights) -> None:
         """Get a right from a peer, or from the store when it is there."""
         peers = list(self._peers(service))
         self._rng.shuffle(peers)
         for peer in peers:
             if await self._take_from(service, state, peer):
                 return
-        await self._register(service, state, needed=True)
+        await self._registrar.register(service, state, needed=True)
 
     async def _take_from(
-        self, service: ServiceName, state: _ServiceRights, peer: InstanceName
+        self, service: ServiceName, state: ServiceRights, peer: InstanceName
     ) -> bool:
         if not state.holder.may_accept(_now_s()):
             return False
@@ -288,115 +240,16 @@
         while True:
             for service in self._source.services():
                 state = self._state(service)
-                if _now_s() >= state.register_at_s and not self._leaving:
-                    state.register_at_s = _now_s() + _REGISTER_PERIOD_S * self._rng.uniform(
-                        0.8, 1.2
-                    )
-                    await self._register(service, state, needed=False)
+                group = tuple(member.name for member in self._membership.group(service))
+                basis = (self._allowance(service), group)
+                due = _now_s() >= state.register_at_s or basis != state.registered_basis
+                if due and not self._leaving:
+                    period_s = _REGISTER_PERIOD_S * self._rng.uniform(0.8, 1.2)
+                    state.register_at_s = _now_s() + period_s
+                    state.registered_basis = basis
+                    await self._registrar.register(service, state, needed=False)
             await asyncio.sleep(_ASK_PERIOD_S * 2 * self._rng.uniform(0.8, 1.2))
 
-    async def _register(self, service: ServiceName, state: _ServiceRights, needed: bool) -> None:
-        async with state.lock:
-            for _ in range(_SWAP_TRIES):
-                if await self._swap(service, state, needed):
-                    return
-
-    async def _swap(self, service: ServiceName, state: _ServiceRights, needed: bool) -> bool:
-        """Read the record and write what should be; return whether there is no more to do now."""
-        path = record_path(service)
-        read = await self._store.get(path)
-        if isinstance(read, Err):
-            return True
-        entry = read.ok_value
-        revision = entry.revision if entry is not None else 0
-        text = entry.value if entry is not None else None
-        parsed = parse_record(service, text) if text is not None else Ok(FloorRecord())
-        if isinstance(parsed, Err):
-            _log.error("floor_record_unreadable", service=service)
-            return True
-        state.record = parsed.ok_value
-        reconcile(state.record, state.holder, self._own, _now_s())
-        if state.pending_revision is not None and state.pending_revision != revision:
-            state.holder.unlock()
-            state.pending_revision = None
-        proposal = await self._proposal(service, state, needed)
-        if proposal is None:
-            return True
-        return await self._write(path, state, proposal, revision)
-
-    async def _write(
-        self, path: str, state: _ServiceRights, proposal: Proposal, revision: int
-    ) -> bool:
-        state.holder.lock(proposal.renewed)
-        written = await self._store.put(path, dump_record(proposal.record), revision)
-        if isinstance(written, Err) and isinstance(written.err_value, WriteUnknown):
-            state.pending_revision = revision
-            return False
-        if isinstance(written, Ok):
-            state.record = proposal.record
-            apply(proposal, state.holder, _now_s())
-            state.pending_revision = None
-        if state.pending_revision is None:
-            state.holder.unlock()
-        return isinstance(written, Ok)
-
-    async def _proposal(
-        self, service: ServiceName, state: _ServiceRights, needed: bool
-    ) -> Proposal | None:
-        heirs = [member.name for member in self._membership.group(service)]
-        wanted = self._wanted(service, state, heirs, needed)
-        unheld = [recorded for recorded in state.record.rights if recorded.right.number in wanted]
-        promised = [
-            recorded for recorded in unheld if await self._all_promise(service, state, recorded)
-        ]
-        return propose(state.record, state.holder, self._own, heirs, wanted, promised)
-
-    def _wanted(
-        self,
-        service: ServiceName,
-        state: _ServiceRights,
-        group: Sequence[InstanceName],
-        needed: bool,
-    ) -> set[int]:
-        """Return the rights to claim: an even share of those that nobody holds, or all at need."""
-        if not group or self._own.instance not in group:
-            return set()
-        held = {right.number for right in state.holder.rights()}
-        return {
-            number
-            for number in range(self._allowance(service))
-            if number not in held and (needed or group[number % len(group)] == self._own.instance)
-        }
-
-    async def _all_promise(
-        self, service: ServiceName, state: _ServiceRights, recorded: RecordedRight
-    ) -> bool:
-        """Return whether every heir denies to hold the right and will refuse it from now on."""
-        began_s = _now_s()
-        right = recorded.right
-        owner = recorded.owner
-        alive = owner != self._own and not self._membership.is_gone(owner)
-        if alive and not await self._promises(owner.instance, service, right):
-            return False
-        # Only a fresh reading proves that no process of an heir's name has started since.
-        if not await self._membership.read_list():
-            return False
-        asked = must_promise(recorded, self._own, self._membership.is_gone, self._is_name_gone)
-        for name in asked:
-            if not await self._promises(name, service, right):
-                return False
-        if state.holder.promise(right.number, right.epoch):
-            return False
-        return _now_s() - began_s <= self._timing.reissue_window_s
-
-    async def _promises(self, name: InstanceName, service: ServiceName, right: Right) -> bool:
-        ask = PromiseAsk(service, right.number, right.epoch)
-        reply = await self._network.ask(name, ask, Promise, _ASK_TIMEOUT_S)
-        return isinstance(reply, Ok) and not reply.ok_value.holds
-
-    def _is_name_gone(self, name: InstanceName) -> bool:
-        return self._membership.is_gone(Incarnation(name, _ANY_PROCESS))
-
     async def _on_ejections_ask(self, _: Incarnation, ask: EjectionsAsk) -> EjectionsAnswer:
         state = self._state(ask.service)
         now_s = _now_s()
--- /dev/null
+++ b/src/egretrail/runtime/_rights_register.py
@@ -0,0 +1,202 @@
+"""Registers one instance's rights in the platform's store, and reissues those that nobody holds."""
+
+import abc
+import asyncio
+from collections.abc import Sequence
+
+import structlog
+from result import Err, Ok
+
+from egretrail.floor import (
+    FloorRecord,
+    HonouredEjections,
+    Promise,
+    PromiseAsk,
+    Proposal,
+    RecordedRight,
+    Right,
+    RightsHolder,
+    RightsTiming,
+    allowance,
+    apply,
+    dump_record,
+    must_promise,
+    parse_record,
+    propose,
+    reconcile,
+    record_path,
+)
+from egretrail.identity import Incarnation, InstanceName, ServiceName, UpstreamName
+from egretrail.peer import PeerNetwork
+from egretrail.platform import Store, WriteUnknown
+from egretrail.runtime._membership import MembershipDriver
+
+_ASK_TIMEOUT_S = 1.0
+#: Compare-and-swap tries in a row before the next period.
+_SWAP_TRIES = 3
+#: No process has a higher number: asks whether any process of a name may be running.
+_ANY_PROCESS = (1 << 63) - 1
+
+_log = structlog.get_logger()
+
+
+class FloorSource(abc.ABC):
+    """Tells what the allowance of a service is made of, as this instance knows it now."""
+
+    @abc.abstractmethod
+    def services(self) -> Sequence[ServiceName]:
+        """Return the services whose group this instance is in."""
+
+    @abc.abstractmethod
+    def floor(self, service: ServiceName) -> int:
+        """Return the fewest healthy upstreams that ejections may leave."""
+
+    @abc.abstractmethod
+    def capacity(self, service: ServiceName) -> Sequence[UpstreamName]:
+        """Return the upstreams that are listed live and neither draining nor departed."""
+
+    def allowance(self, service: ServiceName) -> int:
+        """Return how many upstreams may be out of service."""
+        return allowance(len(self.capacity(service)), self.floor(service))
+
+
+class ServiceRights:
+    """One service's state."""
+
+    def __init__(self, timing: RightsTiming, started_s: float) -> None:
+        self.holder = RightsHolder(timing, started_s)
+        self.honoured = HonouredEjections(timing)
+        self.record = FloorRecord()
+        self.hinted_s = float("-inf")
+        self.idle_asked_s = float("-inf")
+        self.register_at_s = float("-inf")
+        self.registered_basis: tuple[int, Sequence[InstanceName]] | None = None
+        self.obtain_at_s = float("-inf")
+        self.pending_revision: int | None = None
+        self.lock = asyncio.Lock()
+
+
+class RightsRegistrar:
+    """Keeps the store's records and what this instance holds in line."""
+
+    def __init__(
+        self,
+        membership: MembershipDriver,
+        network: PeerNetwork,
+        store: Store,
+        source: FloorSource,
+        timing: RightsTiming,
+    ) -> None:
+        self._membership = membership
+        self._network = network
+        self._store = store
+        self._source = source
+        self._timing = timing
+        self._own = membership.own.incarnation
+
+    async def register(self, service: ServiceName, state: ServiceRights, needed: bool) -> None:
+        """Bring the record in line; with ``needed``, claim whatever right nobody holds."""
+        async with state.lock:
+            for _ in range(_SWAP_TRIES):
+                if await self._swap(service, state, needed):
+                    return
+
+    async def _swap(self, service: ServiceName, state: ServiceRights, needed: bool) -> bool:
+        """Read the record and write what should be; return whether there is no more to do now."""
+        path = record_path(service)
+        read = await self._store.get(path)
+        if isinstance(read, Err):
+            return True
+        entry = read.ok_value
+        revision = entry.revision if entry is not None else 0
+        text = entry.value if entry is not None else None
+        parsed = parse_record(service, text) if text is not None else Ok(FloorRecord())
+        if isinstance(parsed, Err):
+            _log.error("floor_record_unreadable", service=service)
+            return True
+        state.record = parsed.ok_value
+        reconcile(state.record, state.holder, self._own, _now_s())
+        if state.pending_revision is not None and state.pending_revision != revision:
+            state.holder.unlock()
+            state.pending_revision = None
+        proposal = await self._proposal(service, state, needed)
+        if proposal is None:
+            return True
+        return await self._write(path, state, proposal, revision)
+
+    async def _write(
+        self, path: str, state: ServiceRights, proposal: Proposal, revision: int
+    ) -> bool:
+        state.holder.lock(proposal.renewed)
+        written = await self._store.put(path, dump_record(proposal.record), revision)
+        if isinstance(written, Err) and isinstance(written.err_value, WriteUnknown):
+            state.pending_revision = revision
+            return False
+        if isinstance(written, Ok):
+            state.record = proposal.record
+            apply(proposal, state.holder, _now_s())
+            state.pending_revision = None
+        if state.pending_revision is None:
+            state.holder.unlock()
+        return isinstance(written, Ok)
+
+    async def _proposal(
+        self, service: ServiceName, state: ServiceRights, needed: bool
+    ) -> Proposal | None:
+        heirs = [member.name for member in self._membership.group(service)]
+        wanted = self._wanted(service, state, heirs, needed)
+        unheld = [recorded for recorded in state.record.rights if recorded.right.number in wanted]
+        promised = [
+            recorded for recorded in unheld if await self._all_promise(service, state, recorded)
+        ]
+        return propose(state.record, state.holder, self._own, heirs, wanted, promised)
+
+    def _wanted(
+        self,
+        service: ServiceName,
+        state: ServiceRights,
+        group: Sequence[InstanceName],
+        needed: bool,
+    ) -> set[int]:
+        """Return the rights to claim: an even share of those that nobody holds, or all at need."""
+        if not group or self._own.instance not in group:
+            return set()
+        held = {right.number for right in state.holder.rights()}
+        return {
+            number
+            for number in range(self._source.allowance(service))
+            if number not in held and (needed or group[number % len(group)] == self._own.instance)
+        }
+
+    async def _all_promise(
+        self, service: ServiceName, state: ServiceRights, recorded: RecordedRight
+    ) -> bool:
+        """Return whether every heir denies to hold the right and will refuse it from now on."""
+        began_s = _now_s()
+        right = recorded.right
+        owner = recorded.owner
+        alive = owner != self._own and not self._membership.is_gone(owner)
+        if alive and not await self._promises(owner.instance, service, right):
+            return False
+        # Only a fresh reading proves that no process of an heir's name has started since.
+        if not await self._membership.read_list():
+            return False
+        asked = must_promise(recorded, self._own, self._membership.is_gone, self._is_name_gone)
+        for name in asked:
+            if not await self._promises(name, service, right):
+                return False
+        if state.holder.promise(right.number, right.epoch):
+            return False
+        return _now_s() - began_s <= self._timing.reissue_window_s
+
+    async def _promises(self, name: InstanceName, service: ServiceName, right: Right) -> bool:
+        ask = PromiseAsk(service, right.number, right.epoch)
+        reply = await self._network.ask(name, ask, Promise, _ASK_TIMEOUT_S)
+        return isinstance(reply, Ok) and not reply.ok_value.holds
+
+    def _is_name_gone(self, name: InstanceName) -> bool:
+        return self._membership.is_gone(Incarnation(name, _ANY_PROCESS))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/egretrail/runtime/tests/test_rights.py
+++ b/src/egretrail/runtime/tests/test_rights.py
@@ -119,6 +119,15 @@
 
         self._run(scenario)
 
+    def test_every_right_is_registered_soon_after_the_upstreams_are_known(self) -> None:
+        async def scenario(fleet: _RightsFleet) -> None:
+            fleet.source.upstreams = [*_UPSTREAMS, UpstreamName("u6"), UpstreamName("u7")]
+            await asyncio.sleep(10.0)
+            held = [number for d in fleet.rights.values() for number in d.held(_SERVICE)]
+            self.assertEqual([0, 1, 2, 3], sorted(held))
+
+        self._run(scenario)
+
     def test_the_allowance_is_never_exceeded_and_is_used_in_full(self) -> None:
         async def scenario(fleet: _RightsFleet) -> None:
             for _ in range(60):
