--- a/src/egretrail/upstream/tests/test_lifecycle.py
+++ b/src/egretrail/upstream/tests/test_lifecycle.py
@@ -43,11 +43,15 @@
         self._digest = 0
 
     def attempt(
-        self, upstream: UpstreamName, outcome: AttemptOutcome, suspect: bool = False
+        self,
+        upstream: UpstreamName,
+        outcome: AttemptOutcome,
+        suspect: bool = False,
+        caller: CallerId | None = None,
     ) -> None:
         self._digest += 1
         self.now_s += 0.02
-        caller = CallerId(f"c{self._digest % 40}")
+        caller = caller or CallerId(f"c{self._digest % 40}")
         self.health.record(
             Attempt(upstream, outcome, 0.01, self.now_s - 0.01, self._digest, "GET", caller),
             self.now_s,
@@ -161,3 +165,25 @@
         verdict = driven.health.verdict(_BAD, driven.now_s)
         self.assertEqual(Cause.CRASHED_BY_REQUEST, verdict.cause)
         self.assertTrue(verdict.in_service)
+
+    def test_a_caller_that_fails_everywhere_convicts_nobody(self) -> None:
+        driven = _Driven()
+        broken = CallerId("broken")
+        for name in _NAMES[1:]:
+            driven.attempt(name, AttemptOutcome.FAILED, caller=broken)
+        for _ in range(10):
+            driven.round(AttemptOutcome.ANSWERED)
+        for _ in range(8):
+            for name in _NAMES[1:]:
+                driven.attempt(name, AttemptOutcome.ANSWERED)
+            driven.attempt(_BAD, AttemptOutcome.FAILED, caller=broken)
+        self.assertTrue(driven.health.verdict(_BAD, driven.now_s).in_service)
+
+    def test_an_excused_upstream_returns_at_once(self) -> None:
+        driven = self._ejected()
+        driven.health.excuse(_BAD, observed_here=True, now_s=driven.now_s)
+        verdict = driven.health.verdict(_BAD, driven.now_s)
+        self.assertEqual(Cause.CRASHED_BY_REQUEST, verdict.cause)
+        self.assertTrue(verdict.in_service)
+        driven.attempt(_BAD, AttemptOutcome.ANSWERED)
+        self.assertIs(UpstreamState.TRIAL, driven.state)
