--- a/src/egretrail/runtime/__init__.py
+++ b/src/egretrail/runtime/__init__.py
@@ -1,5 +1,6 @@
 """Asynchronous drivers: they connect the decision packages to sockets, peers and the clock."""
 
+from egretrail.runtime._demand import DemandDriver, DemandSource
 from egretrail.runtime._evidence import EvidenceDriver
 from egretrail.runtime._keyed import KeyedExecutor, KeyedState
 from egretrail.runtime._keyed_home import Drained, Execute
@@ -24,6 +25,8 @@
     "DEADLINE_HEADER",
     "OUTCOME_HEADER",
     "PROBLEM_CONTENT_TYPE",
+    "DemandDriver",
+    "DemandSource",
     "Drained",
     "EvidenceDriver",
     "Execute",
