--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,215 @@
+"""Measures the slopes behind ``docs/CAPACITY.md``: each cost at three sizes and what one more adds.
+
+Memory is what tracemalloc counts after a collection; processor time is this process's. Nothing is
+asserted: the figures are for the page.
+"""
+
+import gc
+import random
+import subprocess
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import click
+
+from egretrail.fleet import GroupIndex, Member, MembershipTable, MembershipTuning, Slowness
+from egretrail.identity import (
+    AvailabilityZone,
+    CallerId,
+    Incarnation,
+    InstanceName,
+    ServiceName,
+    UpstreamName,
+)
+from egretrail.route import RouteTable
+from egretrail.settings import Catalogue, Detection, SettingChange
+from egretrail.upstream import Attempt, AttemptOutcome, NoRights, ServiceHealth
+from egretrail.wire import Frame, FrameKind, encode_frame
+
+_ZONES = tuple(AvailabilityZone(f"zone-{number}") for number in range(11))
+_ROUTE = 'service = "shop"\npath_prefix = "/team-{n}/shop"\n'
+_SERVICE = "floor = 20\n"
+_IMPORTS = {
+    "python alone": "pass",
+    "egretraild": "import egretrail.daemon",
+    "egretrail (tool)": "import egretrail.cli",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """One cost at several sizes."""
+
+    #: What is measured, with its unit, and what the sizes count.
+    name: str
+    unit: str
+    sizes: Sequence[int]
+    values: Sequence[float]
+
+    @property
+    def per_one(self) -> float:
+        """Return what one more adds, between the smallest and the largest size."""
+        return (self.values[-1] - self.values[0]) / (self.sizes[-1] - self.sizes[0])
+
+
+def _memory_bytes(build: Callable[[], Any]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    held = build()
+    gc.collect()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return float(used)
+
+
+def _cpu_us(act: Callable[[], Any], rounds: int) -> float:
+    act()
+    best = float("inf")
+    for _ in range(3):
+        started_s = time.process_time()
+        for _ in range(rounds):
+            act()
+        best = min(best, (time.process_time() - started_s) / rounds)
+    return best * 1e6
+
+
+def _resident_mb(code: str) -> float:
+    script = f"{code}\nprint(open('/proc/self/status').read())"
+    shown = subprocess.run([sys.executable, "-c", script], capture_output=True, check=True)
+    line = next(line for line in shown.stdout.decode().splitlines() if line.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
+def _member(number: int) -> Member:
+    return Member(
+        Incarnation(InstanceName(f"entry-{number}"), 1 << 60 | number),
+        _ZONES[number % len(_ZONES)],
+        f"10.0.{number % 256}.{number // 256}",
+        8080,
+        f"10.0.{number % 256}.{number // 256}",
+        8081,
+    )
+
+
+def _table(size: int) -> MembershipTable:
+    tuning = MembershipTuning()
+    table = MembershipTable(_member(0), tuning, Slowness(tuning))
+    table.seed([_member(number) for number in range(1, size)], 0.0)
+    return table
+
+
+def _catalogue(routes: int) -> tuple[Catalogue, RouteTable]:
+    catalogue = Catalogue()
+    for number in range(routes):
+        team = f"team-{number}"
+        catalogue.apply(SettingChange(f"{team}/services/shop", 2 * number + 1, "c" * 16, _SERVICE))
+        text = _ROUTE.replace("{n}", str(number))
+        catalogue.apply(SettingChange(f"{team}/routes/shop", 2 * number + 2, "c" * 16, text))
+    return catalogue, RouteTable.of(catalogue.in_force.settings())
+
+
+def _health(upstreams: int) -> ServiceHealth:
+    service = ServiceName("team/shop")
+    health = ServiceHealth(service, Detection.PATIENT, 10.0, NoRights(), random.Random(1))
+    health.set_upstreams([UpstreamName(f"shop-{n}") for n in range(upstreams)], 0.0)
+    for number in range(upstreams * 20):
+        health.record(_attempt(number, upstreams), 0.1 + number * 0.001)
+    return health
+
+
+def _attempt(number: int, upstreams: int) -> Attempt:
+    return Attempt(
+        UpstreamName(f"shop-{number % upstreams}"),
+        AttemptOutcome.ANSWERED,
+        0.02 + (number % 7) * 0.001,
+        number * 0.001,
+        number,
+        "team/shop GET",
+        CallerId(f"c{number % 9}"),
+    )
+
+
+def _evidence_bytes(upstreams: int) -> float:
+    evidence = _health(upstreams).own_evidence(1.0)
+    return float(len(encode_frame(Frame(FrameKind.NOTIFY, 0, evidence))))
+
+
+def _merge_us(upstreams: int) -> float:
+    health, evidence = _health(upstreams), _health(upstreams).own_evidence(1.0)
+    return _cpu_us(lambda: health.merge(InstanceName("other"), evidence, 1.0), 200)
+
+
+def _record_us(upstreams: int) -> float:
+    health = _health(upstreams)
+    return _cpu_us(lambda: health.record(_attempt(5, upstreams), 2.0), 500)
+
+
+def _verdicts_us(upstreams: int) -> float:
+    health = _health(upstreams)
+    return _cpu_us(lambda: health.verdicts(2.0), 100)
+
+
+def _apply_us(routes: int) -> float:
+    catalogue, _ = _catalogue(routes)
+    generation = iter(range(10_000_000, 20_000_000))
+
+    def one() -> None:
+        text = _ROUTE.replace("{n}", "0") + "queue_s = 1.0\n"
+        catalogue.apply(SettingChange("team-0/routes/shop", next(generation), "c" * 16, text))
+
+    return _cpu_us(one, 200)
+
+
+def _choice_us(members: int) -> float:
+    index = GroupIndex()
+    index.update([_member(number) for number in range(members)])
+    numbers = iter(range(10_000_000))
+    return _cpu_us(lambda: index.choose(f"service-{next(numbers)}", 8), 30)
+
+
+def _slope(name: str, unit: str, sizes: Sequence[int], measure: Callable[[int], float]) -> Slope:
+    return Slope(name, unit, sizes, [measure(size) for size in sizes])
+
+
+def measure_all() -> Sequence[Slope]:
+    """Measure every slope."""
+    upstreams, members, routes = (10, 31, 200), (44, 500, 3500), (1000, 4000, 16000)
+    return [
+        _slope("membership: memory", "bytes", members, lambda n: _memory_bytes(lambda: _table(n))),
+        _slope("membership: first choice of a group", "us", members, _choice_us),
+        _slope(
+            "settings: memory, a service and a route",
+            "bytes",
+            routes,
+            lambda n: _memory_bytes(lambda: _catalogue(n)),
+        ),
+        _slope("settings: one change applied", "us", routes, _apply_us),
+        _slope("health: memory", "bytes", upstreams, lambda n: _memory_bytes(lambda: _health(n))),
+        _slope("health: evidence on the wire", "bytes", upstreams, _evidence_bytes),
+        _slope("health: evidence merged", "us", upstreams, _merge_us),
+        _slope("health: attempt recorded", "us", upstreams, _record_us),
+        _slope("health: all verdicts", "us", upstreams, _verdicts_us),
+    ]
+
+
+@click.command()
+def main() -> None:
+    """Measure and print one line for each slope."""
+    for name, code in _IMPORTS.items():
+        click.echo(f"resident, {name:<20}{_resident_mb(code):>8.1f} MB")
+    click.echo(f"{'slope':<42}{'unit':>6}  {'sizes':<20}{'values':<34}{'one more':>12}")
+    for slope in measure_all():
+        sizes = ", ".join(map(str, slope.sizes))
+        values = ", ".join(f"{value:,.1f}" for value in slope.values)
+        click.echo(
+            f"{slope.name:<42}{slope.unit:>6}  {sizes:<20}{values:<34}{slope.per_one:>12,.3f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -40,6 +40,7 @@
 from egretrail.platform import HttpInstanceList, HttpStore
 from egretrail.report import BurnRecorder, Objective
 from egretrail.runtime import (
+    DemandDriver,
     EvidenceDriver,
     KeyedExecutor,
     MembershipDriver,
@@ -151,6 +152,7 @@
         await self._settings_driver.start()
         await self._rights.start()
         await self._evidence.start()
+        await self._demand.start()
         await self._keyed.start()
         self._operator_server.start(self._operator_app())
         self._caller_server.start(self._face)
@@ -175,12 +177,14 @@
             lambda: self._settings_driver.status().complete_revision,
             self._objectives,
         )
+        self._demand = DemandDriver(self._network, self._view, self._demands)
         self._services = ServiceStates(
             self._routing.service,
             settings.instance.availability_zone,
             self._source,
             self._evidence,
             accounting,
+            self._demand,
             self._own.number,
         )
         executor = Executor(
@@ -229,6 +233,10 @@
             for name, service in self._settings_driver.settings().services.items()
         }
 
+    def _demands(self) -> Mapping[ServiceName, float]:
+        held = self._services.held.items()
+        return {service: state.scheduler.demand for service, state in held}
+
     def _group_size(self, service: ServiceName) -> int:
         """Return a service's group size from its settings alone.
 
@@ -291,6 +299,7 @@
         await self._keyed.stop()
 
     async def _end_parts(self) -> None:
+        await self._demand.stop()
         await self._evidence.stop()
         await self._rights.stop()
         await self._settings_driver.stop()
--- a/src/egretrail/daemon/_execution.py
+++ b/src/egretrail/daemon/_execution.py
@@ -205,6 +205,8 @@
             if result.outcome is AttemptOutcome.DRAINING:
                 self._source.note_drain(state.name, upstream)
             await self._evidence.finish(state.name, ticket, attempt)
+            if result.outcome is not AttemptOutcome.ANSWERED:
+                state.trouble()
             ended = state.scheduler.finished(
                 work_id, upstream, _RESULTS[result.outcome], loop.time()
             )
--- a/src/egretrail/daemon/_service_state.py
+++ b/src/egretrail/daemon/_service_state.py
@@ -7,11 +7,17 @@
 from egretrail.daemon._accounting import Accounting
 from egretrail.identity import AvailabilityZone, ServiceName, TeamName, UpstreamName
 from egretrail.platform import Endpoint
-from egretrail.runtime import EvidenceDriver, UpstreamListDriver
-from egretrail.service import Candidate, Scheduler, UpstreamWeights
+from egretrail.runtime import DemandDriver, EvidenceDriver, UpstreamListDriver
+from egretrail.service import Candidate, GroupPosition, Scheduler, UpstreamWeights
 from egretrail.settings import ServiceSettings
 from egretrail.upstream import UpstreamState, Verdict
 
+#: Verdicts are taken anew after this long. Load: a request asks for the candidates two or three
+#: times, at 5 us an upstream. Prevents judging from costing more than passing the request on. The
+#: clock is compared at each placement, so that a process that was paused does not act on old ones;
+#: what it may act on longer is far within the margin of ejection rights (0.25 s).
+_FRESH_S = 0.005
+
 
 class _Weights(UpstreamWeights):
     """Shows a service's upstreams to its scheduler as the list and health see them now."""
@@ -23,6 +29,14 @@
         """Return the upstreams that may be given work now, in a stable order."""
         return self._state.candidates(now_s)
 
+    def position(self) -> GroupPosition:
+        """Return this member's place among those that serve the service."""
+        return self._state.demand.position(self._state.name)
+
+    def peer_demands(self, now_s: float) -> Sequence[float]:
+        """Return how many slots each other member of the group could use, as last reported."""
+        return self._state.demand.peer_demands(self._state.name, now_s)
+
     def may_run(self, digest: bytes, now_s: float) -> bool:
         """Return whether a request may be given to one more upstream; suspected ones may not."""
         return self._state.suspects.may_touch_another(short_digest(digest), now_s)
@@ -39,6 +53,7 @@
         source: UpstreamListDriver,
         evidence: EvidenceDriver,
         accounting: Accounting,
+        demand: DemandDriver,
         rng: random.Random,
     ) -> None:
         self.name = name
@@ -50,10 +65,25 @@
         self._source = source
         self._evidence = evidence
         self._accounting = accounting
+        self.demand = demand
         self._seen: Sequence[UpstreamName] = ()
+        self._candidates: Sequence[Candidate] = ()
+        self._judged_until_s = float("-inf")
+        self._listed = -1
+
+    def trouble(self) -> None:
+        """Have the upstreams judged anew at the next placement: an attempt went wrong."""
+        self._judged_until_s = float("-inf")
 
     def candidates(self, now_s: float) -> Sequence[Candidate]:
         """Return the upstreams that may be given work now."""
+        if now_s >= self._judged_until_s or self._source.changes != self._listed:
+            self._candidates = self._judge(now_s)
+            self._judged_until_s = now_s + _FRESH_S
+            self._listed = self._source.changes
+        return self._candidates
+
+    def _judge(self, now_s: float) -> Sequence[Candidate]:
         rows = self._source.upstreams(self.name)
         names = tuple(UpstreamName(row.name) for row in rows)
         if names != self._seen:
@@ -101,6 +131,7 @@
         source: UpstreamListDriver,
         evidence: EvidenceDriver,
         accounting: Accounting,
+        demand: DemandDriver,
         seed: int,
     ) -> None:
         self._settings_of = settings_of
@@ -108,6 +139,7 @@
         self._source = source
         self._evidence = evidence
         self._accounting = accounting
+        self._demand = demand
         self._rng = random.Random(seed)
         self.held: dict[ServiceName, ServiceState] = {}
 
@@ -126,6 +158,7 @@
                 self._source,
                 self._evidence,
                 self._accounting,
+                self._demand,
                 rng,
             )
             self.held[name] = state
