Learn a service's upstreams when the first request for it comes

Ruled out: readers that wait too long to read (a test of it passed before any change; the wait is looked at more often all the same).

--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -130,7 +130,7 @@
             rng=rng,
         )
         self._source = UpstreamListDriver(
-            self._view, self._network, self._serves, self._served_services, rng
+            self._view, self._network, self._knows_upstreams, self._member_services, rng
         )
         self._settings_driver = SettingsDriver(self._own, self._network, self._view, store, rng)
         self._routing = SettingsRouting(self._settings_driver)
@@ -138,7 +138,7 @@
             self._view,
             self._network,
             store,
-            SettingsFloors(self._routing, self._source, self._served_services),
+            SettingsFloors(self._routing, self._source, self._member_services),
             rng=rng,
         )
         self._evidence = EvidenceDriver(
@@ -246,13 +246,17 @@
         settings = self._routing.service(service) or ServiceSettings(floor=0)
         return group_size(settings.floor, settings.slots, settings.group_size)
 
-    def _serves(self, service: ServiceName) -> bool:
+    def _is_member(self, service: ServiceName) -> bool:
         own = self._settings.instance.name
         return any(member.name == own for member in self._view.group(service))
 
-    def _served_services(self) -> Sequence[ServiceName]:
+    def _knows_upstreams(self, service: ServiceName) -> bool:
+        """Return whether rows are kept: for the groups it is in, and what it was asked lately."""
+        return self._services.is_recent(service) or self._is_member(service)
+
+    def _member_services(self) -> Sequence[ServiceName]:
         services = self._settings_driver.settings().services
-        return [service for service in services if self._serves(service)]
+        return [service for service in services if self._is_member(service)]
 
     def _make_health(self, service: ServiceName) -> ServiceHealth:
         settings = self._routing.service(service) or ServiceSettings(floor=0)
--- a/src/egretrail/daemon/_execution.py
+++ b/src/egretrail/daemon/_execution.py
@@ -123,6 +123,7 @@
         state = self._services.get(request.service)
         if state is None:
             return _NO_SUCH_SERVICE
+        await self._source.fetch(request.service)
         loop = asyncio.get_running_loop()
         now_s = loop.time()
         digest = request_digest(request)
--- a/src/egretrail/daemon/_service_state.py
+++ b/src/egretrail/daemon/_service_state.py
@@ -19,6 +19,11 @@
 _FRESH_S = 0.005
 
 
+#: The upstreams of a service whose group this instance is not in are kept for this long after the
+#: last request: as long as the longest resolve answer that a caller may keep.
+_RECENT_S = 600.0
+
+
 class _Weights(UpstreamWeights):
     """Shows a service's upstreams to its scheduler as the list and health see them now."""
 
@@ -142,6 +147,12 @@
         self._demand = demand
         self._rng = random.Random(seed)
         self.held: dict[ServiceName, ServiceState] = {}
+        self._used_s: dict[ServiceName, float] = {}
+
+    def is_recent(self, name: ServiceName) -> bool:
+        """Return whether a request for the service came lately."""
+        used_s = self._used_s.get(name, float("-inf"))
+        return asyncio.get_running_loop().time() - used_s < _RECENT_S
 
     def get(self, name: ServiceName) -> ServiceState | None:
         """Return a service's state; None when no settings name the service."""
@@ -163,6 +174,7 @@
             )
             self.held[name] = state
         state.settings = settings
+        self._used_s[name] = asyncio.get_running_loop().time()
         return state
 
 
--- a/src/egretrail/runtime/_membership.py
+++ b/src/egretrail/runtime/_membership.py
@@ -313,7 +313,12 @@
 
     async def _read_list_forever(self) -> None:
         while True:
-            await asyncio.sleep(self._list_wait_s() * self._rng.uniform(0.8, 1.2))
+            waited_s = 0.0
+            share = self._rng.uniform(0.8, 1.2)
+            # Looked at again and again: who becomes a reader while it waits reads soon.
+            while waited_s < self._list_wait_s() * share:
+                await asyncio.sleep(self._list_interval_s * share)
+                waited_s += self._list_interval_s * share
             await self.read_list()
 
     def _list_wait_s(self) -> float:
--- a/src/egretrail/runtime/_upstream_list.py
+++ b/src/egretrail/runtime/_upstream_list.py
@@ -32,6 +32,7 @@
 #: How soon an instance that begins to serve a service asks for its rows. Prevents the refusals of
 #: an instance that is already named to callers and knows no upstream yet.
 _NEWLY_SERVED_S = 0.1
+_OWN_READING_GAP_S = 10.0
 #: A drain sign is told to each member of the group this often until it acknowledges. More than
 #: that is not worth its traffic: members also ask each other for signs.
 _TELLINGS = 4
@@ -67,11 +68,33 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._services_changed = True
         self._seen_membership = -1
+        self._own_reading_after_s = float("-inf")
+        self._fetching: dict[ServiceName, asyncio.Task[None]] = {}
 
     def services_changed(self) -> None:
         """Have rows asked for soon: the settings name other services than before."""
         self._services_changed = True
 
+    async def fetch(self, service: ServiceName) -> None:
+        """Learn a service's upstreams now, if nothing is known of them.
+
+        For requests that reach an instance before the service's rows do: views of groups differ
+        for seconds after a change, and callers keep what they resolved.
+        """
+        if service in self._directory.services():
+            return
+        fetching = self._fetching.get(service)
+        if fetching is None:
+            fetching = asyncio.get_running_loop().create_task(self._fetch(service))
+            self._fetching[service] = fetching
+            fetching.add_done_callback(lambda _: self._fetching.pop(service, None))
+        await asyncio.shield(fetching)
+
+    async def _fetch(self, service: ServiceName) -> None:
+        await self._ask_rows(service)
+        if service not in self._directory.services():
+            await self._read_for_itself()
+
     async def start(self) -> None:
         """Take in the list's readings and begin to ask; start this before the membership."""
         self._network.on(UpstreamsAsk, self._on_upstreams_ask)
@@ -193,13 +216,27 @@
                 continue
             self._services_changed = False
             self._seen_membership = membership
-            known = self._directory.services()
-            new = [service for service in self._services() if service not in known]
-            for service in new:
+            for service in self._unknown_services():
                 await self._ask_rows(service)
-            # One that no reader could tell yet is asked for again.
-            known = self._directory.services()
-            self._services_changed |= any(service not in known for service in new)
+            if self._unknown_services():
+                await self._read_for_itself()
+            # One that nobody could tell yet is asked for again.
+            self._services_changed |= bool(self._unknown_services())
+
+    def _unknown_services(self) -> Sequence[ServiceName]:
+        known = set(self._directory.services())
+        return [service for service in self._services() if service not in known]
+
+    async def _read_for_itself(self) -> None:
+        """Read the list because no reader could tell a newly served service's upstreams.
+
+        Load: readers that have just become readers know nothing yet, as after a fleet's start.
+        Once in a while only, so that services without any upstream make nobody a reader.
+        """
+        now_s = _now_s()
+        if now_s >= self._own_reading_after_s:
+            self._own_reading_after_s = now_s + _OWN_READING_GAP_S * self._rng.uniform(0.5, 1.5)
+            await self._membership.read_list()
 
     async def _ask_rows(self, service: ServiceName) -> None:
         own = self._membership.own.name
--- a/src/egretrail/runtime/tests/test_upstream_list.py
+++ b/src/egretrail/runtime/tests/test_upstream_list.py
@@ -23,6 +23,7 @@
         others = [listed(f"v{index}", "varaus", "espoo-b", index) for index in range(4)]
         self.list = type(self.list)([*self.list.rows, *upstreams, *others])
         self.lists: dict[InstanceName, UpstreamListDriver] = {}
+        self.serves: Callable[[ServiceName], bool] = lambda service: service == _SERVICE
 
     async def start_all(self, settle_s: float = 20.0) -> None:
         for name in self.names:
@@ -30,8 +31,8 @@
             driver = UpstreamListDriver(
                 membership,
                 self.peers[name],
-                lambda service: service == _SERVICE,
-                lambda: [_SERVICE],
+                lambda service: self.serves(service),
+                lambda: [service for service in (_SERVICE,) if self.serves(service)],
                 random.Random(f"lists{name}"),
             )
             self.lists[name] = driver
@@ -107,6 +108,21 @@
 
         self._run(scenario)
 
+    def test_services_that_begin_all_at_once_have_their_upstreams_within_two_seconds(self) -> None:
+        async def run() -> None:
+            fleet = _ListedFleet(6)
+            serving: list[ServiceName] = []
+            fleet.serves = lambda service: service in serving
+            await fleet.start_all(settle_s=0.5)
+            serving.append(_SERVICE)
+            for driver in fleet.lists.values():
+                driver.services_changed()
+            await asyncio.sleep(2.0)
+            counts = [len(driver.upstreams(_SERVICE)) for driver in fleet.lists.values()]
+            self.assertEqual([4] * 6, counts)
+
+        self.run_paused(run())
+
     def test_few_instances_read_the_list(self) -> None:
         async def scenario(fleet: _ListedFleet) -> None:
             before = fleet.list.reads
@@ -115,3 +131,17 @@
             self.assertLess(per_second, 3 / 2.0 + 6 / 20.0 + 0.5)
 
         self._run(scenario)
+
+
+class FetchTest(EgretrailTestCase):
+    def test_a_request_that_comes_before_the_rows_learns_them(self) -> None:
+        async def run() -> None:
+            fleet = _ListedFleet(6)
+            fleet.serves = lambda service: False
+            await fleet.start_all(settle_s=5.0)
+            fleet.serves = lambda service: service == _SERVICE
+            for driver in fleet.lists.values():
+                await driver.fetch(_SERVICE)
+                self.assertEqual(4, len(driver.upstreams(_SERVICE)))
+
+        self.run_paused(run())
