--- a/src/egretrail/runtime/tests/test_settings.py
+++ b/src/egretrail/runtime/tests/test_settings.py
@@ -47,14 +47,17 @@
 
         self.run_fleet(44, body)
 
-    def test_lost_and_doubled_messages_only_slow_it(self) -> None:
+    @cases({"light": (12, 0.3), "heavy": (44, 0.4)})
+    def test_lost_and_doubled_messages_only_slow_it(self, row: tuple[int, float]) -> None:
+        size, loss_share = row
+
         async def body(fleet: SettingsFleet) -> None:
-            fleet.network.loss_share = 0.3
+            fleet.network.loss_share = loss_share
             fleet.network.double_share = 0.3
             await fleet.put_floor(2)
             self.assertLess(await fleet.until_floor(2), 20.0)
 
-        self.run_fleet(12, body)
+        self.run_fleet(size, body)
 
     def test_a_change_written_around_the_tool_is_watched(self) -> None:
         async def body(fleet: SettingsFleet) -> None:
