--- a/src/egretrail/runtime/_settings_peers.py
+++ b/src/egretrail/runtime/_settings_peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 from result import Err
@@ -28,6 +28,8 @@
 
 #: Rounds of one comparison that bring the two no closer, because messages are lost or late.
 _IDLE_ROUNDS_LIMIT = 4
+#: Random draws for each member that is wanted, before fewer are taken.
+_DRAWS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +89,18 @@
             if member.name != self._own.instance and member.state is not MemberState.UNREACHABLE
         ]
 
+    def _random_others(self, count: int) -> Collection[InstanceName]:
+        """Return some random members that may be asked, without a pass over all of them."""
+        members = self._view.members()
+        chosen: dict[InstanceName, None] = {}
+        for _ in range(_DRAWS * count if members else 0):
+            member = members[self._rng.randrange(len(members))]
+            if member.name != self._own.instance and member.state is not MemberState.UNREACHABLE:
+                chosen[member.name] = None
+            if len(chosen) == count:
+                break
+        return chosen
+
     def spread(self, run: ChangeRun) -> None:
         """Pass changes on to a few random peers, who do the same when they are new to them.
 
@@ -96,15 +110,13 @@
         """
         if not run.changes or len(run.changes) > self._policy.spread_limit_changes:
             return
-        others = self.others()
-        for member in self._rng.sample(others, min(self._policy.fanout, len(others))):
-            self._network.send(member.name, SettingsRun(run))
+        for name in self._random_others(self._policy.fanout):
+            self._network.send(name, SettingsRun(run))
 
     def compare_with_random(self) -> None:
         """Begin a comparison with one random peer."""
-        others = self.others()
-        if others:
-            self._comparison(self._rng.choice(others).name)
+        for name in self._random_others(1):
+            self._comparison(name)
 
     async def compare(self, peer: InstanceName) -> bool:
         """Compare with a peer; one comparison with each at a time."""
--- a/src/egretrail/runtime/_settings_policy.py
+++ b/src/egretrail/runtime/_settings_policy.py
@@ -24,7 +24,7 @@
     #: at most some 300 times a second.
     watch_pause_s: float = 0.05
     #: How often an instance looks whether the watch falls to it; it costs a pass over the fleet.
-    watcher_check_s: float = 2.0
+    watcher_check_s: float = 5.0
     #: Pause after a failure of the store, jittered.
     retry_s: float = 1.0
     #: An instance whose settings the store has not confirmed for this long asks the store itself.
