--- a/src/egretrail/upstream/tests/test_lifecycle.py
+++ b/src/egretrail/upstream/tests/test_lifecycle.py
@@ -136,7 +136,8 @@
         self.assertIs(UpstreamState.EJECTED, other.state)
         self.assertEqual(Cause.PEER, other.health.verdict(_BAD, 0.0).cause)
         other.wait(UpstreamState.TRIAL)
-        other.health.merge(InstanceName("m1"), evidence, other.now_s)
+        again = driven.health.own_evidence(driven.now_s)
+        other.health.merge(InstanceName("m1"), again, other.now_s)
         self.assertIs(UpstreamState.TRIAL, other.state)
 
     def test_a_new_upstream_ramps(self) -> None:
