--- a/src/egretrail/service/_entry.py
+++ b/src/egretrail/service/_entry.py
@@ -39,8 +39,8 @@
         """Return the latest time at which starting it still makes its deadline.
 
         The expected duration counts for at most half of the time to the deadline. Otherwise a time
-        of slow answers could raise the estimate above every deadline, and with all work refused no
-        answer would ever lower it again.
+        of slow answers could raise the estimate above every deadline, and nothing would be let
+        wait any more although the next answers may be quick again.
         """
         half_s = (self.work.deadline_s - self.arrived_s) / 2
         last_s = self.work.deadline_s - min(self.cost_s, half_s)
