--- a/src/egretrail/trace/__init__.py
+++ b/src/egretrail/trace/__init__.py
@@ -7,19 +7,7 @@
 from egretrail.trace._oracle import Oracle
 from egretrail.trace._player import Ending, Player, PlayLog, RequestLog
 from egretrail.trace._policy import Policy, PolicyFactory
-from egretrail.trace._recipes import (
-    READS,
-    RECIPES,
-    WRITES,
-    Deployment,
-    Load,
-    Recipe,
-    Site,
-    capacity_per_s,
-    header_of,
-    requests_of,
-    steady,
-)
+from egretrail.trace._recipes import RECIPES, Recipe
 from egretrail.trace._records import (
     Expectation,
     Fault,
@@ -31,6 +19,17 @@
     TracedUpstream,
     TraceHeader,
 )
+from egretrail.trace._sites import (
+    READS,
+    WRITES,
+    Deployment,
+    Load,
+    Site,
+    capacity_per_s,
+    header_of,
+    requests_of,
+    steady,
+)
 from egretrail.trace._summary import HELD_OUT_SEEDS, TUNING_SEEDS, Row, Unmet, play, table
 from egretrail.trace._targets import Target, slowdown, targets
 
--- a/src/egretrail/trace/_summary.py
+++ b/src/egretrail/trace/_summary.py
@@ -7,7 +7,8 @@
 from egretrail.trace._oracle import Oracle
 from egretrail.trace._player import Player
 from egretrail.trace._policy import PolicyFactory
-from egretrail.trace._recipes import Deployment, Recipe
+from egretrail.trace._recipes import Recipe
+from egretrail.trace._sites import Deployment
 
 #: Seeds that the decisions may be tuned on, and seeds held out of tuning.
 TUNING_SEEDS = (1, 2)
--- a/src/egretrail/trace/_targets.py
+++ b/src/egretrail/trace/_targets.py
@@ -7,7 +7,8 @@
 from egretrail.trace._figures import figures, quantile
 from egretrail.trace._player import Player
 from egretrail.trace._policy import PolicyFactory
-from egretrail.trace._recipes import Deployment, Recipe
+from egretrail.trace._recipes import Recipe
+from egretrail.trace._sites import Deployment
 from egretrail.trace._summary import Row
 
 #: Requests to a hard-failing upstream before it stops, over all instances together.
