--- a/src/egretrail/fleet/_table.py
+++ b/src/egretrail/fleet/_table.py
@@ -18,6 +18,8 @@
 #: The incarnation number of an instance that is listed and has not been heard yet.
 UNHEARD = 0
 _BUCKETS: Final = 32
+#: Unknown processes whose first mention is remembered; a forgotten one is only judged later.
+_ASKED_LIMIT: Final = 4096
 
 _MEMBER_STATES: Mapping[RumourState, MemberState] = {
     RumourState.ALIVE: MemberState.ALIVE,
@@ -71,6 +73,7 @@
         self._own = rumour_of(own)
         self._records: dict[InstanceName, _Record] = {}
         self._tombstones: dict[InstanceName, tuple[int, float]] = {}
+        self._asked: dict[Incarnation, float] = {}
         self._digests = [0] * _BUCKETS
         self._last_tick_s: float | None = None
         self._absence = AbsenceLedger(tuning)
@@ -205,12 +208,31 @@
             return process.number < self._own.number
         record = self._records.get(process.instance)
         if record is None:
-            since_s = self._started_s if self._started_s is not None else now_s
-            return self._absence.is_gone(process.instance, since_s, since_s)
+            return self._is_unknown_gone(process, now_s)
         if record.rumour.number != process.number:
             return record.rumour.number > process.number
         return record.rumour.state is RumourState.ENDED or self._is_proved_gone(record)
 
+    def is_name_gone(self, name: InstanceName, now_s: float) -> bool:
+        """Return whether no process of a name was running when the list's last reading was true.
+
+        One may have started since, within the list's lag.
+        """
+        if name in self._records or name == self._own.instance:
+            return False
+        since_s = self._started_s if self._started_s is not None else now_s
+        return self._absence.is_gone(name, since_s, since_s)
+
+    def _is_unknown_gone(self, process: Incarnation, now_s: float) -> bool:
+        """Judge a process that was never heard: it may have started after what the list shows.
+
+        The list's silence counts only from when the process was first asked about.
+        """
+        first_s = self._asked.setdefault(process, now_s)
+        if len(self._asked) > _ASKED_LIMIT:
+            del self._asked[next(iter(self._asked))]
+        return self._absence.is_gone(process.instance, first_s, first_s)
+
     def digests(self) -> Sequence[int]:
         """Return one digest for each bucket of names, for comparison with a peer's."""
         own = list(self._digests)
--- a/src/egretrail/runtime/_membership.py
+++ b/src/egretrail/runtime/_membership.py
@@ -172,6 +172,10 @@
         """Return whether this instance is one of the readers."""
         return self._table.own.instance in self.list_readers()
 
+    def is_name_gone(self, name: InstanceName) -> bool:
+        """Return whether the list proves that no process of a name was running within its lag."""
+        return self._table.is_name_gone(name, _now_s())
+
     def on_list(self, listener: ListListener) -> None:
         """Let ``listener`` take every reading of the platform's list that this instance makes."""
         self._listeners.append(listener)
--- a/src/egretrail/runtime/_rights_register.py
+++ b/src/egretrail/runtime/_rights_register.py
@@ -26,7 +26,7 @@
     reconcile,
     record_path,
 )
-from egretrail.identity import Incarnation, InstanceName, ServiceName, UpstreamName
+from egretrail.identity import InstanceName, ServiceName, UpstreamName
 from egretrail.peer import PeerNetwork
 from egretrail.platform import Store, WriteUnknown
 from egretrail.runtime._membership import MembershipDriver
@@ -34,8 +34,6 @@
 _ASK_TIMEOUT_S = 1.0
 #: Compare-and-swap tries in a row before the next period.
 _SWAP_TRIES = 3
-#: No process has a higher number: asks whether any process of a name may be running.
-_ANY_PROCESS = (1 << 63) - 1
 
 _log = structlog.get_logger()
 
@@ -181,7 +179,9 @@
         # Only a fresh reading proves that no process of an heir's name has started since.
         if not await self._membership.read_list():
             return False
-        asked = must_promise(recorded, self._own, self._membership.is_gone, self._is_name_gone)
+        asked = must_promise(
+            recorded, self._own, self._membership.is_gone, self._membership.is_name_gone
+        )
         for name in asked:
             if not await self._promises(name, service, right):
                 return False
@@ -194,9 +194,6 @@
         reply = await self._network.ask(name, ask, Promise, _ASK_TIMEOUT_S)
         return isinstance(reply, Ok) and not reply.ok_value.holds
 
-    def _is_name_gone(self, name: InstanceName) -> bool:
-        return self._membership.is_gone(Incarnation(name, _ANY_PROCESS))
-
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
