Bring changed service settings into force without losing evidence

Cause: health, the cap on crashing requests and the retry budget kept the settings of a service's first request; a peer's word could even make them from the defaults.

--- a/src/egretrail/daemon/_service_state.py
+++ b/src/egretrail/daemon/_service_state.py
@@ -75,6 +75,16 @@
         self._candidates: Sequence[Candidate] = ()
         self._judged_until_s = float("-inf")
         self._listed = -1
+        # A peer's word may have made the evidence before the settings came.
+        self.take_settings(settings)
+
+    def take_settings(self, settings: ServiceSettings) -> None:
+        """Go on with changed settings; what runs, waits and was observed is kept."""
+        self.settings = settings
+        self.health.retune(settings.detection, settings.ramp_s)
+        self.suspects.upstreams_per_request = settings.upstreams_per_request
+        self.scheduler.budget.set_share(settings.retry_budget)
+        self.trouble()
 
     def trouble(self) -> None:
         """Have the upstreams judged anew at the next placement: an attempt went wrong."""
@@ -173,7 +183,8 @@
                 rng,
             )
             self.held[name] = state
-        state.settings = settings
+        if state.settings is not settings:
+            state.take_settings(settings)
         self._used_s[name] = asyncio.get_running_loop().time()
         return state
 
--- a/src/egretrail/service/_budget.py
+++ b/src/egretrail/service/_budget.py
@@ -20,6 +20,10 @@
         self.first_tries = 0
         self.further_tries = 0
 
+    def set_share(self, share: float) -> None:
+        """Go on with a changed share; what was saved is kept."""
+        self._share = share
+
     def first_try(self) -> None:
         """Count a first attempt."""
         self.first_tries += 1
--- a/src/egretrail/upstream/_health.py
+++ b/src/egretrail/upstream/_health.py
@@ -57,6 +57,15 @@
         self._sequence = 0
         self._peer_sequences: dict[InstanceName, int] = {}
 
+    def retune(self, detection: Detection, ramp_s: float) -> None:
+        """Go on with changed settings; what was observed is kept."""
+        self._limits = thresholds(detection)
+        self._ramp_s = ramp_s
+        self._recorder.use_limits(self._limits)
+        self._jury.use_limits(self._limits)
+        for upstream in self._upstreams.values():
+            upstream.lifecycle.use_limits(self._limits, ramp_s)
+
     def set_upstreams(self, names: Sequence[UpstreamName], now_s: float) -> None:
         """Take over the service's upstreams; ones that join later than the first call ramp."""
         for gone in set(self._upstreams) - set(names):
--- a/src/egretrail/upstream/_jury.py
+++ b/src/egretrail/upstream/_jury.py
@@ -128,6 +128,10 @@
         self._drifts = DriftComparison()
         self._compared_s = float("-inf")
 
+    def use_limits(self, limits: Thresholds) -> None:
+        """Go on with other thresholds; what was observed is kept."""
+        self._limits = limits
+
     def judge(
         self, upstream: TrackedUpstream, all_upstreams: Iterable[TrackedUpstream], now_s: float
     ) -> Judgement:
--- a/src/egretrail/upstream/_lifecycle.py
+++ b/src/egretrail/upstream/_lifecycle.py
@@ -83,6 +83,11 @@
         self._path_level = 0
         self._crash = _Shift()
 
+    def use_limits(self, limits: Thresholds, ramp_s: float) -> None:
+        """Go on with other thresholds; the state is kept."""
+        self._limits = limits
+        self._ramp_s = ramp_s
+
     @property
     def threshold_factor(self) -> float:
         """Return what the ejecting score is multiplied by: less is needed soon after a return."""
--- a/src/egretrail/upstream/_recorder.py
+++ b/src/egretrail/upstream/_recorder.py
@@ -52,6 +52,10 @@
         self.shed_share = 0.0
         self._shared = SharedFailures()
 
+    def use_limits(self, limits: Thresholds) -> None:
+        """Go on with other thresholds; what was observed is kept."""
+        self._limits = limits
+
     def record(
         self, upstream: TrackedUpstream, attempt: Attempt, now_s: float, suspect: bool
     ) -> None:
