--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -16,7 +16,17 @@
 
 import click
 
-from egretrail.fleet import GroupIndex, Member, MembershipTable, MembershipTuning, Slowness
+from egretrail.fleet import (
+    GroupIndex,
+    Member,
+    MembershipTable,
+    MembershipTuning,
+    Ping,
+    Rumour,
+    RumourState,
+    Slowness,
+)
+from egretrail.floor import EjectionsAnswer, EjectionsAsk
 from egretrail.identity import (
     AvailabilityZone,
     CallerId,
@@ -26,9 +36,10 @@
     UpstreamName,
 )
 from egretrail.route import RouteTable
+from egretrail.service import DemandReport
 from egretrail.settings import Catalogue, Detection, SettingChange
 from egretrail.upstream import Attempt, AttemptOutcome, NoRights, ServiceHealth
-from egretrail.wire import Frame, FrameKind, encode_frame
+from egretrail.wire import Frame, FrameKind, Message, decode_frame, encode_frame
 
 _ZONES = tuple(AvailabilityZone(f"zone-{number}") for number in range(11))
 _ROUTE = 'service = "shop"\npath_prefix = "/team-{n}/shop"\n'
@@ -172,6 +183,44 @@
     return _cpu_us(lambda: index.choose(f"service-{next(numbers)}", 8), 30)
 
 
+def _rumour(number: int) -> Rumour:
+    member = _member(number)
+    return Rumour(
+        member.name,
+        member.incarnation.number,
+        3,
+        RumourState.ALIVE,
+        True,
+        member.availability_zone,
+        member.caller_host,
+        member.caller_port,
+        member.peer_host,
+        member.peer_port,
+    )
+
+
+def _messages() -> dict[str, Message]:
+    service = ServiceName("team-1234/service-1234")
+    rumours = tuple(_rumour(number) for number in range(7))
+    return {
+        "heartbeat, no rumours": Ping(rumours[0], ()),
+        "heartbeat, 6 rumours": Ping(rumours[0], rumours[1:]),
+        "question for ejections": EjectionsAsk(service),
+        "answer, none ejected": EjectionsAnswer(service, (), (1,)),
+        "demand": DemandReport(service, 17),
+    }
+
+
+def _wire_bytes(body: Message) -> int:
+    return len(encode_frame(Frame(FrameKind.ASK, 123456, body))) + 4
+
+
+def _wire_us(body: Message) -> float:
+    data = encode_frame(Frame(FrameKind.ASK, 123456, body))
+    encoding = _cpu_us(lambda: encode_frame(Frame(FrameKind.ASK, 123456, body)), 2000)
+    return encoding + _cpu_us(lambda: decode_frame(data), 2000)
+
+
 def _slope(name: str, unit: str, sizes: Sequence[int], measure: Callable[[int], float]) -> Slope:
     return Slope(name, unit, sizes, [measure(size) for size in sizes])
 
@@ -202,6 +251,8 @@
     """Measure and print one line for each slope."""
     for name, code in _IMPORTS.items():
         click.echo(f"resident, {name:<20}{_resident_mb(code):>8.1f} MB")
+    for name, body in _messages().items():
+        click.echo(f"on the wire, {name:<24}{_wire_bytes(body):>6} bytes{_wire_us(body):>8.1f} us")
     click.echo(f"{'slope':<42}{'unit':>6}  {'sizes':<20}{'values':<34}{'one more':>12}")
     for slope in measure_all():
         sizes = ", ".join(map(str, slope.sizes))
--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -214,7 +214,7 @@
         app = falcon.asgi.App(middleware=[OperatorTokenMiddleware(self._tokens)])
         refresh = MetricsRefresh(self._metrics, self._view, self._services)
         app.add_route("/healthz", LiveResource())
-        app.add_route("/readyz", ReadyResource(self._view))
+        app.add_route("/readyz", ReadyResource(self._view, self._routing))
         app.add_route("/metrics", MetricsResource(self._metrics, refresh))
         app.add_route("/v1/instances", InstancesResource(self._view))
         app.add_route("/v1/upstreams", UpstreamsResource(self._services))
--- a/src/egretrail/daemon/_interfaces.py
+++ b/src/egretrail/daemon/_interfaces.py
@@ -13,6 +13,11 @@
 class Routing(abc.ABC):
     """Finds routes in the settings in force."""
 
+    @property
+    @abc.abstractmethod
+    def caught_up(self) -> bool:
+        """Return whether requests may be served by what is held."""
+
     @abc.abstractmethod
     def match(self, host: str, path: str, method: str) -> Result[RouteMatch | None, UnsafePath]:
         """Return the route of a request; None when there is none."""
--- a/src/egretrail/daemon/_operator_face.py
+++ b/src/egretrail/daemon/_operator_face.py
@@ -25,14 +25,17 @@
 class ReadyResource:
     """Readiness: the instance holds the settings and may be named to callers."""
 
-    def __init__(self, view: FleetView) -> None:
+    def __init__(self, view: FleetView, routing: Routing) -> None:
         self._view = view
+        self._routing = routing
 
     async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
-        """Answer 200 when ready, 503 before that and while stopping."""
+        """Answer 200 when ready, 503 before that, while catching up and while stopping."""
         own = self._view.own
-        resp.media = {"ready": own.ready, "state": own.state.value}
-        resp.status = 200 if own.ready else 503
+        caught_up = self._routing.caught_up
+        ready = own.ready and caught_up
+        resp.media = {"ready": ready, "caught_up": caught_up, "state": own.state.value}
+        resp.status = 200 if ready else 503
 
 
 class MetricsResource:
--- a/src/egretrail/daemon/_requests.py
+++ b/src/egretrail/daemon/_requests.py
@@ -27,6 +27,9 @@
 _KEY_NEEDED = Problem(
     "key-needed", 428, "A request that is not idempotent needs an Idempotency-Key"
 )
+#: After a pause an instance may hold settings that were replaced meanwhile; serving by them would
+#: bring a replaced configuration back into force here.
+_NOT_READY = Refusal(Outcome.NOT_RUN, RefusalCause.NOT_READY, retry_after_s=1.0)
 #: A forwarded request whose route has not reached this instance yet.
 _UNKNOWN_ROUTE = Refusal(Outcome.NOT_RUN, RefusalCause.NO_UPSTREAM, retry_after_s=1.0)
 #: Instances of the group that one idempotent request is passed to before it is given up: a second
@@ -74,6 +77,8 @@
 
     async def handle(self, incoming: IncomingRequest) -> Answer | Problem:
         """Answer one request of a caller."""
+        if not self._routing.caught_up:
+            return _NOT_READY
         path = incoming.target.partition("?")[0]
         found = self._routing.match(incoming.host, path, incoming.method)
         if isinstance(found, Err):
@@ -108,6 +113,8 @@
 
     async def execute(self, envelope: RequestEnvelope) -> Answer:
         """Answer a request from here, by its route's settings in force here."""
+        if not self._routing.caught_up:
+            return _NOT_READY
         settings = self._routing.route(envelope.route)
         if settings is None:
             return _UNKNOWN_ROUTE
--- a/src/egretrail/daemon/_routing.py
+++ b/src/egretrail/daemon/_routing.py
@@ -15,6 +15,11 @@
     def __init__(self, driver: SettingsDriver) -> None:
         self._driver = driver
 
+    @property
+    def caught_up(self) -> bool:
+        """Return whether requests may be served by what is held."""
+        return self._driver.caught_up
+
     def match(self, host: str, path: str, method: str) -> Result[RouteMatch | None, UnsafePath]:
         """Return the route of a request; None when there is none."""
         return self._driver.routes.match(host, path, method)
--- a/src/egretrail/request/_answer.py
+++ b/src/egretrail/request/_answer.py
@@ -34,6 +34,8 @@
     ANSWER_TOO_LARGE = "answer-too-large"
     #: As many upstreams as one request may be lost with were lost with it.
     SUSPECT_REQUEST = "suspect-request"
+    #: The instance has to catch up with the settings first, after a start or a pause.
+    NOT_READY = "not-ready"
     #: The instance is stopping.
     STOPPING = "stopping"
     #: The instances that serve the service cannot be reached.
--- a/src/egretrail/runtime/_problem.py
+++ b/src/egretrail/runtime/_problem.py
@@ -59,6 +59,7 @@
     RefusalCause.ANSWER_INVALID: (502, "The upstream's answer was not a whole answer"),
     RefusalCause.ANSWER_TOO_LARGE: (502, "The upstream's answer is larger than the limit"),
     RefusalCause.SUSPECT_REQUEST: (422, "Upstreams were lost with this request"),
+    RefusalCause.NOT_READY: (503, "The instance has to catch up with the settings first"),
     RefusalCause.STOPPING: (503, "The instance is stopping"),
     RefusalCause.GROUP_UNREACHABLE: (503, "The instances that serve the service are unreachable"),
     RefusalCause.INSTANCE_FULL: (503, "The instance holds as many requests as it may"),
