--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,8 @@
 
 bench-decisions: setup
 	$(BIN)/python -m benchmarks.decisions
+
+# Every proof, with the explorations that are too long for CI.
+prove: setup
+	$(BIN)/python -m pytest src scaffolding
+	EGRETRAIL_PROVE=1 $(BIN)/python -m pytest src/egretrail/floor/tests/test_honouring_exploration.py
--- /dev/null
+++ b/src/egretrail/testing/tests/test_pages.py
@@ -0,0 +1,35 @@
+"""The pages name tests that exist."""
+
+import re
+from pathlib import Path
+
+from egretrail.testing import EgretrailTestCase, cases
+
+_ROOT = Path(__file__).resolve().parents[4]
+_TEST_ID = re.compile(r"`((?:src|scaffolding)/[\w/]+\.py)((?:::\w+)*)")
+
+
+def _missing(page: str) -> list[str]:
+    """Return the test ids of a page whose file, class or method is not there."""
+    missing = []
+    for path, names in _TEST_ID.findall((_ROOT / page).read_text()):
+        source = (_ROOT / path).read_text() if (_ROOT / path).exists() else ""
+        parts = [name.partition("__")[0] for name in names.split("::") if name]
+        if not source or not all(part in source for part in parts):
+            missing.append(path + names)
+    return missing
+
+
+class ProofPagesTest(EgretrailTestCase):
+    @cases(
+        {
+            "proofs": "docs/PROOFS.md",
+            "keys": "docs/proofs/keys.md",
+            "fleet": "docs/proofs/fleet.md",
+            "settings": "docs/proofs/settings.md",
+            "health": "docs/proofs/health.md",
+            "load": "docs/proofs/load.md",
+        }
+    )
+    def test_every_named_test_exists(self, page: str) -> None:
+        self.assertEqual([], _missing(page))
