Tell the store's calls apart by subtree in the test of requests without the store

Cause: the test counted every get and put of the store as a request's; since rights register in the background, 3 reads during the test made it red (0 != 3). It now asserts that no call touches anything but settings and floors, none the settings, and fewer than 10 the floors over 50 requests: a call on a request's path would make 50. uvicorn's trust in X-Forwarded-For is off.

--- a/scaffolding/store.py
+++ b/scaffolding/store.py
@@ -108,7 +108,9 @@
 
 
 async def _counts(request: web.Request) -> web.Response:
-    return web.json_response(dict(request.app[_STORE].calls))
+    store = request.app[_STORE]
+    paths = {f"path {part}": count for part, count in store.path_calls.items()}
+    return web.json_response({**store.calls, **paths})
 
 
 def _document(value: Entry | Snapshot | WatchEvents) -> web.Response:
--- a/scaffolding/tests/test_processes.py
+++ b/scaffolding/tests/test_processes.py
@@ -232,8 +232,12 @@
                 status, _, _ = await shop.order(0, await shop.key(0, f"k{number}"))
                 self.assertEqual(200, status)
             after = await shop.fleet.get(shop.fleet.store_port, "/counts")
-            self.assertEqual(before.get("put", 0), after.get("put", 0))
-            self.assertEqual(before.get("get", 0), after.get("get", 0))
             self.assertEqual(50, await shop.runs())
+            # The rights of floors are registered apart from requests, a few times a service.
+            kinds = {name for name in after if name.startswith("path ")}
+            self.assertLessEqual(kinds, {"path egretrail", "path floors"})
+            self.assertEqual(before.get("path egretrail"), after.get("path egretrail"))
+            registered = after.get("path floors", 0) - before.get("path floors", 0)
+            self.assertLess(registered, 10)
 
         self._with_shop(act)
--- a/src/egretrail/daemon/_http_server.py
+++ b/src/egretrail/daemon/_http_server.py
@@ -43,6 +43,7 @@
             lifespan="off",
             access_log=False,
             log_config=None,
+            proxy_headers=False,
             server_header=False,
             date_header=False,
             timeout_keep_alive=75,
--- a/src/egretrail/testing/_fake_store.py
+++ b/src/egretrail/testing/_fake_store.py
@@ -27,6 +27,8 @@
         self.history: list[Entry] = []
         #: Calls by kind, a waiting watch as one.
         self.calls: Counter[str] = Counter()
+        #: Reads and writes of single paths, by the path's first part.
+        self.path_calls: Counter[str] = Counter()
         #: While set, every call fails without effect.
         self.out = False
         #: Each call takes this long.
@@ -39,6 +41,7 @@
 
     async def get(self, path: str) -> Result[Entry | None, PlatformFailure]:
         """Read one path; None when it does not exist."""
+        self.path_calls[path.partition("/")[0]] += 1
         if not await self._admit("get"):
             return Err(StoreUnavailable(f"get {path}", "outage"))
         return Ok(self.entries.get(path))
@@ -130,6 +133,7 @@
     async def _write(
         self, kind: str, path: str, value: str | None, expected_revision: int
     ) -> Result[int, PlatformFailure]:
+        self.path_calls[path.partition("/")[0]] += 1
         if not await self._admit(kind):
             return Err(StoreUnavailable(f"{kind} {path}", "outage"))
         current = self.entries[path].revision if path in self.entries else 0
