--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo prove measure bench slopes check format lock docs-settings
+.PHONY: setup test demo prove measure bench slopes check format lock docs-settings docs-metrics
 .PHONY: setup test demo prove measure bench bench-decisions slopes check format lock
 
 setup: $(VENV)/installed
@@ -33,6 +33,9 @@
 docs-settings: setup
 	$(BIN)/python -m egretrail.settings > docs/settings.md
 
+docs-metrics: setup
+	$(BIN)/python -c "from egretrail.daemon import metrics_page; print(metrics_page(), end='')" > docs/metrics.md
+
 lock:
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
 
--- a/src/egretrail/cli/_views.py
+++ b/src/egretrail/cli/_views.py
@@ -23,7 +23,7 @@
 @click.pass_obj
 def upstreams(context: Context) -> None:
     """List the upstreams of the services that the instance serves."""
-    columns = ("service", "upstream", "state", "weight", "cause", "since_s", "in_flight")
+    columns = ("service", "upstream", "state", "weight", "cause", "for_s", "in_flight")
     _list(context, "upstreams", columns)
 
 
--- a/src/egretrail/daemon/_accounting.py
+++ b/src/egretrail/daemon/_accounting.py
@@ -47,7 +47,7 @@
         kind = _kind(answer, duration_s, settings)
         now_s = asyncio.get_running_loop().time()
         self._recorder.count(service, route, kind, now_s)
-        result = "answered" if isinstance(answer, RecordedAnswer) else answer.cause.value
+        result = _result(answer)
         self._metrics.requests.labels(service, route, result).inc()
         self._metrics.duration_s.labels(service).observe(duration_s)
 
@@ -96,6 +96,12 @@
         )
 
 
+def _result(answer: Answer) -> str:
+    if not isinstance(answer, RecordedAnswer):
+        return answer.cause.value
+    return "failed" if answer.status >= _LEAST_FAILURE_STATUS else "answered"
+
+
 def _kind(answer: Answer, duration_s: float, settings: ServiceSettings | None) -> AnswerKind:
     if not isinstance(answer, RecordedAnswer):
         return AnswerKind.REFUSED if answer.outcome is Outcome.NOT_RUN else AnswerKind.UNKNOWN
--- a/src/egretrail/daemon/_daemon.py
+++ b/src/egretrail/daemon/_daemon.py
@@ -212,7 +212,13 @@
 
     def _operator_app(self) -> Any:
         app = falcon.asgi.App(middleware=[OperatorTokenMiddleware(self._tokens)])
-        refresh = MetricsRefresh(self._metrics, self._view, self._services)
+        refresh = MetricsRefresh(
+            self._metrics,
+            self._view,
+            self._services,
+            self._settings_driver.status,
+            lambda: len(self._face.in_flight),
+        )
         app.add_route("/healthz", LiveResource())
         app.add_route("/readyz", ReadyResource(self._view, self._routing))
         app.add_route("/metrics", MetricsResource(self._metrics, refresh))
--- a/src/egretrail/daemon/_metrics.py
+++ b/src/egretrail/daemon/_metrics.py
@@ -14,7 +14,7 @@
         ProcessCollector(registry=self.registry)
         self.requests = Counter(
             "egretrail_requests",
-            "Callers' requests by service, route and result: answered or the refusal's cause.",
+            "Callers' requests by service, route and result: answered, failed or why refused.",
             ["service", "route", "result"],
             registry=self.registry,
         )
@@ -73,3 +73,62 @@
             "Highest store revision whose settings are in force here.",
             registry=self.registry,
         )
+        self.settings_behind = Gauge(
+            "egretrail_settings_behind",
+            "1 while the store shows older settings than the fleet holds.",
+            registry=self.registry,
+        )
+        self.settings_unreadable = Gauge(
+            "egretrail_settings_unreadable",
+            "Paths whose newest value cannot be read; their last readable one is in force.",
+            registry=self.registry,
+        )
+        self.settings_conflicts = Gauge(
+            "egretrail_settings_conflicts",
+            "Contradictions between paths that racing operators left.",
+            registry=self.registry,
+        )
+
+
+def metrics_page() -> str:
+    """Return ``docs/metrics.md``: every metric of the instance itself, with its labels."""
+    lines = [
+        "# Metrics",
+        "",
+        "`GET /metrics` on the operators' face, beside the process's own (`process_*`). Made by",
+        "`make docs-metrics`.",
+        "",
+        "| metric | kind | labels | meaning |",
+        "| --- | --- | --- | --- |",
+    ]
+    held = vars(Metrics()).values()
+    for metric in (one for one in held if isinstance(one, Counter | Gauge | Histogram)):
+        (family,) = metric.describe()
+        labels = ", ".join(f"`{name}`" for name in metric._labelnames) or "-"
+        suffix = "_total" if family.type == "counter" else ""
+        lines.append(
+            f"| `{family.name}{suffix}` | {family.type} | {labels} | {family.documentation} |"
+        )
+    return "\n".join([*lines, "", _ALERTS])
+
+
+_ALERTS = """## Example alert rules
+
+```yaml
+groups:
+  - name: egretrail
+    rules:
+      - alert: RequestsBurnTheBudgetFast  # objective 99.9%, 14.4 times in 5 minutes and an hour
+        expr: >
+          (sum by (service) (rate(egretrail_requests_total{result!="answered"}[5m]))
+            / sum by (service) (rate(egretrail_requests_total[5m])) > 14.4 * 0.001)
+          and
+          (sum by (service) (rate(egretrail_requests_total{result!="answered"}[1h]))
+            / sum by (service) (rate(egretrail_requests_total[1h])) > 14.4 * 0.001)
+      - alert: StoreLostWrites
+        expr: max(egretrail_settings_behind) == 1
+      - alert: InstanceNotReady
+        expr: egretrail_ready == 0 and egretrail_leaving == 0
+        for: 2m
+```
+"""
--- a/src/egretrail/daemon/_operator_face.py
+++ b/src/egretrail/daemon/_operator_face.py
@@ -1,5 +1,6 @@
 """What operators speak to: health, metrics, and what the instance sees and would do."""
 
+import asyncio
 from collections.abc import Callable
 
 import falcon.asgi
@@ -10,7 +11,7 @@
 from egretrail.daemon._metrics import Metrics
 from egretrail.daemon._service_state import ServiceStates
 from egretrail.fleet import FleetView
-from egretrail.runtime import UpstreamListDriver
+from egretrail.runtime import SettingsStatus, UpstreamListDriver
 from egretrail.settings import FleetSettings
 
 
@@ -55,15 +56,30 @@
 class MetricsRefresh:
     """Sets the gauges that show state when they are read."""
 
-    def __init__(self, metrics: Metrics, view: FleetView, services: ServiceStates) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        view: FleetView,
+        services: ServiceStates,
+        status: Callable[[], SettingsStatus],
+        in_flight: Callable[[], int],
+    ) -> None:
         self._metrics = metrics
         self._view = view
         self._services = services
+        self._status = status
+        self._in_flight = in_flight
 
     def refresh(self) -> None:
         """Set every gauge from the state it shows."""
         metrics = self._metrics
-        metrics.ready.set(1 if self._view.own.ready else 0)
+        status = self._status()
+        metrics.ready.set(1 if self._view.own.ready and status.caught_up else 0)
+        metrics.settings_revision.set(status.complete_revision)
+        metrics.settings_behind.set(1 if status.behind is not None else 0)
+        metrics.settings_unreadable.set(len(status.issues))
+        metrics.settings_conflicts.set(len(status.conflicts))
+        metrics.in_flight.set(self._in_flight())
         metrics.members.clear()
         for member in self._view.members():
             metrics.members.labels(member.state.value).inc()
@@ -105,6 +121,7 @@
 
     async def on_get(self, _req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         """Answer with each upstream's state, weight and cause."""
+        now_s = asyncio.get_running_loop().time()
         resp.media = {
             "upstreams": [
                 {
@@ -113,7 +130,7 @@
                     "state": verdict.state.value,
                     "weight": round(verdict.weight, 3),
                     "cause": verdict.cause.value,
-                    "since_s": round(verdict.since_s, 3),
+                    "for_s": round(now_s - verdict.since_s, 1),
                     "in_flight": state.scheduler.in_flight().get(upstream, 0),
                 }
                 for name, state in sorted(self._services.held.items())
--- a/src/egretrail/testing/tests/test_pages.py
+++ b/src/egretrail/testing/tests/test_pages.py
@@ -3,6 +3,7 @@
 import re
 from pathlib import Path
 
+from egretrail.daemon import metrics_page
 from egretrail.testing import EgretrailTestCase, cases
 
 _ROOT = Path(__file__).resolve().parents[4]
@@ -20,6 +21,11 @@
     return missing
 
 
+class MetricsPageTest(EgretrailTestCase):
+    def test_the_page_is_current(self) -> None:
+        self.assertEqual(metrics_page(), (_ROOT / "docs/metrics.md").read_text())
+
+
 class ProofPagesTest(EgretrailTestCase):
     @cases(
         {
