--- a/src/egretrail/daemon/_execution.py
+++ b/src/egretrail/daemon/_execution.py
@@ -29,9 +29,9 @@
     UpstreamResult,
 )
 from egretrail.service import (
+    ATTEMPT_RESULTS,
     Abandon,
     Action,
-    AttemptResult,
     CostClass,
     Dispatch,
     Finish,
@@ -50,18 +50,6 @@
 from egretrail.settings import RouteSettings
 from egretrail.upstream import Attempt, AttemptOutcome
 
-_RESULTS: Mapping[AttemptOutcome, AttemptResult] = {
-    AttemptOutcome.ANSWERED: AttemptResult.ANSWERED,
-    AttemptOutcome.FAILED: AttemptResult.FAILED,
-    AttemptOutcome.LOST: AttemptResult.LOST,
-    AttemptOutcome.TIMED_OUT: AttemptResult.LOST,
-    AttemptOutcome.TRUNCATED: AttemptResult.LOST,
-    AttemptOutcome.CROSSED: AttemptResult.LOST,
-    AttemptOutcome.REFUSED: AttemptResult.NOT_SENT,
-    AttemptOutcome.SHED: AttemptResult.SHED,
-    AttemptOutcome.DRAINING: AttemptResult.SHED,
-    AttemptOutcome.CANCELLED: AttemptResult.ABANDONED,
-}
 _CAUSES: Mapping[type[SchedulerRefusal], RefusalCause] = {
     NoUsableUpstream: RefusalCause.NO_UPSTREAM,
     WouldWaitTooLong: RefusalCause.QUEUE_FULL,
@@ -209,7 +197,7 @@
             if result.outcome is not AttemptOutcome.ANSWERED:
                 state.trouble()
             ended = state.scheduler.finished(
-                work_id, upstream, _RESULTS[result.outcome], loop.time()
+                work_id, upstream, ATTEMPT_RESULTS[result.outcome], loop.time()
             )
             self._perform(state, ended)
 
--- a/src/egretrail/fleet/_table.py
+++ b/src/egretrail/fleet/_table.py
@@ -2,13 +2,14 @@
 
 import random
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Final
 
 import xxhash
 
 from egretrail.fleet._absence import AbsenceLedger
 from egretrail.fleet._messages import Rumour, RumourState
+from egretrail.fleet._record import Record
 from egretrail.fleet._rumours import RumourQueue
 from egretrail.fleet._slowness import Slowness
 from egretrail.fleet._tuning import MembershipTuning
@@ -31,23 +32,6 @@
 _FINAL = (RumourState.LEAVING, RumourState.ENDED)
 
 
-@dataclass(slots=True)
-class _Record:
-    #: The newest rumour of the newest process.
-    rumour: Rumour
-    #: When this process was first heard of, and when it last showed itself to anybody.
-    known_since_s: float
-    heard_s: float
-    #: Who suspects it, and since when.
-    accusers: set[str] = field(default_factory=set)
-    suspected_s: float = 0.0
-    #: Returns from being unreachable, and until when it is kept out of groups for them.
-    returns: int = 0
-    held_until_s: float = 0.0
-    #: Whether the platform's list shows it as leaving.
-    listed_leaving: bool = False
-
-
 def rumour_of(member: Member, version: int = 0) -> Rumour:
     """Return what an instance says of itself."""
     return Rumour(
@@ -71,7 +55,7 @@
         self._tuning = tuning
         self._slowness = slowness
         self._own = rumour_of(own)
-        self._records: dict[InstanceName, _Record] = {}
+        self._records: dict[InstanceName, Record] = {}
         self._tombstones: dict[InstanceName, tuple[int, float]] = {}
         self._asked: dict[Incarnation, float] = {}
         self._digests = [0] * _BUCKETS
@@ -176,7 +160,7 @@
                 continue
             if name not in self._records:
                 listed = replace(rumour_of(replace(member, ready=False)), number=UNHEARD)
-                self._records[name] = _Record(listed, now_s, now_s)
+                self._records[name] = Record(listed, now_s, now_s)
                 self.changes += 1
             self._note_listed_state(self._records[name], member.state, now_s)
 
@@ -253,7 +237,7 @@
         ]
         return found if len(found) <= limit else rng.sample(found, limit)
 
-    def _note_listed_state(self, record: _Record, listed: MemberState, now_s: float) -> None:
+    def _note_listed_state(self, record: Record, listed: MemberState, now_s: float) -> None:
         """Believe a row's "leaving" only when it cannot be an earlier process's stale row."""
         leaving = listed is MemberState.LEAVING
         recent = now_s - record.known_since_s <= self._tuning.list_lag_s
@@ -274,7 +258,7 @@
 
     def _replace(self, rumour: Rumour, now_s: float) -> None:
         record = self._records.get(rumour.instance)
-        fresh = _Record(rumour, now_s, now_s)
+        fresh = Record(rumour, now_s, now_s)
         if record is not None:
             self._toggle(record.rumour)
             if record.rumour.number != UNHEARD and record.rumour.state not in _FINAL:
@@ -287,7 +271,7 @@
         self._toggle(rumour)
         self._announce(rumour)
 
-    def _merge(self, record: _Record, rumour: Rumour, now_s: float) -> None:
+    def _merge(self, record: Record, rumour: Rumour, now_s: float) -> None:
         known = record.rumour
         if _confirms(rumour, known):
             self._confirm(record, rumour)
@@ -306,14 +290,14 @@
         self._toggle(rumour)
         self._announce(rumour)
 
-    def _confirm(self, record: _Record, rumour: Rumour) -> None:
+    def _confirm(self, record: Record, rumour: Rumour) -> None:
         if rumour.accuser in record.accusers:
             return
         if len(record.accusers) <= self._tuning.confirmations:
             record.accusers.add(rumour.accuser)
             self.queue.add(rumour)
 
-    def _hold_back(self, record: _Record, now_s: float) -> None:
+    def _hold_back(self, record: Record, now_s: float) -> None:
         """Keep a member that came back out of groups for a while, longer at each return.
 
         Load: a member that flaps would pull keys, connections and evidence to and fro at each
@@ -324,13 +308,13 @@
         hold_s = self._tuning.return_hold_s * 2.0 ** min(record.returns - 1, 10)
         record.held_until_s = now_s + min(hold_s, self._tuning.return_hold_limit_s)
 
-    def _suspicion_s(self, record: _Record, shortest_s: float) -> float:
+    def _suspicion_s(self, record: Record, shortest_s: float) -> float:
         confirmed = min(len(record.accusers) - 1, self._tuning.confirmations)
         share = confirmed / self._tuning.confirmations if self._tuning.confirmations else 1.0
         stretch = self._tuning.suspicion_stretch
         return shortest_s * (stretch - (stretch - 1.0) * share)
 
-    def _give_up(self, record: _Record, now_s: float) -> None:
+    def _give_up(self, record: Record, now_s: float) -> None:
         self._merge(
             record, replace(record.rumour, state=RumourState.UNREACHABLE, accuser=""), now_s
         )
@@ -346,13 +330,13 @@
             for record in self._records.values():
                 record.suspected_s = max(record.suspected_s, now_s)
 
-    def _is_proved_gone(self, record: _Record) -> bool:
+    def _is_proved_gone(self, record: Record) -> bool:
         name = record.rumour.instance
         if record.rumour.number == UNHEARD:
             return self._absence.absent_for_s(name, float("-inf"), record.heard_s) > 0.0
         return self._absence.is_gone(name, record.known_since_s, record.heard_s)
 
-    def _bury(self, name: InstanceName, record: _Record, now_s: float) -> None:
+    def _bury(self, name: InstanceName, record: Record, now_s: float) -> None:
         if record.rumour.number != UNHEARD:
             until_s = now_s + self._tuning.tombstone_s
             self._tombstones[name] = (record.rumour.number, until_s)
@@ -397,7 +381,7 @@
     )
 
 
-def _seen(record: _Record) -> Member:
+def _seen(record: Record) -> Member:
     member = _member(record.rumour)
     return replace(member, state=MemberState.LEAVING) if record.listed_leaving else member
 
--- a/src/egretrail/service/__init__.py
+++ b/src/egretrail/service/__init__.py
@@ -10,6 +10,7 @@
 )
 from egretrail.service._entry import Entry
 from egretrail.service._order import EarliestDeadline, FairQueueing, Fifo, QueueOrder
+from egretrail.service._outcomes import ATTEMPT_RESULTS
 from egretrail.service._refusals import (
     MayCrashUpstreams,
     NoUsableUpstream,
@@ -24,6 +25,7 @@
 from egretrail.service._work import AttemptResult, CostClass, Work, WorkId
 
 __all__ = [
+    "ATTEMPT_RESULTS",
     "REPORT_INTERVAL_S",
     "Abandon",
     "Action",
--- a/src/egretrail/trace/_egretrail.py
+++ b/src/egretrail/trace/_egretrail.py
@@ -6,9 +6,9 @@
 
 from egretrail.identity import InstanceName, UpstreamName
 from egretrail.service import (
+    ATTEMPT_RESULTS,
     REPORT_INTERVAL_S,
     Action,
-    AttemptResult,
     Candidate,
     DemandReport,
     DemandReporter,
@@ -45,19 +45,6 @@
 #: Verdicts are taken anew after this long, or at once after a failure or a peer's evidence.
 _VERDICTS_VALID_S = 0.1
 
-RESULTS = {
-    AttemptOutcome.ANSWERED: AttemptResult.ANSWERED,
-    AttemptOutcome.FAILED: AttemptResult.FAILED,
-    AttemptOutcome.LOST: AttemptResult.LOST,
-    AttemptOutcome.TIMED_OUT: AttemptResult.LOST,
-    AttemptOutcome.TRUNCATED: AttemptResult.LOST,
-    AttemptOutcome.CROSSED: AttemptResult.LOST,
-    AttemptOutcome.REFUSED: AttemptResult.NOT_SENT,
-    AttemptOutcome.SHED: AttemptResult.SHED,
-    AttemptOutcome.DRAINING: AttemptResult.SHED,
-    AttemptOutcome.CANCELLED: AttemptResult.ABANDONED,
-}
-
 
 @dataclass(frozen=True, slots=True)
 class DrainNotice:
@@ -198,7 +185,9 @@
         if attempt.outcome is not AttemptOutcome.ANSWERED:
             self._weights.expire()
             self._tell_urgent(now_s)
-        return self.scheduler.finished(work_id, attempt.upstream, RESULTS[attempt.outcome], now_s)
+        return self.scheduler.finished(
+            work_id, attempt.upstream, ATTEMPT_RESULTS[attempt.outcome], now_s
+        )
 
     def received(self, sender: int, message: object, now_s: float) -> Sequence[Action]:
         """Take a message from another member."""
