--- a/scaffolding/tests/test_processes.py
+++ b/scaffolding/tests/test_processes.py
@@ -1,6 +1,8 @@
 """Real processes under kills, freezes and stops. They assert safety and wait on events only."""
 
 import asyncio
+import itertools
+import random
 import signal
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -10,6 +12,7 @@
 import aiohttp
 
 from egretrail.testing import EgretrailTestCase
+from scaffolding.caller import Caller, Told
 from scaffolding.demo import put_settings
 from scaffolding.demo_trace import Deployment, ServiceLine
 from scaffolding.processes import FleetProcesses, fleet_processes
@@ -54,11 +57,11 @@
         return f"{found['key_prefix']}.{suffix}"
 
     async def order(
-        self, at: int, key: str, body: bytes = _BODY, caller: str = "one"
+        self, at: int, key: str, body: bytes = _BODY, caller: str = "one", path: str = _PATH
     ) -> tuple[int, bytes, str]:
         """Send the order; return status, body and egretrail's own outcome, if it is one."""
         headers = {"Idempotency-Key": key, "X-Work": "w", "Authorization": caller}
-        url = f"http://127.0.0.1:{self.fleet.instances[at].caller_port}{_PATH}"
+        url = f"http://127.0.0.1:{self.fleet.instances[at].caller_port}{path}"
         timeout = aiohttp.ClientTimeout(total=30)
         async with self.fleet.session.post(
             url, data=body, headers=headers, timeout=timeout
@@ -222,6 +225,88 @@
 
         self._with_shop(act)
 
+    def test_an_upload_that_began_before_the_stop_is_answered(self) -> None:
+        async def act(shop: Shop) -> None:
+            key = await shop.key(home=0)
+            port = shop.fleet.instances[0].caller_port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            head = f"POST {_PATH} HTTP/1.1\r\nHost: x\r\nX-Work: w\r\nIdempotency-Key: {key}\r\n"
+            writer.write(f"{head}Content-Length: {len(_BODY)}\r\n\r\n".encode() + _BODY[:3])
+            await writer.drain()
+            while f"POST {_PATH}" not in await self._in_flight(shop):
+                await asyncio.sleep(0.02)
+            shop.signal(0, signal.SIGTERM)
+            await self._until_refusing(port)
+            writer.write(_BODY[3:])
+            self.assertIn(b"200", await reader.readline())
+            writer.close()
+            self.assertEqual(0, await shop.ended(0))
+            self.assertEqual(1, await shop.runs())
+
+        self._with_shop(act)
+
+    async def _in_flight(self, shop: Shop) -> str:
+        """Return the instance's gauge of requests in flight as the one request's name."""
+        port = shop.fleet.instances[0].operator_port
+        async with shop.fleet.session.get(f"http://127.0.0.1:{port}/metrics") as response:
+            shown = await response.text()
+        return f"POST {_PATH}" if "egretrail_requests_in_flight 1.0" in shown else ""
+
+    async def _until_refusing(self, port: int) -> None:
+        """Wait until the instance takes no connections any more."""
+        while True:
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+            except ConnectionError:
+                return
+            writer.close()
+            await asyncio.sleep(0.05)
+
+    def test_callers_that_kept_their_resolve_answer_are_answered_through_a_stop(self) -> None:
+        async def act(shop: Shop) -> None:
+            entries = [("127.0.0.1", one.caller_port) for one in shop.fleet.instances]
+            told: list[Told] = []
+            stopped = asyncio.Event()
+
+            async def browse(number: int) -> None:
+                rng = random.Random(number)
+                caller = Caller(shop.fleet.session, f"caller-{number}", entries, rng)
+                for item in itertools.count():
+                    method = "GET" if number % 2 else "POST"
+                    work = f"w{number}-{item}"
+                    told.append(await caller.send(method, _PATH, work, method == "GET", _BODY))
+                    if stopped.is_set():
+                        return
+
+            browsing = [asyncio.create_task(browse(number)) for number in range(4)]
+            while len(told) < 40:
+                await asyncio.sleep(0.02)
+            shop.signal(0, signal.SIGTERM)
+            self.assertEqual(0, await shop.ended(0))
+            stopped.set()
+            await asyncio.gather(*browsing)
+            self.assertEqual({"answered"}, {one.result for one in told})
+
+        self._with_shop(act)
+
+
+class CrashingRequestTest(ProcessTest):
+    def test_one_request_loses_no_more_upstreams_than_the_limit(self) -> None:
+        async def act(shop: Shop) -> None:
+            for number in range(9):
+                at = number % 3
+                if number % 2:
+                    url = f"http://127.0.0.1:{shop.fleet.instances[at].caller_port}/shop/poison"
+                    async with shop.fleet.session.get(url) as response:
+                        self.assertIn(response.status, (422, 502))
+                else:
+                    await shop.order(at, await shop.key(at, f"p{number}"), path="/shop/poison")
+            lost = [await shop.fleet.get(port, "/runs") for port in shop.fleet.upstreams["shop"]]
+            # A GET and a POST are two requests; each may be lost with two upstreams.
+            self.assertLessEqual(sum(count["requests"] for count in lost), 4)
+
+        self._with_shop(act)
+
 
 class StoreTest(ProcessTest):
     def test_requests_make_no_call_to_the_store_and_work_without_it(self) -> None:
