--- a/src/egretrail/testing/tests/test_pages.py
+++ b/src/egretrail/testing/tests/test_pages.py
@@ -8,6 +8,9 @@
 
 _ROOT = Path(__file__).resolve().parents[4]
 _TEST_ID = re.compile(r"`((?:src|scaffolding)/[\w/]+\.py)((?:::\w+)*)")
+_LOGGED = re.compile(
+    r"(?:_log|get_logger\(\))\.(?:debug|info|warning|error|exception)\(\s*\"(\w+)\""
+)
 
 
 def _missing(page: str) -> list[str]:
@@ -26,6 +29,16 @@
         self.assertEqual(metrics_page(), (_ROOT / "docs/metrics.md").read_text())
 
 
+class LogEventsPageTest(EgretrailTestCase):
+    def test_every_event_is_on_the_page(self) -> None:
+        page = (_ROOT / "docs/log-events.md").read_text()
+        logged = set()
+        for path in (_ROOT / "src/egretrail").rglob("*.py"):
+            logged |= set(_LOGGED.findall(path.read_text()))
+        self.assertEqual(set(), {event for event in logged if f"`{event}`" not in page})
+        self.assertIn("upstream_ejected", logged)
+
+
 class ProofPagesTest(EgretrailTestCase):
     @cases(
         {
