--- a/src/egretrail/daemon/_service_state.py
+++ b/src/egretrail/daemon/_service_state.py
@@ -16,7 +16,7 @@
 #: times, at 5 us an upstream. Prevents judging from costing more than passing the request on. The
 #: clock is compared at each placement, so that a process that was paused does not act on old ones;
 #: what it may act on longer is far within the margin of ejection rights (0.25 s).
-_FRESH_S = 0.005
+_FRESH_S = 0.02
 
 
 #: The upstreams of a service whose group this instance is not in are kept for this long after the
--- a/src/egretrail/runtime/_membership.py
+++ b/src/egretrail/runtime/_membership.py
@@ -78,6 +78,8 @@
         self._index = GroupIndex()
         self._indexed_changes = -1
         self._indexed_until_s = 0.0
+        #: Groups as they were asked for since the last change. Load: each request asks.
+        self._groups: dict[tuple[ServiceName, int], Sequence[Member]] = {}
         self._path_faults: dict[InstanceName, float] = {}
         self._listeners: list[ListListener] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -124,8 +126,12 @@
     def group(self, service: ServiceName) -> Sequence[Member]:
         """Return the members that serve a service, most preferred first; leaving ones are not."""
         self._refresh_index()
-        names = self._index.choose(str(service), self._group_size_of(service))
-        return self._named(names)
+        size = self._group_size_of(service)
+        group = self._groups.get((service, size))
+        if group is None:
+            group = self._named(self._index.choose(str(service), size))
+            self._groups[service, size] = group
+        return group
 
     def witness_candidates(self, home: InstanceName) -> Sequence[Member]:
         """Return ready members that may witness for a home, those of other zones first.
@@ -194,6 +200,7 @@
         now_s = _now_s()
         if self._table.changes == self._indexed_changes and now_s < self._indexed_until_s:
             return
+        self._groups.clear()
         self._indexed_changes = self._table.changes
         holds = []
         eligible = []
