--- a/scaffolding/upstream.py
+++ b/scaffolding/upstream.py
@@ -22,6 +22,8 @@
 _SLOW_FACTOR = 10.0
 #: Requests that wait for a slot before the upstream sheds.
 _BACKLOG = 2
+#: A late upstream answers this long after the deadline that it was given.
+_LATE_S = 0.2
 #: A cold upstream is this much slower at first, and warms over this long.
 _COLD_FACTOR = 3.0
 _COLD_S = 2.0
@@ -91,7 +93,14 @@
         if request.method not in ("GET", "HEAD"):
             self.runs[work] += 1
         duration_s = self.service_s * self.rng.lognormvariate(0.0, 0.4) * self._cold_factor()
-        await asyncio.sleep(duration_s * (_SLOW_FACTOR if mode == "slow" else 1.0))
+        duration_s *= _SLOW_FACTOR if mode == "slow" else 1.0
+        deadline_s = float(request.headers.get("Egretrail-Timeout-S", "inf"))
+        if mode == "late":
+            await asyncio.sleep(deadline_s + _LATE_S)
+        elif duration_s > deadline_s:
+            await asyncio.sleep(deadline_s)
+            return web.Response(status=504, body=b"deadline")
+        await asyncio.sleep(duration_s)
         text = f"{self.name} {request.method} {request.rel_url} {work} {len(body)}\n".encode()
         if mode == "failing":
             return web.Response(status=500, body=b"fault")
