--- a/scaffolding/measure_groups.py
+++ b/benchmarks/groups.py
@@ -1,6 +1,6 @@
 """Measures how many groups change when one member leaves, and what a choice costs.
 
-Run as ``python -m scaffolding.measure_groups``.
+Run as ``python -m benchmarks.groups``.
 """
 
 import time
--- a/scaffolding/measure_membership.py
+++ b/benchmarks/membership.py
@@ -1,6 +1,6 @@
 """Measures what membership costs one instance, from real messages on a paused clock.
 
-Run as ``python -m scaffolding.measure_membership``. Bytes are those of the encoded frames sent by
+Run as ``python -m benchmarks.membership``. Bytes are those of the encoded frames sent by
 all instances, divided by their number; processor time is that of the whole run, fakes included.
 """
 
