Try suspects by what the service needs: later with room to spare, after a second with idempotent work

Idempotent work, whose failed trial costs a repeat of milliseconds, waited three seconds.

The pause before a trial follows the share of slots taken of the upstreams in service, three times as long up to a half, half at the full; where more than 6% of a service's requests fail lately it is not lengthened, so that sound upstreams return. The trial's rules moved to a module of their own, the sliding sum too.

--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -2,12 +2,13 @@
 
 import enum
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from egretrail.dispatch._durations import ServiceDurations
 from egretrail.dispatch._load import FleetLoad
 from egretrail.dispatch._suspicion import Standing, SuspicionBook
+from egretrail.dispatch._trials import TrialPace
 from egretrail.traffic import UpstreamRecord
 
 #: What an upstream of another availability zone is charged, as a share of its slots. Bytes between
@@ -25,14 +26,8 @@
 _SHORT_OF_ROOM_CHARGE = 1.0
 #: What an upstream is charged against which there are weak findings: three of four slots.
 _DOUBTED_CHARGE = 0.75
-#: Share of the slots taken at which suspects are tried sooner, and by how much.
+#: Share of the slots taken from which an upstream has no room for second copies.
 _TIGHT_LOAD = 0.9
-_TIGHT_HASTE = 0.35
-#: Idempotent work can carry a trial sooner, since a failed trial costs a repeat and no answer.
-_REPEATABLE_HASTE = 0.6
-#: The number of instances that may try a suspect doubles this often: with a request of the service
-#: every second at each instance, the first few get one within a second.
-_TRIAL_DOUBLING_S = 0.25
 #: What an upstream is charged that was started lately and is still slow.
 _WARMUP_CHARGE = 0.5
 #: A request that has to wait is refused when its wait and this share of the usual duration exceed
@@ -117,8 +112,8 @@
     durations: ServiceDurations
     #: Doubts about upstreams.
     suspicion: SuspicionBook
-    #: This instance's place among those that may try a suspect; 0 is the first.
-    trial_rank: Callable[[UpstreamRecord], int] = lambda record: 0
+    #: When upstreams that failed are tried again.
+    trials: TrialPace
     #: Until when upstreams that have just started are slow.
     warm_from_s: dict[str, float] = field(default_factory=dict)
     #: Breaks ties, so that instances with equal views spread.
@@ -138,6 +133,7 @@
         if not candidates:
             return Refusal(RefusalReason.NO_UPSTREAM, self._pause_s(query.service))
         suspects: list[UpstreamRecord] = []
+        in_service: list[UpstreamRecord] = []
         best: UpstreamRecord | None = None
         best_charge = float("inf")
         for record in candidates:
@@ -145,16 +141,19 @@
             if standing in (Standing.SUSPECT, Standing.PROBATION):
                 suspects.append(record)
                 continue
+            in_service.append(record)
             charge = self._charge(query, record, now_s)
             if standing is Standing.DOUBTED:
                 charge += _DOUBTED_CHARGE
             if charge < best_charge:
                 best, best_charge = record, charge
-        tight = best is None or best_charge >= _TIGHT_LOAD
-        trial = None if query.spare_only else self._trial(query, suspects, tight, now_s)
-        if trial is not None:
-            return Choice(trial, 0, True, len(candidates))
-        if best is None or (query.spare_only and tight):
+        if not query.spare_only:
+            trial = self.trials.due(
+                query.service, suspects, in_service, now_s, repeatable=query.repeatable
+            )
+            if trial is not None:
+                return Choice(trial, 0, True, len(candidates))
+        if best is None or (query.spare_only and best_charge >= _TIGHT_LOAD):
             return Refusal(RefusalReason.ALL_SUSPECT, self._pause_s(query.service))
         return self._admit(query, best, len(candidates), now_s)
 
@@ -191,29 +190,6 @@
             charge += (slowness - 1.0) * _SLOWNESS_CHARGE
         return charge + self.rng.random() * 0.02
 
-    def _trial(
-        self,
-        query: PlacementQuery,
-        suspects: Sequence[UpstreamRecord],
-        tight: bool,
-        now_s: float,
-    ) -> UpstreamRecord | None:
-        """Return a suspect that this instance may send one request to now.
-
-        Which instances may is settled by rank, beginning with one of the upstream's own zone and
-        doubling with time: requests come in clumps, and instances that decide at the same moment
-        cannot see each other's trials.
-        """
-        haste = _TIGHT_HASTE if tight else _REPEATABLE_HASTE if query.repeatable else 1.0
-        for record in suspects:
-            overdue_s = self.suspicion.overdue_s(record.id, now_s, haste)
-            if overdue_s < 0 or self.load.in_flight(record.id, now_s) > 0:
-                continue
-            allowed = 1 << min(int(overdue_s / _TRIAL_DOUBLING_S), 16)
-            if self.trial_rank(record) < allowed:
-                return record
-        return None
-
     def _pause_s(self, service: str) -> float:
         return _bounded(self.durations.mean_s(service))
 
--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -1,9 +1,10 @@
 """How many requests may be sent a second time, over the whole fleet."""
 
-from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from egretrail.dispatch._window import SlidingSum
+
 #: The share of the agreed budget that is used. The rest covers what other instances have just sent
 #: and not yet told: repeats of a service that come within a fifth of a second of each other.
 _USED_SHARE = 0.6
@@ -19,32 +20,6 @@
     repeats: int = 0
 
 
-class _Window:
-    """A sum over a sliding window, kept in quarters of a second."""
-
-    __slots__ = ("_buckets", "_sum", "_window_s")
-
-    _BUCKET_S = 0.25
-
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
-        self._buckets: deque[tuple[float, int]] = deque()
-        self._sum = 0
-
-    def add(self, count: int, now_s: float) -> None:
-        start_s = now_s - now_s % self._BUCKET_S
-        if self._buckets and self._buckets[-1][0] == start_s:
-            self._buckets[-1] = (start_s, self._buckets[-1][1] + count)
-        else:
-            self._buckets.append((start_s, count))
-        self._sum += count
-
-    def total(self, now_s: float) -> int:
-        while self._buckets and self._buckets[0][0] <= now_s - self._window_s - self._BUCKET_S:
-            self._sum -= self._buckets.popleft()[1]
-        return self._sum
-
-
 class RepeatBudget:
     """Permits repeats while the fleet's repeats stay within a share of its requests.
 
@@ -58,8 +33,8 @@
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
-        self._requests: dict[str, _Window] = {}
-        self._repeats: dict[str, _Window] = {}
+        self._requests: dict[str, SlidingSum] = {}
+        self._repeats: dict[str, SlidingSum] = {}
         self._own: dict[str, RepeatCounts] = {}
         self._told: dict[tuple[str, str], RepeatCounts] = {}
 
@@ -98,15 +73,19 @@
         self._count(self._requests, service, max(counts.requests - before.requests, 0), now_s)
         self._count(self._repeats, service, max(counts.repeats - before.repeats, 0), now_s)
 
+    def request_rate(self, service: str, now_s: float) -> float:
+        """Return the fleet's requests of a service in a second, over the window."""
+        return self._total(self._requests, service, now_s) / self._window_s
+
     def forget(self, origin: str) -> None:
         """Drop an instance that is gone; what it sent stays in the window."""
         for key in [held for held in self._told if held[0] == origin]:
             del self._told[key]
 
-    def _count(self, table: dict[str, _Window], service: str, count: int, now_s: float) -> None:
+    def _count(self, table: dict[str, SlidingSum], service: str, count: int, now_s: float) -> None:
         if count:
-            table.setdefault(service, _Window(self._window_s)).add(count, now_s)
+            table.setdefault(service, SlidingSum(self._window_s)).add(count, now_s)
 
-    def _total(self, table: dict[str, _Window], service: str, now_s: float) -> int:
+    def _total(self, table: dict[str, SlidingSum], service: str, now_s: float) -> int:
         window = table.get(service)
         return 0 if window is None else window.total(now_s)
--- /dev/null
+++ b/src/egretrail/dispatch/_window.py
@@ -0,0 +1,32 @@
+"""Sums over the last moments."""
+
+from collections import deque
+
+#: Counts are kept in pieces of this time; a sum may reach this much further back.
+_BUCKET_S = 0.25
+
+
+class SlidingSum:
+    """A sum over a sliding window of time."""
+
+    __slots__ = ("_buckets", "_sum", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._buckets: deque[tuple[float, int]] = deque()
+        self._sum = 0
+
+    def add(self, count: int, now_s: float) -> None:
+        """Add to the sum at a time that is not before that of earlier calls."""
+        start_s = now_s - now_s % _BUCKET_S
+        if self._buckets and self._buckets[-1][0] == start_s:
+            self._buckets[-1] = (start_s, self._buckets[-1][1] + count)
+        else:
+            self._buckets.append((start_s, count))
+        self._sum += count
+
+    def total(self, now_s: float) -> int:
+        """Return what was added within the window."""
+        while self._buckets and self._buckets[0][0] <= now_s - self._window_s - _BUCKET_S:
+            self._sum -= self._buckets.popleft()[1]
+        return self._sum
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -18,6 +18,7 @@
     ServiceDurations,
     Standing,
     SuspicionBook,
+    TrialPace,
 )
 from egretrail.gateway._interfaces import GatewaySettings
 from egretrail.gateway._log import EventLog
@@ -28,6 +29,8 @@
 _NEWS_S = 0.3
 #: Outcomes that other instances act upon at once.
 _URGENT = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.OVERDUE})
+#: Outcomes after which the attempt brings no answer to the client.
+_LOST_ANSWERS = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT, Outcome.SHED})
 
 
 class FleetView:
@@ -79,7 +82,7 @@
             self.load,
             self.durations,
             self.suspicion,
-            self._trial_rank,
+            TrialPace(self.load, self.suspicion, self._trial_rank, self.repeats.request_rate),
             rng=rng,
         )
         #: Whether the store answered this instance lately.
@@ -251,6 +254,8 @@
         self.suspicion.observe(seen, observer, usual_s, now_s)
         if seen.outcome is Outcome.SUCCESS:
             self._measure(record, seen.duration_s, now_s)
+        elif seen.outcome in _LOST_ANSWERS:
+            self.placement.trials.failed(record.service, now_s)
         after = self.suspicion.standing(seen.upstream_id, now_s)
         if before is not after:
             self._log.event(
