Keep path findings to their observer until another instance finds the same and nobody had an answer between

Log: six instances on a link that loses packets found one upstream after the other unreachable; two findings within 3 s took it out for the whole fleet, single findings renewed and lengthened doubts under trial, and instances with pauses of their own refused where all their paths had failed once.

Ruled out: failing spells (upstreams had answered other instances 0.1 to 0.4 s before each verdict); load (16% of slots).

Now an answer to anybody clears the findings, a lone finding does not touch a doubt of another kind, an own path's pause doubles from 1.5 to 6 s, and such an upstream is used where nothing else is left. The case "the own broken path" now expects UNREACHED, a standing of its own, in place of SUSPECT.

--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -28,6 +28,10 @@
 _DOUBTED_CHARGE = 0.75
 #: Share of the slots taken from which an upstream has no room for second copies.
 _TIGHT_LOAD = 0.9
+#: What an upstream is charged to which this instance's path failed lately: more than any queue that
+#: a request may wait in, so that it is used where nothing else is left. A link that loses packets
+#: still carries some, and a connection that cannot be opened costs a third of a second.
+_UNREACHED_CHARGE = 100.0
 #: What an upstream is charged that was started lately and is still slow.
 _WARMUP_CHARGE = 0.5
 #: A request that has to wait is refused when its wait and this share of the usual duration exceed
@@ -141,8 +145,11 @@
             if standing in (Standing.SUSPECT, Standing.PROBATION):
                 suspects.append(record)
                 continue
-            in_service.append(record)
             charge = self._charge(query, record, now_s)
+            if standing is Standing.UNREACHED:
+                charge += _UNREACHED_CHARGE
+            else:
+                in_service.append(record)
             if standing is Standing.DOUBTED:
                 charge += _DOUBTED_CHARGE
             if charge < best_charge:
--- a/src/egretrail/dispatch/_suspicion.py
+++ b/src/egretrail/dispatch/_suspicion.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from egretrail.dispatch._observation import Observation, Outcome
+from egretrail.dispatch._paths import FIRST_PATH_PAUSE_S, PathBook
 
 #: A failure within this share of the usual duration shows an upstream that does not work at all.
 #: A failure that took as long as work is one of those that a sound upstream has now and then.
@@ -37,12 +38,6 @@
 _SHED_FIRST_S = 0.25
 _SHED_GROWTH = 2.0
 _SHED_MAX_S = 2.0
-#: The pause of one instance after its own path to an upstream failed; the others may reach it.
-_PATH_PAUSE_S = 1.5
-#: Outcomes that show that the path between one instance and an upstream does not work.
-_PATH_OUTCOMES = frozenset({Outcome.UNREACHABLE, Outcome.SILENT})
-#: Outcomes of which one observer's count once: they may come of the observer's own path.
-_COUNTED_ONCE = _PATH_OUTCOMES | {Outcome.OVERDUE}
 
 
 class Standing(enum.Enum):
@@ -52,6 +47,8 @@
     GOOD = "good"
     #: After the others: findings against it may be chance, or an overload that all share.
     DOUBTED = "doubted"
+    #: Only where nothing else is left: this instance's own path to it failed lately.
+    UNREACHED = "unreached"
     #: It passed a trial: one request at a time, by few instances.
     PROBATION = "probation"
     #: Not at all before its pause has passed.
@@ -68,6 +65,8 @@
     pause_s: float
     #: Whether the findings are weak; such a doubt ends by itself.
     weak: bool = False
+    #: Whether several instances could not reach it, in place of a failure of its work.
+    unreachable: bool = False
     #: Successes since the last failure.
     successes: int = 0
     #: When the last of them was seen.
@@ -98,7 +97,7 @@
         self._weak: dict[str, list[tuple[str, float]]] = {}
         #: Until when upstreams are short of room, and for how long at a time.
         self._short_of_room: dict[str, tuple[float, float]] = {}
-        self._path_pause_until_s: dict[str, float] = {}
+        self._paths = PathBook(own_name)
 
     def observe(self, seen: Observation, observer: str, usual_s: float, now_s: float) -> None:
         """Take an outcome that an instance observed just now; ``usual_s`` is work's duration."""
@@ -110,22 +109,22 @@
             case Outcome.FAILED | Outcome.BROKEN:
                 quick = seen.duration_s < usual_s * _QUICK_SHARE
                 self._failed(seen, observer, quick, now_s)
-            case Outcome.UNREACHABLE | Outcome.OVERDUE | Outcome.SILENT:
-                if observer == self._own_name and seen.outcome in _PATH_OUTCOMES:
-                    self._path_pause_until_s[seen.upstream_id] = now_s + _PATH_PAUSE_S
+            case Outcome.OVERDUE:
                 self._failed(seen, observer, False, now_s)
+            case Outcome.UNREACHABLE | Outcome.SILENT:
+                if self._paths.failed(seen.upstream_id, observer, now_s):
+                    self._unreachable(seen, now_s)
 
     def standing(self, upstream_id: str, now_s: float) -> Standing:
         """Return how this instance may use an upstream."""
-        if self._path_pause_until_s.get(upstream_id, 0.0) > now_s:
-            return Standing.SUSPECT
         doubt = self._doubts.get(upstream_id)
-        if doubt is None:
+        if doubt is not None and not doubt.weak:
+            return Standing.PROBATION if doubt.successes else Standing.SUSPECT
+        if self._paths.paused(upstream_id, now_s):
+            return Standing.UNREACHED
+        if doubt is None or now_s - doubt.since_s > _WEAK_DOUBT_S:
             return Standing.GOOD
-        if doubt.weak:
-            over = now_s - doubt.since_s > _WEAK_DOUBT_S
-            return Standing.GOOD if over else Standing.DOUBTED
-        return Standing.PROBATION if doubt.successes else Standing.SUSPECT
+        return Standing.DOUBTED
 
     def short_of_room(self, upstream_id: str, now_s: float) -> bool:
         """Return whether an upstream lately refused a request without running it.
@@ -142,7 +141,7 @@
 
         ``haste`` below 1 shortens the pause.
         """
-        if self._path_pause_until_s.get(upstream_id, 0.0) > now_s:
+        if self._paths.paused(upstream_id, now_s):
             return float("-inf")
         doubt = self._doubts.get(upstream_id)
         if doubt is None:
@@ -167,20 +166,20 @@
         """Take another instance's doubts about upstreams that none is held against here."""
         for record in records:
             since_s = now_s - record.age_s
-            doubt = _Doubt(since_s, record.pause_s, False, record.successes, now_s)
+            doubt = _Doubt(since_s, record.pause_s, successes=record.successes, success_s=now_s)
             self._doubts.setdefault(record.upstream_id, doubt)
 
     def keep_only(self, upstream_ids: Iterable[str]) -> None:
         """Forget upstreams that are no longer listed."""
         listed = set(upstream_ids)
-        tables = (self._doubts, self._weak, self._short_of_room, self._path_pause_until_s)
+        tables = (self._doubts, self._weak, self._short_of_room)
         for table in tables:
             for upstream_id in table.keys() - listed:
                 table.pop(upstream_id)
+        self._paths.keep_only(listed)
 
     def _succeeded(self, upstream_id: str, observer: str, started_s: float, now_s: float) -> None:
-        if observer == self._own_name:
-            self._path_pause_until_s.pop(upstream_id, None)
+        self._paths.answered(upstream_id, observer)
         doubt = self._doubts.get(upstream_id)
         if doubt is None or started_s < doubt.since_s + _CLEAR_MARGIN_S:
             return
@@ -199,29 +198,38 @@
     def _failed(self, seen: Observation, observer: str, quick: bool, now_s: float) -> None:
         doubt = self._doubts.get(seen.upstream_id)
         if doubt is not None and not doubt.weak:
-            started_s = now_s - seen.duration_s
-            if started_s >= doubt.since_s + _CLEAR_MARGIN_S:
-                pause_s = max(doubt.pause_s * _PAUSE_GROWTH, FIRST_PAUSE_S)
-                self._doubts[seen.upstream_id] = _Doubt(now_s, min(pause_s, _PAUSE_MAX_S))
-            return
-        if quick:
+            self._lengthen(doubt, seen, now_s)
+        elif quick:
             self._doubts[seen.upstream_id] = _Doubt(now_s, FIRST_PAUSE_S)
         elif self._confirmed(seen, observer, now_s):
-            # Nothing is served by an upstream that several instances cannot reach. Slow answers and
-            # single failures say less: with all slots taken every upstream shows them, and taking
-            # upstreams out then takes the others out as well, one after the other.
-            weak = seen.outcome not in _PATH_OUTCOMES
-            self._doubts[seen.upstream_id] = _Doubt(now_s, _PATH_PAUSE_S, weak)
+            # Slow answers and single failures say little: with all slots taken every upstream shows
+            # them, and taking upstreams out then takes the others out as well, one after the other.
+            self._doubts[seen.upstream_id] = _Doubt(now_s, _WEAK_DOUBT_S, weak=True)
+
+    def _unreachable(self, seen: Observation, now_s: float) -> None:
+        """Take an upstream out that nobody reaches."""
+        doubt = self._doubts.get(seen.upstream_id)
+        if doubt is None or doubt.weak:
+            pause_s = FIRST_PATH_PAUSE_S
+            self._doubts[seen.upstream_id] = _Doubt(now_s, pause_s, unreachable=True)
+        elif doubt.unreachable:
+            self._lengthen(doubt, seen, now_s)
+
+    def _lengthen(self, doubt: _Doubt, seen: Observation, now_s: float) -> None:
+        """Begin a longer pause after a failed trial; work that was under way says nothing new."""
+        if now_s - seen.duration_s < doubt.since_s + _CLEAR_MARGIN_S:
+            return
+        pause_s = min(max(doubt.pause_s * _PAUSE_GROWTH, FIRST_PAUSE_S), _PAUSE_MAX_S)
+        self._doubts[seen.upstream_id] = _Doubt(now_s, pause_s, unreachable=doubt.unreachable)
 
     def _confirmed(self, seen: Observation, observer: str, now_s: float) -> bool:
         """Add a finding that says little alone; return whether there are enough of them.
 
-        An instance with a broken path of its own finds the same again and again, so its findings
-        of that kind count once.
+        Overdue requests of one instance count once: they may come of its own path.
         """
         findings = self._weak.setdefault(seen.upstream_id, [])
         findings[:] = [(who, at_s) for who, at_s in findings if now_s - at_s < _WEAK_WINDOW_S]
-        if seen.outcome in _COUNTED_ONCE:
+        if seen.outcome is Outcome.OVERDUE:
             findings[:] = [(who, at_s) for who, at_s in findings if who != observer]
         findings.append((observer, now_s))
         return len(findings) >= _WEAK_QUORUM
--- a/src/egretrail/dispatch/tests/test_placement.py
+++ b/src/egretrail/dispatch/tests/test_placement.py
@@ -14,6 +14,7 @@
     Refusal,
     RefusalReason,
     ServiceDurations,
+    Standing,
     SuspicionBook,
     TrialPace,
 )
@@ -160,6 +161,39 @@
         self.assertIsInstance(choice, Choice)
 
 
+class BrokenPathTest(EgretrailTestCase):
+    """Instances with links that lose packets, before upstreams that all others reach."""
+
+    def test_what_is_left_is_tried_where_no_path_works(self) -> None:
+        placement = _placement()
+        for name in ("x", "y"):
+            seen = Observation(name, Outcome.UNREACHABLE, 0.35)
+            placement.suspicion.observe(seen, "me", 0.3, 1.0)
+        choice = placement.choose(_query(), [_upstream("x"), _upstream("y")], 1.1)
+        self.assertIsInstance(choice, Choice)
+
+    @cases({f"seed {seed}": seed for seed in range(4)})
+    def test_a_few_bad_links_take_no_upstream_from_the_others(self, seed: int) -> None:
+        rng = random.Random(seed)
+        placement = _placement()
+        upstreams = [_upstream(f"u{n}") for n in range(11)]
+        refused = 0
+        for number in range(2400):
+            now_s = number / 60
+            who = rng.randrange(44)
+            choice = placement.choose(_query(), upstreams, now_s)
+            if isinstance(choice, Refusal):
+                refused += 1
+                continue
+            lost = who < 6 and rng.random() < 0.5
+            outcome = Outcome.UNREACHABLE if lost else Outcome.SUCCESS
+            seen = Observation(choice.upstream.id, outcome, 0.35)
+            placement.suspicion.observe(seen, f"i{who}", 0.3, now_s)
+        standings = [placement.suspicion.standing(one.id, 40.0) for one in upstreams]
+        self.assertEqual(0, refused)
+        self.assertGreaterEqual(standings.count(Standing.GOOD), 8)
+
+
 class SecondCopyTest(EgretrailTestCase):
     @cases({"room": ({"x": 1}, True), "nearly full": ({"x": 4}, False)})
     def test_a_copy_takes_only_room_that_is_free(self, case: tuple[dict[str, int], bool]) -> None:
--- a/src/egretrail/dispatch/tests/test_suspicion.py
+++ b/src/egretrail/dispatch/tests/test_suspicion.py
@@ -76,7 +76,39 @@
             "the own broken path": (
                 [(1.0, "me", Outcome.UNREACHABLE, 0.35)],
                 2.0,
-                Standing.SUSPECT,
+                Standing.UNREACHED,
+            ),
+            "the own broken path again, two seconds later": (
+                [(1.0, "me", Outcome.UNREACHABLE, 0.35), (3.0, "me", Outcome.UNREACHABLE, 0.35)],
+                5.5,
+                Standing.UNREACHED,
+            ),
+            "the own broken path again, after an answer": (
+                [
+                    (1.0, "me", Outcome.UNREACHABLE, 0.35),
+                    (2.0, "me", Outcome.SUCCESS, 0.3),
+                    (3.0, "me", Outcome.UNREACHABLE, 0.35),
+                ],
+                5.0,
+                Standing.GOOD,
+            ),
+            "two instances that do not reach it, and one that does in between": (
+                [
+                    (1.0, "a", Outcome.UNREACHABLE, 0.35),
+                    (1.2, "c", Outcome.SUCCESS, 0.3),
+                    (1.5, "b", Outcome.UNREACHABLE, 0.35),
+                ],
+                1.5,
+                Standing.GOOD,
+            ),
+            "an instance that does not reach an upstream under trial": (
+                [
+                    (1.0, "a", Outcome.FAILED, 0.003),
+                    (6.0, "b", Outcome.SUCCESS, 0.3),
+                    (6.5, "c", Outcome.UNREACHABLE, 0.35),
+                ],
+                6.5,
+                Standing.PROBATION,
             ),
             "the own broken path, later": (
                 [(1.0, "me", Outcome.UNREACHABLE, 0.35)],
