Soak: random faults against real gateway processes, promises checked from outside

make soak SEED=... Clients keep connections until the process is gone.

Each check has a case in which it must find a break.

Log: a gateway ended at its start, address in use on a port that had been free on 127.0.0.1 when it was chosen, from the range of outgoing connections and not tried on the gateway's own address. Which socket held it was not seen.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo prove measure bench bench-decisions slopes check format lock
+.PHONY: setup test demo prove measure bench bench-decisions slopes check format lock soak
 
 setup: $(VENV)/installed
 
@@ -51,6 +51,13 @@
 bench-decisions: setup
 	$(BIN)/python -m benchmarks.decisions
 
+# Random faults against real processes: make soak SEED=7 SEEDS=10 SOAK_SECONDS=20
+SEED ?= 1
+SEEDS ?= 1
+SOAK_SECONDS ?= 20
+soak: setup
+	$(BIN)/python -m scaffolding.soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SOAK_SECONDS)
+
 # Every proof, with the explorations that are too long for CI.
 prove: setup
 	$(BIN)/python -m pytest src scaffolding
--- a/scaffolding/platform/__init__.py
+++ b/scaffolding/platform/__init__.py
@@ -3,6 +3,16 @@
 from scaffolding.platform.backend import Behaviour, StandInBackend
 from scaffolding.platform.caller import Caller, Reply
 from scaffolding.platform.fleet import GatewayFleet
+from scaffolding.platform.link import LinkFault, LinkProxy
 from scaffolding.platform.store import StandInStore
 
-__all__ = ["Behaviour", "Caller", "GatewayFleet", "Reply", "StandInBackend", "StandInStore"]
+__all__ = [
+    "Behaviour",
+    "Caller",
+    "GatewayFleet",
+    "LinkFault",
+    "LinkProxy",
+    "Reply",
+    "StandInBackend",
+    "StandInStore",
+]
--- a/scaffolding/platform/backend.py
+++ b/scaffolding/platform/backend.py
@@ -58,6 +58,8 @@
     seen: dict[str, tuple[str, str, bytes]] = field(default_factory=dict)
     #: Milliseconds that it was told are left, by client attempt.
     told_ms: dict[str, int] = field(default_factory=dict)
+    #: When requests arrived, by the loop's clock, and their client attempts.
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
     #: Runs that ended since the connection closed.
     cancelled: list[str] = field(default_factory=list)
     #: Where it listens.
@@ -117,6 +119,7 @@
         body = await reader.readexactly(int(fields.get("content-length", "0")))
         attempt = fields.get("x-egretrail-attempt-id", "")
         self.seen[attempt] = (method, target, body)
+        self.arrivals.append((asyncio.get_running_loop().time(), attempt))
         self.told_ms[attempt] = int(fields.get("x-egretrail-request-deadline", "0"))
         if fields.get("x-egretrail-expected-instance", self.id) != self.id:
             self._send(writer, 421, b"", attempt, {"X-Egretrail-Instance-Id": self.id})
--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -1,7 +1,9 @@
 """Real gateway processes on loopback addresses, with the stand-ins in this process."""
 
 import asyncio
+import itertools
 import os
+import random
 import signal
 import socket
 import sys
@@ -12,6 +14,7 @@
 from aiohttp import web
 
 from scaffolding.platform.backend import StandInBackend
+from scaffolding.platform.link import LinkProxy
 from scaffolding.platform.store import StandInStore
 
 _ROOT = Path(__file__).resolve().parents[2]
@@ -19,15 +22,27 @@
 HOST = "shop.example"
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now on loopback."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [int(one.getsockname()[1]) for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+#: Ports are chosen below those that the system gives to outgoing connections, which would take one
+#: between its choice and its use; with room behind each for the ports next to it.
+_PORTS = range(16_000, 32_000, 20)
+
+
+def free_ports(count: int, hosts: Sequence[str]) -> list[int]:
+    """Return ports that are free now on all of some loopback addresses."""
+    rng = random.SystemRandom()
+    candidates = rng.sample(_PORTS, len(_PORTS))
+    free = (port for port in candidates if all(_is_free(host, port) for host in hosts))
+    return list(itertools.islice(free, count))
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
 
 
 def route(name: str, prefix: str, service: str, **fields: object) -> dict[str, object]:
@@ -83,7 +98,10 @@
         self.store = StandInStore()
         self.backends: list[StandInBackend] = []
         self._ips = [f"127.0.{10 + n // 200}.{1 + n % 200}" for n in range(count)]
-        self._ports = free_ports(6)
+        hosts = ["127.0.0.1", *self._ips, *(self.store_host(n) for n in range(count))]
+        self._ports = free_ports(7, hosts)
+        #: The way of each gateway to the store.
+        self.store_links = [LinkProxy(f"127.0.0.1:{self._ports[6]}") for _ in self._ips]
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._runner: web.AppRunner | None = None
         self._folder = Path(tempfile.mkdtemp(prefix="gateway-fleet-"))
@@ -117,8 +135,9 @@
         """Start the store, then all gateways."""
         self._runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
         await self._runner.setup()
-        for number in range(len(self._ips)):
-            await web.TCPSite(self._runner, self.store_host(number), self._ports[5]).start()
+        await web.TCPSite(self._runner, "127.0.0.1", self._ports[6]).start()
+        for number, link in enumerate(self.store_links):
+            await link.start(self.store_host(number), self._ports[5])
         for number in range(len(self._ips)):
             await self.start_gateway(number)
 
@@ -146,6 +165,11 @@
             self.backends.append(backend)
             self.store.write(f"servers/{backend.id}", backend.record())
 
+    def is_running(self, number: int) -> bool:
+        """Return whether a gateway's process is there."""
+        process = self._processes.get(number)
+        return process is not None and process.returncode is None
+
     def kill(self, number: int, how: signal.Signals = signal.SIGKILL) -> None:
         """Send a gateway's process a signal."""
         self._processes[number].send_signal(how)
@@ -163,6 +187,8 @@
             await process.wait()
         for backend in self.backends:
             await backend.stop()
+        for link in self.store_links:
+            await link.stop()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -172,7 +198,7 @@
 
     def _settings(self, number: int) -> str:
         ip = self._ips[number]
-        front, ready, directory, control, peers, store = self._ports
+        front, ready, directory, control, peers, store, _ = self._ports
         return f"""
 [self]
 nodeName = "node-{number}"
--- /dev/null
+++ b/scaffolding/soak/_client.py
@@ -0,0 +1,69 @@
+"""A client that keeps its connections to gateways until these close them."""
+
+import asyncio
+import itertools
+
+from egretrail.http1 import (
+    ClientConnection,
+    ConnectFailed,
+    ExchangeFailed,
+    encode_request,
+    open_connection,
+)
+from scaffolding.platform import Reply
+
+_numbers = itertools.count(1)
+
+
+class KeepingClient:
+    """Uses an open connection again, also to a gateway that is stopping."""
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._idle: dict[str, list[ClientConnection]] = {}
+
+    async def send(
+        self, address: str, method: str, target: str, wait_s: float
+    ) -> tuple[Reply, bool]:
+        """Send one client attempt; return the reply, and whether the connection was a new one."""
+        attempt = f"soak-{next(_numbers):06d}"
+        fields = [
+            (b"Host", self._host.encode()),
+            (b"X-Egretrail-Attempt-Id", attempt.encode()),
+            (b"X-Egretrail-Request-Deadline", b"%d" % round(wait_s * 1000)),
+        ]
+        body = b"an order" if method == "POST" else b""
+        data = encode_request(method.encode(), target.encode(), fields, body)
+        connection, fresh = await self._connect(address)
+        if connection is None:
+            return Reply(attempt, 0, b"", None), fresh
+        try:
+            async with asyncio.timeout(wait_s + 1.0):
+                answer = await connection.exchange(data)
+        except (ExchangeFailed, TimeoutError):
+            connection.abort()
+            return Reply(attempt, 0, b"", None), fresh
+        if connection.reusable:
+            self._idle.setdefault(address, []).append(connection)
+        else:
+            connection.abort()
+        return Reply(attempt, answer.status, answer.body, None), fresh
+
+    def close(self) -> None:
+        """End all connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.abort()
+        self._idle.clear()
+
+    async def _connect(self, address: str) -> tuple[ClientConnection | None, bool]:
+        idle = self._idle.get(address, [])
+        while idle:
+            held = idle.pop()
+            if held.reusable:
+                return held, False
+            held.abort()
+        try:
+            return await open_connection(address, 1.0), True
+        except ConnectFailed:
+            return None, True
--- /dev/null
+++ b/scaffolding/soak/tests/test_soak.py
@@ -0,0 +1,178 @@
+"""The soak's own parts, a short seeded run, and the seeds that once found a fault."""
+
+import asyncio
+import itertools
+from collections.abc import Sequence
+
+from egretrail.testing import EgretrailTestCase, cases
+from scaffolding.platform import LinkFault, LinkProxy, Reply, StandInBackend
+from scaffolding.soak import Promises, Soak, plan
+from scaffolding.soak._disturbances import Disturbances
+from scaffolding.soak._promises import Sent
+
+_LIMIT_S = 180.0
+#: Seeds that once broke a promise: the plan's length, and what was broken and why.
+_REGRESSIONS: dict[str, tuple[int, float]] = {}
+
+#: Service of a backend, and the client attempts that it ran.
+Run = tuple[str, Sequence[str]]
+
+
+def _sent(at_s: float, service: str, status: int, attempt: str = "a", *, once: bool = True) -> Sent:
+    body = b"i-1 POST /x/1" if status == 200 else b""
+    reply = Reply(attempt, status, body, None)
+    return Sent(at_s, 0, 1, once, service, "POST /x/1", reply)
+
+
+def _backends(runs: Sequence[Run]) -> list[StandInBackend]:
+    backends = []
+    for service, attempts in runs:
+        backend = StandInBackend(service, "z")
+        for number, attempt in enumerate(attempts):
+            backend.runs[attempt] += 1
+            backend.arrivals.append((number * 0.01, attempt))
+        backends.append(backend)
+    return backends
+
+
+class PromisesTest(EgretrailTestCase):
+    @cases(
+        {
+            "all kept": ([_sent(0.0, "orders", 200)], [("orders", ["a"])], ""),
+            "ran twice": (
+                [_sent(0.0, "orders", 500)],
+                [("orders", ["a"]), ("orders", ["a"])],
+                "ran 2 times",
+            ),
+            "an idempotent one may": (
+                [_sent(0.0, "orders", 200, once=False)],
+                [("orders", ["a"]), ("orders", ["a"])],
+                "",
+            ),
+            "a refusal that is not true": (
+                [_sent(0.0, "orders", 503)],
+                [("orders", ["a"])],
+                "was answered 503 and ran",
+            ),
+            "an answer without a run": ([_sent(0.0, "orders", 200)], [], "never ran"),
+            "another service": (
+                [_sent(0.0, "orders", 200)],
+                [("catalogue", ["a"])],
+                "ran at another service",
+            ),
+            "an older configuration": (
+                [
+                    _sent(0.0, "", 200, "a", once=False),
+                    _sent(1.0, "", 200, "b", once=False),
+                    _sent(2.0, "", 200, "c", once=False),
+                ],
+                [("moving-0", ["a", "c"]), ("moving-1", ["b"])],
+                "a version back",
+            ),
+            "too many repeats": (
+                [_sent(0.0, "orders", 500, f"a{n}", once=False) for n in range(70)],
+                [("orders", [f"a{n}" for n in range(70)])] * 3,
+                "repeats at orders",
+            ),
+        }
+    )
+    def test_broken(self, case: tuple[Sequence[Sent], Sequence[Run], str]) -> None:
+        sent, runs, expected = case
+        promises = Promises(list(sent), [(0.0, "moving-0"), (0.5, "moving-1")])
+        broken = promises.broken(_backends(runs))
+        if not expected:
+            self.assertEqual([], broken)
+            return
+        self.assertTrue(any(expected in one for one in broken), broken)
+
+    def test_another_requests_answer_is_found(self) -> None:
+        reply = Reply("a", 200, b"i-1 POST /x/2", None)
+        sent = Sent(0.0, 0, 1, True, "orders", "POST /x/1", reply)
+        broken = Promises([sent]).broken(_backends([("orders", ["a"])]))
+        self.assertIn("got another answer", broken[0])
+
+
+class PlanTest(EgretrailTestCase):
+    def test_a_seed_gives_the_same_plan_and_another_seed_another(self) -> None:
+        self.assertEqual(plan(3, 30.0), plan(3, 30.0))
+        self.assertNotEqual(plan(3, 30.0), plan(4, 30.0))
+
+    def test_faults_overlap(self) -> None:
+        faults = plan(3, 60.0)
+        pairs = itertools.pairwise(faults)
+        self.assertTrue(any(a.at_s + a.for_s > b.at_s for a, b in pairs))
+
+
+class DisturbancesTest(EgretrailTestCase):
+    @cases({"before": (0.0, 0.9, False), "during": (1.2, 1.3, True), "after": (2.1, 3.0, False)})
+    def test_touch(self, case: tuple[float, float, bool]) -> None:
+        begin_s, end_s, expected = case
+        harmed = Disturbances()
+        harmed.add("store", 1.0, 2.0)
+        self.assertIs(expected, harmed.touch("store", begin_s, end_s))
+        self.assertFalse(harmed.touch("gateway-1", begin_s, end_s))
+
+
+class LinkProxyTest(EgretrailTestCase):
+    @cases(
+        {
+            "none": (LinkFault.NONE, b"echo", True),
+            "delayed": (LinkFault.DELAYED, b"echo", True),
+            "cut to the server": (LinkFault.CUT_TO_SERVER, None, False),
+            "cut to the client": (LinkFault.CUT_TO_CLIENT, None, True),
+            "silent": (LinkFault.SILENT, None, False),
+            "reset": (LinkFault.RESET, b"", False),
+        }
+    )
+    def test_what_passes(self, case: tuple[LinkFault, bytes | None, bool]) -> None:
+        fault, expected, arrives = case
+        arrived: list[bytes] = []
+
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            arrived.append(await reader.read(100))
+            writer.write(arrived[-1])
+            await writer.drain()
+
+        async def run() -> None:
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            proxy = LinkProxy(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+            await proxy.start()
+            proxy.fault = fault
+            host, _, port = proxy.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"echo")
+            got: bytes | None = None
+            try:
+                async with asyncio.timeout(1.0):
+                    got = await reader.read(100)
+            except TimeoutError:
+                got = None
+            except ConnectionError:
+                got = b""
+            writer.close()
+            await proxy.stop()
+            server.close()
+            self.assertEqual(expected, got)
+            self.assertEqual([b"echo"] if arrives else [], [one for one in arrived if one])
+
+        self.run_real(run(), _LIMIT_S)
+
+
+class SeededRunTest(EgretrailTestCase):
+    def test_a_short_run_breaks_no_promise(self) -> None:
+        async def run() -> None:
+            report = await Soak(5, 8.0, gateways=4, clients=6).run()
+            self.assertEqual([], list(report.broken))
+            self.assertGreater(report.statuses[200], 100)
+
+        self.run_real(run(), _LIMIT_S)
+
+    @cases(_REGRESSIONS or {"none yet": (1, 4.0)})
+    def test_seeds_that_once_found_a_fault(self, case: tuple[int, float]) -> None:
+        seed, length_s = case
+
+        async def run() -> None:
+            report = await Soak(seed, length_s, gateways=6, clients=12).run()
+            self.assertEqual([], list(report.broken))
+
+        self.run_real(run(), _LIMIT_S)
