Show running gateways and report each route's burn from their metrics

Cause: members, versions and refusals of a fleet could only be read gateway by gateway, and the burn report knew egretraild's metrics alone. gateway show and gateway burn read the metrics addresses, sum over the fleet, say where gateways differ, print a table or JSON, and end with exit codes. The texts are parsed by prometheus_client, which the tool has and the gateway leaves out; the tests feed it what the gateway itself writes. Restarts between two readings count from the start.

--- a/src/egretrail/cli/_gateway.py
+++ b/src/egretrail/cli/_gateway.py
@@ -1,4 +1,4 @@
-"""Commands about gateways on the platform, which need no instance that answers."""
+"""Commands about gateways on the platform."""
 
 import json
 import sys
@@ -9,13 +9,18 @@
 import click
 from result import Err
 
+from egretrail.cli._gateway_show import burn, show
 from egretrail.diagnosis import Kind, LogLine, find_cause, parse_lines, tell_story
 from egretrail.platform import PlatformLayout, read_node_file
 
 
 @click.group()
 def gateway() -> None:
-    """Explain and check gateways from their logs and files."""
+    """Explain, check and show gateways, from their logs, files and metrics."""
+
+
+gateway.add_command(show)
+gateway.add_command(burn)
 
 
 @gateway.command()
--- /dev/null
+++ b/src/egretrail/cli/tests/test_gateway_show.py
@@ -0,0 +1,151 @@
+"""Commands that read gateways' metrics, against small servers of such texts."""
+
+import http.server
+import json
+import threading
+from collections.abc import Sequence
+
+from click.testing import CliRunner
+
+from egretrail.cli import main
+from egretrail.cli._gateway_figures import parse_figures, route_burns
+from egretrail.gateway._metrics import GatewayMetrics
+from egretrail.testing import EgretrailTestCase, cases
+
+#: Answers by route and outcome.
+Answers = dict[tuple[str, str], int]
+
+
+def _text(answers: Answers, *, members: int = 3, version: int = 7) -> str:
+    metrics = GatewayMetrics()
+    for (route, outcome), count in answers.items():
+        for _ in range(count):
+            metrics.answered(route, outcome, 0.1)
+    metrics.refused("no_time")
+    metrics.attempted("success", 0.2)
+    gauges = {"members": float(members), "config_version": float(version), "upstreams": 9.0}
+    return metrics.text(gauges).decode()
+
+
+class _Server:
+    """Serves one text on a loopback port while it is entered."""
+
+    def __init__(self, text: str) -> None:
+        body = text.encode()
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_GET(self) -> None:
+                self.send_response(200)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *args: object) -> None:
+                """Keep the tests' output clean."""
+
+        self._server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+
+    def __enter__(self) -> "_Server":
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class FiguresTest(EgretrailTestCase):
+    def test_what_a_gateway_writes_is_read(self) -> None:
+        figures = parse_figures("a:1", _text({("r", "served"): 4, ("r", "failed"): 1}))
+        self.assertEqual({("r", "served"): 4, ("r", "failed"): 1}, dict(figures.answers))
+        self.assertEqual({"no_time": 1}, dict(figures.refusals))
+        self.assertEqual((3.0, 7.0), (figures.values["members"], figures.values["config_version"]))
+
+    def test_another_text_is_an_error(self) -> None:
+        self.assertRaises(ValueError, parse_figures, "a:1", "<html>no metrics</html>")
+
+
+class RouteBurnTest(EgretrailTestCase):
+    @cases(
+        {
+            "from the start": ({("r", "served"): 99, ("r", "failed"): 1}, {}, (100, 99, 1.0)),
+            "between two readings": (
+                {("r", "served"): 199, ("r", "failed"): 1},
+                {("r", "served"): 100},
+                (100, 99, 1.0),
+            ),
+            "a restart in between": (
+                {("r", "served"): 10},
+                {("r", "served"): 100, ("r", "failed"): 50},
+                (10, 10, 0.0),
+            ),
+            "clients that left are not asked for": (
+                {("r", "served"): 10, ("r", "client_left"): 90},
+                {},
+                (10, 10, 0.0),
+            ),
+        }
+    )
+    def test_burn(self, case: tuple[Answers, Answers, tuple[int, int, float]]) -> None:
+        now, before, expected = case
+        earlier = [parse_figures("a:1", _text(before))] if before else []
+        [burn] = route_burns([parse_figures("a:1", _text(now))], earlier, 0.99)
+        self.assertEqual(expected[:2], (burn.asked, burn.served))
+        self.assertAlmostEqual(expected[2], burn.rate)
+
+    def test_gateways_are_summed_and_the_worst_route_comes_first(self) -> None:
+        texts = [{("good", "served"): 5, ("bad", "refused"): 1}, {("bad", "served"): 1}]
+        figures = [parse_figures(f"a:{n}", _text(one)) for n, one in enumerate(texts)]
+        burns = route_burns(figures, [], 0.9)
+        self.assertEqual(["bad", "good"], [burn.route for burn in burns])
+        self.assertEqual(
+            (2, 1, {"refused": 1}), (burns[0].asked, burns[0].served, burns[0].unserved)
+        )
+
+
+class ShowCommandTest(EgretrailTestCase):
+    def _run(self, texts: Sequence[str], *arguments: str) -> tuple[int, str]:
+        servers = [self.enterContext(_Server(text)) for text in texts]
+        command, *options = arguments
+        addresses = [server.address for server in servers]
+        result = CliRunner().invoke(main, ["gateway", command, *addresses, *options])
+        return result.exit_code, result.output
+
+    @cases(
+        {
+            "alike": ([_text({}), _text({})], 0, "config"),
+            "configurations differ": (
+                [_text({}), _text({}, version=8)],
+                1,
+                "differ in configuration: 7 on 1, 8 on 1",
+            ),
+            "members differ": ([_text({}), _text({}, members=2)], 1, "differ in members"),
+            "no metrics": ([_text({}), "<html>"], 3, "does not answer"),
+        }
+    )
+    def test_show(self, case: tuple[Sequence[str], int, str]) -> None:
+        texts, code, words = case
+        exit_code, output = self._run(texts, "show")
+        self.assertEqual((code, True), (exit_code, words in output), output)
+
+    def test_show_as_json(self) -> None:
+        _, output = self._run([_text({})], "show", "--json")
+        document = json.loads(output)
+        self.assertEqual(3.0, document["gateways"][0]["values"]["members"])
+        self.assertEqual([], document["differences"])
+
+    @cases(
+        {
+            "within the budget": ({("r", "served"): 100}, 0, "0.00"),
+            "beyond it": ({("r", "served"): 90, ("r", "refused"): 10}, 1, "refused:10"),
+        }
+    )
+    def test_burn(self, case: tuple[Answers, int, str]) -> None:
+        answers, code, words = case
+        exit_code, output = self._run([_text(answers)], "burn", "--objective", "0.99")
+        self.assertEqual((code, True), (exit_code, words in output), output)
+
+    def test_burn_with_no_gateway(self) -> None:
+        result = CliRunner().invoke(main, ["gateway", "burn", "127.0.0.1:1"])
+        self.assertEqual(3, result.exit_code)
