Gather changes of the store for 0.15 s after some have come

After changes the next watch now begins 0.15 s later, out of 2 s that a change may take. Test: a hundred changes in a second took over a hundred calls before (red with no pause), under ten now.

--- a/scaffolding/soak/_run.py
+++ b/scaffolding/soak/_run.py
@@ -164,6 +164,8 @@
                 if sent is None or at_s <= left_s + bound_s:
                     continue
                 subjects = ("store", "machine", f"gateway-{sent.gateway}")
-                if not any(harmed.touch(one, left_s - 3.0, at_s) for one in subjects):
+                # What is harmed after the bound excuses nothing: the gateway knew by then.
+                known_s = left_s + bound_s
+                if not any(harmed.touch(one, left_s - 3.0, known_s) for one in subjects):
                     late_s = at_s - left_s
                     self._promises.late_to_leaving.append(f"{attempt} after {late_s:.1f} s")
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from result import Err
 
@@ -17,6 +17,10 @@
 #: How long one watch waits. It bounds how long a silent connection is trusted; the readers
 #: of the other zones cover that time.
 _WATCH_S = 8.0
+#: After changes the next watch begins this much later, so that those of one moment come together:
+#: each watch ends with the first change, and each is a call that costs money. With 276 upstreams
+#: that list themselves at the start, four readers made 876 calls in 42 s without it.
+_GATHER_S = 0.15
 #: After a failed call the store is asked again this much later, up to the maximum: a store that is
 #: down is priced and loaded by each try, and the peers know what changes.
 _RETRY_FIRST_S = 0.2
@@ -147,6 +151,7 @@
                 if entry.path == self._layout.config_path and entry.value is not None:
                     self._take_config(entry)
             revision = max(revision, watched.ok_value.revision)
+            await self._gather(watched.ok_value.entries)
         return None
 
     async def _follow_upstreams(self) -> PlatformFailure | None:
@@ -169,8 +174,14 @@
             if watched.ok_value.entries:
                 self._take_changes(watched.ok_value.entries, watched.ok_value.revision)
             revision = max(revision, watched.ok_value.revision)
+            await self._gather(watched.ok_value.entries)
         return None
 
+    async def _gather(self, entries: Sequence[Entry]) -> None:
+        """Leave time for further changes after some that have just come."""
+        if entries:
+            await asyncio.sleep(_GATHER_S)
+
     def _take_config(self, entry: Entry) -> None:
         value = (entry.value or "").encode()
         decoded = self._layout.decode_config(value)
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -105,6 +105,19 @@
 
         self._play(act)
 
+    def test_changes_in_quick_succession_take_few_calls(self) -> None:
+        async def act(stage: _Stage) -> None:
+            before = stage.store.calls["watch"]
+            for number in range(100):
+                stage.list(f"n{number}")
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.2)
+            self.assertEqual(104, len(stage.ready()))
+            # One call a change would be a hundred.
+            self.assertLess(stage.store.calls["watch"] - before, 10)
+
+        self._play(act)
+
     @cases(
         {
             "one of four": ["u1"],
