Start one process for each gateway in the soak, also when two faults end at once

The fleet starts a gateway only if it has no process and none is being started. FleetTest was red without that.

--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -103,6 +104,10 @@
         #: The way of each gateway to the store.
         self.store_links = [LinkProxy(f"127.0.0.1:{self._ports[6]}") for _ in self._ips]
         self._processes: dict[int, asyncio.subprocess.Process] = {}
+        #: Gateways whose process is being started now.
+        self._starting: set[int] = set()
+        #: Processes that were started, by gateway.
+        self.starts: Counter[int] = Counter()
         self._runner: web.AppRunner | None = None
         self._folder = Path(tempfile.mkdtemp(prefix="gateway-fleet-"))
         self.logs = self._folder
@@ -142,7 +147,20 @@
             await self.start_gateway(number)
 
     async def start_gateway(self, number: int) -> None:
-        """Start one gateway's process."""
+        """Start one gateway's process, unless it has one or somebody starts it already.
+
+        Of two processes of the same gateway only one would be known here, and end with the fleet.
+        """
+        if self.is_running(number) or number in self._starting:
+            return
+        self._starting.add(number)
+        try:
+            await self._start_process(number)
+        finally:
+            self._starting.discard(number)
+
+    async def _start_process(self, number: int) -> None:
+        self.starts[number] += 1
         path = self._folder / f"node-{number}.toml"
         path.write_text(self._settings(number))
         log = (self._folder / f"node-{number}.log").open("ab")
--- a/scaffolding/soak/_faults.py
+++ b/scaffolding/soak/_faults.py
@@ -66,8 +66,6 @@
         self._write_config: Callable[[int, str], None] = lambda version, service: None
         #: All backends that ever ran.
         self.all_backends: list[StandInBackend] = []
-        #: Starts of each gateway's process.
-        self.lifetimes: Counter[int] = Counter()
         #: What was harmed when.
         self.disturbances = Disturbances()
         #: Planned stops of gateways.
@@ -189,9 +187,7 @@
             self._fleet.kill(self._any_gateway(rng), signal.SIGHUP)
 
     async def _start_again(self, number: int) -> None:
-        if not self._fleet.is_running(number):
-            self.lifetimes[number] += 1
-            await self._fleet.start_gateway(number)
+        await self._fleet.start_gateway(number)
 
     def _any_gateway(self, rng: random.Random) -> int:
         return rng.randrange(len(self._fleet.store_links))
--- a/scaffolding/soak/_run.py
+++ b/scaffolding/soak/_run.py
@@ -116,10 +116,10 @@
         method = "POST" if kind == "order" else "GET"
         target = f"/{kind}/{rng.randrange(1_000)}"
         at_s = asyncio.get_running_loop().time()
-        lifetime = self._driver.lifetimes[gateway]
+        lifetime = self._fleet.starts[gateway]
         reply, _ = await client.send(self._fleet.traffic(gateway), method, target, _WAIT_S)
         service = {"read": "catalogue", "order": "orders"}.get(kind, "")
-        if self._driver.lifetimes[gateway] == lifetime or reply.status == 0 or service:
+        if self._fleet.starts[gateway] == lifetime or reply.status == 0 or service:
             line = f"{method} {target}"
             once = kind == "order"
             sent = Sent(at_s, gateway, lifetime, once, service, line, reply)
--- a/scaffolding/soak/tests/test_soak.py
+++ b/scaffolding/soak/tests/test_soak.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from egretrail.testing import EgretrailTestCase, cases
-from scaffolding.platform import LinkFault, LinkProxy, Reply, StandInBackend
+from scaffolding.platform import GatewayFleet, LinkFault, LinkProxy, Reply, StandInBackend
 from scaffolding.soak import Promises, Soak, plan
 from scaffolding.soak._disturbances import Disturbances
 from scaffolding.soak._promises import Sent
@@ -158,6 +158,19 @@
         self.run_real(run(), _LIMIT_S)
 
 
+class FleetTest(EgretrailTestCase):
+    def test_a_gateway_that_is_started_twice_at_once_has_one_process(self) -> None:
+        async def run() -> None:
+            fleet = GatewayFleet(2)
+            try:
+                await asyncio.gather(fleet.start_gateway(0), fleet.start_gateway(0))
+                self.assertEqual(1, fleet.starts[0])
+            finally:
+                await fleet.stop()
+
+        self.run_real(run(), _LIMIT_S)
+
+
 class SeededRunTest(EgretrailTestCase):
     def test_a_short_run_breaks_no_promise(self) -> None:
         async def run() -> None:
