Tell all instances of an upstream that a reader drops without a change of the store

Cause, found by reading while a failed test was traced: an upstream whose entry vanished with the store is kept for 2.2 s by the reader; when the reader then drops it, the store's revision does not rise, so instances that had fetched the list meanwhile kept the upstream until the next change of any entry, and went on sending to it. Ruled out: other ways for the word to reach them; a beat carries the revision alone.

A beat now names what its sender dropped in the last three seconds, with the revision of the entry, so that one which listed itself again stays. Peers' form 2. Test: twelve instances in two zones, red without the word, green with it.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -3,7 +3,7 @@
 No module here does input or output: datagrams are values, and the time is an argument.
 """
 
-from egretrail.cluster._beat import Beat, InstanceState, LossReport
+from egretrail.cluster._beat import Beat, DropReport, InstanceState, LossReport
 from egretrail.cluster._codec import (
     Datagram,
     FetchReply,
@@ -28,6 +28,7 @@
     "BEAT_INTERVAL_S",
     "Beat",
     "Datagram",
+    "DropReport",
     "FetchReply",
     "FetchRequest",
     "InstanceState",
--- a/src/egretrail/cluster/_beat.py
+++ b/src/egretrail/cluster/_beat.py
@@ -28,6 +28,20 @@
     upstream_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class DropReport:
+    """An upstream that a reader of the store dropped without a change of the store.
+
+    Its entry vanished while the store was away, was kept for the time in which it should have been
+    back, and the revision up to which the reader knows the store has not risen since.
+    """
+
+    #: The lifetime of the upstream.
+    upstream_id: str
+    #: The revision of its last entry; a newer entry stays.
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Beat:
     """One heartbeat with the news since the last ones.
@@ -64,5 +78,7 @@
     routine: Sequence[Observation] = ()
     #: What requests cost in the last moments.
     losses: Sequence[LossReport] = ()
+    #: Upstreams that it dropped in the last seconds.
+    dropped: Sequence[DropReport] = ()
     #: Requests and repeats by service, since its start.
     repeats: Mapping[str, RepeatCounts] = field(default_factory=dict)
--- a/src/egretrail/cluster/_codec.py
+++ b/src/egretrail/cluster/_codec.py
@@ -8,12 +8,12 @@
 import msgpack
 from result import Err, Ok, Result
 
-from egretrail.cluster._beat import Beat, InstanceState, LossReport
+from egretrail.cluster._beat import Beat, DropReport, InstanceState, LossReport
 from egretrail.dispatch import DoubtRecord, Observation, Outcome, RepeatCounts, RequestDigest
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
 #: Raised when the form changes; datagrams of another version are dropped.
-_VERSION = 1
+_VERSION = 2
 #: Datagrams stay below the usual packet size, so that the loss of one packet loses one datagram.
 _DATAGRAM_BYTES_MAX = 1_300
 
@@ -166,6 +166,7 @@
         [[loss.digest, loss.upstream_id] for loss in beat.losses],
         {name: [counts.requests, counts.repeats] for name, counts in beat.repeats.items()},
         [_observation_row(seen) for seen in beat.routine],
+        [[drop.upstream_id, drop.revision] for drop in beat.dropped],
     ]
 
 
@@ -195,6 +196,7 @@
         losses=[LossReport(RequestDigest(int(digest)), str(name)) for digest, name in row[12]],
         repeats={str(name): RepeatCounts(int(a), int(b)) for name, (a, b) in row[13].items()},
         routine=[_observation(entry) for entry in row[14]],
+        dropped=[DropReport(str(name), int(revision)) for name, revision in row[15]],
     )
 
 
--- a/src/egretrail/cluster/_relay.py
+++ b/src/egretrail/cluster/_relay.py
@@ -91,4 +91,5 @@
         or beat.first_observation + len(beat.observations)
         != passed.first_observation + len(passed.observations)
         or bool(beat.losses)
+        or beat.dropped != passed.dropped
     )
--- a/src/egretrail/cluster/tests/test_cluster.py
+++ b/src/egretrail/cluster/tests/test_cluster.py
@@ -10,6 +10,7 @@
 
 from egretrail.cluster import (
     Beat,
+    DropReport,
     FetchReply,
     FetchRequest,
     InstanceState,
@@ -44,6 +45,7 @@
             losses=[LossReport(RequestDigest(2**63 + 5), "u1")],
             repeats={"s": RepeatCounts(5, 1)},
             routine=[Observation("u2", Outcome.SUCCESS, 0.3)],
+            dropped=[DropReport("u3", 41)],
         )
         [data] = encode_datagrams(Path.DIRECT, [beat])
         decoded = decode_datagram(data)
@@ -52,7 +54,9 @@
 
     def test_many_beats_are_split_into_packets(self) -> None:
         loads = {f"u{m}": 1 for m in range(9)}
-        empty: Mapping[str, Any] = {"observations": [], "routine": [], "losses": []}
+        empty: Mapping[str, Any] = {
+            name: [] for name in ("observations", "routine", "losses", "dropped")
+        }
         beats = [_beat(f"10.0.0.{n}", loads=loads, **empty) for n in range(100)]
         datagrams = list(encode_datagrams(Path.ACROSS, beats))
         self.assertLessEqual(max(map(len, datagrams)), 1400)
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -234,11 +234,7 @@
             due = [name for name, until_s in self._vanished.items() if until_s <= now_s]
             for name in due:
                 del self._vanished[name]
-            records = self._view.upstreams.records
-            changes = {name: None for name in due if name in records}
-            if changes:
-                revision = self._view.upstreams.revision
-                self._view.change_upstreams(dict(changes), revision, "lapse")
+            self._view.drop_upstreams(due)
 
     def _decode(self, entries: Iterable[Entry]) -> list[UpstreamRecord]:
         records = []
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 
-from egretrail.cluster import Beat, InstanceState, LossReport, Membership, Peer
+from egretrail.cluster import Beat, DropReport, InstanceState, LossReport, Membership, Peer
 from egretrail.dispatch import (
     CrashingRequests,
     DoubtRecord,
@@ -27,6 +27,8 @@
 #: Observations are repeated in all beats of this time, so that they survive a lost datagram: the
 #: next beat comes within 0.25 s.
 _NEWS_S = 0.3
+#: Dropped upstreams are told for longer, since an instance that misses the word sends to them on.
+_DROPPED_S = 3.0
 #: Outcomes that other instances act upon at once.
 _URGENT = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.OVERDUE})
 #: Outcomes after which the attempt brings no answer to the client.
@@ -51,6 +53,7 @@
         self._sequence = 0
         self._news: deque[tuple[float, Observation]] = deque()
         self._losses: deque[tuple[float, LossReport]] = deque()
+        self._dropped: deque[tuple[float, DropReport]] = deque()
         self._routine: list[Observation] = []
         self._first_news = 0
         self._most_alive = 1
@@ -136,6 +139,14 @@
         self.upstreams.apply(changes, revision)
         self._upstreams_changed(before, source)
 
+    def drop_upstreams(self, upstream_ids: Iterable[str]) -> None:
+        """Drop upstreams whose entries vanished and did not come back, and tell the others."""
+        now_s = self._clock()
+        known = self.upstreams.records
+        reports = [DropReport(name, known[name].revision) for name in upstream_ids if name in known]
+        self._dropped += [(now_s, report) for report in reports]
+        self._drop(reports, "lapse")
+
     def introduce(self, beat: Beat) -> Peer | None:
         """Take an instance that a peer knows; return the peer where it was unknown."""
         return self.membership.introduce(beat, self._clock())
@@ -152,6 +163,7 @@
             self.repeats.told(lifetime, service, counts, now_s)
         for loss in beat.losses:
             self.crashers.lost(loss.digest, loss.upstream_id, now_s)
+        self._drop(beat.dropped, f"peer {beat.origin}")
         skip = max(peer.next_observation - beat.first_observation, 0)
         for seen in beat.observations[skip:]:
             self._learn(seen, beat.origin, now_s)
@@ -198,6 +210,7 @@
             first_observation=self._first_news,
             observations=[seen for _, seen in self._news],
             losses=[loss for _, loss in self._losses],
+            dropped=[drop for _, drop in self._dropped],
             routine=routine,
             repeats=dict(self.repeats.own_counts()),
         )
@@ -242,6 +255,16 @@
             self._log.event("doubts_adopted", upstreams=len(records))
             self.suspicion.adopt(records, self._clock())
 
+    def _drop(self, reports: Iterable[DropReport], source: str) -> None:
+        known = self.upstreams.records
+        gone = {
+            report.upstream_id: None
+            for report in reports
+            if report.upstream_id in known and known[report.upstream_id].revision <= report.revision
+        }
+        if gone:
+            self.change_upstreams(dict(gone), self.upstreams.revision, source)
+
     def _trial_rank(self, record: UpstreamRecord) -> int:
         return self.membership.rank_for(f"trial {record.id}", record.availability_zone)
 
@@ -312,3 +335,5 @@
             self._first_news += 1
         while self._losses and self._losses[0][0] < now_s - _NEWS_S:
             self._losses.popleft()
+        while self._dropped and self._dropped[0][0] < now_s - _DROPPED_S:
+            self._dropped.popleft()
--- a/src/egretrail/gateway/tests/test_peers.py
+++ b/src/egretrail/gateway/tests/test_peers.py
@@ -4,6 +4,7 @@
 import os
 import random
 from collections.abc import Sequence
+from dataclasses import replace
 
 from egretrail.dispatch import Observation, Outcome, Standing
 from egretrail.gateway._log import EventLog
@@ -223,3 +224,29 @@
         view.end("v")
         outcome = Outcome.FAILED if failed else Outcome.SUCCESS
         view.observe(Observation("v", outcome, 0.3))
+
+
+class DroppedUpstreamTest(EgretrailTestCase):
+    """A reader keeps an upstream for a while that vanished with the store, then drops it."""
+
+    @cases({"unchanged since": (0, False), "listed again meanwhile": (9, True)})
+    def test_what_one_reader_drops_all_drop(self, case: tuple[int, bool]) -> None:
+        revision, stays = case
+
+        async def run() -> None:
+            fleet = _Fleet([6, 6])
+            tasks = [fleet.start(a, fleet.addresses[:1]) for a in fleet.addresses]
+            await asyncio.sleep(5.0)
+            views = [fleet.views[address] for address in fleet.addresses]
+            last = views[-1]
+            known = last.upstreams.records["u"]
+            last.change_upstreams({"u": replace(known, revision=revision)}, revision, "test")
+            # No revision of the store goes with this change.
+            views[0].drop_upstreams(["u"])
+            await asyncio.sleep(0.6)
+            held = [view.upstreams.takes_work("u") for view in views]
+            self.assertEqual([False] * 11 + [stays], held)
+            for task in tasks:
+                task.cancel()
+
+        self.run_paused(run())
