--- a/src/egretrail/cli/tests/test_gateway_show.py
+++ b/src/egretrail/cli/tests/test_gateway_show.py
@@ -9,7 +9,7 @@
 
 from egretrail.cli import main
 from egretrail.cli._gateway_figures import parse_figures, route_burns
-from egretrail.gateway._metrics import GatewayMetrics
+from egretrail.gateway import GatewayMetrics
 from egretrail.testing import EgretrailTestCase, cases
 
 #: Answers by route and outcome.
--- a/src/egretrail/gateway/__init__.py
+++ b/src/egretrail/gateway/__init__.py
@@ -13,11 +13,13 @@
     RequestContract,
     StoreLayout,
 )
+from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._process import Platform, run_gateway, settings_path
 
 __all__ = [
     "AnswerKind",
     "CallerTerms",
+    "GatewayMetrics",
     "GatewaySettings",
     "InvalidDocument",
     "Platform",
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -1,7 +1,6 @@
-"""The peers' protocol: datagrams with heartbeats and news, streams that fetch state."""
+"""The peers' datagrams: heartbeats, news, and who is told of whom."""
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Sequence
 
@@ -12,20 +11,15 @@
     BEAT_INTERVAL_S,
     Beat,
     Datagram,
-    FetchReply,
-    FetchRequest,
     Path,
     Peer,
     Relay,
     decode_datagram,
-    decode_reply,
-    decode_request,
     encode_datagrams,
-    encode_reply,
-    encode_request,
 )
 from egretrail.gateway._interfaces import GatewaySettings, StoreLayout
 from egretrail.gateway._log import EventLog
+from egretrail.gateway._state_exchange import StateExchange
 from egretrail.gateway._view import FleetView
 
 #: News wait this long for more news, so that a burst of requests makes one datagram. In a zone of
@@ -54,11 +48,6 @@
 #: How many beats lie between two tellings of the known instances to one of them.
 _TELL_INTERVAL_BEATS = 4
 _TELL_ACROSS_SHARE = 0.1
-#: A reply of some hundred kilobytes inside a zone takes milliseconds.
-_FETCH_TIMEOUT_S = 0.7
-_FRAME_BYTES_MAX = 16 * 1024 * 1024
-#: State of another zone's instance is fetched only if nobody of the own zone had it by then.
-_OTHER_ZONE_DELAY_S = 0.15
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -73,7 +62,7 @@
 
 
 class PeerLinks:
-    """Tells peers what this instance knows, and fetches what they know."""
+    """Tells peers what this instance knows, and hears what they know."""
 
     def __init__(
         self,
@@ -86,8 +75,8 @@
         self._rng = rng
         self._settings = settings
         self._view = view
-        self._layout = layout
         self._log = log
+        self._exchange = StateExchange(settings, view, layout, log)
         self._loop = asyncio.get_running_loop()
         self._relay = Relay()
         self._extra_seeds: list[str] = []
@@ -98,21 +87,19 @@
         self._across_due_s = 0.0
         #: The lifetime of each instance that was introduced lately, and when.
         self._introductions: dict[str, tuple[int, float]] = {}
-        self._fetching: asyncio.Task[None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
-        self._server: asyncio.Server | None = None
         #: Bytes that were sent to other zones, for the metrics.
         self.bytes_across = 0
         view.on_news = self._has_news
 
     async def open(self) -> None:
-        """Listen for datagrams and for fetches."""
+        """Listen for datagrams and for questions about state."""
         address = (self._settings.ip, self._settings.peer_port)
         transport, _ = await self._loop.create_datagram_endpoint(
             lambda: _Datagrams(self), local_addr=address
         )
         self._transport = transport
-        self._server = await asyncio.start_server(self._serve_fetch, *address)
+        await self._exchange.open()
 
     async def beat_forever(self) -> None:
         """Send a beat at the interval, news or not, and drop silent peers."""
@@ -165,7 +152,7 @@
         for beat in beats:
             peer = self._view.introduce(beat)
             if peer is not None:
-                self._fetch_if_newer(beat)
+                self._exchange.fetch_if_newer(beat)
 
     def _heard(self, peer: Peer, datagram: Datagram, sender: str, *, newcomer: bool) -> None:
         beat = peer.beat
@@ -180,7 +167,7 @@
                 self._tell(sender, self._known_beats())
             else:
                 self._tell(sender, self._relay_beats())
-        self._fetch_if_newer(beat)
+        self._exchange.fetch_if_newer(beat)
 
     def _introduce(self, newcomer: Beat) -> None:
         """Tell an instance that has just started whom this one knows."""
@@ -296,100 +283,3 @@
     def _send(self, data: bytes, target: str) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, (target, self._settings.peer_port))
-
-    def _fetch_if_newer(self, beat: Beat) -> None:
-        if self._fetching is None and self._is_newer(beat):
-            self._fetching = self._loop.create_task(self._fetch(beat))
-            self._fetching.add_done_callback(self._fetched)
-
-    def _fetched(self, task: asyncio.Task[None]) -> None:
-        self._fetching = None
-        if not task.cancelled() and task.exception() is not None:
-            self._log.event("fetch_failed", peer="", cause=repr(task.exception()))
-
-    def _is_newer(self, beat: Beat) -> bool:
-        view = self._view
-        version = view.config.version if view.config is not None else 0
-        newer_upstreams = beat.upstreams_revision > view.upstreams.revision
-        return beat.config_version > version or newer_upstreams
-
-    async def _fetch(self, beat: Beat) -> None:
-        if beat.availability_zone != self._settings.availability_zone and self._view.ready:
-            await asyncio.sleep(_OTHER_ZONE_DELAY_S)
-            if not self._is_newer(beat):
-                return
-        reply = await self._ask(beat.origin)
-        if reply is None:
-            return
-        source = f"peer {beat.origin}"
-        self._view.adopt_doubts(reply.doubts)
-        if reply.config is not None:
-            decoded = self._layout.decode_config(reply.config)
-            if isinstance(decoded, Err):
-                self._log.event("config_refused", source=source, cause=decoded.err_value)
-            else:
-                self._view.take_config(reply.config, decoded.ok_value, source)
-        if reply.upstreams is not None:
-            self._view.take_upstreams(reply.upstreams, reply.upstreams_revision, source)
-
-    async def _ask(self, peer: str) -> FetchReply | None:
-        view = self._view
-        version = view.config.version if view.config is not None else 0
-        question = FetchRequest(version, view.upstreams.revision)
-        writer = None
-        try:
-            async with asyncio.timeout(_FETCH_TIMEOUT_S):
-                port = self._settings.peer_port
-                reader, writer = await asyncio.open_connection(peer, port)
-                _write_frame(writer, encode_request(question))
-                decoded = decode_reply(await _read_frame(reader))
-        except (TimeoutError, OSError, EOFError, ValueError) as error:
-            self._log.event("fetch_failed", peer=peer, cause=repr(error))
-            return None
-        finally:
-            if writer is not None:
-                writer.close()
-        if isinstance(decoded, Err):
-            self._log.event("fetch_failed", peer=peer, cause=decoded.err_value)
-            return None
-        return decoded.ok_value
-
-    async def _serve_fetch(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        view = self._view
-        try:
-            async with asyncio.timeout(_FETCH_TIMEOUT_S):
-                decoded = decode_request(await _read_frame(reader))
-                if isinstance(decoded, Err):
-                    return
-                asked = decoded.ok_value
-                newer = view.config is not None and view.config.version > asked.config_version
-                later = view.upstreams.revision > asked.upstreams_revision
-                reply = FetchReply(
-                    config=view.config_value if newer else None,
-                    upstreams_revision=view.upstreams.revision,
-                    upstreams=list(view.upstreams) if later else None,
-                    doubts=view.doubts() if asked.config_version == 0 else (),
-                )
-                _write_frame(writer, encode_reply(reply))
-                await writer.drain()
-                # The asker closes first, so that its last bytes are read.
-                await reader.read(1)
-        except (TimeoutError, OSError, EOFError, ValueError):
-            # The asker tells of its failure; here nothing has changed.
-            return
-        finally:
-            with contextlib.suppress(OSError):
-                writer.close()
-
-
-def _write_frame(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(len(data).to_bytes(4, "big") + data)
-
-
-async def _read_frame(reader: asyncio.StreamReader) -> bytes:
-    size_bytes = int.from_bytes(await reader.readexactly(4), "big")
-    if size_bytes > _FRAME_BYTES_MAX:
-        raise ValueError(f"frame of {size_bytes} bytes")
-    return await reader.readexactly(size_bytes)
--- /dev/null
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -0,0 +1,141 @@
+"""The peers' streams: fetching a newer configuration or list of upstreams, and giving it."""
+
+import asyncio
+import contextlib
+
+from result import Err
+
+from egretrail.cluster import (
+    Beat,
+    FetchReply,
+    FetchRequest,
+    decode_reply,
+    decode_request,
+    encode_reply,
+    encode_request,
+)
+from egretrail.gateway._interfaces import GatewaySettings, StoreLayout
+from egretrail.gateway._log import EventLog
+from egretrail.gateway._view import FleetView
+
+#: A reply of some hundred kilobytes inside a zone takes milliseconds.
+_FETCH_TIMEOUT_S = 0.7
+_FRAME_BYTES_MAX = 16 * 1024 * 1024
+#: State of another zone's instance is fetched only if nobody of the own zone had it by then.
+_OTHER_ZONE_DELAY_S = 0.15
+
+
+class StateExchange:
+    """Fetches what a peer knows and this instance does not, one peer at a time."""
+
+    def __init__(
+        self, settings: GatewaySettings, view: FleetView, layout: StoreLayout, log: EventLog
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._layout = layout
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._fetching: asyncio.Task[None] | None = None
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        """Listen for peers' questions."""
+        address = (self._settings.ip, self._settings.peer_port)
+        self._server = await asyncio.start_server(self._serve, *address)
+
+    def fetch_if_newer(self, beat: Beat) -> None:
+        """Ask a peer for its state where its beat tells of a newer one."""
+        if self._fetching is None and self._is_newer(beat):
+            self._fetching = self._loop.create_task(self._fetch(beat))
+            self._fetching.add_done_callback(self._fetched)
+
+    def _fetched(self, task: asyncio.Task[None]) -> None:
+        self._fetching = None
+        if not task.cancelled() and task.exception() is not None:
+            self._log.event("fetch_failed", peer="", cause=repr(task.exception()))
+
+    def _is_newer(self, beat: Beat) -> bool:
+        view = self._view
+        version = view.config.version if view.config is not None else 0
+        newer_upstreams = beat.upstreams_revision > view.upstreams.revision
+        return beat.config_version > version or newer_upstreams
+
+    async def _fetch(self, beat: Beat) -> None:
+        if beat.availability_zone != self._settings.availability_zone and self._view.ready:
+            await asyncio.sleep(_OTHER_ZONE_DELAY_S)
+            if not self._is_newer(beat):
+                return
+        reply = await self._ask(beat.origin)
+        if reply is None:
+            return
+        source = f"peer {beat.origin}"
+        self._view.adopt_doubts(reply.doubts)
+        if reply.config is not None:
+            decoded = self._layout.decode_config(reply.config)
+            if isinstance(decoded, Err):
+                self._log.event("config_refused", source=source, cause=decoded.err_value)
+            else:
+                self._view.take_config(reply.config, decoded.ok_value, source)
+        if reply.upstreams is not None:
+            self._view.take_upstreams(reply.upstreams, reply.upstreams_revision, source)
+
+    async def _ask(self, peer: str) -> FetchReply | None:
+        view = self._view
+        version = view.config.version if view.config is not None else 0
+        question = FetchRequest(version, view.upstreams.revision)
+        writer = None
+        try:
+            async with asyncio.timeout(_FETCH_TIMEOUT_S):
+                port = self._settings.peer_port
+                reader, writer = await asyncio.open_connection(peer, port)
+                _write_frame(writer, encode_request(question))
+                decoded = decode_reply(await _read_frame(reader))
+        except (TimeoutError, OSError, EOFError, ValueError) as error:
+            self._log.event("fetch_failed", peer=peer, cause=repr(error))
+            return None
+        finally:
+            if writer is not None:
+                writer.close()
+        if isinstance(decoded, Err):
+            self._log.event("fetch_failed", peer=peer, cause=decoded.err_value)
+            return None
+        return decoded.ok_value
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        view = self._view
+        try:
+            async with asyncio.timeout(_FETCH_TIMEOUT_S):
+                decoded = decode_request(await _read_frame(reader))
+                if isinstance(decoded, Err):
+                    return
+                asked = decoded.ok_value
+                newer = view.config is not None and view.config.version > asked.config_version
+                later = view.upstreams.revision > asked.upstreams_revision
+                reply = FetchReply(
+                    config=view.config_value if newer else None,
+                    upstreams_revision=view.upstreams.revision,
+                    upstreams=list(view.upstreams) if later else None,
+                    doubts=view.doubts() if asked.config_version == 0 else (),
+                )
+                _write_frame(writer, encode_reply(reply))
+                await writer.drain()
+                # The asker closes first, so that its last bytes are read.
+                await reader.read(1)
+        except (TimeoutError, OSError, EOFError, ValueError):
+            # The asker tells of its failure; here nothing has changed.
+            return
+        finally:
+            with contextlib.suppress(OSError):
+                writer.close()
+
+
+def _write_frame(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(len(data).to_bytes(4, "big") + data)
+
+
+async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+    size_bytes = int.from_bytes(await reader.readexactly(4), "big")
+    if size_bytes > _FRAME_BYTES_MAX:
+        raise ValueError(f"frame of {size_bytes} bytes")
+    return await reader.readexactly(size_bytes)
