Call the instances that pass on other zones' beats broadcasters; forget what was passed on of instances that are gone

Cause: a newcomer's reading. Spreader is a word of our own where the field says broadcast, and Relay.forget was called by nobody, so that a relay kept the last beat of every address that it ever heard of, about a kilobyte each. The test of a dead instance asks for it now, red without the call.

--- a/src/egretrail/cluster/_membership.py
+++ b/src/egretrail/cluster/_membership.py
@@ -16,9 +16,9 @@
 #: An instance that is known by another's word only is gone after this silence: it beats four times
 #: in a second, and relays tell of it twice.
 _INTRODUCED_SILENCE_S = 1.0
-#: One of so many instances of a zone spreads what comes from other zones: it sends each beat to all
-#: of its zone, which is 3 Mbit/s for each of five that share the work of 31.
-_INSTANCES_A_SPREADER = 6
+#: One of so many instances of a zone broadcasts what comes from other zones: it sends each beat to
+#: all of its zone, which is 3 Mbit/s for each of five that share the work of 31.
+_INSTANCES_PER_BROADCASTER = 6
 #: Instances with at least this part of the largest one's capacity share a zone's tasks. Where sizes
 #: are unlike, small ones have links that the tasks alone would fill.
 _STRONG_SHARE = 0.5
@@ -143,12 +143,12 @@
             self._relays[availability_zone] = relays
         return relays
 
-    def spreaders(self, availability_zone: str) -> Sequence[str]:
-        """Return the instances that share the task of spreading other zones' beats in a zone."""
+    def broadcasters(self, availability_zone: str) -> Sequence[str]:
+        """Return the instances of a zone that share the broadcast of other zones' beats in it."""
         relays = self.relays(availability_zone)
         strongest = max((self._capacity(address) for address in relays), default=0.0)
         strong = [one for one in relays if self._capacity(one) >= strongest * _STRONG_SHARE]
-        return strong[: max(len(relays) // _INSTANCES_A_SPREADER, 1)]
+        return strong[: max(len(relays) // _INSTANCES_PER_BROADCASTER, 1)]
 
     def size(self) -> int:
         """Return the number of living instances with this one."""
--- a/src/egretrail/cluster/tests/test_cluster.py
+++ b/src/egretrail/cluster/tests/test_cluster.py
@@ -221,7 +221,7 @@
         self.assertLessEqual(relay.offer(urgent, 0.1, 124) or 1.0, 0.03)
 
 
-class SpreadersTest(EgretrailTestCase):
+class BroadcastersTest(EgretrailTestCase):
     @cases(
         {
             "a small zone": ([1.0] * 5, 1, False),
@@ -237,9 +237,9 @@
         for number, capacity in enumerate(capacities):
             beat = _beat(f"10.1.0.{number}", 1, availability_zone="a", capacity=capacity)
             membership.hear(beat, 0.0)
-        spreaders = membership.spreaders("a")
-        self.assertEqual(count, len(spreaders))
-        self.assertEqual(list(membership.relays("a"))[:count], list(spreaders))
+        broadcasters = membership.broadcasters("a")
+        self.assertEqual(count, len(broadcasters))
+        self.assertEqual(list(membership.relays("a"))[:count], list(broadcasters))
         if strong_only:
             strong = {f"10.1.0.{n}" for n, c in enumerate(capacities) if c > 1.0}
-            self.assertEqual(strong, set(spreaders))
+            self.assertEqual(strong, set(broadcasters))
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -27,9 +27,9 @@
 #: stays within 800 datagrams a second.
 _BATCH_S = 0.02
 _BATCH_INSTANCES = 16
-#: The instance that spreads a beat in another zone changes this often, so that one that has just
+#: The instance that broadcasts a beat in another zone changes this often, so that one that has just
 #: died is passed by with the next beat.
-_SPREADER_TURN_S = 0.3
+_BROADCASTER_TURN_S = 0.3
 #: Seeds are told of this instance with each beat until so many peers are known, and with its first
 #: beats, which follow each other sooner: an instance that has just started serves once it has
 #: learned the configuration from a peer.
@@ -104,7 +104,8 @@
     async def beat_forever(self) -> None:
         """Send a beat at the interval, news or not, and drop silent peers."""
         while True:
-            self._view.expire()
+            for origin in self._view.expire():
+                self._relay.forget(origin)
             self.send_beat()
             if self._beats_sent % _TELL_INTERVAL_BEATS == 0:
                 self._tell_one_peer()
@@ -262,23 +263,23 @@
         beats = self._relay.take(now_s)
         membership = self._view.membership
         for zone in membership.zones() - {self._settings.availability_zone}:
-            spreaders = membership.spreaders(zone)
-            if spreaders:
-                self._pass_to(spreaders, beats, int(now_s / _SPREADER_TURN_S))
+            broadcasters = membership.broadcasters(zone)
+            if broadcasters:
+                self._pass_to(broadcasters, beats, int(now_s / _BROADCASTER_TURN_S))
         next_s = self._relay.next_due_s()
         if next_s is not None:
             self._pass_across_at(next_s)
 
-    def _pass_to(self, spreaders: Sequence[str], beats: Sequence[Beat], turn: int) -> None:
-        """Share beats among the instances that spread them in their zone."""
+    def _pass_to(self, broadcasters: Sequence[str], beats: Sequence[Beat], turn: int) -> None:
+        """Share beats among the instances that broadcast them in their zone."""
         shares: dict[str, list[Beat]] = {}
         for beat in beats:
-            number = (xxhash.xxh32_intdigest(beat.origin.encode()) + turn) % len(spreaders)
-            shares.setdefault(spreaders[number], []).append(beat)
-        for spreader, share in shares.items():
+            number = (xxhash.xxh32_intdigest(beat.origin.encode()) + turn) % len(broadcasters)
+            shares.setdefault(broadcasters[number], []).append(beat)
+        for broadcaster, share in shares.items():
             for data in encode_datagrams(Path.ACROSS, share):
                 self.bytes_across += len(data)
-                self._send(data, spreader)
+                self._send(data, broadcaster)
 
     def _send(self, data: bytes, target: str) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -172,10 +172,11 @@
             self._learn(seen, beat.origin, now_s)
         return peer
 
-    def expire(self) -> None:
-        """Remove peers that are silent."""
+    def expire(self) -> list[str]:
+        """Remove peers that are silent; return their addresses."""
         now_s = self._clock()
-        for peer in self.membership.expire(now_s):
+        gone = self.membership.expire(now_s)
+        for peer in gone:
             self.load.forget(peer.beat.origin)
             self.repeats.forget(f"{peer.beat.origin}~{peer.beat.incarnation}")
             self._log.event(
@@ -184,6 +185,7 @@
                 zone=peer.beat.availability_zone,
                 silent_s=now_s - peer.heard_s,
             )
+        return [peer.beat.origin for peer in gone]
 
     def own_beat(self) -> Beat:
         """Return the next beat."""
--- a/src/egretrail/gateway/tests/test_peers.py
+++ b/src/egretrail/gateway/tests/test_peers.py
@@ -181,6 +181,7 @@
             for address in fleet.addresses:
                 if address != dead:
                     self.assertNotIn(dead, fleet.known(address))
+                    self.assertNotIn(dead, fleet.links[address]._relay._passed)
             for task in tasks:
                 task.cancel()
 
