Take each start of an upstream as a lifetime of its own, downloads as idempotent, and no spoilt entry as an upstream

Cause: an upstream that started again under its id was held to be the old one: drained or gone for good, doubted, with connections and durations of the process before. An entry in any state but "draining" was taken as ready, one with missing fields as usable, and an update that could not be read left the earlier record in service. One entry of bytes that are no text made the whole list unreadable; a deeply nested one or a number beyond a float ended the process. Routes of kind "download" were handled as at-most-once.

Change: a lifetime is a name and its start. Everything is kept by lifetime; a word of an older lifetime than one that was seen changes nothing. Requests still name the listed name. The peers' form is version 3, so that earlier forms are told apart. Entries are read strictly and refused one by one with a line each.

Ruled out: taking the store's order alone as the truth, since a write may be executed after its successor's.

--- a/scaffolding/platform/store.py
+++ b/scaffolding/platform/store.py
@@ -51,6 +51,10 @@
         """Write a JSON value as the operator or a backend does."""
         self._put(key, json.dumps(document).encode())
 
+    def write_bytes(self, key: str, data: bytes) -> None:
+        """Write any bytes, as another writer may."""
+        self._put(key, data)
+
     def remove(self, key: str) -> None:
         """Remove a key."""
         if self._items.pop(key, None) is not None:
--- a/src/egretrail/cluster/_codec.py
+++ b/src/egretrail/cluster/_codec.py
@@ -13,7 +13,7 @@
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
 #: Raised when the form changes; datagrams of another version are dropped.
-_VERSION = 2
+_VERSION = 3
 #: Datagrams stay below the usual packet size, so that the loss of one packet loses one datagram.
 _DATAGRAM_BYTES_MAX = 1_300
 
@@ -202,7 +202,7 @@
 
 def _upstream_row(record: UpstreamRecord) -> list[Any]:
     return [
-        record.id,
+        record.name,
         record.service,
         record.address,
         record.availability_zone,
@@ -210,13 +210,14 @@
         record.state.value,
         record.warmup_s,
         record.revision,
+        record.started_ms,
     ]
 
 
 def _upstream(row: Sequence[Any]) -> UpstreamRecord:
-    identifier, service, address, zone, slots, state, warmup_s, revision = row
+    name, service, address, zone, slots, state, warmup_s, revision, started_ms = row
     return UpstreamRecord(
-        id=str(identifier),
+        name=str(name),
         service=str(service),
         address=str(address),
         availability_zone=str(zone),
@@ -224,4 +225,5 @@
         state=UpstreamState(state),
         warmup_s=float(warmup_s),
         revision=int(revision),
+        started_ms=int(started_ms),
     )
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -16,6 +16,7 @@
     ReceivedAnswer,
     encode_request,
 )
+from egretrail.traffic import UpstreamRecord
 
 #: An upstream is told this much less than is left: the way of the answer back.
 _RETURN_S = 0.01
@@ -43,11 +44,12 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
 
-    async def run(self, work: Work, upstream_id: str, address: str) -> AttemptResult:
+    async def run(self, work: Work, upstream: UpstreamRecord) -> AttemptResult:
         """Send a request to an upstream and say what became of it; cancelled to give it up."""
+        upstream_id = upstream.id
         started_s = self._loop.time()
         try:
-            connection = await self._pool.acquire(upstream_id, address)
+            connection = await self._pool.acquire(upstream_id, upstream.address)
         except ConnectFailed as error:
             self._observe(upstream_id, Outcome.UNREACHABLE, started_s)
             return AttemptResult(Fate.UNREACHABLE, cause=str(error))
@@ -57,7 +59,7 @@
         data = encode_request(
             request.method,
             request.target,
-            self._contract.upstream_headers(request, upstream_id, left_s),
+            self._contract.upstream_headers(request, upstream.name, left_s),
             request.body,
         )
         overdue = self._loop.call_later(
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -191,9 +191,7 @@
             left_s=query.left_s,
         )
         self._view.begin(choice.upstream.id, trial=choice.trial)
-        task = self._loop.create_task(
-            self._attempts.run(work, choice.upstream.id, choice.upstream.address)
-        )
+        task = self._loop.create_task(self._attempts.run(work, choice.upstream))
         # A task that is cancelled before its first step runs none of its own code.
         task.add_done_callback(lambda _: self._view.end(choice.upstream.id))
         running[task] = choice
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -132,7 +132,7 @@
 
     @abc.abstractmethod
     def upstream_headers(
-        self, request: Request, upstream_id: str, left_s: float
+        self, request: Request, upstream_name: str, left_s: float
     ) -> list[tuple[bytes, bytes]]:
         """Return the fields of the request as it is sent to an upstream."""
 
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -1,9 +1,10 @@
 """Keeps configuration and upstreams in step with the store, on the few instances that read it."""
 
 import asyncio
+import ipaddress
 import json
 import random
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Sequence, Set
 
 from result import Err
 
@@ -162,9 +163,9 @@
             return read.err_value
         self._succeeded()
         revision = read.ok_value.revision
-        records = {record.id: record for record in self._decode(read.ok_value.entries)}
-        gone = self._view.upstreams.records.keys() - records.keys()
-        self._keep_vanished(dict.fromkeys(gone), records)
+        records = {record.name: record for record in self._decode(read.ok_value.entries)}
+        gone = {record.name for record in self._view.upstreams} - records.keys()
+        self._keep_vanished(gone, records)
         self._view.take_upstreams(records.values(), revision, "store")
         while self.should_read():
             watched = await self._store.watch(prefix, revision, _WATCH_S)
@@ -183,47 +184,49 @@
             await asyncio.sleep(_GATHER_S)
 
     def _take_config(self, entry: Entry) -> None:
-        value = (entry.value or "").encode()
+        value = (entry.value or "").encode(errors="surrogateescape")
         decoded = self._layout.decode_config(value)
         if isinstance(decoded, Err):
             self._log.event("config_refused", revision=entry.revision, cause=decoded.err_value)
             return
         self._view.take_config(value, decoded.ok_value, "store")
 
-    def _take_changes(self, entries: Iterable[Entry], revision: int) -> None:
-        changes: dict[str, UpstreamRecord | None] = {}
-        for entry in entries:
-            if entry.value is None:
-                changes[entry.path.removeprefix(self._layout.upstreams_prefix)] = None
-        records = {record.id: record for record in self._decode(self._written(entries))}
-        removed = dict.fromkeys(changes)
+    def _take_changes(self, entries: Sequence[Entry], revision: int) -> None:
+        removed = {self._name(entry) for entry in entries if entry.value is None}
+        written = [entry for entry in entries if entry.value is not None]
+        records = {record.name: record for record in self._decode(written)}
+        # An entry that cannot be used takes the place of the usable one that was there before.
+        unusable = {self._name(entry) for entry in written} - records.keys()
         kept: dict[str, UpstreamRecord] = {}
         self._keep_vanished(removed, kept)
-        for upstream_id in kept:
-            del changes[upstream_id]
+        changes: dict[str, UpstreamRecord | None] = dict.fromkeys(
+            unusable | (removed - kept.keys())
+        )
         changes.update(records)
         self._view.change_upstreams(changes, revision, "store")
 
-    def _keep_vanished(self, gone: dict[str, None], records: dict[str, UpstreamRecord]) -> None:
+    def _name(self, entry: Entry) -> str:
+        return entry.path.removeprefix(self._layout.upstreams_prefix)
+
+    def _keep_vanished(self, gone: Set[str], records: dict[str, UpstreamRecord]) -> None:
         """Keep upstreams that vanished while the store was away, until they should be back."""
         now_s = self._loop.time()
-        known = self._view.upstreams.records
-        for upstream_id in gone:
-            record = known.get(upstream_id)
+        for name in gone:
+            record = self._view.upstreams.named(name)
             if record is None or record.state is not UpstreamState.READY:
                 continue
             if self._lapsed(record, gone, now_s):
-                self._vanished.setdefault(upstream_id, now_s + _LAPSE_KEEP_S)
-                records[upstream_id] = record
-                self._log.event("upstream_lapsed", upstream=upstream_id)
+                self._vanished.setdefault(record.id, now_s + _LAPSE_KEEP_S)
+                records[name] = record
+                self._log.event("upstream_lapsed", upstream=record.id)
 
-    def _lapsed(self, record: UpstreamRecord, gone: dict[str, None], now_s: float) -> bool:
+    def _lapsed(self, record: UpstreamRecord, gone: Set[str], now_s: float) -> bool:
         if record.id in self._vanished:
             return self._vanished[record.id] > now_s
         if now_s < self._lapses_until_s:
             return True
         alike = self._view.upstreams.ready(record.service)
-        lost = sum(1 for other in alike if other.id in gone)
+        lost = sum(1 for other in alike if other.name in gone)
         return lost > 1 and lost > len(alike) * _LAPSE_SHARE
 
     async def _drop_vanished(self) -> None:
@@ -236,7 +239,7 @@
                 del self._vanished[name]
             self._view.drop_upstreams(due)
 
-    def _decode(self, entries: Iterable[Entry]) -> list[UpstreamRecord]:
+    def _decode(self, entries: Sequence[Entry]) -> list[UpstreamRecord]:
         records = []
         for entry in entries:
             decoded = self._layout.decode_upstream(entry)
@@ -248,9 +251,6 @@
             records.append(record)
         return records
 
-    def _written(self, entries: Iterable[Entry]) -> list[Entry]:
-        return [entry for entry in entries if entry.value is not None]
-
     def _succeeded(self) -> None:
         now_s = self._loop.time()
         away_s = now_s - self._away_since_s if self._away_since_s is not None else 0.0
@@ -320,6 +320,13 @@
 def _listing(value: str | None) -> list[str]:
     try:
         addresses = json.loads(value or "[]")
-    except ValueError:
+    except (ValueError, RecursionError):
         return []
-    return [str(address) for address in addresses] if isinstance(addresses, list) else []
+    return [one for one in addresses if _is_ip(one)] if isinstance(addresses, list) else []
+
+
+def _is_ip(value: object) -> bool:
+    try:
+        return isinstance(value, str) and bool(ipaddress.ip_address(value))
+    except ValueError:
+        return False
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -134,7 +134,7 @@
     def change_upstreams(
         self, changes: dict[str, UpstreamRecord | None], revision: int, source: str
     ) -> None:
-        """Take changes of the list of upstreams."""
+        """Take changes of the list of upstreams, by name."""
         before = dict(self.upstreams.records)
         self.upstreams.apply(changes, revision)
         self._upstreams_changed(before, source)
@@ -260,7 +260,7 @@
     def _drop(self, reports: Iterable[DropReport], source: str) -> None:
         known = self.upstreams.records
         gone = {
-            report.upstream_id: None
+            known[report.upstream_id].name: None
             for report in reports
             if report.upstream_id in known and known[report.upstream_id].revision <= report.revision
         }
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -22,6 +22,7 @@
 from scaffolding.platform.fleet import config, route
 
 _ROUTES = [route("read", "/read/", "s")]
+_ENTRY = {**StandInBackend("s", "zone-a").record(), "address": "10.0.0.1:1"}
 
 
 class _Reader(StoreSync):
@@ -42,11 +43,13 @@
     layout: PlatformLayout
     sync: "_Reader"
 
-    def list(self, name: str, state: str = "ready") -> None:
+    def list(self, name: str, state: str = "ready", born: int = 0) -> None:
         """Write an upstream's entry, as it does itself."""
-        record = StandInBackend("s", "zone-a").record(state)
-        record["address"] = "10.0.0.1:1"
-        self._apply(self.layout.upstreams_prefix + name, json.dumps(record))
+        self.write(name, json.dumps({**_ENTRY, "state": state, "born": born}))
+
+    def write(self, name: str, value: str) -> None:
+        """Write any value as an upstream's entry."""
+        self._apply(self.layout.upstreams_prefix + name, value)
 
     def unlist(self, name: str) -> None:
         """Remove an upstream's entry."""
@@ -58,7 +61,7 @@
 
     def ready(self) -> set[str]:
         """Return the upstreams that take work here."""
-        return {record.id for record in self.view.upstreams.ready("s")}
+        return {record.name for record in self.view.upstreams.ready("s")}
 
     def _apply(self, path: str, value: str | None) -> None:
         self.store._apply(path, value)
@@ -105,6 +108,42 @@
 
         self._play(act)
 
+    @cases(
+        {
+            "an unknown state": json.dumps({**_ENTRY, "state": "thinking"}),
+            "a field missing": json.dumps({"service": "s", "state": "ready"}),
+            "no document": "garbage",
+            "bytes that are no text": b"\xff\xfe\x00".decode(errors="surrogateescape"),
+        }
+    )
+    def test_an_entry_that_another_writer_spoilt_names_no_upstream(self, value: str) -> None:
+        async def act(stage: _Stage) -> None:
+            stage.write("u1", value)
+            stage.write("foreign", value)
+            stage.list("u5")
+            await asyncio.sleep(0.01)
+            self.assertEqual({"u2", "u3", "u4", "u5"}, stage.ready())
+            stage.list("u1")
+            await asyncio.sleep(1.0)
+            self.assertEqual({"u1", "u2", "u3", "u4", "u5"}, stage.ready())
+
+        self._play(act)
+
+    def test_an_upstream_that_starts_again_under_its_name_takes_work(self) -> None:
+        async def act(stage: _Stage) -> None:
+            stage.list("u1", "draining", born=5)
+            await asyncio.sleep(1.0)
+            self.assertEqual({"u2", "u3", "u4"}, stage.ready())
+            stage.list("u1", born=9)
+            await asyncio.sleep(1.0)
+            self.assertEqual({"u1", "u2", "u3", "u4"}, stage.ready())
+            # A word of the old lifetime that the store took late.
+            stage.list("u1", "draining", born=5)
+            await asyncio.sleep(1.0)
+            self.assertEqual({"u1", "u2", "u3", "u4"}, stage.ready())
+
+        self._play(act)
+
     def test_changes_in_quick_succession_take_few_calls(self) -> None:
         async def act(stage: _Stage) -> None:
             before = stage.store.calls["watch"]
--- a/src/egretrail/platform/_contract.py
+++ b/src/egretrail/platform/_contract.py
@@ -45,7 +45,7 @@
         )
 
     def upstream_headers(
-        self, request: Request, upstream_id: str, left_s: float
+        self, request: Request, upstream_name: str, left_s: float
     ) -> list[tuple[bytes, bytes]]:
         """Return the fields of the request as it is sent to an upstream."""
         fields = [
@@ -54,7 +54,7 @@
             if name.lower() not in _OWN_REQUEST_FIELDS
         ]
         fields.append((_DEADLINE, b"%d" % max(int(left_s * 1000), 1)))
-        fields.append((_EXPECTED_INSTANCE, upstream_id.encode()))
+        fields.append((_EXPECTED_INSTANCE, upstream_name.encode()))
         return fields
 
     def belongs(self, answer: ReceivedAnswer, attempt_id: str) -> bool:
--- a/src/egretrail/platform/_fields.py
+++ b/src/egretrail/platform/_fields.py
@@ -1,5 +1,7 @@
 """Reads typed fields out of decoded documents, collecting every fault."""
 
+import json
+import math
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -11,10 +13,24 @@
     for unit, factor in _UNITS_S.items():
         number = text.removesuffix(unit)
         if number != text and not number.endswith("m"):
-            return float(number) * factor
+            seconds = float(number) * factor
+            if math.isfinite(seconds) and seconds >= 0:
+                return seconds
     raise ValueError(f"not a duration: {text!r}")
 
 
+def decode_json(text: str | bytes) -> object:
+    """Return a JSON document; raises ValueError for anything else, however it is wrong."""
+    try:
+        if isinstance(text, str):
+            # Bytes that are no text come as lone surrogates, which cannot be encoded.
+            text.encode()
+        document: object = json.loads(text)
+    except RecursionError as error:
+        raise ValueError("nested too deep") from error
+    return document
+
+
 class Fields:
     """The fields of one table. A missing or wrong one is a fault and reads as a default."""
 
@@ -35,7 +51,14 @@
 
     def number(self, name: str, default: float | None = None) -> float:
         """Return a number."""
-        return float(self._typed(name, (int, float), 0.0, default))
+        try:
+            number = float(self._typed(name, (int, float), 0.0, default))
+        except OverflowError:
+            number = math.inf
+        if not math.isfinite(number):
+            self._fault(name, "not finite")
+            return 0.0
+        return number
 
     def time_s(self, name: str, default: str | None = None) -> float:
         """Return the seconds of a duration."""
--- a/src/egretrail/platform/_layout.py
+++ b/src/egretrail/platform/_layout.py
@@ -1,12 +1,12 @@
 """The store's paths, and the values that operators and upstreams write there."""
 
-import json
+import ipaddress
 from collections.abc import Sequence
 
 from result import Err, Ok, Result
 
 from egretrail.gateway import InvalidDocument, StoreLayout
-from egretrail.platform._fields import Fields
+from egretrail.platform._fields import Fields, decode_json
 from egretrail.store import Entry
 from egretrail.traffic import (
     ClientLimits,
@@ -20,7 +20,13 @@
 )
 
 #: Any other kind is handled as one that must not be repeated.
-_KINDS = {"safe": RouteKind.IDEMPOTENT}
+_KINDS = {
+    "safe": RouteKind.IDEMPOTENT,
+    # Large answers, which may be asked for again like small ones.
+    "download": RouteKind.IDEMPOTENT,
+}
+#: An upstream in any other state is none to use.
+_STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 
 
 class PlatformLayout(StoreLayout):
@@ -34,7 +40,7 @@
         """Read the configuration; a value with any fault is refused as a whole."""
         faults: list[str] = []
         try:
-            document = json.loads(value)
+            document = decode_json(value)
         except ValueError as error:
             return Err(InvalidDocument(self.config_path, [str(error)]))
         config = _config(Fields(document, "config", faults), faults)
@@ -46,27 +52,54 @@
         """Read an upstream's entry, whose path ends with the upstream's id."""
         faults: list[str] = []
         try:
-            document = json.loads(entry.value or "")
+            document = decode_json(entry.value or "")
         except ValueError as error:
             return Err(InvalidDocument(entry.path, [str(error)]))
-        fields = Fields(document, entry.path, faults)
-        draining = fields.text("state") == "draining"
-        record = UpstreamRecord(
-            id=entry.path.removeprefix(self.upstreams_prefix),
-            service=fields.text("service"),
-            address=fields.text("address"),
-            availability_zone=fields.text("zone", ""),
-            slots=max(fields.whole("slots"), 1),
-            state=UpstreamState.DRAINING if draining else UpstreamState.READY,
-            # How much longer the upstream is slow after its start.
-            warmup_s=fields.time_s("warmupLeft", "0ms"),
-            revision=entry.revision,
-        )
+        record = _upstream(Fields(document, entry.path, faults), entry, faults)
         if faults:
             return Err(InvalidDocument(entry.path, faults))
         return Ok(record)
 
 
+def _upstream(fields: Fields, entry: Entry, faults: list[str]) -> UpstreamRecord:
+    # Read for their presence alone: an entry without them was written by something else.
+    fields.text("version")
+    fields.whole("seq")
+    stated = fields.text("state")
+    if stated not in _STATES:
+        faults.append(f"{entry.path}.state: unknown state {stated!r}")
+    slots = fields.whole("slots")
+    if slots < 1:
+        faults.append(f"{entry.path}.slots: {slots}")
+    # The Unix millisecond of its start; entries of earlier writers do not have it.
+    started_ms = fields.whole("born", 0)
+    if started_ms < 0:
+        faults.append(f"{entry.path}.born: {started_ms}")
+    address = fields.text("address")
+    if not _is_address(address):
+        faults.append(f"{entry.path}.address: {address!r}")
+    return UpstreamRecord(
+        name=entry.path.removeprefix(PlatformLayout.upstreams_prefix),
+        service=fields.text("service"),
+        address=address,
+        availability_zone=fields.text("zone"),
+        slots=slots,
+        state=_STATES.get(stated, UpstreamState.DRAINING),
+        warmup_s=fields.time_s("warmupLeft"),
+        revision=entry.revision,
+        started_ms=started_ms,
+    )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 65_536
+
+
 def _config(fields: Fields, faults: list[str]) -> FleetConfig:
     services = {}
     for row in fields.rows("services"):
--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -228,8 +228,19 @@
 def _entry(row: dict[str, Any]) -> Entry:
     if row.get("removed"):
         return Entry(str(row["key"]), None, int(row["revision"]))
-    value = base64.b64decode(row["value"]).decode()
-    return Entry(str(row["key"]), value, int(row["revision"]))
+    return Entry(str(row["key"]), _value(row), int(row["revision"]))
+
+
+def _value(row: dict[str, Any]) -> str:
+    """Return an entry's text. One entry that cannot be read must not hide the others of its page.
+
+    Bytes that are no text become lone surrogates, and a value in another encoding an empty text:
+    the reader of the entry refuses both and logs it.
+    """
+    try:
+        return base64.b64decode(row["value"], validate=True).decode(errors="surrogateescape")
+    except (KeyError, TypeError, ValueError):
+        return ""
 
 
 def _snapshot(document: dict[str, Any]) -> Snapshot:
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import Any
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err, Ok
 
 from egretrail.gateway import AnswerKind
@@ -131,6 +133,37 @@
     }
 
 
+_ENTRY: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.1:1",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "warmupLeft": "0ms",
+    "seq": 4,
+}
+
+#: Any JSON value, also those that only this language's decoder takes.
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=6,
+)
+
+
+def _entry(**changes: Any) -> str:
+    return json.dumps({**_ENTRY, **changes})
+
+
+def _entry_without(name: str) -> str:
+    return json.dumps({field: value for field, value in _ENTRY.items() if field != name})
+
+
+def _upstream(**changes: Any) -> Any:
+    return PlatformLayout().decode_upstream(Entry("servers/i-1", _entry(**changes), 9))
+
+
 class LayoutTest(EgretrailTestCase):
     def test_a_configuration(self) -> None:
         decoded = PlatformLayout().decode_config(json.dumps(_document()).encode())
@@ -142,6 +175,12 @@
         self.assertEqual([("s", 90.0), ("t", 10.0)], [(p.service, p.weight) for p in route.parts])
         self.assertEqual((1000, 15.0), (config.limits.body_bytes, config.limits.idle_timeout_s))
 
+    @cases({"safe": "safe", "download": "download"})
+    def test_kinds_that_may_be_repeated(self, kind: str) -> None:
+        decoded = PlatformLayout().decode_config(json.dumps(_document(routeType=kind)).encode())
+        assert isinstance(decoded, Ok)
+        self.assertIs(RouteKind.IDEMPOTENT, decoded.ok_value.routes[0].kind)
+
     @cases({"unsafe": "unsafe", "a kind of later": "keyed"})
     def test_other_kinds_must_not_be_repeated(self, kind: str) -> None:
         decoded = PlatformLayout().decode_config(json.dumps(_document(routeType=kind)).encode())
@@ -171,18 +210,7 @@
         self.assertGreaterEqual(len(decoded.err_value.faults), least)
 
     def test_an_upstream(self) -> None:
-        document = {
-            "service": "s",
-            "address": "10.0.0.1:1",
-            "zone": "a",
-            "version": "v1",
-            "slots": 4,
-            "state": "draining",
-            "warmupLeft": "1500ms",
-            "seq": 4,
-        }
-        entry = Entry("servers/i-1", json.dumps(document), 9)
-        decoded = PlatformLayout().decode_upstream(entry)
+        decoded = _upstream(state="draining", warmupLeft="1500ms")
         assert isinstance(decoded, Ok)
         record = decoded.ok_value
         self.assertEqual(("i-1", 4, 1.5), (record.id, record.slots, record.warmup_s))
@@ -190,6 +218,58 @@
         broken = PlatformLayout().decode_upstream(Entry("servers/i-1", "{}", 9))
         self.assertIsInstance(broken, Err)
 
+    def test_each_start_under_one_name_is_a_lifetime_of_its_own(self) -> None:
+        first, second = (
+            _upstream(born=born).unwrap() for born in (1_790_000_000_000, 1_790_000_009_000)
+        )
+        self.assertEqual(("i-1", "i-1"), (first.name, second.name))
+        self.assertNotEqual(first.id, second.id)
+        self.assertLess(first.started_ms, second.started_ms)
+
+    @cases(
+        {
+            "not json": "{",
+            "not a table": "[1]",
+            "bytes that are no text": b"{\xff\xfe}".decode(errors="surrogateescape"),
+            "text that is no text": json.dumps(_ENTRY).replace("10.0.0.1", "\udcff"),
+            "tables within tables": "[" * 100_000,
+            **{f"no {name}": _entry_without(name) for name in _ENTRY},
+            "slots of another type": _entry(slots="4"),
+            "slots that are a truth": _entry(slots=True),
+            "no slots at all": _entry(slots=0),
+            "unknown state": _entry(state="thinking"),
+            "state of another type": _entry(state=1),
+            "service of another type": _entry(service=["s"]),
+            "no port": _entry(address="10.0.0.1"),
+            "a port too large": _entry(address="10.0.0.1:70000"),
+            "no number of an address": _entry(address="host:80"),
+            "a time without end": _entry(warmupLeft="infs"),
+            "no time": _entry(warmupLeft="nans"),
+            "a start that is a text": _entry(born="1790000000000"),
+            "a start that is a fraction": _entry(born=1.5),
+            "a start before all starts": _entry(born=-1),
+        }
+    )
+    def test_an_entry_of_another_writer_names_no_upstream(self, value: str) -> None:
+        decoded = PlatformLayout().decode_upstream(Entry("servers/i-1", value, 9))
+        self.assertIsInstance(decoded, Err)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.dictionaries(st.sampled_from([*_ENTRY, "born", "x"]), _JSON), st.binary(max_size=60))
+    def test_any_entry_is_read_or_refused(self, document: dict[str, Any], data: bytes) -> None:
+        for value in (json.dumps({**_ENTRY, **document}), data.decode(errors="surrogateescape")):
+            decoded = PlatformLayout().decode_upstream(Entry("servers/i-1", value, 9))
+            self.assertIsInstance(decoded, (Ok, Err))
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.dictionaries(st.sampled_from(sorted(_document())), _JSON), st.binary(max_size=60))
+    def test_any_configuration_is_read_or_refused(
+        self, document: dict[str, Any], data: bytes
+    ) -> None:
+        for value in (json.dumps({**_document(), **document}).encode(), data, b"[" * 100_000):
+            decoded = PlatformLayout().decode_config(value)
+            self.assertIsInstance(decoded, (Ok, Err))
+
 
 def _shape(version: int, route: Any) -> tuple[int, str, float, float]:
     return version, route.host, route.timeout_s, route.objective_s
@@ -231,10 +311,10 @@
     def test_settings(self) -> None:
         read = self._read(_NODE)
         assert isinstance(read, Ok)
-        settings = read.ok_value
-        self.assertEqual(("10.1.0.34", 7540), (settings.ip, settings.peer_port))
-        self.assertEqual(["10.1.0.34", "10.2.0.34"], list(settings.seeds))
-        self.assertEqual((1.0, 6.0, 62.0), _bounds(settings))
+        node = read.ok_value
+        self.assertEqual(("10.1.0.34", 7540), (node.ip, node.peer_port))
+        self.assertEqual(["10.1.0.34", "10.2.0.34"], list(node.seeds))
+        self.assertEqual((1.0, 6.0, 62.0), _bounds(node))
 
     @cases(
         {
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -14,10 +14,14 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamRecord:
-    """One lifetime of an upstream; a restart has another id."""
+    """One lifetime of an upstream.
 
-    #: Unique to this lifetime.
-    id: str
+    A process that starts again under its name holds nothing of before and is another lifetime: what
+    was observed of the old one, its connections and its drain say nothing about the new one.
+    """
+
+    #: What it is listed as, and what it goes by in requests; the next lifetime may have it too.
+    name: str
     #: The service it belongs to.
     service: str
     #: Its address, ``IP:PORT``; another upstream may have had it before.
@@ -32,27 +36,48 @@
     warmup_s: float = 0.0
     #: The store's revision of the record.
     revision: int = 0
+    #: When it started, in milliseconds of its wall clock; 0 where it does not say.
+    started_ms: int = 0
+    #: Unique to the lifetime.
+    id: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Join the name and the start to the lifetime's id."""
+        lifetime = f"{self.name}~{self.started_ms:x}" if self.started_ms else self.name
+        object.__setattr__(self, "id", lifetime)
 
 
-#: Ids that have left are remembered up to this number, about 100 bytes each.
+#: Lifetimes that have left, and the last starts of names that are no longer listed, are remembered
+#: up to this number each, about 100 bytes each.
 _DEPARTED_MAX = 20_000
 
 
 @dataclass(slots=True)
 class UpstreamTable:
-    """The listed upstreams by id. An id that was seen draining never becomes ready again."""
+    """The listed upstreams, one lifetime for each name.
+
+    A lifetime that was seen draining never becomes ready again, and one that is older than another
+    of its name never comes back: its words may be stored or told after those of its successor.
+    """
 
-    #: The upstreams of the newest known state of the store.
+    #: The upstreams of the newest known state of the store, by lifetime id.
     records: dict[str, UpstreamRecord] = field(default_factory=dict)
     #: The store's revision up to which changes are known.
     revision: int = 0
     _by_service: dict[str, list[UpstreamRecord]] = field(default_factory=dict)
+    _by_name: dict[str, UpstreamRecord] = field(default_factory=dict)
     _left: dict[str, None] = field(default_factory=dict)
+    #: The newest start that was seen of each name.
+    _started_ms: dict[str, int] = field(default_factory=dict)
 
     def ready(self, service: str) -> list[UpstreamRecord]:
         """Return the upstreams of a service that take new work."""
         return self._by_service.get(service, [])
 
+    def named(self, name: str) -> UpstreamRecord | None:
+        """Return the listed lifetime of a name."""
+        return self._by_name.get(name)
+
     def takes_work(self, upstream_id: str) -> bool:
         """Return whether an upstream is listed and takes new work."""
         record = self.records.get(upstream_id)
@@ -66,18 +91,23 @@
         """Take a whole state of the store; return whether it was newer than the known one."""
         if revision < self.revision:
             return False
-        self.records = {record.id: self._admit(record) for record in records}
+        before, self._by_name = self._by_name, {}
+        for record in records:
+            if self._is_newest(record):
+                self._by_name[record.name] = self._admit(record)
+            elif record.name in before:
+                self._by_name[record.name] = before[record.name]
         self.revision = revision
         self._index()
         return True
 
     def apply(self, changes: Mapping[str, UpstreamRecord | None], revision: int) -> None:
-        """Take changes after the known revision; None for a record that was removed."""
-        for upstream_id, record in changes.items():
+        """Take changes by name after the known revision; None for a record that was removed."""
+        for name, record in changes.items():
             if record is None:
-                self.records.pop(upstream_id, None)
-            else:
-                self.records[upstream_id] = self._admit(record)
+                self._by_name.pop(name, None)
+            elif self._is_newest(record):
+                self._by_name[name] = self._admit(record)
         self.revision = max(self.revision, revision)
         self._index()
 
@@ -89,9 +119,17 @@
         record = self.records.get(upstream_id)
         if record is not None and record.state is UpstreamState.READY:
             self._remember_left(upstream_id)
-            self.records[upstream_id] = self._admit(record)
+            self._by_name[record.name] = self._admit(record)
             self._index()
 
+    def _is_newest(self, record: UpstreamRecord) -> bool:
+        """Return whether no later start of the record's name was seen, and remember its own."""
+        newest_ms = max(self._started_ms.pop(record.name, 0), record.started_ms)
+        self._started_ms[record.name] = newest_ms
+        if len(self._started_ms) > _DEPARTED_MAX:
+            del self._started_ms[next(iter(self._started_ms))]
+        return record.started_ms == newest_ms
+
     def _admit(self, record: UpstreamRecord) -> UpstreamRecord:
         if record.state is UpstreamState.DRAINING:
             self._remember_left(record.id)
@@ -105,6 +143,7 @@
             del self._left[next(iter(self._left))]
 
     def _index(self) -> None:
+        self.records = {record.id: record for record in self._by_name.values()}
         by_service: dict[str, list[UpstreamRecord]] = {}
         for record in self.records.values():
             if record.state is UpstreamState.READY:
--- a/src/egretrail/traffic/tests/test_traffic.py
+++ b/src/egretrail/traffic/tests/test_traffic.py
@@ -2,6 +2,16 @@
 
 import random
 from collections import Counter
+from collections.abc import Sequence
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
 
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import (
@@ -65,8 +75,10 @@
             self.assertAlmostEqual(expected, drawn[f"s{number}"] / 3000, delta=0.03)
 
 
-def _record(name: str, state: UpstreamState = UpstreamState.READY) -> UpstreamRecord:
-    return UpstreamRecord(name, "s", "10.0.0.1:1", "a", 4, state)
+def _record(
+    name: str, state: UpstreamState = UpstreamState.READY, started_ms: int = 0
+) -> UpstreamRecord:
+    return UpstreamRecord(name, "s", "10.0.0.1:1", "a", 4, state, started_ms=started_ms)
 
 
 class UpstreamTableTest(EgretrailTestCase):
@@ -100,3 +112,130 @@
         self.assertEqual(set(), self._ready(table))
         table.apply({"u1": _record("u1")}, 12)
         self.assertEqual({"u1"}, self._ready(table))
+
+
+#: One change of the store: a name with the start of its lifetime, None for a removal.
+Change = tuple[str, int | None, UpstreamState]
+_READY, _DRAINING = UpstreamState.READY, UpstreamState.DRAINING
+
+
+class LifetimesTest(EgretrailTestCase):
+    """An upstream that starts again under its name is another one."""
+
+    @cases(
+        {
+            "a start after a drain": ([("u", 5, _DRAINING), ("u", 9, _READY)], {9}),
+            "a start after a removal": (
+                [("u", 5, _READY), ("u", None, _READY), ("u", 9, _READY)],
+                {9},
+            ),
+            "a start in place of another": ([("u", 5, _READY), ("u", 9, _READY)], {9}),
+            "a late word of the old one": ([("u", 9, _READY), ("u", 5, _READY)], {9}),
+            "a late drain of the old one": ([("u", 9, _READY), ("u", 5, _DRAINING)], {9}),
+            "a late word after both are gone": (
+                [("u", 9, _READY), ("u", None, _READY), ("u", 5, _READY)],
+                set(),
+            ),
+            "the drained one says ready": ([("u", 9, _DRAINING), ("u", 9, _READY)], set()),
+            "a removal after a new start": (
+                [("u", 5, _READY), ("u", 9, _READY), ("u", None, _READY)],
+                set(),
+            ),
+            "two names": ([("u", 5, _READY), ("v", 4, _READY), ("u", 9, _READY)], {4, 9}),
+        }
+    )
+    def test_which_lifetimes_take_work(self, case: tuple[Sequence[Change], set[int]]) -> None:
+        changes, expected = case
+        for whole in (False, True):
+            table = UpstreamTable()
+            for revision, (name, started_ms, state) in enumerate(changes, start=1):
+                record = None if started_ms is None else _record(name, state, started_ms)
+                if whole:
+                    kept = {held.name: held for held in table if held.name != name}
+                    table.replace([*kept.values(), *([record] if record else [])], revision)
+                else:
+                    table.apply({name: record}, revision)
+            self.assertEqual(expected, {record.started_ms for record in table.ready("s")})
+
+    def test_an_answer_for_another_lifetime_ends_only_the_one_that_was_meant(self) -> None:
+        table = UpstreamTable()
+        old, new = _record("u", started_ms=5), _record("u", started_ms=9)
+        table.apply({"u": old}, 1)
+        table.mark_gone(old.id)
+        table.apply({"u": new}, 2)
+        table.mark_gone(old.id)
+        self.assertEqual([new.id], [record.id for record in table.ready("s")])
+
+
+class LifetimeMachine(RuleBasedStateMachine):
+    """Words about lifetimes in any order; a model that knows the truth of the store.
+
+    The store's revisions rise, its writers may be late: a lifetime's word can be stored after the
+    word of the next one. Instances take changes one by one or the list in whole, also old lists.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = UpstreamTable()
+        self.revision = 0
+        self.entries: dict[str, UpstreamRecord] = {}
+        self.lists: list[tuple[int, list[UpstreamRecord]]] = []
+        self.newest: dict[str, int] = {}
+        self.ended: set[str] = set()
+
+    def _store(self, name: str, record: UpstreamRecord | None) -> None:
+        self.revision += 1
+        if record is None:
+            self.entries.pop(name, None)
+        else:
+            self.entries[name] = record
+        self.lists.append((self.revision, list(self.entries.values())))
+
+    @rule(name=st.sampled_from("uv"), started_ms=st.integers(1, 4), draining=st.booleans())
+    def write(self, name: str, started_ms: int, draining: bool) -> None:
+        record = _record(name, _DRAINING if draining else _READY, started_ms)
+        self._store(name, record)
+        self.table.apply({name: record}, self.revision)
+        self.newest[name] = max(self.newest.get(name, 0), started_ms)
+        if draining:
+            self.ended.add(record.id)
+
+    @rule(name=st.sampled_from("uv"))
+    def remove(self, name: str) -> None:
+        self._store(name, None)
+        self.table.apply({name: None}, self.revision)
+
+    @rule(back=st.integers(0, 5))
+    def take_list(self, back: int) -> None:
+        if len(self.lists) > back:
+            revision, records = self.lists[-1 - back]
+            self.table.replace(records, revision)
+
+    @rule(name=st.sampled_from("uv"), started_ms=st.integers(1, 4))
+    def answer_for_another(self, name: str, started_ms: int) -> None:
+        upstream_id = _record(name, started_ms=started_ms).id
+        if upstream_id in self.table.records:
+            self.ended.add(upstream_id)
+        self.table.mark_gone(upstream_id)
+
+    @invariant()
+    def no_ended_or_older_lifetime_takes_work(self) -> None:
+        ready = self.table.ready("s")
+        assert len({record.name for record in ready}) == len(ready)
+        for record in ready:
+            assert record.id not in self.ended
+            assert record.started_ms == self.newest[record.name]
+
+    @invariant()
+    def the_newest_lifetime_takes_work_where_the_store_lists_it(self) -> None:
+        ready = {record.id for record in self.table.ready("s")}
+        for record in self.entries.values():
+            if record.started_ms == self.newest[record.name] and record.id not in self.ended:
+                assert record.id in ready
+
+
+class LifetimeMachineTest(EgretrailTestCase):
+    def test_words_in_any_order(self) -> None:
+        run_state_machine_as_test(
+            LifetimeMachine, settings=settings(max_examples=150, deadline=None, derandomize=True)
+        )
