Charge another zone by the bytes of a route's answers, and take any free slot before a refusal

A request whose cheapest upstream had too long a queue was refused also where another zone had a free slot.

Change: AnswerSizes learns a mean for each route from what the instance passes on; another zone costs 0.7 of the slots and one more for each 50 KB, up to 2. Refused only where no upstream has a free slot.

--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -13,7 +13,11 @@
 
 #: What an upstream of another availability zone is charged, as a share of its slots. Bytes between
 #: zones cost money and a millisecond; an upstream of the own zone with one free slot goes first.
-_OTHER_ZONE_CHARGE = 0.4
+_OTHER_ZONE_CHARGE = 0.7
+#: Answers of so many bytes are charged as all slots taken besides, up to the largest charge: they
+#: rather wait for half of an upstream's usual duration in their own zone, where that is in time.
+_BYTES_PER_SLOTS = 50_000
+_DISTANCE_CHARGE_MAX = 2.0
 #: What opening a connection is charged: enough to decide between upstreams of equal load.
 _NEW_CONNECTION_CHARGE = 0.05
 #: Upstreams slower than their service by this factor are charged for it; below it the difference
@@ -70,6 +74,8 @@
     worth_s: float
     #: Whether the request may run more than once and has attempts left.
     repeatable: bool
+    #: The usual size of the answers of the request's route; 0 where none was seen.
+    answer_bytes: float = 0.0
     #: Whether only room that nobody else needs is to be used, as for a second copy of a request.
     spare_only: bool = False
     #: Upstreams that are not to be chosen.
@@ -140,6 +146,8 @@
         in_service: list[UpstreamRecord] = []
         best: UpstreamRecord | None = None
         best_charge = float("inf")
+        free: UpstreamRecord | None = None
+        free_charge = float("inf")
         for record in candidates:
             standing = self.suspicion.standing(record.id, now_s)
             if standing in (Standing.SUSPECT, Standing.PROBATION):
@@ -154,6 +162,8 @@
                 charge += _DOUBTED_CHARGE
             if charge < best_charge:
                 best, best_charge = record, charge
+            if charge < free_charge and self.load.in_flight(record.id, now_s) < record.slots:
+                free, free_charge = record, charge
         if not query.spare_only:
             trial = self.trials.due(
                 query.service, suspects, in_service, now_s, repeatable=query.repeatable
@@ -162,30 +172,38 @@
                 return Choice(trial, 0, True, len(candidates))
         if best is None or (query.spare_only and best_charge >= _TIGHT_LOAD):
             return Refusal(RefusalReason.ALL_SUSPECT, self._pause_s(query.service))
-        return self._admit(query, best, len(candidates), now_s)
-
-    def _admit(
-        self, query: PlacementQuery, best: UpstreamRecord, considered: int, now_s: float
-    ) -> Choice | Refusal:
-        """Return the choice of an upstream, or a refusal where its queue is too long.
+        refusal = self._too_late(query, best, now_s)
+        if refusal is not None and free is None:
+            return refusal
+        # Not any other whose queue seems to end in time: that would be the one whose usual duration
+        # is most underrated, and its queue would outgrow the others'.
+        chosen = best if refusal is None or free is None else free
+        return Choice(chosen, self.load.in_flight(chosen.id, now_s), False, len(candidates))
+
+    def _too_late(
+        self, query: PlacementQuery, record: UpstreamRecord, now_s: float
+    ) -> Refusal | None:
+        """Return the refusal of a request for which an upstream's queue is too long, or None.
 
         Load: with more work than slots, queues as long as callers' patience fill up within
         seconds, and from then on every answer is late while no more of them are given. A queue
         that ends with the objective serves as many, in time, and its callers learn at once that
         they are not among them. A request that is late already may wait as long as it has.
         """
-        in_flight = self.load.in_flight(best.id, now_s)
-        mean_s = self.durations.upstream_mean_s(query.service, best.id)
-        wait_s = max(in_flight + 1 - best.slots, 0) / best.slots * mean_s
+        in_flight = self.load.in_flight(record.id, now_s)
+        if in_flight < record.slots:
+            return None
+        mean_s = self.durations.upstream_mean_s(query.service, record.id)
+        wait_s = (in_flight + 1 - record.slots) / record.slots * mean_s
         late = wait_s + mean_s * _OBJECTIVE_SHARE > query.worth_s > mean_s
-        if wait_s > 0 and (late or wait_s + mean_s * _WORK_SHARE > query.left_s):
+        if late or wait_s + mean_s * _WORK_SHARE > query.left_s:
             return Refusal(RefusalReason.NO_TIME, _bounded(wait_s), wait_s)
-        return Choice(best, in_flight, False, considered)
+        return None
 
     def _charge(self, query: PlacementQuery, record: UpstreamRecord, now_s: float) -> float:
         charge = self.load.in_flight(record.id, now_s) / record.slots
         if record.availability_zone != self.availability_zone:
-            charge += _OTHER_ZONE_CHARGE
+            charge += self._distance_charge(query)
         if record.id not in query.connected:
             charge += _NEW_CONNECTION_CHARGE
         if self.suspicion.short_of_room(record.id, now_s):
@@ -197,6 +215,15 @@
             charge += (slowness - 1.0) * _SLOWNESS_CHARGE
         return charge + self.rng.random() * 0.02
 
+    def _distance_charge(self, query: PlacementQuery) -> float:
+        """Return what an upstream of another zone is charged, by the bytes of the route's answers.
+
+        Load: answers of one kind have a kilobyte, those of another a hundred. Bytes between zones
+        cost money, a wait of some milliseconds in the own zone costs the caller nothing.
+        """
+        large = min(query.answer_bytes / _BYTES_PER_SLOTS, _DISTANCE_CHARGE_MAX)
+        return _OTHER_ZONE_CHARGE + large
+
     def _pause_s(self, service: str) -> float:
         return _bounded(self.durations.mean_s(service))
 
--- a/src/egretrail/dispatch/tests/test_placement.py
+++ b/src/egretrail/dispatch/tests/test_placement.py
@@ -4,6 +4,7 @@
 import random
 
 from egretrail.dispatch import (
+    AnswerSizes,
     FIRST_PAUSE_S,
     Choice,
     FleetLoad,
@@ -59,6 +60,21 @@
                 {"near": 0, "near-2": 0},
                 "near-2",
             ),
+            "small answers in another zone's free slot": (
+                {"answer_bytes": 1_500.0},
+                {"far": 0, "near": 4},
+                "far",
+            ),
+            "large answers in the own zone's queue": (
+                {"answer_bytes": 90_000.0},
+                {"far": 0, "near": 6},
+                "near",
+            ),
+            "large answers elsewhere before they are late": (
+                {"answer_bytes": 90_000.0, "worth_s": 0.6},
+                {"far": 0, "near": 6},
+                "far",
+            ),
             "not what was tried": ({"excluded": ["near"]}, {"far": 0, "near": 0}, "far"),
         }
     )
@@ -90,6 +106,25 @@
         self.assertEqual("usual", choice.upstream.id)
 
 
+class AnswerSizesTest(EgretrailTestCase):
+    def test_the_mean_follows_the_answers_of_its_route(self) -> None:
+        sizes = AnswerSizes()
+        self.assertEqual(0.0, sizes.mean_bytes("files"))
+        for _ in range(60):
+            sizes.observe("files", 90_000)
+            sizes.observe("orders", 5_000)
+        self.assertAlmostEqual(90_000, sizes.mean_bytes("files"), delta=100)
+        for _ in range(60):
+            sizes.observe("files", 1_000)
+        self.assertAlmostEqual(1_000, sizes.mean_bytes("files"), delta=300)
+
+    def test_what_is_remembered_is_bounded(self) -> None:
+        sizes = AnswerSizes()
+        for number in range(6_000):
+            sizes.observe(f"r{number}", 10)
+        self.assertEqual((0.0, 10.0), (sizes.mean_bytes("r0"), sizes.mean_bytes("r5999")))
+
+
 class TrialTest(EgretrailTestCase):
     def test_a_suspect_gets_nothing_before_its_pause_and_one_request_after(self) -> None:
         placement = _placement()
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -116,6 +116,7 @@
                     choice = running.pop(task)
                     result = task.result()
                     if result.fate is Fate.SERVED and result.received is not None:
+                        self._view.sizes.observe(work.route.name, len(result.received.body))
                         return self._contract.answer(result.received), "served"
                     self._note(work, choice, result)
                     if self._may_send_again(work, result):
@@ -165,6 +166,7 @@
             left_s=work.end_s - now_s,
             worth_s=work.request.received_s + work.route.objective_s - now_s,
             repeatable=work.repeatable and work.sends + 1 < work.route.max_attempts,
+            answer_bytes=self._view.sizes.mean_bytes(work.route.name),
             spare_only=spare_only,
             excluded=work.tried,
             connected=self._pool.connected(),
@@ -186,6 +188,7 @@
             zone=choice.upstream.availability_zone,
             number=work.sends,
             in_flight=choice.in_flight,
+            slots=choice.upstream.slots,
             considered=choice.considered,
             trial=choice.trial,
             left_s=query.left_s,
@@ -280,6 +283,7 @@
             attempts=work.sends,
             unreachable=work.unreachable,
             duration_s=duration_s,
+            objective_s=work.route.objective_s,
             left_s=work.end_s - self._loop.time(),
             config_version=version,
             cause=work.last_cause,
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -7,6 +7,7 @@
 
 from egretrail.cluster import Beat, DropReport, InstanceState, LossReport, Membership, Peer
 from egretrail.dispatch import (
+    AnswerSizes,
     CrashingRequests,
     DoubtRecord,
     FleetLoad,
@@ -71,6 +72,8 @@
         self.load = FleetLoad()
         #: Usual durations of work.
         self.durations = ServiceDurations()
+        #: Usual sizes of answers.
+        self.sizes = AnswerSizes()
         #: Doubts about upstreams.
         self.suspicion = SuspicionBook(settings.ip)
         #: Requests that crash upstreams.
