Spread the repeat budget over its window, and use three quarters of it

Change: repeats of the last 2 s are at most 1.25 times their even part; the used share rises from 0.6 to 0.75, since what others have not yet told is bounded by the pace.

--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -6,8 +6,13 @@
 from egretrail.dispatch._window import SlidingSum
 
 #: The share of the agreed budget that is used. The rest covers what other instances have just sent
-#: and not yet told: repeats of a service that come within a fifth of a second of each other.
-_USED_SHARE = 0.6
+#: and not yet told: repeats of a service that come within a fifth of a second of each other, which
+#: the pace below keeps to a twentieth of the budget.
+_USED_SHARE = 0.75
+#: Repeats within this time are at most the even part of the budget times the factor: a spell of
+#: refusals outlasts a budget that is spent freely, and then every refusal is final for seconds.
+_PACE_S = 2.0
+_PACE_FACTOR = 1.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +31,9 @@
     Load: upstreams that fail or refuse together make every instance repeat at once, and repeats
     that grow with failures keep upstreams overloaded. Each instance counts what all have told.
     An instance that hears from nobody still counts its own part, and is given no more than its
-    part of the constant allowance.
+    part of the constant allowance. What is allowed is spread over the window: where all upstreams
+    refuse 55% of their work for longer than the budget lasts, the worst second serves 0.45 of the
+    requests in place of 0.39 (replay of eight seconds, means of three seeds).
     """
 
     def __init__(self, ratio: float, window_s: float, slack: float) -> None:
@@ -35,6 +42,7 @@
         self._slack = slack
         self._requests: dict[str, SlidingSum] = {}
         self._repeats: dict[str, SlidingSum] = {}
+        self._recent: dict[str, SlidingSum] = {}
         self._own: dict[str, RepeatCounts] = {}
         self._told: dict[tuple[str, str], RepeatCounts] = {}
 
@@ -50,14 +58,18 @@
         ``known_share`` is the part of the fleet whose counts arrive here, this instance included.
         """
         requests = self._total(self._requests, service, now_s)
-        allowed = self._ratio * requests + self._slack * known_share
-        return self._total(self._repeats, service, now_s) + 1 <= _USED_SHARE * allowed
+        allowed = _USED_SHARE * (self._ratio * requests + self._slack * known_share)
+        paced = allowed * min(_PACE_FACTOR * _PACE_S / self._window_s, 1.0)
+        return (
+            self._total(self._repeats, service, now_s) + 1 <= allowed
+            and self._total(self._recent, service, now_s) + 1 <= max(paced, 1.0)
+        )
 
     def repeated(self, service: str, now_s: float) -> None:
         """Count a repeat that is being sent."""
         own = self._own.get(service, RepeatCounts())
         self._own[service] = RepeatCounts(own.requests, own.repeats + 1)
-        self._count(self._repeats, service, 1, now_s)
+        self._count_repeats(service, 1, now_s)
 
     def own_counts(self) -> Mapping[str, RepeatCounts]:
         """Return this instance's counts since its start, for the others."""
@@ -71,7 +83,7 @@
             # Its past is not known to be recent.
             return
         self._count(self._requests, service, max(counts.requests - before.requests, 0), now_s)
-        self._count(self._repeats, service, max(counts.repeats - before.repeats, 0), now_s)
+        self._count_repeats(service, max(counts.repeats - before.repeats, 0), now_s)
 
     def request_rate(self, service: str, now_s: float) -> float:
         """Return the fleet's requests of a service in a second, over the window."""
@@ -82,6 +94,11 @@
         for key in [held for held in self._told if held[0] == origin]:
             del self._told[key]
 
+    def _count_repeats(self, service: str, count: int, now_s: float) -> None:
+        self._count(self._repeats, service, count, now_s)
+        if count:
+            self._recent.setdefault(service, SlidingSum(_PACE_S)).add(count, now_s)
+
     def _count(self, table: dict[str, SlidingSum], service: str, count: int, now_s: float) -> None:
         if count:
             table.setdefault(service, SlidingSum(self._window_s)).add(count, now_s)
--- a/src/egretrail/dispatch/tests/test_repeats.py
+++ b/src/egretrail/dispatch/tests/test_repeats.py
@@ -58,6 +58,31 @@
         self.assertTrue(budget.permits(_SERVICE, 100.0, 1.0))
 
 
+class RefusingSpellTest(EgretrailTestCase):
+    """All upstreams of a service refuse 55% of their work for eight seconds."""
+
+    _REFUSED, _SPELL_S, _RATE = 0.55, 8.0, 200
+
+    @cases({"seed 1": 1, "seed 2": 2, "seed 3": 3})
+    def test_the_budget_lasts_through_the_spell(self, seed: int) -> None:
+        rng = random.Random(seed)
+        budget = RepeatBudget(_RATIO, _WINDOW_S, _SLACK)
+        served = [0] * int(self._SPELL_S)
+        for step in range(-int(_WINDOW_S) * self._RATE, int(self._SPELL_S) * self._RATE):
+            now_s = _WINDOW_S + step / self._RATE
+            budget.routed(_SERVICE, now_s)
+            if step < 0:
+                continue
+            answered = rng.random() >= self._REFUSED
+            if not answered and budget.permits(_SERVICE, now_s, 1.0):
+                budget.repeated(_SERVICE, now_s)
+                answered = rng.random() >= self._REFUSED
+            served[step // self._RATE] += answered
+        shares = [count / self._RATE for count in served]
+        self.assertGreater(min(shares), 0.42)
+        self.assertGreater(sum(shares) / len(shares), 0.532)
+
+
 class FleetLoadTest(EgretrailTestCase):
     @cases(
         {
