Charge upstreams that have stopped to answer, and read the store 0.15 s after a start

After all processes died, the first reader waited 0.35 s for peers that did not know more. Change: FleetLoad keeps since when an upstream has had work and given no answer; in the own zone, whose answers an instance hears, each usual duration beyond 1.5 costs half of the slots, up to 2. Test changed: the replays of spells and overloads tell answers to FleetLoad, as the gateway does.

--- a/src/egretrail/dispatch/_load.py
+++ b/src/egretrail/dispatch/_load.py
@@ -22,11 +22,14 @@
         self._total: dict[str, int] = {}
         self._reported: dict[str, tuple[int, float]] = {}
         self._last_use_s: dict[str, float] = {}
+        #: Since when requests have been under way at an upstream without a break.
+        self._busy_since_s: dict[str, float] = {}
+        self._last_answer_s: dict[str, float] = {}
 
     def started(self, upstream_id: str, now_s: float) -> None:
         """Count a request that this instance sends."""
         self._own[upstream_id] = self._own.get(upstream_id, 0) + 1
-        self._total[upstream_id] = self._total.get(upstream_id, 0) + 1
+        self._add(upstream_id, 1, now_s)
         self._last_use_s[upstream_id] = now_s
 
     def finished(self, upstream_id: str) -> None:
@@ -36,21 +39,34 @@
             self._own[upstream_id] = left
         else:
             self._own.pop(upstream_id, None)
-        self._add(upstream_id, -1)
+        self._add(upstream_id, -1, 0.0)
 
     def told(self, origin: str, counts: Mapping[str, int], now_s: float) -> None:
         """Take another instance's counts, which replace its earlier ones."""
-        for upstream_id, count in self._others.get(origin, {}).items():
-            self._add(upstream_id, -count)
+        before = self._others.get(origin, {})
+        for upstream_id, count in before.items():
+            if upstream_id not in counts:
+                self._add(upstream_id, -count, now_s)
         for upstream_id, count in counts.items():
-            self._add(upstream_id, count)
+            self._add(upstream_id, count - before.get(upstream_id, 0), now_s)
             self._last_use_s[upstream_id] = now_s
         self._others[origin] = counts
 
     def forget(self, origin: str) -> None:
         """Drop the counts of an instance that is gone."""
         for upstream_id, count in self._others.pop(origin, {}).items():
-            self._add(upstream_id, -count)
+            self._add(upstream_id, -count, 0.0)
+
+    def answered(self, upstream_id: str, now_s: float) -> None:
+        """Take the sign of life that any answer to any instance is."""
+        self._last_answer_s[upstream_id] = now_s
+
+    def quiet_for_s(self, upstream_id: str, now_s: float) -> float:
+        """Return for how long an upstream has had requests and given no answer that is known."""
+        busy_since_s = self._busy_since_s.get(upstream_id)
+        if busy_since_s is None:
+            return 0.0
+        return now_s - max(busy_since_s, self._last_answer_s.get(upstream_id, busy_since_s))
 
     def report(self, upstream_id: str, count: int, now_s: float) -> None:
         """Take the load that an upstream gave in an answer, without the request it answers."""
@@ -84,10 +100,14 @@
         for upstream_id in [held for held in self._last_use_s if held not in listed]:
             del self._last_use_s[upstream_id]
             self._reported.pop(upstream_id, None)
+        for upstream_id in self._last_answer_s.keys() - listed:
+            del self._last_answer_s[upstream_id]
 
-    def _add(self, upstream_id: str, count: int) -> None:
+    def _add(self, upstream_id: str, count: int, now_s: float) -> None:
         total = self._total.get(upstream_id, 0) + count
         if total > 0:
             self._total[upstream_id] = total
+            self._busy_since_s.setdefault(upstream_id, now_s)
         else:
             self._total.pop(upstream_id, None)
+            self._busy_since_s.pop(upstream_id, None)
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -36,6 +36,12 @@
 #: a request may wait in, so that it is used where nothing else is left. A link that loses packets
 #: still carries some, and a connection that cannot be opened costs a third of a second.
 _UNREACHED_CHARGE = 100.0
+#: An upstream with requests that has answered none for more than this many usual durations is
+#: charged for each further one, up to the largest charge: one in ten sound ones with a single request
+#: is, and none of those whose slots are all taken.
+_QUIET_FROM = 1.5
+_QUIET_CHARGE = 0.5
+_QUIET_CHARGE_MAX = 2.0
 #: What an upstream is charged that was started lately and is still slow.
 _WARMUP_CHARGE = 0.5
 #: A request that has to wait is refused when its wait and this share of the usual duration exceed
@@ -204,6 +210,8 @@
         charge = self.load.in_flight(record.id, now_s) / record.slots
         if record.availability_zone != self.availability_zone:
             charge += self._distance_charge(query)
+        else:
+            charge += self._quiet_charge(record, now_s)
         if record.id not in query.connected:
             charge += _NEW_CONNECTION_CHARGE
         if self.suspicion.short_of_room(record.id, now_s):
@@ -215,6 +223,19 @@
             charge += (slowness - 1.0) * _SLOWNESS_CHARGE
         return charge + self.rng.random() * 0.02
 
+    def _quiet_charge(self, record: UpstreamRecord, now_s: float) -> float:
+        """Return what an upstream of the own zone is charged that has stopped to answer.
+
+        Load: a machine goes dark with many requests on their way and more sent each moment; each
+        request alone is overdue only after four usual durations, the upstream as a whole is
+        suspicious after two. Instances hear of all answers in their own zone only.
+        """
+        quiet_s = self.load.quiet_for_s(record.id, now_s)
+        if quiet_s <= 0.0:
+            return 0.0
+        beyond = quiet_s / self.durations.mean_s(record.service) - _QUIET_FROM
+        return min(max(beyond, 0.0) * _QUIET_CHARGE, _QUIET_CHARGE_MAX)
+
     def _distance_charge(self, query: PlacementQuery) -> float:
         """Return what an upstream of another zone is charged, by the bytes of the route's answers.
 
--- a/src/egretrail/dispatch/tests/test_placement.py
+++ b/src/egretrail/dispatch/tests/test_placement.py
@@ -125,6 +125,32 @@
         self.assertEqual((0.0, 10.0), (sizes.mean_bytes("r0"), sizes.mean_bytes("r5999")))
 
 
+class DarkUpstreamTest(EgretrailTestCase):
+    """A third of a zone's upstreams goes dark at once, without a word and with work under way."""
+
+    @cases({"seed 1": 1, "seed 2": 2, "seed 3": 3})
+    def test_little_is_sent_to_upstreams_that_have_stopped_to_answer(self, seed: int) -> None:
+        rng = random.Random(seed)
+        placement = _placement(seed=seed)
+        ready = [_upstream(f"u{n}", slots=3) for n in range(9)]
+        ends: list[tuple[float, str]] = []
+        lost, now_s, dark_from_s = 0, 0.0, 5.0
+        while now_s < dark_from_s + 0.8:
+            now_s += rng.expovariate(55.0)
+            while ends and ends[0][0] <= now_s:
+                at_s, name = heapq.heappop(ends)
+                if at_s < dark_from_s or name not in ("u0", "u1", "u2"):
+                    placement.load.finished(name)
+                    placement.load.answered(name, at_s)
+            choice = placement.choose(_query(worth_s=0.6, left_s=1.2), ready, now_s)
+            assert isinstance(choice, Choice)
+            placement.load.started(choice.upstream.id, now_s)
+            work_s = rng.lognormvariate(-1.8, 0.7)
+            heapq.heappush(ends, (now_s + work_s, choice.upstream.id))
+            lost += now_s >= dark_from_s and choice.upstream.id in ("u0", "u1", "u2")
+        self.assertLess(lost, 9)
+
+
 class TrialTest(EgretrailTestCase):
     def test_a_suspect_gets_nothing_before_its_pause_and_one_request_after(self) -> None:
         placement = _placement()
@@ -368,6 +394,7 @@
             seen = Observation(name, outcome, at_s - started_s)
             usual_s = placement.durations.mean_s(_SERVICE)
             placement.suspicion.observe(seen, f"i{number % 30}", usual_s, at_s)
+            placement.load.answered(name, at_s)
             if outcome is Outcome.SUCCESS:
                 under_way = placement.load.in_flight(name, at_s)
                 waiting = max(under_way - 4, 0) / 4
--- a/src/egretrail/dispatch/tests/test_trials.py
+++ b/src/egretrail/dispatch/tests/test_trials.py
@@ -110,6 +110,7 @@
             placement.load.finished(name)
             seen = Observation(name, outcome, at_s - started_s)
             placement.suspicion.observe(seen, "other", _WORK_S, at_s)
+            placement.load.answered(name, at_s)
             if outcome is Outcome.FAILED:
                 self._trials.failed(_SERVICE, at_s)
 
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -27,7 +27,7 @@
 _RETRY_FIRST_S = 0.2
 _RETRY_MAX_S = 1.0
 #: An instance that has just started leaves the store to the relays for this long.
-_START_WAIT_S = 0.35
+_START_WAIT_S = 0.15
 _START_PATIENCE_S = 0.8
 #: How often an instance looks whether it has to read the store.
 _LOOK_S = 0.1
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -32,6 +32,8 @@
 _DROPPED_S = 3.0
 #: Outcomes that other instances act upon at once.
 _URGENT = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.OVERDUE})
+#: Outcomes that come with an answer of the upstream.
+_ANSWERED = frozenset({Outcome.SUCCESS, Outcome.FAILED, Outcome.SHED, Outcome.EXPIRED})
 #: Outcomes after which the attempt brings no answer to the client.
 _LOST_ANSWERS = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT, Outcome.SHED})
 
@@ -280,6 +282,8 @@
         before = self.suspicion.standing(seen.upstream_id, now_s)
         usual_s = self.durations.mean_s(record.service)
         self.suspicion.observe(seen, observer, usual_s, now_s)
+        if seen.outcome in _ANSWERED:
+            self.load.answered(seen.upstream_id, now_s)
         if seen.outcome is Outcome.SUCCESS:
             self._measure(record, seen.duration_s, now_s)
         elif seen.outcome in _LOST_ANSWERS:
