--- a/src/egretrail/cli/tests/test_gateway.py
+++ b/src/egretrail/cli/tests/test_gateway.py
@@ -13,6 +13,11 @@
     "time=1 instance=n1 event=no_route id=a1 host=h path=/x/ config_version=7\n"
     "time=2 instance=n1 event=answered id=a2 outcome=served attempts=1\n"
 )
+_REFUSED = (
+    "time=3 instance=n1 event=refused id=a3 route=r reason=no_time attempts=0\n"
+    "time=4 instance=n1 event=attempt id=a4 route=r service=s upstream=u1 in_flight=0 slots=3\n"
+    "time=4.1 instance=n1 event=answered id=a4 outcome=served duration_s=0.1 objective_s=0.6\n"
+)
 
 
 class GatewayCommandTest(EgretrailTestCase):
@@ -36,6 +41,27 @@
         document = json.loads(output)
         self.assertEqual(("no_route", 1), (document["kind"], len(document["lines"])))
 
+    @cases(
+        {
+            "requests": (_REFUSED, 0, ["r ", "2", "0.5000", "refused: no_time"]),
+            "none": ("nothing\n", 1, ["requests"]),
+        }
+    )
+    def test_losses(self, case: tuple[str, int, list[str]]) -> None:
+        text, code, words = case
+        exit_code, output = self._run("n1.log", text, "losses", "--seconds", "--logs", "FILE")
+        self.assertEqual(code, exit_code)
+        for word in words:
+            self.assertIn(word, output)
+
+    def test_losses_as_json(self) -> None:
+        _, output = self._run("n1.log", _REFUSED, "losses", "--json", "--logs", "FILE")
+        document = json.loads(output)
+        self.assertEqual({"r": 2}, document["requests"])
+        expected = [{"route": "r", "reason": "refused: no_time", "requests": 1}]
+        self.assertEqual(expected, document["lost"])
+        self.assertEqual({"3": {"refused: no_time": 1}}, document["seconds"])
+
     @cases(
         {
             "settings": ("node.toml", "[self]\n", "--settings", 1, "self.ip: missing"),
--- a/src/egretrail/diagnosis/_losses.py
+++ b/src/egretrail/diagnosis/_losses.py
@@ -8,7 +8,7 @@
 from egretrail.diagnosis._lines import LogLine
 
 #: A change of an upstream's standing belongs to a failure on the same instance within this time.
-_SAME_MOMENT_S = 0.002
+_SAME_MOMENT_S = 0.0015
 
 
 class Loss(enum.Enum):
--- a/src/egretrail/dispatch/_observation.py
+++ b/src/egretrail/dispatch/_observation.py
@@ -19,7 +19,8 @@
     SHED = 4
     #: No connection could be opened from the observing instance.
     UNREACHABLE = 5
-    #: The connection ended since nothing that was sent on it was acknowledged.
+    #: Nothing that was sent on the connection was acknowledged, or the upstream has answered nobody
+    #: of its zone for long while the request was under way.
     SILENT = 6
     #: The request's time ended while the upstream ran it, which says nothing about the upstream.
     EXPIRED = 7
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -37,8 +37,8 @@
 #: still carries some, and a connection that cannot be opened costs a third of a second.
 _UNREACHED_CHARGE = 100.0
 #: An upstream with requests that has answered none for more than this many usual durations is
-#: charged for each further one, up to the largest charge: one in ten sound ones with a single request
-#: is, and none of those whose slots are all taken.
+#: charged for each further one, up to the largest charge. Of work that varies by seven tenths of
+#: itself, one in ten takes so long where it is alone at its upstream.
 _QUIET_FROM = 1.5
 _QUIET_CHARGE = 0.5
 _QUIET_CHARGE_MAX = 2.0
--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -60,10 +60,9 @@
         requests = self._total(self._requests, service, now_s)
         allowed = _USED_SHARE * (self._ratio * requests + self._slack * known_share)
         paced = allowed * min(_PACE_FACTOR * _PACE_S / self._window_s, 1.0)
-        return (
-            self._total(self._repeats, service, now_s) + 1 <= allowed
-            and self._total(self._recent, service, now_s) + 1 <= max(paced, 1.0)
-        )
+        return self._total(self._repeats, service, now_s) + 1 <= allowed and self._total(
+            self._recent, service, now_s
+        ) + 1 <= max(paced, 1.0)
 
     def repeated(self, service: str, now_s: float) -> None:
         """Count a repeat that is being sent."""
--- a/src/egretrail/dispatch/tests/test_placement.py
+++ b/src/egretrail/dispatch/tests/test_placement.py
@@ -4,8 +4,8 @@
 import random
 
 from egretrail.dispatch import (
-    AnswerSizes,
     FIRST_PAUSE_S,
+    AnswerSizes,
     Choice,
     FleetLoad,
     Observation,
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -24,6 +24,10 @@
 #: hundred of ordinary work does.
 _OVERDUE_FACTOR = 4.0
 _OVERDUE_MIN_S = 0.8
+#: An upstream that has answered nobody for this many usual durations, while a request waited there,
+#: shows no sign of life; a single request takes as long one time in twenty.
+_QUIET_FACTOR = 2.5
+_QUIET_MIN_S = 0.4
 
 
 class AttemptRunner:
@@ -62,8 +66,12 @@
             self._contract.upstream_headers(request, upstream.name, left_s),
             request.body,
         )
+        expected_s = self._expected_s(work.service, upstream)
+        quiet = self._loop.call_later(
+            max(expected_s * _QUIET_FACTOR, _QUIET_MIN_S), self._note_quiet, upstream, started_s
+        )
         overdue = self._loop.call_later(
-            self._overdue_s(work.service, upstream_id),
+            max(expected_s * _OVERDUE_FACTOR, _OVERDUE_MIN_S),
             self._observe,
             upstream_id,
             Outcome.OVERDUE,
@@ -81,6 +89,7 @@
             self._observe(upstream_id, outcome, started_s, work.digest)
             return AttemptResult(Fate.FAILED, cause=str(error))
         finally:
+            quiet.cancel()
             overdue.cancel()
         self._pool.release(upstream_id, connection)
         return self._judge(work, upstream_id, received, started_s)
@@ -112,14 +121,24 @@
             return AttemptResult(Fate.FAILED, None, "no valid answer")
         return AttemptResult(Fate.FAILED, received, "the upstream failed")
 
-    def _overdue_s(self, service: str, upstream_id: str) -> float:
-        """Return when a request is overdue, beyond the wait for a slot that it begins with."""
-        record = self._view.upstreams.records.get(upstream_id)
-        slots = record.slots if record is not None else 1
-        under_way = self._view.load.in_flight(upstream_id, self._loop.time())
-        waiting = max(under_way - slots, 0) / slots
-        usual_s = self._view.durations.mean_s(service) * (1.0 + waiting)
-        return max(usual_s * _OVERDUE_FACTOR, _OVERDUE_MIN_S)
+    def _expected_s(self, service: str, upstream: UpstreamRecord) -> float:
+        """Return how long a request usually takes, with the wait for a slot that it begins with."""
+        under_way = self._view.load.in_flight(upstream.id, self._loop.time())
+        waiting = max(under_way - upstream.slots, 0) / upstream.slots
+        return self._view.durations.mean_s(service) * (1.0 + waiting)
+
+    def _note_quiet(self, upstream: UpstreamRecord, started_s: float) -> None:
+        """Take an upstream that has answered nobody since a request was sent to it as silent.
+
+        Load: a third of a service's upstreams goes dark with work under way. Until connections or
+        requests time out, a second or two later, they look idle and draw work of all instances.
+        Instances hear of all answers in their own zone only.
+        """
+        if upstream.availability_zone != self._view.placement.availability_zone:
+            return
+        now_s = self._loop.time()
+        if self._view.load.quiet_for_s(upstream.id, now_s) >= now_s - started_s:
+            self._observe(upstream.id, Outcome.SILENT, started_s)
 
     def _observe(
         self,
