Declare the options of the log commands once

Two commands of the gateway group read the same logs in the same forms; the options stood twice. No change of behaviour; the tests of the commands pass as they were.

--- a/src/egretrail/cli/_gateway.py
+++ b/src/egretrail/cli/_gateway.py
@@ -21,6 +21,16 @@
 )
 from egretrail.platform import PlatformLayout, read_node_file
 
+_logs = click.option(
+    "--logs",
+    "logs",
+    type=click.File(errors="replace"),
+    multiple=True,
+    required=True,
+    help="A log file of any instance; - for standard input. Repeat it for more files.",
+)
+_as_json = click.option("--json", "as_json", is_flag=True, help="Print one JSON document.")
+
 
 @click.group()
 def gateway() -> None:
@@ -33,15 +43,8 @@
 
 @gateway.command()
 @click.argument("attempt_id")
-@click.option(
-    "--logs",
-    "logs",
-    type=click.File(errors="replace"),
-    multiple=True,
-    required=True,
-    help="A log file of any instance; - for standard input. Repeat it for more files.",
-)
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON document.")
+@_logs
+@_as_json
 def explain(attempt_id: str, logs: Sequence[IO[str]], as_json: bool) -> None:
     """Tell the story of one client attempt and why it ended as it did.
 
@@ -66,16 +69,9 @@
 
 
 @gateway.command()
-@click.option(
-    "--logs",
-    "logs",
-    type=click.File(errors="replace"),
-    multiple=True,
-    required=True,
-    help="A log file of any instance; - for standard input. Repeat it for more files.",
-)
+@_logs
 @click.option("--seconds", is_flag=True, help="Show each second of the logs as well.")
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON document.")
+@_as_json
 def losses(logs: Sequence[IO[str]], seconds: bool, as_json: bool) -> None:
     """Count the requests that were lost or late, by route and reason.
 
