Share the simulated network of the peers' tests with the benchmark of fleets

The network between the peers of one process stood twice, in test_peers.py and benchmarks/fleet.py. One copy now has the delays, losses, cuts, link limits and counts of both.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,12 +13,12 @@
 import random
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from egretrail.dispatch import Observation, Outcome, Standing
 from egretrail.gateway._log import EventLog
-from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._view import FleetView
+from egretrail.gateway.tests.network import SimulatedLinks, SimulatedNetwork, Traffic
 from egretrail.gateway.tests.settings import gateway_settings
 from egretrail.platform import PlatformLayout
 from egretrail.testing import PausedLoop
@@ -40,55 +40,6 @@
 _MEASURE_S = 4.0
 
 
-@dataclass(slots=True)
-class Traffic:
-    """What went over the simulated network."""
-
-    #: Datagrams and bytes that arrived inside a zone.
-    datagrams_inside: int = 0
-    bytes_inside: int = 0
-    #: Datagrams and bytes that arrived from another zone.
-    datagrams_across: int = 0
-    bytes_across: int = 0
-
-
-@dataclass(slots=True)
-class Network:
-    """Delivers datagrams with the delay of their way, and loses some."""
-
-    #: Random losses.
-    rng: random.Random
-    #: The receivers by address.
-    links: dict[str, "Links"] = field(default_factory=dict)
-    #: What arrived.
-    traffic: Traffic = field(default_factory=Traffic)
-
-    def send(self, data: bytes, sender: str, target: str) -> None:
-        """Deliver a datagram later, unless it is lost."""
-        receiver = self.links.get(target)
-        if receiver is None or self.rng.random() < _LOSS:
-            return
-        inside = sender.split(".")[2] == target.split(".")[2]
-        if inside:
-            self.traffic.datagrams_inside += 1
-            self.traffic.bytes_inside += len(data)
-        else:
-            self.traffic.datagrams_across += 1
-            self.traffic.bytes_across += len(data)
-        delay_s = _INSIDE_S if inside else _ACROSS_S
-        asyncio.get_running_loop().call_later(delay_s, receiver.received, data, sender)
-
-
-class Links(PeerLinks):
-    """Sends over the simulated network in place of a socket."""
-
-    network: Network
-    ip: str
-
-    def _send(self, data: bytes, target: str) -> None:
-        self.network.send(data, self.ip, target)
-
-
 @dataclass(frozen=True, slots=True)
 class Figures:
     """What one instance costs in a second, and how fast news travel."""
@@ -112,7 +63,7 @@
 
     def __init__(self, size: int, upstreams: int, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.network = Network(random.Random(seed + 1))
+        self.network = SimulatedNetwork(_INSIDE_S, _ACROSS_S, _LOSS, seed + 1)
         self.addresses = [f"10.0.{n % _ZONES}.{n // _ZONES}" for n in range(size)]
         self.upstreams = [
             UpstreamRecord(
@@ -139,10 +90,9 @@
             rng = random.Random(address)
             view = FleetView(settings, 1, loop.time, log, rng)
             view.take_upstreams(self.upstreams, 5, "benchmark")
-            links = Links(settings, view, PlatformLayout(), log, rng)
-            links.network, links.ip = self.network, address
+            links = SimulatedLinks(settings, view, PlatformLayout(), log, rng)
+            links.join(self.network, address)
             links.add_seeds(self.addresses[:8])
-            self.network.links[address] = links
             self.views[address] = view
             self.tasks.append(loop.create_task(links.beat_forever()))
             self.tasks.append(loop.create_task(self._requests(view)))
--- /dev/null
+++ b/src/egretrail/gateway/tests/network.py
@@ -0,0 +1,89 @@
+"""A network between the peers of one process, for tests and benchmarks on a paused clock."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from egretrail.gateway._peers import PeerLinks
+
+#: A datagram that would wait longer for its sender's link is lost.
+_LINK_QUEUE_S = 0.05
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What arrived over a network."""
+
+    #: Datagrams and bytes between instances of one zone.
+    datagrams_inside: int = 0
+    bytes_inside: int = 0
+    #: Datagrams and bytes between instances of two zones.
+    datagrams_across: int = 0
+    bytes_across: int = 0
+
+
+class SimulatedNetwork:
+    """Delivers datagrams between addresses ``10.0.ZONE.NUMBER``, except over cut pairs."""
+
+    def __init__(
+        self, inside_s: float = 0.001, across_s: float = 0.001, loss: float = 0.0, seed: int = 1
+    ) -> None:
+        self._inside_s = inside_s
+        self._across_s = across_s
+        self._loss = loss
+        self._rng = random.Random(seed)
+        self._link_free_s: dict[str, float] = {}
+        #: The receivers by address.
+        self.links: dict[str, PeerLinks] = {}
+        #: Pairs of addresses between which nothing arrives.
+        self.cut: set[frozenset[str]] = set()
+        #: Datagrams that were sent.
+        self.sent = 0
+        #: What arrived.
+        self.traffic = Traffic()
+        #: What the link of each instance carries; datagrams beyond it are lost.
+        self.limit_bytes_per_s = float("inf")
+
+    def send(self, data: bytes, sender: str, target: str) -> None:
+        """Deliver a datagram later, unless it is lost."""
+        self.sent += 1
+        receiver = self.links.get(target)
+        if self._link_is_full(sender, len(data)) or receiver is None:
+            return
+        if frozenset({sender, target}) in self.cut or self._rng.random() < self._loss:
+            return
+        inside = sender.split(".")[2] == target.split(".")[2]
+        self._count(len(data), inside=inside)
+        delay_s = self._inside_s if inside else self._across_s
+        asyncio.get_running_loop().call_later(delay_s, receiver.received, data, sender)
+
+    def _count(self, size_bytes: int, *, inside: bool) -> None:
+        if inside:
+            self.traffic.datagrams_inside += 1
+            self.traffic.bytes_inside += size_bytes
+        else:
+            self.traffic.datagrams_across += 1
+            self.traffic.bytes_across += size_bytes
+
+    def _link_is_full(self, sender: str, size_bytes: int) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        free_s = max(self._link_free_s.get(sender, now_s), now_s)
+        if free_s - now_s > _LINK_QUEUE_S:
+            return True
+        self._link_free_s[sender] = free_s + size_bytes / self.limit_bytes_per_s
+        return False
+
+
+class SimulatedLinks(PeerLinks):
+    """Sends over a simulated network in place of a socket."""
+
+    network: SimulatedNetwork
+    ip: str
+
+    def join(self, network: SimulatedNetwork, ip: str) -> None:
+        """Send and receive over a network from now on."""
+        self.network, self.ip = network, ip
+        network.links[ip] = self
+
+    def _send(self, data: bytes, target: str) -> None:
+        self.network.send(data, self.ip, target)
--- a/src/egretrail/gateway/tests/test_peers.py
+++ b/src/egretrail/gateway/tests/test_peers.py
@@ -8,61 +8,22 @@
 
 from egretrail.dispatch import Observation, Outcome, Standing
 from egretrail.gateway._log import EventLog
-from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._view import FleetView
+from egretrail.gateway.tests.network import SimulatedLinks, SimulatedNetwork
 from egretrail.gateway.tests.settings import gateway_settings
 from egretrail.platform import PlatformLayout
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
 
-class _Network:
-    """Delivers datagrams between the instances of one test, except over cut pairs."""
-
-    def __init__(self) -> None:
-        self.links: dict[str, PeerLinks] = {}
-        self.cut: set[frozenset[str]] = set()
-        self.sent = 0
-        #: What the link of each instance carries; datagrams beyond it are lost.
-        self.limit_bytes_per_s = float("inf")
-        self._link_free_s: dict[str, float] = {}
-
-    def send(self, data: bytes, sender: str, target: str) -> None:
-        self.sent += 1
-        if self._link_is_full(sender, len(data)):
-            return
-        receiver = self.links.get(target)
-        if receiver is not None and frozenset({sender, target}) not in self.cut:
-            asyncio.get_running_loop().call_later(0.001, receiver.received, data, sender)
-
-    def _link_is_full(self, sender: str, size_bytes: int) -> bool:
-        """Queue a datagram for 50 ms at most."""
-        now_s = asyncio.get_running_loop().time()
-        free_s = max(self._link_free_s.get(sender, now_s), now_s)
-        if free_s - now_s > 0.05:
-            return True
-        self._link_free_s[sender] = free_s + size_bytes / self.limit_bytes_per_s
-        return False
-
-
-class _Links(PeerLinks):
-    """Sends over the test's network in place of a socket."""
-
-    network: _Network
-    ip: str
-
-    def _send(self, data: bytes, target: str) -> None:
-        self.network.send(data, self.ip, target)
-
-
 class _Fleet:
     """Instances ``10.0.Z.N`` of zones ``z0``, ``z1``, with upstreams that all have listed."""
 
     def __init__(self, sizes: Sequence[int]) -> None:
-        self.network = _Network()
+        self.network = SimulatedNetwork()
         self.views: dict[str, FleetView] = {}
         self.addresses = [f"10.0.{z}.{n}" for z, size in enumerate(sizes) for n in range(size)]
-        self.links: dict[str, _Links] = {}
+        self.links: dict[str, SimulatedLinks] = {}
 
     def start(self, address: str, contacts: Sequence[str]) -> asyncio.Task[None]:
         loop = asyncio.get_running_loop()
@@ -79,10 +40,9 @@
             5,
             "test",
         )
-        links = _Links(settings, view, PlatformLayout(), log, rng)
-        links.network, links.ip = self.network, address
+        links = SimulatedLinks(settings, view, PlatformLayout(), log, rng)
+        links.join(self.network, address)
         links.add_seeds(list(contacts))
-        self.network.links[address] = links
         self.views[address] = view
         self.links[address] = links
         return loop.create_task(links.beat_forever())
