Test dark upstreams by a sum over twelve seeds, and what counts as quiet by a table

The test of dark upstreams passed with the charge switched off: single seeds differ by more than what it gives. Now a sum of twelve: 40 requests sent to dark upstreams with it, 69 without, 55 is the bound (seen red with the charge at zero). No change of behaviour.

--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -230,7 +230,9 @@
 
         Load: a machine goes dark with many requests on their way and more sent each moment; each
         request alone is overdue only after four usual durations, the upstream as a whole is
-        suspicious after two. Instances hear of all answers in their own zone only.
+        suspicious after two. In a replay of three dark ones among nine, 40 requests are sent to
+        them within 0.8 s in place of 69 (sum of twelve seeds). Instances hear of all answers in
+        their own zone only.
         """
         quiet_s = self.load.quiet_for_s(record.id, now_s)
         if quiet_s <= 0.0:
--- a/src/egretrail/dispatch/tests/test_placement.py
+++ b/src/egretrail/dispatch/tests/test_placement.py
@@ -128,27 +128,38 @@
 class DarkUpstreamTest(EgretrailTestCase):
     """A third of a zone's upstreams goes dark at once, without a word and with work under way."""
 
-    @cases({"seed 1": 1, "seed 2": 2, "seed 3": 3})
-    def test_little_is_sent_to_upstreams_that_have_stopped_to_answer(self, seed: int) -> None:
+    _DARK = ("u0", "u1", "u2")
+    _FROM_S, _FOR_S = 5.0, 0.8
+
+    def test_little_is_sent_to_upstreams_that_have_stopped_to_answer(self) -> None:
+        # 69 without a charge for quiet upstreams.
+        self.assertLess(sum(self._lost(seed) for seed in range(12)), 55)
+
+    def _lost(self, seed: int) -> int:
+        """Return how many requests are sent to dark upstreams; callers give up after a second."""
         rng = random.Random(seed)
         placement = _placement(seed=seed)
         ready = [_upstream(f"u{n}", slots=3) for n in range(9)]
-        ends: list[tuple[float, str]] = []
-        lost, now_s, dark_from_s = 0, 0.0, 5.0
-        while now_s < dark_from_s + 0.8:
+        ends: list[tuple[float, str, bool]] = []
+        lost, now_s = 0, 0.0
+        while now_s < self._FROM_S + self._FOR_S:
             now_s += rng.expovariate(55.0)
             while ends and ends[0][0] <= now_s:
-                at_s, name = heapq.heappop(ends)
-                if at_s < dark_from_s or name not in ("u0", "u1", "u2"):
-                    placement.load.finished(name)
+                at_s, name, answered = heapq.heappop(ends)
+                placement.load.finished(name)
+                if answered:
                     placement.load.answered(name, at_s)
+                    placement.durations.observe(_SERVICE, name, 0.2)
             choice = placement.choose(_query(worth_s=0.6, left_s=1.2), ready, now_s)
-            assert isinstance(choice, Choice)
-            placement.load.started(choice.upstream.id, now_s)
+            if not isinstance(choice, Choice):
+                continue
+            name = choice.upstream.id
+            placement.load.started(name, now_s)
             work_s = rng.lognormvariate(-1.8, 0.7)
-            heapq.heappush(ends, (now_s + work_s, choice.upstream.id))
-            lost += now_s >= dark_from_s and choice.upstream.id in ("u0", "u1", "u2")
-        self.assertLess(lost, 9)
+            dark = name in self._DARK and now_s + work_s >= self._FROM_S
+            heapq.heappush(ends, (now_s + (1.0 if dark else work_s), name, not dark))
+            lost += dark and now_s >= self._FROM_S
+        return lost
 
 
 class TrialTest(EgretrailTestCase):
--- a/src/egretrail/dispatch/tests/test_repeats.py
+++ b/src/egretrail/dispatch/tests/test_repeats.py
@@ -113,6 +113,33 @@
         self.assertEqual(expected, load.in_flight("u", now_s))
 
 
+class QuietTest(EgretrailTestCase):
+    @cases(
+        {
+            "idle": ([], 0.0),
+            "busy, no answer": ([("start", 1.0)], 4.0),
+            "answered since": ([("start", 1.0), ("answer", 3.0)], 2.0),
+            "an answer before": ([("answer", 0.5), ("start", 1.0)], 4.0),
+            "told by another": ([("told", 2.0)], 3.0),
+            "another's count changed meanwhile": ([("told", 2.0), ("more", 4.0)], 3.0),
+            "idle in between": ([("start", 1.0), ("end", 2.0), ("start", 3.0)], 2.0),
+        }
+    )
+    def test_quiet_for(self, case: tuple[list[tuple[str, float]], float]) -> None:
+        events, expected_s = case
+        load = FleetLoad()
+        acts = {
+            "start": lambda at_s: load.started("u", at_s),
+            "end": lambda at_s: load.finished("u"),
+            "answer": lambda at_s: load.answered("u", at_s),
+            "told": lambda at_s: load.told("b", {"u": 1}, at_s),
+            "more": lambda at_s: load.told("b", {"u": 2}, at_s),
+        }
+        for name, at_s in events:
+            acts[name](at_s)
+        self.assertAlmostEqual(expected_s, load.quiet_for_s("u", 5.0))
+
+
 class CrashingRequestsTest(EgretrailTestCase):
     @cases(
         {
