Show bytes between zones by kind and the use of the repeat budget in the metrics

Cause: two questions of a bad hour could not be answered: what of the bytes between zones are answers, and whether refusals are final since the budget is spent. Counters by kind (requests, answers, beats, introductions) and gauges of repeats in the window and allowed, by service. Tests: MetricsTest, FleetBudgetTest (red without the counters). No change of decisions.

--- a/src/egretrail/cluster/_membership.py
+++ b/src/egretrail/cluster/_membership.py
@@ -127,6 +127,11 @@
             if peer.beat.availability_zone == self._zone
         ]
 
+    def zone_of(self, address: str) -> str | None:
+        """Return the zone of a living peer; None for an address that is not known."""
+        peer = self._peers.get(address)
+        return None if peer is None else peer.beat.availability_zone
+
     def zones(self) -> set[str]:
         """Return the zones of all living peers and the own."""
         return {peer.beat.availability_zone for peer in self._peers.values()} | {self._zone}
--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -25,6 +25,16 @@
     repeats: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatUse:
+    """How much of a service's budget is used, as one instance sees it."""
+
+    #: Repeats of the whole fleet in the window.
+    repeats: int
+    #: How many may be in it now.
+    allowed: float
+
+
 class RepeatBudget:
     """Permits repeats while the fleet's repeats stay within a share of its requests.
 
@@ -57,13 +67,22 @@
 
         ``known_share`` is the part of the fleet whose counts arrive here, this instance included.
         """
-        requests = self._total(self._requests, service, now_s)
-        allowed = _USED_SHARE * (self._ratio * requests + self._slack * known_share)
+        allowed = self._allowed(service, now_s, known_share)
         paced = allowed * min(_PACE_FACTOR * _PACE_S / self._window_s, 1.0)
         return self._total(self._repeats, service, now_s) + 1 <= allowed and self._total(
             self._recent, service, now_s
         ) + 1 <= max(paced, 1.0)
 
+    def uses(self, now_s: float, known_share: float) -> Mapping[str, RepeatUse]:
+        """Return the use of each service's budget, for those on call."""
+        return {
+            service: RepeatUse(
+                self._total(self._repeats, service, now_s),
+                self._allowed(service, now_s, known_share),
+            )
+            for service in self._requests
+        }
+
     def repeated(self, service: str, now_s: float) -> None:
         """Count a repeat that is being sent."""
         own = self._own.get(service, RepeatCounts())
@@ -93,6 +112,10 @@
         for key in [held for held in self._told if held[0] == origin]:
             del self._told[key]
 
+    def _allowed(self, service: str, now_s: float, known_share: float) -> float:
+        requests = self._total(self._requests, service, now_s)
+        return _USED_SHARE * (self._ratio * requests + self._slack * known_share)
+
     def _count_repeats(self, service: str, count: int, now_s: float) -> None:
         self._count(self._repeats, service, count, now_s)
         if count:
--- a/src/egretrail/dispatch/tests/test_repeats.py
+++ b/src/egretrail/dispatch/tests/test_repeats.py
@@ -49,6 +49,17 @@
             self.assertLessEqual(len(window), _RATIO * len(asked) + _SLACK)
         self.assertGreater(len(repeats), 0.02 * len(requests))
 
+    def test_the_use_is_told_by_service(self) -> None:
+        budget = RepeatBudget(_RATIO, _WINDOW_S, _SLACK)
+        for _ in range(100):
+            budget.routed(_SERVICE, 1.0)
+        budget.repeated(_SERVICE, 1.0)
+        [(service, use)] = budget.uses(2.0, 0.5).items()
+        self.assertEqual((_SERVICE, 1), (service, use.repeats))
+        # Three quarters of a fifth of the requests and half of the slack.
+        self.assertAlmostEqual(0.75 * (20 + 30), use.allowed)
+        self.assertEqual(0, budget.uses(13.0, 0.5)[_SERVICE].repeats)
+
     def test_a_restarted_instance_brings_no_old_counts(self) -> None:
         budget = RepeatBudget(_RATIO, _WINDOW_S, _SLACK)
         other = RepeatBudget(_RATIO, _WINDOW_S, _SLACK)
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -70,6 +70,7 @@
             Outcome.OVERDUE,
             started_s,
         )
+        self._count_across(upstream, "requests", len(data))
         try:
             received = await connection.exchange(
                 data,
@@ -84,6 +85,7 @@
         finally:
             overdue.cancel()
         self._pool.release(upstream_id, connection)
+        self._count_across(upstream, "answers", len(received.body))
         return self._judge(work, upstream_id, received, started_s)
 
     def _judge(
@@ -113,6 +115,10 @@
             return AttemptResult(Fate.FAILED, None, "no valid answer")
         return AttemptResult(Fate.FAILED, received, "the upstream failed")
 
+    def _count_across(self, upstream: UpstreamRecord, kind: str, size_bytes: int) -> None:
+        if upstream.availability_zone != self._view.placement.availability_zone:
+            self._metrics.crossed(kind, size_bytes)
+
     def _expected_s(self, service: str, upstream: UpstreamRecord) -> float:
         """Return how long a request usually takes, with the wait for a slot that it begins with."""
         under_way = self._view.load.in_flight(upstream.id, self._loop.time())
--- a/src/egretrail/gateway/_metrics.py
+++ b/src/egretrail/gateway/_metrics.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self._answers: Counter[tuple[str, str]] = Counter()
         self._refusals: Counter[str] = Counter()
+        self._bytes_across: Counter[str] = Counter()
         self._attempts: dict[str, _Histogram] = {}
         self._requests: dict[str, _Histogram] = {}
 
@@ -37,18 +38,24 @@
         """Count a refusal."""
         self._refusals[reason] += 1
 
+    def crossed(self, kind: str, size_bytes: int) -> None:
+        """Count bytes that went to or came from another zone, by what they are."""
+        self._bytes_across[kind] += size_bytes
+
     def attempted(self, outcome: str, duration_s: float) -> None:
         """Count what became of a request at an upstream."""
         self._attempts.setdefault(outcome, _Histogram()).observe(duration_s)
 
     def text(self, gauges: dict[str, float]) -> bytes:
-        """Return all metrics; ``gauges`` are values of this moment by name."""
+        """Return all metrics; ``gauges`` are values of this moment by name, labels included."""
         lines = [f"egretrail_{name} {value:g}" for name, value in sorted(gauges.items())]
         for (route, outcome), count in sorted(self._answers.items()):
             labels = f'route="{route}",outcome="{outcome}"'
             lines.append(f"egretrail_answers_total{{{labels}}} {count}")
         for reason, count in sorted(self._refusals.items()):
             lines.append(f'egretrail_refusals_total{{reason="{reason}"}} {count}')
+        for kind, count in sorted(self._bytes_across.items()):
+            lines.append(f'egretrail_bytes_across_zones_total{{kind="{kind}"}} {count}')
         lines += _histogram_lines("request_seconds", self._requests)
         lines += _histogram_lines("attempt_seconds", self._attempts)
         return ("\n".join(lines) + "\n").encode()
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Sequence
 
 import xxhash
@@ -95,8 +96,8 @@
         #: The lifetime of each instance that was introduced lately, and when.
         self._introductions: dict[str, tuple[int, float]] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        #: Bytes that were sent to other zones, for the metrics.
-        self.bytes_across = 0
+        #: Bytes that were sent to other zones by what they are, for the metrics.
+        self.bytes_across: Counter[str] = Counter()
         view.on_news = self._has_news
 
     async def open(self) -> None:
@@ -203,7 +204,10 @@
         # Not as a direct beat, which would be answered in turn; and not as a new one, whose news
         # the other instances would miss.
         own = self._last_beat or self._view.own_beat()
+        across = self._view.membership.zone_of(receiver) != self._settings.availability_zone
         for data in encode_datagrams(Path.INTRODUCED, [*beats, own]):
+            if across:
+                self.bytes_across["introductions"] += len(data)
             self._send(data, receiver)
 
     def _known_beats(self) -> list[Beat]:
@@ -300,7 +304,7 @@
             shares.setdefault(broadcasters[number], []).append(beat)
         for broadcaster, share in shares.items():
             for data in encode_datagrams(Path.ACROSS, share):
-                self.bytes_across += len(data)
+                self.bytes_across["beats"] += len(data)
                 self._send(data, broadcaster)
 
     def _send(self, data: bytes, target: str) -> None:
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -122,7 +122,7 @@
         self.log.event(
             "stop",
             store_calls=self._store.calls_total,
-            bytes_across=self._peers.bytes_across,
+            bytes_across=sum(self._peers.bytes_across.values()),
             connections_opened=self._pool.opened,
         )
         self.log.flush()
@@ -189,9 +189,14 @@
             "config_version": float(self._view.config.version if self._view.config else 0),
             "store_contact": float(self._view.store_contact),
             "upstream_connections_opened_total": float(self._pool.opened),
-            "peer_bytes_across_zones_total": float(self._peers.bytes_across),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
         }
+        for kind, size_bytes in self._peers.bytes_across.items():
+            gauges[f'peer_bytes_across_zones_total{{kind="{kind}"}}'] = float(size_bytes)
+        known_share = self._view.known_share()
+        for service, use in self._view.repeats.uses(self._loop.time(), known_share).items():
+            gauges[f'repeats_in_window{{service="{service}"}}'] = float(use.repeats)
+            gauges[f'repeats_allowed{{service="{service}"}}'] = use.allowed
         return Answer(200, self._metrics.text(gauges), [(b"Content-Type", b"text/plain")])
 
     def _candidates(self) -> list[Candidate]:
--- a/src/egretrail/gateway/tests/test_log.py
+++ b/src/egretrail/gateway/tests/test_log.py
@@ -70,11 +70,14 @@
         metrics.answered("r", "served", 0.3)
         metrics.attempted("success", 0.3)
         metrics.refused("no_time")
+        metrics.crossed("answers", 900)
+        metrics.crossed("answers", 100)
         text = metrics.text({"members": 3.0}).decode()
         for line in (
             "egretrail_members 3",
             'egretrail_answers_total{route="r",outcome="served"} 1',
             'egretrail_refusals_total{reason="no_time"} 1',
+            'egretrail_bytes_across_zones_total{kind="answers"} 1000',
             'egretrail_request_seconds_bucket{outcome="served",le="0.25"} 0',
             'egretrail_request_seconds_bucket{outcome="served",le="0.5"} 1',
             'egretrail_attempt_seconds_count{outcome="success"} 1',
