--- a/src/egretrail/dispatch/_paths.py
+++ b/src/egretrail/dispatch/_paths.py
@@ -30,7 +30,7 @@
     Load: a link that loses packets, or a cut between some instances and some upstreams, makes a few
     instances fail at one upstream after the other while all others use them. A finding is therefore
     the observer's own affair until another instance finds the same and none has got an answer in
-    between. Without that condition 5 of 44 instances with a bad link took all eleven upstreams of a
+    between. Without that condition 6 of 44 instances with a bad link took all eleven upstreams of a
     service out of the whole fleet, and 50 requests were refused within three seconds.
     """
 
