--- a/src/egretrail/cluster/_codec.py
+++ b/src/egretrail/cluster/_codec.py
@@ -17,7 +17,7 @@
 _VERSION = 3
 #: Datagrams stay below the usual packet size, so that the loss of one packet loses one datagram.
 _DATAGRAM_BYTES_MAX = 1_300
-#: Beats of one zone repeat names and numbers: together they compress to a third, and a packet
+#: Beats of one zone repeat names and numbers: eleven of them compress to less than half, and a packet
 #: between zones holds about so many bytes of them. Bytes between zones cost money.
 _PACKED_BYTES = 3_600
 #: What a compressed datagram may hold at most; the rest of a longer one is not unpacked.
@@ -97,8 +97,9 @@
 def encode_datagrams(path: Path, beats: Sequence[Beat]) -> Iterator[bytes]:
     """Yield datagrams that hold all beats, each below the size of a packet where it can be.
 
-    What goes to another zone is compressed: 44 instances with five requests a second each send
-    39 KB/s between zones as it is, and 15 KB/s compressed (simulated network, one seed).
+    What goes to another zone is compressed. With that, and beats of a zone that go together, 44
+    instances with five requests a second each send 16.8 KB/s between zones in place of 24.2
+    (simulated network, one seed).
     """
     limit_bytes = _PACKED_BYTES if path is Path.ACROSS else _DATAGRAM_BYTES_MAX
     rows: list[list[Any]] = []
--- a/src/egretrail/cluster/_relay.py
+++ b/src/egretrail/cluster/_relay.py
@@ -67,7 +67,8 @@
     def _joint_due_s(self, now_s: float, delay_s: float) -> float:
         """Return when what can wait is passed on, all that came since the first of it together.
 
-        Beats that travel together compress to a third, those that travel alone hardly at all.
+        Beats that travel together compress to less than half, those that travel alone hardly at
+        all.
         """
         if self._due_s <= now_s:
             self._due_s = now_s + delay_s
--- a/src/egretrail/dispatch/_load.py
+++ b/src/egretrail/dispatch/_load.py
@@ -104,6 +104,7 @@
             del self._last_answer_s[upstream_id]
 
     def _add(self, upstream_id: str, count: int, now_s: float) -> None:
+        """Change a count; the time matters where the first request of an upstream begins."""
         total = self._total.get(upstream_id, 0) + count
         if total > 0:
             self._total[upstream_id] = total
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -180,12 +180,14 @@
                 return Choice(trial, 0, True, len(candidates))
         if best is None or (query.spare_only and best_charge >= _TIGHT_LOAD):
             return Refusal(RefusalReason.ALL_SUSPECT, self.pause_s(query.service))
+        chosen = best
         refusal = self._too_late(query, best, now_s)
-        if refusal is not None and free is None:
-            return refusal
-        # Not any other whose queue seems to end in time: that would be the one whose usual duration
-        # is most underrated, and its queue would outgrow the others'.
-        chosen = best if refusal is None or free is None else free
+        if refusal is not None:
+            # Not any other whose queue seems to end in time: that would be the one whose usual
+            # duration is most underrated, and its queue would outgrow the others'.
+            if free is None:
+                return refusal
+            chosen = free
         return Choice(chosen, self.load.in_flight(chosen.id, now_s), False, len(candidates))
 
     def _too_late(
--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -6,8 +6,8 @@
 from egretrail.dispatch._window import SlidingSum
 
 #: The share of the agreed budget that is used. The rest covers what other instances have just sent
-#: and not yet told: repeats of a service that come within a fifth of a second of each other, which
-#: the pace below keeps to a twentieth of the budget.
+#: and not yet told: repeats of a service that come within a fifth of a second of each other. With
+#: 0.85, the sum of twenty instances that hear each other each half second passes the budget.
 _USED_SHARE = 0.75
 #: Repeats within this time are at most the even part of the budget times the factor: a spell of
 #: refusals outlasts a budget that is spent freely, and then every refusal is final for seconds.
@@ -69,9 +69,9 @@
         """
         allowed = self._allowed(service, now_s, known_share)
         paced = allowed * min(_PACE_FACTOR * _PACE_S / self._window_s, 1.0)
-        return self._total(self._repeats, service, now_s) + 1 <= allowed and self._total(
-            self._recent, service, now_s
-        ) + 1 <= max(paced, 1.0)
+        used = self._total(self._repeats, service, now_s)
+        recent = self._total(self._recent, service, now_s)
+        return used + 1 <= allowed and recent + 1 <= max(paced, 1.0)
 
     def uses(self, now_s: float, known_share: float) -> Mapping[str, RepeatUse]:
         """Return the use of each service's budget, for those on call."""
