--- a/src/egretrail/cluster/_codec.py
+++ b/src/egretrail/cluster/_codec.py
@@ -17,8 +17,8 @@
 _VERSION = 3
 #: Datagrams stay below the usual packet size, so that the loss of one packet loses one datagram.
 _DATAGRAM_BYTES_MAX = 1_300
-#: Beats of one zone repeat names and numbers: eleven of them compress to less than half, and a packet
-#: between zones holds about so many bytes of them. Bytes between zones cost money.
+#: Beats of one zone repeat names and numbers: eleven of them compress to less than half, and a
+#: packet between zones holds about so many bytes of them. Bytes between zones cost money.
 _PACKED_BYTES = 3_600
 #: What a compressed datagram may hold at most; the rest of a longer one is not unpacked.
 _UNPACKED_BYTES_MAX = 64 * 1024
