--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -67,6 +67,11 @@
     return route(name, prefix, service, routeType="unsafe", **fields)
 
 
+def single_attempt_route(name: str, prefix: str, service: str) -> dict[str, object]:
+    """Return a route whose requests are sent to one upstream, also after a refusal."""
+    return order_route(name, prefix, service, maxAttempts=1)
+
+
 def config(version: int, routes: Sequence[dict[str, object]]) -> dict[str, object]:
     """Return a configuration as operators write it."""
     names = {str(r["service"]) for r in routes if "service" in r}
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -20,12 +20,12 @@
 from egretrail.testing import EgretrailTestCase
 from egretrail.traffic import UpstreamRecord, UpstreamState
 from scaffolding.platform import Behaviour, StandInBackend
-from scaffolding.platform.fleet import HOST, config, order_route, route
+from scaffolding.platform.fleet import HOST, config, order_route, route, single_attempt_route
 
 _ROUTES = [
     route("read", "/read/", "s", timeout="1500ms"),
     order_route("order", "/order/", "s", timeout="1500ms"),
-    order_route("once", "/once/", "s", maxAttempts=1),
+    single_attempt_route("once", "/once/", "s"),
 ]
 
 Act = Callable[[Executor, FleetView, StandInBackend], Awaitable[None]]
