Play hubs in trouble; take no counts before an acknowledgement as the others'

Cause: the state machine of an instance's share found that what it counted itself before its first acknowledgement was taken as the others'. A zone cut off from the others for longer than silence was found again only after the seeds' turn and the next list. Change: the first acknowledgement is a base only; hubs tell a seed each second, and their list at once to a hub that they had not heard. Tests: hubs killed, frozen, deaf, mute, cut off, stopped and restarted, each seen by who is known, by a failure's news, by loads and by the repeat budget.

--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -186,6 +186,10 @@
         """Return the number of members in contact with the store."""
         return sum(member.beat.store_contact for member in self._members.values())
 
+    def tell_roster(self) -> None:
+        """Tell the list of the zone with the next sections."""
+        self._roster_tellings = dict.fromkeys(Scope, _ROSTER_TELLINGS)
+
     def repeats_findings(self) -> bool:
         """Return whether findings were told to other zones once and should be told again soon."""
         return not self._findings[Scope.ACROSS].is_empty
@@ -302,7 +306,7 @@
             self._changed[key] = None
 
     def _roster_change(self) -> bool:
-        self._roster_tellings = dict.fromkeys(Scope, _ROSTER_TELLINGS)
+        self.tell_roster()
         return True
 
     def _new_place(self, now_s: float) -> int:
--- a/src/egretrail/cluster/_zone_share.py
+++ b/src/egretrail/cluster/_zone_share.py
@@ -113,11 +113,13 @@
         if not totals and not self._totals:
             return
         now = self._acknowledged
+        # Without an earlier acknowledgement it is not known how much of the sums is this one's own.
+        counted = self._counted and not (before is None and now is not None)
         for service, total in totals.items():
             last = self._totals.get(service, RepeatCounts())
             own = _difference(service, before, now)
             others = self._others.get(service, RepeatCounts())
-            if self._counted:
+            if counted:
                 others = RepeatCounts(
                     others.requests + max(total.requests - last.requests - own.requests, 0),
                     others.repeats + max(total.repeats - last.repeats - own.repeats, 0),
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -78,6 +78,11 @@
         """Tell soon what this instance itself found."""
         self._hurry()
 
+    def tell_roster(self) -> None:
+        """Tell who lives in the zone: the hub of another one may not know."""
+        self._hub.tell_roster()
+        self._hurry()
+
     def pass_on(self, encoded: Sequence[bytes], *, urgent: bool) -> None:
         """Tell the own zone what the hub of another one told."""
         self._passed_on += encoded
@@ -150,8 +155,8 @@
         return self._view.membership.zones() - {self._settings.availability_zone}
 
     def _hubs(self, zone: str, now_s: float) -> Sequence[str]:
-        hub = self._view.zones.hub(zone, now_s, _HUB_KNOWN_S)
-        if hub is not None:
+        hub = self._view.zones.hub(zone)
+        if hub is not None and now_s - self._view.zones.heard_s(zone) <= _HUB_KNOWN_S:
             return [hub]
         return self._view.membership.order(zone)[:_HUB_CANDIDATES]
 
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -49,9 +49,9 @@
 _SEEDED_PEERS = 3
 _FIRST_BEATS = 6
 _FIRST_INTERVAL_S = 0.06
-#: Later a hub tells one seed of itself now and then, which joins two parts of a fleet that lost
+#: Later a hub tells one seed of itself once a second, which joins two parts of a fleet that lost
 #: each other.
-_SEED_INTERVAL_BEATS = 8
+_SEED_INTERVAL_BEATS = 4
 #: A hub tells so many of those who come after it in the order that it is there, and so many whom it
 #: does not hear itself: one of them may be the hub of another part of the zone, or know it.
 _GREETED = 2
@@ -137,6 +137,18 @@
         """Take addresses of instances that the store listed."""
         self._extra_seeds = [a for a in addresses if a != self._settings.ip]
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this instance is the hub of its zone, or of a part of it."""
+        return self._hub is not None
+
+    def end(self) -> None:
+        """Send nothing more."""
+        self._beat_timer.stop()
+        if self._hub is not None:
+            self._hub.stop()
+            self._hub = None
+
     def leave(self) -> None:
         """Tell that this instance is stopping; another one takes over where it was the hub."""
         self._view.membership.leave()
@@ -306,8 +318,11 @@
                     self._send(data, target)
             return
         for section, encoded in zip(datagram.sections, datagram.encoded, strict=True):
+            hub_before = self._view.zones.hub(section.availability_zone)
             if self._take(section):
                 self._hub.pass_on([encoded], urgent=is_urgent(section))
+            if hub_before != section.hub:
+                self._hub.tell_roster()
 
     def _take(self, section: Section) -> bool:
         """Take a section of another zone."""
--- a/src/egretrail/gateway/_zones.py
+++ b/src/egretrail/gateway/_zones.py
@@ -53,6 +53,8 @@
 class _Zone:
     """What one zone told last."""
 
+    #: The address of the hub.
+    hub: str
     #: The hub and its lifetime.
     lifetime: str
     #: When it was heard.
@@ -123,12 +125,15 @@
         """Return when the newest beat was sent that the followed hub has; None for none."""
         return self._share.acknowledged_s
 
-    def hub(self, availability_zone: str, now_s: float, known_s: float) -> str | None:
-        """Return the hub of a zone that was heard within a time; None for none."""
+    def hub(self, availability_zone: str) -> str | None:
+        """Return the hub of a zone that was heard last; None for a silent zone."""
         zone = self._zones.get(availability_zone)
-        if zone is None or now_s - zone.heard_s > known_s:
-            return None
-        return zone.lifetime.partition("~")[0]
+        return None if zone is None else zone.hub
+
+    def heard_s(self, availability_zone: str) -> float:
+        """Return when a zone was heard last."""
+        zone = self._zones.get(availability_zone)
+        return float("-inf") if zone is None else zone.heard_s
 
     def expire(self, now_s: float) -> Sequence[str]:
         """Drop and return the zones that were silent for too long."""
@@ -169,7 +174,7 @@
             if name == self._own_zone:
                 self._start_anew()
             sums = zone.sums if zone is not None else {}
-            zone = self._zones[name] = _Zone(lifetime, now_s, 0, 0, sums)
+            zone = self._zones[name] = _Zone(section.hub, lifetime, now_s, 0, 0, sums)
         zone.heard_s = now_s
         zone.instances = section.instances
         zone.store_readers = section.store_readers
--- a/src/egretrail/gateway/tests/network.py
+++ b/src/egretrail/gateway/tests/network.py
@@ -30,13 +30,18 @@
     ) -> None:
         self._inside_s = inside_s
         self._across_s = across_s
-        self._loss = loss
+        #: The share of datagrams that is lost.
+        self.loss = loss
         self._rng = random.Random(seed)
         self._link_free_s: dict[str, float] = {}
         #: The receivers by address.
         self.links: dict[str, PeerLinks] = {}
         #: Pairs of addresses between which nothing arrives.
         self.cut: set[frozenset[str]] = set()
+        #: Senders and receivers between which nothing arrives in this direction.
+        self.cut_one_way: set[tuple[str, str]] = set()
+        #: Addresses that neither send nor take anything.
+        self.frozen: set[str] = set()
         #: Datagrams that were sent.
         self.sent = 0
         #: What arrived.
@@ -50,7 +55,11 @@
         receiver = self.links.get(target)
         if self._link_is_full(sender, len(data)) or receiver is None:
             return
-        if frozenset({sender, target}) in self.cut or self._rng.random() < self._loss:
+        if sender in self.frozen or target in self.frozen:
+            return
+        if frozenset({sender, target}) in self.cut or (sender, target) in self.cut_one_way:
+            return
+        if self._rng.random() < self.loss:
             return
         inside = sender.split(".")[2] == target.split(".")[2]
         self._count(len(data), inside=inside)
--- /dev/null
+++ b/src/egretrail/gateway/tests/test_hubs_in_trouble.py
@@ -0,0 +1,206 @@
+"""Zones whose hubs are killed, frozen, cut off, stopped and started again."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from egretrail.dispatch import Observation, Outcome, Standing
+from egretrail.gateway.tests.fleet import Fleet
+from egretrail.testing import EgretrailTestCase, cases
+
+#: After this time nobody holds a dead instance for living, or misses a living one.
+_SETTLED_S = 3.0
+
+Trouble = Callable[[Fleet], Awaitable[None]]
+
+
+async def _kill_hub(fleet: Fleet) -> None:
+    fleet.kill(fleet.hub(0))
+
+
+async def _kill_hub_and_next(fleet: Fleet) -> None:
+    hub = fleet.hub(0)
+    order = fleet.views[hub].membership.order("z0")
+    for address in order[:2]:
+        fleet.kill(address)
+
+
+async def _kill_both_hubs(fleet: Fleet) -> None:
+    fleet.kill(fleet.hub(0))
+    fleet.kill(fleet.hub(1))
+
+
+async def _kill_half(fleet: Fleet) -> None:
+    for address in fleet.addresses[::2]:
+        fleet.kill(address)
+
+
+async def _restart_hub(fleet: Fleet) -> None:
+    hub = fleet.hub(0)
+    fleet.kill(hub)
+    await asyncio.sleep(0.3)
+    fleet.start(hub, fleet.addresses[-3:])
+
+
+async def _restart_all(fleet: Fleet) -> None:
+    for address in fleet.addresses:
+        fleet.kill(address)
+    await asyncio.sleep(0.5)
+    for address in fleet.addresses:
+        fleet.start(address, fleet.addresses[-3:])
+
+
+async def _leave(fleet: Fleet) -> None:
+    hub = fleet.hub(0)
+    fleet.views[hub].leaving = True
+    fleet.links[hub].leave()
+    await asyncio.sleep(1.0)
+    fleet.kill(hub)
+
+
+async def _freeze_hub(fleet: Fleet) -> None:
+    hub = fleet.hub(0)
+    fleet.freeze(hub)
+    await asyncio.sleep(4.0)
+    fleet.thaw(hub)
+
+
+async def _deaf_hub(fleet: Fleet) -> None:
+    hub = fleet.hub(0)
+    others = [a for a in fleet.addresses if a != hub]
+    fleet.network.cut_one_way |= {(other, hub) for other in others[:4]}
+
+
+async def _mute_hub(fleet: Fleet) -> None:
+    hub = fleet.hub(0)
+    others = [a for a in fleet.addresses if a != hub]
+    fleet.network.cut_one_way |= {(hub, other) for other in others[:4]}
+
+
+async def _cut_from_hub(fleet: Fleet) -> None:
+    hub = fleet.hub(0)
+    others = [a for a in fleet.addresses if a != hub and a.startswith("10.0.0.")]
+    fleet.network.cut |= {frozenset({hub, other}) for other in others[:3]}
+
+
+async def _lossy(fleet: Fleet) -> None:
+    fleet.network.loss = 0.1
+
+
+async def _cut_zones(fleet: Fleet) -> None:
+    pairs = {
+        frozenset({one, other})
+        for one in fleet.addresses
+        for other in fleet.addresses
+        if one.split(".")[2] != other.split(".")[2]
+    }
+    fleet.network.cut |= pairs
+    await asyncio.sleep(8.0)
+    fleet.network.cut -= pairs
+
+
+_TROUBLES: dict[str, Trouble] = {
+    "a hub is killed": _kill_hub,
+    "a hub and the next one are killed": _kill_hub_and_next,
+    "the hubs of two zones are killed": _kill_both_hubs,
+    "half of the fleet is killed": _kill_half,
+    "a hub is restarted": _restart_hub,
+    "all are restarted": _restart_all,
+    "a hub is stopped": _leave,
+    "a hub freezes and wakes": _freeze_hub,
+    "a hub does not hear some": _deaf_hub,
+    "some do not hear the hub": _mute_hub,
+    "some are cut off from the hub": _cut_from_hub,
+    "a tenth of the datagrams is lost": _lossy,
+    "zones are cut off for some time": _cut_zones,
+}
+
+
+class HubsInTroubleTest(EgretrailTestCase):
+    def _play(self, trouble: Trouble, check: Callable[[Fleet], Awaitable[None]]) -> None:
+        async def run() -> None:
+            fleet = Fleet([9, 9])
+            for address in fleet.addresses:
+                fleet.start(address, fleet.addresses[-3:])
+            await asyncio.sleep(4.0)
+            await trouble(fleet)
+            await asyncio.sleep(_SETTLED_S)
+            await check(fleet)
+            fleet.stop()
+
+        self.run_paused(run())
+
+    @cases(_TROUBLES)
+    def test_all_know_who_lives(self, trouble: Trouble) -> None:
+        async def check(fleet: Fleet) -> None:
+            for address in fleet.links:
+                self.assertEqual(set(fleet.links), fleet.known(address), address)
+
+        self._play(trouble, check)
+
+    @cases(_TROUBLES)
+    def test_a_failure_becomes_known_to_all(self, trouble: Trouble) -> None:
+        async def check(fleet: Fleet) -> None:
+            observer = random.Random(1).choice(sorted(fleet.views))
+            fleet.views[observer].observe(Observation("u", Outcome.FAILED, 0.003))
+            await asyncio.sleep(0.6)
+            now_s = asyncio.get_running_loop().time()
+            for address, view in fleet.views.items():
+                standing = view.suspicion.standing("u", now_s)
+                self.assertIs(Standing.SUSPECT, standing, address)
+
+        self._play(trouble, check)
+
+    @cases(_TROUBLES)
+    def test_loads_are_right_after_silence(self, trouble: Trouble) -> None:
+        async def check(fleet: Fleet) -> None:
+            rng = random.Random(2)
+            for view in fleet.views.values():
+                for _ in range(rng.randrange(4)):
+                    view.begin("v", trial=False)
+            await asyncio.sleep(3.5)
+            under_way = sum(view.load.own_counts().get("v", 0) for view in fleet.views.values())
+            now_s = asyncio.get_running_loop().time()
+            for address, view in fleet.views.items():
+                self.assertEqual(under_way, view.load.in_flight("v", now_s), address)
+
+        self._play(trouble, check)
+
+    @cases(_TROUBLES)
+    def test_repeats_of_the_fleet_stay_within_the_budget(self, trouble: Trouble) -> None:
+        """Every instance repeats whenever it may, before, in and after the trouble."""
+
+        async def run() -> None:
+            fleet = Fleet([9, 9])
+            for address in fleet.addresses:
+                fleet.start(address, fleet.addresses[-3:])
+            await asyncio.sleep(2.0)
+            loop = asyncio.get_running_loop()
+            sent_s: list[float] = []
+            routed_s: list[float] = []
+            rng = random.Random(4)
+
+            async def repeat_forever() -> None:
+                while True:
+                    await asyncio.sleep(0.01)
+                    view = rng.choice(list(fleet.views.values()))
+                    view.repeats.routed("s", loop.time())
+                    routed_s.append(loop.time())
+                    if view.repeats.permits("s", loop.time(), view.known_share()):
+                        view.repeats.repeated("s", loop.time())
+                        sent_s.append(loop.time())
+
+            work = loop.create_task(repeat_forever())
+            await asyncio.sleep(10.0)
+            await trouble(fleet)
+            await asyncio.sleep(10.0)
+            work.cancel()
+            fleet.stop()
+            ends_s = [tenth / 10 for tenth in range(int(loop.time() * 10))]
+            for end_s in ends_s:
+                repeats = sum(end_s - 10.0 < at_s <= end_s for at_s in sent_s)
+                requests = sum(end_s - 10.0 < at_s <= end_s for at_s in routed_s)
+                self.assertLessEqual(repeats, 0.2 * requests + 60.0, f"until {end_s}")
+            self.assertGreater(len(sent_s), 100)
+
+        self.run_paused(run())
--- a/src/egretrail/gateway/tests/test_peers.py
+++ b/src/egretrail/gateway/tests/test_peers.py
@@ -1,54 +1,14 @@
 """Instances find each other, whatever of the fleet each of them knew at first."""
 
 import asyncio
-import os
 import random
 from collections.abc import Sequence
 from dataclasses import replace
 
 from egretrail.dispatch import Observation, Outcome, Standing
-from egretrail.gateway._log import EventLog
 from egretrail.gateway._view import FleetView
-from egretrail.gateway.tests.network import SimulatedLinks, SimulatedNetwork
-from egretrail.gateway.tests.settings import gateway_settings
-from egretrail.platform import PlatformLayout
+from egretrail.gateway.tests.fleet import Fleet
 from egretrail.testing import EgretrailTestCase, cases
-from egretrail.traffic import UpstreamRecord, UpstreamState
-
-
-class _Fleet:
-    """Instances ``10.0.Z.N`` of zones ``z0``, ``z1``, with upstreams that all have listed."""
-
-    def __init__(self, sizes: Sequence[int]) -> None:
-        self.network = SimulatedNetwork()
-        self.views: dict[str, FleetView] = {}
-        self.addresses = [f"10.0.{z}.{n}" for z, size in enumerate(sizes) for n in range(size)]
-        self.links: dict[str, SimulatedLinks] = {}
-
-    def start(self, address: str, contacts: Sequence[str]) -> asyncio.Task[None]:
-        loop = asyncio.get_running_loop()
-        rng = random.Random(address)
-        log = EventLog(address, descriptor=os.open(os.devnull, os.O_WRONLY))
-        zone = f"z{address.split('.')[2]}"
-        settings = gateway_settings(address, zone)
-        view = FleetView(settings, 1, loop.time, log, rng)
-        view.take_upstreams(
-            [
-                UpstreamRecord(name, "s", "10.9.0.1:1", zone, 4, UpstreamState.READY)
-                for name in "uv"
-            ],
-            5,
-            "test",
-        )
-        links = SimulatedLinks(settings, view, PlatformLayout(), log, rng)
-        links.join(self.network, address)
-        links.add_seeds(list(contacts))
-        self.views[address] = view
-        self.links[address] = links
-        return loop.create_task(links.beat_forever())
-
-    def known(self, address: str) -> set[str]:
-        return {one.address for one in self.views[address].membership.instances()} | {address}
 
 
 def _next_in_the_other_zone(addresses: Sequence[str], number: int) -> Sequence[str]:
@@ -73,7 +33,7 @@
         sizes, contacts = case
 
         async def run() -> None:
-            fleet = _Fleet(sizes)
+            fleet = Fleet(sizes)
             tasks = []
             for number, address in enumerate(fleet.addresses):
                 tasks.append(fleet.start(address, contacts(fleet.addresses, number)))  # type: ignore
@@ -88,7 +48,7 @@
 
     def test_contacts_that_start_last_are_found(self) -> None:
         async def run() -> None:
-            fleet = _Fleet([10])
+            fleet = Fleet([10])
             tasks = [fleet.start(a, fleet.addresses[-1:]) for a in fleet.addresses[:-1]]
             await asyncio.sleep(3.0)
             tasks.append(fleet.start(fleet.addresses[-1], []))
@@ -102,7 +62,7 @@
 
     def test_what_one_observes_all_know(self) -> None:
         async def run() -> None:
-            fleet = _Fleet([8, 8])
+            fleet = Fleet([8, 8])
             tasks = [fleet.start(a, fleet.addresses[:1]) for a in fleet.addresses]
             await asyncio.sleep(5.0)
             fleet.views[fleet.addresses[3]].observe(Observation("u", Outcome.FAILED, 0.003))
@@ -117,7 +77,7 @@
 
     def test_a_quiet_fleet_sends_a_bounded_number_of_datagrams(self) -> None:
         async def run() -> None:
-            fleet = _Fleet([8, 8])
+            fleet = Fleet([8, 8])
             tasks = [fleet.start(a, fleet.addresses[-3:]) for a in fleet.addresses]
             await asyncio.sleep(5.0)
             before = fleet.network.sent
@@ -131,7 +91,7 @@
 
     def test_a_dead_instance_is_forgotten_by_all(self) -> None:
         async def run() -> None:
-            fleet = _Fleet([6, 6])
+            fleet = Fleet([6, 6])
             tasks = [fleet.start(a, fleet.addresses[:1]) for a in fleet.addresses]
             await asyncio.sleep(5.0)
             dead = fleet.addresses[2]
@@ -155,7 +115,7 @@
 
     def test_an_observation_reaches_all_while_every_instance_has_news(self) -> None:
         async def run() -> None:
-            fleet = _Fleet([31, 31, 31, 31])
+            fleet = Fleet([31, 31, 31, 31])
             fleet.network.limit_bytes_per_s = 10e6 / 8
             tasks = [fleet.start(a, fleet.addresses[:1]) for a in fleet.addresses]
             await asyncio.sleep(6.0)
@@ -173,7 +133,7 @@
 
         self.run_paused(run())
 
-    async def _work(self, fleet: _Fleet) -> None:
+    async def _work(self, fleet: Fleet) -> None:
         """Begin four requests of 0.3 s each second at each instance; some fail."""
         rng = random.Random(5)
         loop = asyncio.get_running_loop()
@@ -198,7 +158,7 @@
         revision, stays = case
 
         async def run() -> None:
-            fleet = _Fleet([6, 6])
+            fleet = Fleet([6, 6])
             tasks = [fleet.start(a, fleet.addresses[:1]) for a in fleet.addresses]
             await asyncio.sleep(5.0)
             views = [fleet.views[address] for address in fleet.addresses]
