Tell the list of the zone as soon as a silent zone's instance is met

Cause: after a cut of eight seconds between zones, one of them knew the other only after 3.3 s: a seed's turn, the next sums and the next list each took their interval. Change: a hub that meets an instance of a zone that it hears nothing of tells its list at once.

--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -369,9 +369,12 @@
         A zone may begin in several parts, each with its hub; any of their members may be the one
         that hears of another part.
         """
-        if not self._view.membership.introduce(instance, now_s) or self._hub is not None:
+        if not self._view.membership.introduce(instance, now_s):
             return
-        if instance.availability_zone == self._settings.availability_zone:
+        if self._hub is not None:
+            if self._view.zones.hub(instance.availability_zone) is None:
+                self._hub.tell_roster()
+        elif instance.availability_zone == self._settings.availability_zone:
             for target in self._ways(now_s):
                 if target != instance.address:
                     self._send_introduction([instance], target)
