Read the store in two zones, and fetch what changed in place of all upstreams

Hypothesis: two readers are enough where every hub tells its version at once, and others read when nobody does. Change: hubs of two zones read, chosen by rendezvous; a newer state is told with the next urgent message; replies hold the changes since the asker's revision, and all upstreams each ten seconds. Ruled out: one reader, since it may be turned away unseen by others for as long as its watch.

--- a/src/egretrail/cluster/_fetch_codec.py
+++ b/src/egretrail/cluster/_fetch_codec.py
@@ -1,6 +1,6 @@
 """The msgpack form of the exchange that fetches state from a peer."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,7 +12,7 @@
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
 #: Raised when the form changes; messages of another version are refused.
-_VERSION = 3
+_VERSION = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,10 +33,12 @@
     config: bytes | None
     #: The revision of ``upstreams``.
     upstreams_revision: int
-    #: All listed upstreams; None where the asker's revision is not older.
+    #: All listed upstreams; None where the asker's revision is not older, or changes are told.
     upstreams: Sequence[UpstreamRecord] | None
     #: The doubts about upstreams, for an asker that knows no configuration.
     doubts: Sequence[DoubtRecord] = ()
+    #: What changed since the asker's revision, by name; None for an upstream that is not listed.
+    changes: Mapping[str, UpstreamRecord | None] | None = None
 
 
 def encode_request(request: FetchRequest) -> bytes:
@@ -64,7 +66,13 @@
     doubts = [
         [doubt.upstream_id, doubt.age_s, doubt.pause_s, doubt.successes] for doubt in reply.doubts
     ]
-    document = [_VERSION, reply.config, reply.upstreams_revision, rows, doubts]
+    changes = None
+    if reply.changes is not None:
+        changes = {
+            name: None if record is None else _upstream_row(record)
+            for name, record in reply.changes.items()
+        }
+    document = [_VERSION, reply.config, reply.upstreams_revision, rows, changes, doubts]
     packed: bytes = msgpack.packb(document)
     return packed
 
@@ -72,7 +80,7 @@
 def decode_reply(data: bytes) -> Result[FetchReply, MalformedMessage]:
     """Read a reply."""
     try:
-        version, config, upstreams_revision, rows, doubts = msgpack.unpackb(data)
+        version, config, upstreams_revision, rows, changed, doubts = msgpack.unpackb(data)
         if version != _VERSION:
             return Err(MalformedMessage(f"version {version!r}"))
         upstreams = None if rows is None else [_upstream(row) for row in rows]
@@ -80,7 +88,12 @@
             DoubtRecord(str(name), float(age_s), float(pause_s), int(successes))
             for name, age_s, pause_s, successes in doubts
         ]
-        return Ok(FetchReply(config, int(upstreams_revision), upstreams, told))
+        changes = None
+        if changed is not None:
+            changes = {
+                str(name): None if row is None else _upstream(row) for name, row in changed.items()
+            }
+        return Ok(FetchReply(config, int(upstreams_revision), upstreams, told, changes))
     except MALFORMED as error:
         return Err(MalformedMessage(repr(error)))
 
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -128,6 +128,8 @@
         self._since_s = now_s
         self._members: dict[str, _Member] = {}
         self._sequences = {Scope.ZONE: 0, Scope.ACROSS: 0}
+        #: What the last section of each scope said that the hub's instance knows.
+        self._told_states: dict[Scope, HubState] = {}
         self._sums: dict[int, int] = {}
         self._changed: dict[int, None] = {}
         self._part = 0
@@ -212,7 +214,7 @@
     def urgent_sections(self, scope: Scope, state: HubState, now_s: float) -> Iterator[Section]:
         """Yield what must not wait for the next sums."""
         news = self._news(scope, now_s)
-        if any(news.values()):
+        if any(news.values()) or state != self._told_states.get(scope):
             yield self._section(scope, state, **news)
         yield from self._roster_sections(scope, state, now_s)
 
@@ -369,6 +371,7 @@
 
     def _section(self, scope: Scope, state: HubState, **parts: object) -> Section:
         self._sequences[scope] += 1
+        self._told_states[scope] = state
         return Section(
             scope=scope,
             availability_zone=self._zone,
--- a/src/egretrail/cluster/tests/test_cluster.py
+++ b/src/egretrail/cluster/tests/test_cluster.py
@@ -180,7 +180,11 @@
     def test_fetches_come_back_as_they_were(self) -> None:
         record = UpstreamRecord("u", "s", "10.0.0.1:1", "a", 4, UpstreamState.DRAINING, 1.5, 9)
         doubts = [DoubtRecord("u", 1.5, 5.0, 1)]
-        for reply in (FetchReply(b"{}", 9, [record], doubts), FetchReply(None, 9, None, [])):
+        for reply in (
+            FetchReply(b"{}", 9, [record], doubts),
+            FetchReply(None, 9, None, []),
+            FetchReply(None, 9, None, [], {"u": record, "v": None}),
+        ):
             self.assertEqual(Ok(reply), decode_reply(encode_reply(reply)))
         request = FetchRequest(3, 9)
         self.assertEqual(Ok(request), decode_request(encode_request(request)))
--- a/src/egretrail/cluster/tests/test_hub.py
+++ b/src/egretrail/cluster/tests/test_hub.py
@@ -134,6 +134,16 @@
             ]
             self.assertEqual([(0, [5]), (0, [5])], told)
 
+    def test_a_newer_state_of_the_hub_is_told_at_once_and_once(self) -> None:
+        hub = _hub(beat("10.0.0.2", 1))
+        for scope in Scope:
+            list(hub.urgent_sections(scope, _STATE, 0.1))
+            list(hub.urgent_sections(scope, _STATE, 0.2))
+            newer = HubState(4, 40)
+            [told] = hub.urgent_sections(scope, newer, 0.3)
+            self.assertEqual(4, told.config_version)
+            self.assertEqual([], list(hub.urgent_sections(scope, newer, 0.4)))
+
     def test_refusals_of_one_upstream_are_told_once_in_a_quarter_of_a_second(self) -> None:
         hub = _hub(beat("10.0.0.2", 1))
         told = 0
--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -29,6 +29,9 @@
 #: Instances that hear of a newer state at the same moment ask within this time, so that the one
 #: that has it serves a zone of 70 one after the other.
 _SPREAD_S = 0.04
+#: All upstreams are fetched this often, in place of changes: what two instances held apart at the
+#: same revision is joined then.
+_WHOLE_INTERVAL_S = 10.0
 #: Connections that wait to be taken: a whole zone may ask at once.
 _BACKLOG = 512
 
@@ -67,6 +70,8 @@
         self._reply: tuple[tuple[int, int, int, int], bytes] | None = None
         self._loop = asyncio.get_running_loop()
         self._fetching: asyncio.Task[None] | None = None
+        #: When all upstreams were fetched last.
+        self._whole_s = float("-inf")
         self._server: asyncio.Server | None = None
 
     async def open(self) -> None:
@@ -110,12 +115,16 @@
             else:
                 self._view.take_config(reply.config, decoded.ok_value, source)
         if reply.upstreams is not None:
+            self._whole_s = self._loop.time()
             self._view.take_upstreams(reply.upstreams, reply.upstreams_revision, source)
+        if reply.changes is not None:
+            self._view.change_upstreams(dict(reply.changes), reply.upstreams_revision, source)
 
     async def _ask(self, peer: str) -> FetchReply | None:
         view = self._view
         version = view.config.version if view.config is not None else 0
-        question = FetchRequest(version, view.upstreams.revision)
+        whole_due = self._loop.time() - self._whole_s > _WHOLE_INTERVAL_S
+        question = FetchRequest(version, 0 if whole_due else view.upstreams.revision)
         writer = None
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT_S):
@@ -160,10 +169,13 @@
         made_for = (version, revision, asked.config_version, asked.upstreams_revision)
         if self._reply is not None and self._reply[0] == made_for and asked.config_version:
             return self._reply[1]
+        newer = revision > asked.upstreams_revision
+        changes = view.upstreams.changes_since(asked.upstreams_revision) if newer else None
         reply = FetchReply(
             config=view.config_value if version > asked.config_version else None,
             upstreams_revision=revision,
-            upstreams=list(view.upstreams) if revision > asked.upstreams_revision else None,
+            upstreams=list(view.upstreams) if newer and changes is None else None,
+            changes=changes,
             doubts=view.doubts() if asked.config_version == 0 else (),
         )
         encoded = encode_reply(reply)
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -12,9 +12,13 @@
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._view import FleetView
+from egretrail.identity import rendezvous_order
 from egretrail.store import Entry, HistoryLost, PlatformFailure, Store
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
+#: Zones whose hubs read the store for all: one may be cut off from it, or its reader turned away.
+#: With five zones, each change of an upstream costs two calls in place of five.
+_READING_ZONES = 2
 #: How long one watch waits. It bounds how long a silent connection is trusted; the readers
 #: of the other zones cover that time.
 _WATCH_S = 8.0
@@ -92,22 +96,27 @@
     def should_read(self) -> bool:
         """Return whether this instance reads the store itself.
 
-        Each call costs money and the store's rate is shared, so the first relay of each zone reads
-        for all; a zone whose reader is turned away hears from the others. An instance reads for
-        itself while it hears of nobody in contact with the store, in turns, since a store that is
-        down would otherwise be asked by all of them; and when it has started and nobody has told
-        it the configuration.
+        Each call costs money and the store's rate is shared, so the hubs of two zones read for all;
+        a zone whose reader is turned away hears from the others. An instance reads for itself
+        while it hears of nobody in contact with the store, in turns, since a store that is down
+        would otherwise be asked by all of them; and when it has started and nobody has told it the
+        configuration.
         """
         if self._view.leaving:
             return False
         rank = self._view.membership.own_rank()
-        if rank == 0:
+        if rank == 0 and self._zone_reads():
             return True
         if not self._view.ready:
-            return self._loop.time() - self._started_s > self._patience_s
+            return rank == 0 or self._loop.time() - self._started_s > self._patience_s
         if self._peer_reaches_store():
             return False
-        return rank == 1 + int(self._loop.time() / _TURN_S) % _TURNS
+        return rank == 0 or rank == 1 + int(self._loop.time() / _TURN_S) % _TURNS
+
+    def _zone_reads(self) -> bool:
+        """Return whether the own zone is one of those that read."""
+        zones = rendezvous_order("read the store", self._view.membership.zones())
+        return self._settings.availability_zone in zones[:_READING_ZONES]
 
     async def _keep(
         self, name: str, follow: Callable[[], Awaitable[PlatformFailure | None]]
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -10,14 +10,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretrail.cluster import Scope, Section
+from egretrail.cluster import Instance, InstanceState, Scope, Section
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._store_sync import StoreSync
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.settings import gateway_settings
+from egretrail.identity import rendezvous_order
 from egretrail.platform import PlatformLayout
 from egretrail.testing import EgretrailTestCase, FakeStore, cases
+from egretrail.traffic import ClientLimits, FleetConfig
 from scaffolding.platform import StandInBackend
 from scaffolding.platform.fleet import config, route
 
@@ -295,3 +297,40 @@
                 self.assertEqual(highest, in_force)
 
         self.run_paused(run())
+
+
+class ReadersTest(EgretrailTestCase):
+    """Hubs of two zones read the store for all, and those of the others where they cannot."""
+
+    @cases(
+        {
+            "of the first zone": (0, 1, True),
+            "of the second zone": (1, 1, True),
+            "of a further zone, while others reach the store": (2, 1, False),
+            "of a further zone, while nobody does": (2, 0, True),
+        }
+    )
+    def test_a_hub_reads(self, case: tuple[int, int, bool]) -> None:
+        position, readers, expected = case
+
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            log = EventLog("test", descriptor=os.open(os.devnull, os.O_WRONLY))
+            zones = rendezvous_order("read the store", ["z0", "z1", "z2"])
+            own, layout = gateway_settings(zone=zones[position]), PlatformLayout()
+            view = FleetView(own, 1, loop.time, log, random.Random(1))
+            view.take_config(b"{}", FleetConfig(1, [], {}, ClientLimits()), "test")
+            view.take_upstreams([], 5, "test")
+            peers = PeerLinks(own, view, layout, log, random.Random(1))
+            sync = StoreSync(own, view, FakeStore(), layout, peers, log, random.Random(1))
+            for number, zone in enumerate(zones):
+                if zone != own.availability_zone:
+                    hub = f"10.0.{number}.1"
+                    view.membership.introduce(
+                        Instance(hub, zone, 1, InstanceState.READY, 1.0), loop.time()
+                    )
+                    told = Section(Scope.ACROSS, zone, hub, 1, 1, 1, 5, readers, 1)
+                    view.take_section(told, followed=True)
+            self.assertIs(expected, sync.should_read())
+
+        self.run_paused(run())
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -1,6 +1,7 @@
 """The upstreams that the store lists, and how one instance's table of them changes."""
 
 import enum
+from collections import deque
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
@@ -68,6 +69,20 @@
 _DEPARTED_MAX = 20_000
 
 
+#: Changes that are remembered for those that know an earlier revision, each some 300 bytes.
+_CHANGES_MAX = 400
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """One change of the list."""
+
+    #: The revision from which on it is known.
+    revision: int
+    #: The name of the upstream.
+    name: str
+
+
 @dataclass(slots=True)
 class UpstreamTable:
     """The listed upstreams, one lifetime for each name.
@@ -85,6 +100,9 @@
     _left: dict[str, None] = field(default_factory=dict)
     #: The newest start that was seen of each name.
     _started_ms: dict[str, int] = field(default_factory=dict)
+    #: The last changes, the oldest first, and the revision since which none is missing.
+    _changes: deque[_Change] = field(default_factory=deque)
+    _changes_since: int = 0
 
     def ready(self, service: str) -> list[UpstreamRecord]:
         """Return the upstreams of a service that take new work."""
@@ -114,6 +132,8 @@
             elif record.name in before:
                 self._by_name[record.name] = before[record.name]
         self.revision = revision
+        self._changes.clear()
+        self._changes_since = revision
         self._index()
         return True
 
@@ -125,8 +145,22 @@
             elif self._is_newest(record):
                 self._by_name[name] = self._admit(record)
         self.revision = max(self.revision, revision)
+        self._changes.extend(_Change(self.revision, name) for name in changes)
+        while len(self._changes) > _CHANGES_MAX:
+            self._changes_since = max(self._changes_since, self._changes.popleft().revision)
         self._index()
 
+    def changes_since(self, revision: int) -> Mapping[str, UpstreamRecord | None] | None:
+        """Return what changed since a revision, by name; None where that is not remembered.
+
+        Load: the upstreams of a release list themselves in series, and each change makes all
+        instances ask. With 360 listed the whole list is 29 KB, a change 0.1 KB.
+        """
+        if revision < self._changes_since:
+            return None
+        names = dict.fromkeys(one.name for one in self._changes if one.revision > revision)
+        return {name: self._by_name.get(name) for name in names}
+
     def mark_gone(self, upstream_id: str) -> None:
         """Stop sending work to an upstream whose address answers for another lifetime.
 
--- a/src/egretrail/traffic/tests/test_traffic.py
+++ b/src/egretrail/traffic/tests/test_traffic.py
@@ -239,3 +239,52 @@
         run_state_machine_as_test(
             LifetimeMachine, settings=settings(max_examples=150, deadline=None, derandomize=True)
         )
+
+
+class ChangesTest(EgretrailTestCase):
+    """An instance that follows another by its changes holds what one that reads all holds."""
+
+    def _record(self, name: str, started_ms: int = 0) -> UpstreamRecord:
+        state = UpstreamState.READY
+        return UpstreamRecord(name, "s", "10.0.0.1:1", "a", 4, state, started_ms=started_ms)
+
+    @cases(
+        {
+            "nothing newer": (7, {}),
+            "the last batch": (6, {"c": None}),
+            "between two batches": (5, {"c": None}),
+            "all batches": (3, {"a": None, "c": None, "d": "d"}),
+            "before the whole list": (2, None),
+        }
+    )
+    def test_changes_since(self, case: tuple[int, dict[str, str | None] | None]) -> None:
+        revision, expected = case
+        table = UpstreamTable()
+        table.replace([self._record("a"), self._record("b")], 3)
+        table.apply({"a": None, "c": self._record("c"), "d": self._record("d")}, 5)
+        table.apply({"c": None}, 7)
+        changes = table.changes_since(revision)
+        named = None
+        if changes is not None:
+            named = {name: record and record.name for name, record in changes.items()}
+        self.assertEqual(expected, named)
+
+    def test_a_follower_holds_the_same_after_any_number_of_changes(self) -> None:
+        rng = random.Random(3)
+        reader, follower = UpstreamTable(), UpstreamTable()
+        reader.replace([self._record(f"u{n}") for n in range(30)], 1)
+        wholes = 0
+        for revision in range(2, 1500):
+            name = f"u{rng.randrange(60)}"
+            record = self._record(name, revision) if rng.random() < 0.6 else None
+            reader.apply({name: record}, revision)
+            if rng.random() > (0.02 if revision % 600 < 450 else 0.5):
+                continue
+            changes = reader.changes_since(follower.revision)
+            if changes is None:
+                wholes += 1
+                follower.replace(list(reader), reader.revision)
+            else:
+                follower.apply(changes, reader.revision)
+            self.assertEqual(reader.records, follower.records)
+        self.assertLess(wholes, 4)
