Tell small zones more often, and other zones by a budget of bytes

Hypothesis: eleven instances a zone can afford what 73 cannot. Change: intervals in proportion to the zone, from 30 ms on, and sums across by 1.9 KB/s an instance hears.

--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -188,6 +188,10 @@
         """Return the number of members in contact with the store."""
         return sum(member.beat.store_contact for member in self._members.values())
 
+    def loaded_upstreams(self) -> int:
+        """Return the number of upstreams that have requests of the zone."""
+        return len(self._sums)
+
     def tell_roster(self) -> None:
         """Tell the list of the zone with the next sections."""
         self._roster_tellings = dict.fromkeys(Scope, _ROSTER_TELLINGS)
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -9,20 +9,21 @@
 from egretrail.gateway._timer import Timer
 from egretrail.gateway._view import FleetView
 
-#: The zone is told so often: loads may be a tenth of a second old, since work lasts longer.
+#: A zone of so many instances is told ten times a second, since work lasts longer than that. A
+#: smaller one is told more often in proportion, and a larger one less often, so that what an
+#: instance receives stays the same: more of the upstreams change in each interval.
 _ZONE_INTERVAL_S = 0.1
-#: In a zone of more instances than this less often in proportion: more of the upstreams change in
-#: each interval, and so what an instance receives stays the same.
 _ZONE_INSTANCES = 48
+_ZONE_INTERVAL_MIN_S = 0.03
 #: The same with what bears on an upstream's standing, since each request that meets a failing
 #: upstream meanwhile fails: 25 times a second however much fails.
 _ZONE_URGENT_INTERVAL_S = 0.04
-#: Other zones are told of loads so often: their upstreams are used when the own zone's are taken.
-#: With more zones less often in proportion, so that what an instance hears of all others together
-#: stays the same, up to an age at which most of the work that was told has ended.
-_ACROSS_INTERVAL_S = 0.5
-_ACROSS_PER_ZONE_S = 0.3
-_ACROSS_INTERVAL_MAX_S = 1.5
+#: What an instance hears of the sums of all other zones: a larger list is told less often. Eleven
+#: instances a zone hear loads a quarter of a second old, and each row of 5 bytes beyond adds to it;
+#: up to an age at which most of the work that was told has ended.
+_ACROSS_BYTES_PER_S = 1_900
+_SECTION_BYTES, _ROW_BYTES = 36, 5
+_ACROSS_INTERVAL_MIN_S, _ACROSS_INTERVAL_MAX_S = 0.2, 1.5
 _ACROSS_URGENT_INTERVAL_S = 0.05
 #: What was told once is told again after this time, in case that the datagram was lost.
 _ACROSS_AGAIN_S = 0.1
@@ -117,8 +118,8 @@
         if self._hub.hear(self._view.own_beat(), now_s, direct=True):
             self._across_timer.at(max(self._across_told_s + _ACROSS_URGENT_INTERVAL_S, now_s))
         if now_s >= self._sums_due_s - _CLOCK_STEP_S:
-            crowd = max(self._view.membership.zone_size() / _ZONE_INSTANCES, 1.0)
-            self._sums_due_s = now_s + _ZONE_INTERVAL_S * crowd
+            interval_s = _ZONE_INTERVAL_S * self._view.membership.zone_size() / _ZONE_INSTANCES
+            self._sums_due_s = now_s + max(interval_s, _ZONE_INTERVAL_MIN_S)
             sections = list(self._hub.zone_sections(self._state(), now_s))
         else:
             sections = list(self._hub.urgent_sections(Scope.ZONE, self._state(), now_s))
@@ -148,8 +149,9 @@
             self._across_timer.at(now_s + _ACROSS_AGAIN_S)
 
     def _across_interval_s(self) -> float:
-        interval_s = max(len(self._other_zones()) * _ACROSS_PER_ZONE_S, _ACROSS_INTERVAL_S)
-        return min(interval_s, _ACROSS_INTERVAL_MAX_S)
+        size_bytes = _SECTION_BYTES + _ROW_BYTES * self._hub.loaded_upstreams()
+        interval_s = len(self._other_zones()) * size_bytes / _ACROSS_BYTES_PER_S
+        return min(max(interval_s, _ACROSS_INTERVAL_MIN_S), _ACROSS_INTERVAL_MAX_S)
 
     def _other_zones(self) -> set[str]:
         return self._view.membership.zones() - {self._settings.availability_zone}
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -35,10 +35,11 @@
 _EXPIRE_S = 0.4
 #: A longer time between two looks is a pause of the whole process: nobody else was silent.
 _PAUSE_S = 0.5
-#: News wait this long for more news, in a zone of more instances than this in proportion longer:
-#: a hub hears ten of them a second from each of 48, and 480 a second of any number.
+#: News wait this long for more news in a zone of so many instances, in others in proportion: a hub
+#: hears 480 beats a second of any number.
 _BATCH_S = 0.1
 _BATCH_INSTANCES = 48
+_BATCH_MIN_S = 0.03
 #: The same for news that bear on an upstream's standing.
 _URGENT_BATCH_S = 0.02
 #: A beat with such news is followed by another one, in case that it was lost.
@@ -429,8 +430,8 @@
             if urgent:
                 self._hub.has_news()
             return
-        crowd = max(len(self._order()) / _BATCH_INSTANCES, 1.0)
-        delay_s = _URGENT_BATCH_S if urgent else _BATCH_S * crowd
+        usual_s = max(_BATCH_S * len(self._order()) / _BATCH_INSTANCES, _BATCH_MIN_S)
+        delay_s = _URGENT_BATCH_S if urgent else usual_s
         self._again |= urgent
         self._beat_timer.at(max(self._beat_s + delay_s, self._loop.time()))
 
