Let instances prefer their own share of a zone's slots

Change: each slot of a zone's upstreams is one instance's share by rendezvous; an upstream without one costs 0.7 of its slots more.

--- a/src/egretrail/cluster/_membership.py
+++ b/src/egretrail/cluster/_membership.py
@@ -1,6 +1,6 @@
 """The instances that are known, and which of them do the tasks that a few do for all."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from egretrail.cluster._instance import Instance, InstanceState
@@ -55,6 +55,8 @@
         #: The last incarnations of instances that were taken as gone, and when.
         self._gone: dict[str, tuple[int, float]] = {}
         self._orders: dict[str, Sequence[str]] = {}
+        #: Called when the staying instances of the own zone changed.
+        self.on_change: Callable[[], None] = lambda: None
         #: Until when the listed instances of each zone live on, since their hub does.
         self._zones_until_s: dict[str, float] = {}
 
@@ -183,11 +185,11 @@
         entry = self._entries.get(instance.address)
         if entry is None:
             self._entries[instance.address] = _Entry(instance, until_s, listed)
-            self._orders.pop(instance.availability_zone, None)
+            self._changed(instance.availability_zone)
             return True
         if entry.instance != instance:
             entry.instance = instance
-            self._orders.pop(instance.availability_zone, None)
+            self._changed(instance.availability_zone)
         entry.until_s = max(entry.until_s, until_s)
         entry.listed = listed
         return False
@@ -207,7 +209,12 @@
         self._gone[instance.address] = (instance.incarnation, now_s)
         if len(self._gone) > _GONE_MAX:
             del self._gone[next(iter(self._gone))]
-        self._orders.pop(instance.availability_zone, None)
+        self._changed(instance.availability_zone)
+
+    def _changed(self, availability_zone: str) -> None:
+        self._orders.pop(availability_zone, None)
+        if availability_zone == self._zone:
+            self.on_change()
 
     def _ends_s(self, entry: _Entry) -> float:
         """Return when an instance is taken as gone."""
--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -10,6 +10,7 @@
 from egretrail.dispatch._observation import Observation, Outcome
 from egretrail.dispatch._placement import Choice, Placement, PlacementQuery, Refusal, RefusalReason
 from egretrail.dispatch._repeats import RepeatBudget, RepeatCounts
+from egretrail.dispatch._shares import SlotShares
 from egretrail.dispatch._sizes import AnswerSizes
 from egretrail.dispatch._suspicion import FIRST_PAUSE_S, DoubtRecord, Standing, SuspicionBook
 from egretrail.dispatch._trials import TrialPace
@@ -31,6 +32,7 @@
     "RepeatCounts",
     "RequestDigest",
     "ServiceDurations",
+    "SlotShares",
     "Standing",
     "SuspicionBook",
     "TrialPace",
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
 from egretrail.dispatch._durations import ServiceDurations
@@ -20,6 +20,10 @@
 #: 0.039 (one replayed day of 42 s with answers of 1.5, 5 and 90 KB).
 _BYTES_PER_SLOTS = 50_000
 _DISTANCE_CHARGE_MAX = 2.0
+#: What an upstream of the own zone is charged of which no slot is this instance's share: two of
+#: three slots. Less lets instances meet at slots that seemed free, with more they wait at their own
+#: ones while others are idle.
+_OTHERS_SHARE_CHARGE = 0.7
 #: What opening a connection is charged: enough to decide between upstreams of equal load.
 _NEW_CONNECTION_CHARGE = 0.05
 #: Upstreams slower than their service by this factor are charged for it; below it the difference
@@ -134,6 +138,8 @@
     trials: TrialPace
     #: Until when upstreams that have just started are slow.
     warm_from_s: dict[str, float] = field(default_factory=dict)
+    #: Whether a slot of an upstream of the own zone is this instance's share.
+    owns: Callable[[UpstreamRecord], bool] = lambda record: True
     #: Breaks ties, so that instances with equal views spread.
     rng: random.Random = field(default_factory=random.Random)
 
@@ -216,6 +222,8 @@
             charge += self._distance_charge(query)
         else:
             charge += self._quiet_charge(record, now_s)
+            if not self.owns(record):
+                charge += _OTHERS_SHARE_CHARGE
         if record.id not in query.connected:
             charge += _NEW_CONNECTION_CHARGE
         if self.suspicion.short_of_room(record.id, now_s):
--- /dev/null
+++ b/src/egretrail/dispatch/_shares.py
@@ -0,0 +1,36 @@
+"""Which upstreams of its zone an instance prefers, so that instances seldom meet at a slot."""
+
+from collections.abc import Callable
+
+from egretrail.traffic import UpstreamRecord
+
+
+class SlotShares:
+    """Gives each slot of a zone's upstreams to one of its instances.
+
+    Load: 33 instances before 30 upstreams of three slots hear of each other's requests a tenth of a
+    second late, and in that time more requests come than slots are free. All choose the same ones,
+    and wait while others are idle. What an instance has under way itself it knows at once: with
+    its own share of the slots preferred, requests take 0.729 s on average in place of 0.899 at 95%
+    of the slots, and 0.245 in place of 0.271 at half of them (replay with work of 0.22 s, told each
+    0.12 s, means of two seeds). A share binds nobody: a request goes where the charge is least.
+    """
+
+    def __init__(self, own_zone: str, rank: Callable[[str], int]) -> None:
+        self._own_zone = own_zone
+        #: This instance's place among the zone's for a task.
+        self._rank = rank
+        self._owned: dict[str, bool] = {}
+
+    def changed(self) -> None:
+        """Share anew: instances or upstreams came or went."""
+        self._owned.clear()
+
+    def owns(self, record: UpstreamRecord) -> bool:
+        """Return whether one of an upstream's slots is this instance's share."""
+        owned = self._owned.get(record.id)
+        if owned is None:
+            near = record.availability_zone == self._own_zone
+            owned = near and self._rank(f"slots {record.id}") < record.slots
+            self._owned[record.id] = owned
+        return owned
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -28,6 +28,7 @@
     RepeatBudget,
     RequestDigest,
     ServiceDurations,
+    SlotShares,
     Standing,
     SuspicionBook,
     TrialPace,
@@ -99,6 +100,10 @@
         self.repeats = RepeatBudget(
             settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack
         )
+        own_zone = settings.availability_zone
+        #: The share of the zone's slots that this instance prefers.
+        self.shares = SlotShares(own_zone, lambda task: self.membership.rank_for(task, own_zone))
+        self.membership.on_change = self.shares.changed
         #: Chooses upstreams.
         self.placement = Placement(
             settings.availability_zone,
@@ -106,6 +111,7 @@
             self.durations,
             self.suspicion,
             TrialPace(self.load, self.suspicion, self._trial_rank, self.repeats.request_rate),
+            owns=self.shares.owns,
             rng=rng,
         )
         #: What the hubs of the zones tell.
@@ -409,6 +415,7 @@
         self._ids = {upstream_key(upstream_id): upstream_id for upstream_id in after}
         for upstream_id in self._refused_s.keys() - listed:
             del self._refused_s[upstream_id]
+        self.shares.changed()
         self.load.keep_only(listed)
         self.suspicion.keep_only(listed)
         self._note_serving()
