--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -20,9 +20,9 @@
 #: 0.039 (one replayed day of 42 s with answers of 1.5, 5 and 90 KB).
 _BYTES_PER_SLOTS = 50_000
 _DISTANCE_CHARGE_MAX = 2.0
-#: What an upstream of the own zone is charged of which no slot is this instance's share: two of
-#: three slots. Less lets instances meet at slots that seemed free, with more they wait at their own
-#: ones while others are idle.
+#: What an upstream is charged of which no slot is this instance's share, in any zone: two of three
+#: slots. Less lets instances meet at slots that seemed free. It stays below the charges of weak
+#: findings and of refusals, which would else lose against an own slot.
 _OTHERS_SHARE_CHARGE = 0.7
 #: What opening a connection is charged: enough to decide between upstreams of equal load.
 _NEW_CONNECTION_CHARGE = 0.05
@@ -138,7 +138,7 @@
     trials: TrialPace
     #: Until when upstreams that have just started are slow.
     warm_from_s: dict[str, float] = field(default_factory=dict)
-    #: Whether a slot of an upstream of the own zone is this instance's share.
+    #: Whether a slot of an upstream is this instance's share.
     owns: Callable[[UpstreamRecord], bool] = lambda record: True
     #: Breaks ties, so that instances with equal views spread.
     rng: random.Random = field(default_factory=random.Random)
@@ -222,8 +222,8 @@
             charge += self._distance_charge(query)
         else:
             charge += self._quiet_charge(record, now_s)
-            if not self.owns(record):
-                charge += _OTHERS_SHARE_CHARGE
+        if not query.spare_only and not self.owns(record):
+            charge += _OTHERS_SHARE_CHARGE
         if record.id not in query.connected:
             charge += _NEW_CONNECTION_CHARGE
         if self.suspicion.short_of_room(record.id, now_s):
