--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -24,7 +24,7 @@
 #: What an instance hears of the sums of all other zones: a larger list is told less often. Eleven
 #: instances a zone hear loads a quarter of a second old, and each row of 5 bytes beyond adds to it;
 #: up to an age at which most of the work that was told has ended.
-_ACROSS_BYTES_PER_S = 1_900
+_ACROSS_BYTES_PER_S = 1_500
 _SECTION_BYTES, _ROW_BYTES = 36, 5
 _ACROSS_INTERVAL_MIN_S, _ACROSS_INTERVAL_MAX_S = 0.2, 1.5
 #: What was told once is told again after this time, in case that the datagram was lost.
