Share slots of all zones' upstreams among a zone's instances; split evidence and introductions

Change: its slots are shared among the own zone's instances as the zone's own are. A test said that another zone's upstreams are nobody's share, which was the fault; in its place, few instances have a share of all. Files: what outcomes say is _evidence.py, introductions are _introducer.py; the version in force is one property.

--- a/src/egretrail/dispatch/_shares.py
+++ b/src/egretrail/dispatch/_shares.py
@@ -1,4 +1,4 @@
-"""Which upstreams of its zone an instance prefers, so that instances seldom meet at a slot."""
+"""Which upstreams an instance prefers, so that those of a zone seldom meet at a slot."""
 
 from collections.abc import Callable
 
@@ -6,18 +6,18 @@
 
 
 class SlotShares:
-    """Gives each slot of a zone's upstreams to one of its instances.
+    """Gives each upstream's slots to so many instances of the own zone, which then prefer it.
 
     Load: 33 instances before 30 upstreams of three slots hear of each other's requests a tenth of a
     second late, and in that time more requests come than slots are free. All choose the same ones,
     and wait while others are idle. What an instance has under way itself it knows at once: with
     its own share of the slots preferred, requests take 0.236 s on average in place of 0.269 at half
     of the slots and 0.812 in place of 0.876 at 95% (replay with work of 0.22 s, told each 0.12 s,
-    means of four seeds). A share binds nobody: a request goes where the charge is least.
+    means of four seeds). A share binds nobody: a request goes where the charge is least. In a zone
+    of no more instances than an upstream has slots, each has a share of all.
     """
 
-    def __init__(self, own_zone: str, rank: Callable[[str], int]) -> None:
-        self._own_zone = own_zone
+    def __init__(self, rank: Callable[[str], int]) -> None:
         #: This instance's place among the zone's for a task.
         self._rank = rank
         self._owned: dict[str, bool] = {}
@@ -30,7 +30,6 @@
         """Return whether one of an upstream's slots is this instance's share."""
         owned = self._owned.get(record.id)
         if owned is None:
-            near = record.availability_zone == self._own_zone
-            owned = near and self._rank(f"slots {record.id}") < record.slots
+            owned = self._rank(f"slots {record.id}") < record.slots
             self._owned[record.id] = owned
         return owned
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -89,7 +89,7 @@
         path = request.target.partition(b"?")[0].decode("latin-1")
         route = view.routes.find(terms.host, path)
         if route is None:
-            version = view.config.version if view.config is not None else 0
+            version = view.config_version
             self._log.event(
                 "no_route", id=terms.attempt_id, host=terms.host, path=path, config_version=version
             )
@@ -275,7 +275,7 @@
     def _finished(self, work: Work, outcome: str, status: int, started_s: float) -> None:
         duration_s = self._loop.time() - started_s
         self._metrics.answered(work.route.name, outcome, duration_s)
-        version = self._view.config.version if self._view.config is not None else 0
+        version = self._view.config_version
         self._log.event(
             "answered",
             id=work.terms.attempt_id,
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -122,9 +122,7 @@
         return min(max(in_proportion_s, _URGENT_INTERVAL_MIN_S), interval_s)
 
     def _state(self) -> HubState:
-        config = self._view.config
-        version = config.version if config is not None else 0
-        return HubState(version, self._view.upstreams.revision)
+        return HubState(self._view.config_version, self._view.upstreams.revision)
 
     def _tell_zone(self) -> None:
         now_s = self._zone_told_s = self._clock()
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -19,11 +19,11 @@
     SectionsDatagram,
     decode_datagram,
     encode_beats,
-    encode_introduction,
     encode_passed_on,
 )
 from egretrail.gateway._hub_links import HubLinks, is_urgent
 from egretrail.gateway._interfaces import GatewaySettings, StoreLayout
+from egretrail.gateway._introducer import Introducer
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._state_exchange import StateExchange, StateOffer
 from egretrail.gateway._timer import Timer
@@ -56,13 +56,8 @@
 #: A hub tells so many of those who come after it in the order that it is there, and so many whom it
 #: does not hear itself: one of them may be the hub of another part of the zone, or know it.
 _GREETED = 2
-#: The same instance is answered with an introduction at most this often.
-_INTRODUCTION_INTERVAL_S = 0.2
-#: An introduction names so many instances of the receiver's zone, and of each other zone.
-_INTRODUCED_NEAR = 60
-_INTRODUCED_FAR = 3
-#: Introductions and passed-on instances that are remembered; forgetting them costs one more each.
-_REMEMBERED_MAX = 1_000
+#: Instances that are remembered as such; forgetting them costs them one message each.
+_CLIENTS_MAX = 1_000
 #: Instances whose beats came by this one hear the hub by it for this long.
 _CLIENT_S = 1.0
 #: A datagram that was passed on so often does not arrive.
@@ -107,12 +102,12 @@
         self._beat_timer = Timer(self._loop, self.send_beat)
         #: Whether the next beat is to be followed by another one soon.
         self._again = False
-        #: When instances were last introduced, and when beats last came by others, by address.
-        self._introduced_s: dict[str, float] = {}
+        #: When beats last came that are passed on, by the address that they came from.
         self._clients_s: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         #: Bytes that were sent to other zones by what they are, for the metrics.
         self.bytes_across: Counter[str] = Counter()
+        self._introducer = Introducer(view, self._send_now, self.bytes_across)
         view.on_news = self._has_news
 
     async def open(self) -> None:
@@ -217,7 +212,7 @@
                 self._settings,
                 self._view,
                 self._view.incarnation + self._terms,
-                lambda data, target: self._send(data, target),
+                self._send_now,
                 self._take_own_section,
                 self.bytes_across,
             )
@@ -243,11 +238,11 @@
         now_s = self._loop.time()
         if beat.availability_zone != self._settings.availability_zone:
             self._meet(beat.instance(), now_s)
-            self._introduce(beat, now_s)
+            self._introducer.answer(beat.origin, beat.availability_zone, now_s)
         elif self._hub is not None:
             newcomer = self._view.membership.hear(beat.instance(), now_s)
             if newcomer:
-                self._introduce(beat, now_s)
+                self._introducer.answer(beat.origin, beat.availability_zone, now_s)
             self._hub.hear(beat, direct=hops == 0)
         else:
             self._meet(beat.instance(), now_s)
@@ -259,7 +254,9 @@
 
     def _pass_to_hub(self, beat: Beat, hops: int, sender: str, now_s: float) -> None:
         """Pass a beat on: its way to the hub is cut, or it knows no hub yet."""
-        _remember(self._clients_s, sender, now_s)
+        if len(self._clients_s) >= _CLIENTS_MAX:
+            self._clients_s.clear()
+        self._clients_s[sender] = now_s
         if hops >= _HOPS_MAX:
             return
         data = encode_beats(BeatsDatagram(hops + 1, [beat]))
@@ -378,42 +375,7 @@
         elif instance.availability_zone == self._settings.availability_zone:
             for target in self._ways(now_s):
                 if target != instance.address:
-                    self._send_introduction([instance], target)
-
-    def _introduce(self, stranger: Beat, now_s: float) -> None:
-        """Tell an instance whom this one knows of its zone, and some of each other zone."""
-        told_s = self._introduced_s.get(stranger.origin, float("-inf"))
-        if now_s - told_s < _INTRODUCTION_INTERVAL_S:
-            return
-        _remember(self._introduced_s, stranger.origin, now_s)
-        self._send_introduction(self._introduced_to(stranger.availability_zone), stranger.origin)
-
-    def _send_introduction(self, instances: Sequence[Instance], target: str) -> None:
-        view = self._view
-        introduction = Introduction(
-            view.own_instance(),
-            view.config.version if view.config is not None else 0,
-            view.upstreams.revision,
-            instances,
-        )
-        known = view.membership.named(target)
-        own_zone = self._settings.availability_zone
-        across = known is None or known.availability_zone != own_zone
-        for data in encode_introduction(introduction):
-            if across:
-                self.bytes_across["introductions"] += len(data)
-            self._send(data, target)
-
-    def _introduced_to(self, availability_zone: str) -> Sequence[Instance]:
-        membership = self._view.membership
-        named: list[Instance] = []
-        for zone in membership.zones():
-            count = _INTRODUCED_NEAR if zone == availability_zone else _INTRODUCED_FAR
-            for address in membership.order(zone)[:count]:
-                instance = membership.named(address)
-                if instance is not None:
-                    named.append(instance)
-        return named
+                    self._introducer.tell([instance], target)
 
     def _seeds_to_tell(self) -> list[str]:
         all_seeds = [*self._settings.seeds, *self._extra_seeds]
@@ -435,12 +397,10 @@
         self._again |= urgent
         self._beat_timer.at(max(self._beat_s + delay_s, self._loop.time()))
 
+    def _send_now(self, data: bytes, target: str) -> None:
+        """Send by whatever means this object has now: tests replace them."""
+        self._send(data, target)
+
     def _send(self, data: bytes, target: str) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, (target, self._settings.peer_port))
-
-
-def _remember(table: dict[str, float], address: str, now_s: float) -> None:
-    if len(table) >= _REMEMBERED_MAX:
-        table.clear()
-    table[address] = now_s
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -186,7 +186,7 @@
         gauges = {
             "members": float(self._view.membership.size()),
             "upstreams": float(len(self._view.upstreams.records)),
-            "config_version": float(self._view.config.version if self._view.config else 0),
+            "config_version": float(self._view.config_version),
             "store_contact": float(self._view.store_contact),
             "upstream_connections_opened_total": float(self._pool.opened),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -92,7 +92,7 @@
 
     def _is_newer(self, offer: StateOffer) -> bool:
         view = self._view
-        version = view.config.version if view.config is not None else 0
+        version = view.config_version
         newer_upstreams = offer.upstreams_revision > view.upstreams.revision
         return offer.config_version > version or newer_upstreams
 
@@ -122,7 +122,7 @@
 
     async def _ask(self, peer: str) -> FetchReply | None:
         view = self._view
-        version = view.config.version if view.config is not None else 0
+        version = view.config_version
         whole_due = self._loop.time() - self._whole_s > _WHOLE_INTERVAL_S
         question = FetchRequest(version, 0 if whole_due else view.upstreams.revision)
         writer = None
@@ -164,7 +164,7 @@
     def _reply_to(self, asked: FetchRequest) -> bytes:
         """Return the reply, made once for all that ask with the same state."""
         view = self._view
-        version = view.config.version if view.config is not None else 0
+        version = view.config_version
         revision = view.upstreams.revision
         made_for = (version, revision, asked.config_version, asked.upstreams_revision)
         if self._reply is not None and self._reply[0] == made_for and asked.config_version:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -33,6 +33,7 @@
     SuspicionBook,
     TrialPace,
 )
+from egretrail.gateway._evidence import Evidence
 from egretrail.gateway._interfaces import GatewaySettings
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._zones import ZoneSums
@@ -44,14 +45,6 @@
     upstream_key,
 )
 
-#: Outcomes that come with an answer of the upstream.
-_ANSWERED = frozenset({Outcome.SUCCESS, Outcome.FAILED, Outcome.SHED, Outcome.EXPIRED})
-#: Outcomes after which the attempt brings no answer to the client.
-_LOST_ANSWERS = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT, Outcome.SHED})
-#: A refusal that this instance saw itself comes back in its zone's sums within this time; counted
-#: twice it would put the upstream behind the others for twice as long.
-_ECHO_S = 0.6
-
 
 class FleetView:
     """The state behind all decisions of an instance. It changes only through these methods."""
@@ -72,10 +65,6 @@
         self._sequence = 0
         self._news = OwnNews()
         self._most_alive = 1
-        #: The lifetimes of the listed upstreams by key.
-        self._ids: dict[int, str] = {}
-        #: When this instance was last refused by an upstream.
-        self._refused_s: dict[str, float] = {}
         #: The configuration in force; None before one is known.
         self.config: FleetConfig | None = None
         #: The configuration as the operators wrote it.
@@ -102,7 +91,7 @@
         )
         own_zone = settings.availability_zone
         #: The share of the zone's slots that this instance prefers.
-        self.shares = SlotShares(own_zone, lambda task: self.membership.rank_for(task, own_zone))
+        self.shares = SlotShares(lambda task: self.membership.rank_for(task, own_zone))
         self.membership.on_change = self.shares.changed
         #: Chooses upstreams.
         self.placement = Placement(
@@ -114,6 +103,9 @@
             owns=self.shares.owns,
             rng=rng,
         )
+        self._evidence = Evidence(
+            self.upstreams, self.load, self.durations, self.suspicion, self.placement, log
+        )
         #: What the hubs of the zones tell.
         self.zones = ZoneSums(settings.availability_zone, self.load, self.repeats)
         #: Whether the store answered this instance lately.
@@ -132,6 +124,11 @@
         """The availability zone of this instance."""
         return self._settings.availability_zone
 
+    @property
+    def config_version(self) -> int:
+        """The version of the configuration in force; 0 before one is known."""
+        return self.config.version if self.config is not None else 0
+
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -141,7 +138,7 @@
         """Put a configuration in force, unless the one in force is as new."""
         if self.config is not None and config.version <= self.config.version:
             return False
-        before = self.config.version if self.config is not None else 0
+        before = self.config_version
         self.config = config
         self.config_value = value
         self.routes = RouteTable(config)
@@ -194,7 +191,7 @@
             return False
         source = f"peer {section.hub}"
         if followed:
-            self.zones.take(section, self._ids, now_s)
+            self.zones.take(section, self._evidence.ids, now_s)
             self._take_roster(section, now_s)
         elif section.roster is not None:
             # One of them may be before the hub that is followed.
@@ -205,13 +202,13 @@
         self._drop(section.dropped, source)
         for finding in section.findings[skip:]:
             if finding.observer != self._settings.ip:
-                self._hear(finding, now_s)
+                self._evidence.hear(finding, now_s)
         for key in section.refusals:
-            self._hear_refusal(key, section.hub, now_s)
+            self._evidence.hear_refusal(key, section.hub, now_s)
         changed = section.changed
         for key, duration_s in zip(changed.keys, changed.durations_s, strict=True):
             if duration_s:
-                self._hear_answers(key, duration_s, now_s)
+                self._evidence.hear_answers(key, duration_s, now_s)
         return True
 
     def expire(self) -> None:
@@ -234,7 +231,7 @@
             sequence=self._sequence,
             state=self._state(),
             capacity=self._settings.capacity,
-            config_version=self.config.version if self.config is not None else 0,
+            config_version=self.config_version,
             upstreams_revision=self.upstreams.revision,
             store_contact=self.store_contact,
             loads={upstream_key(name): n for name, n in self.load.own_counts().items()},
@@ -264,15 +261,13 @@
         now_s = self._clock()
         doubted = self.suspicion.standing(seen.upstream_id, now_s) is not Standing.GOOD
         own_name = self._settings.ip
-        self._learn(seen, own_name, now_s)
+        self._evidence.observe(seen, own_name, now_s)
         key = upstream_key(seen.upstream_id)
         finding = Finding(key, seen.outcome, seen.duration_s, own_name)
         if seen.outcome is Outcome.SUCCESS and not doubted:
             self._news.succeeded(finding)
         else:
             self._news.found(finding, now_s)
-        if seen.outcome is Outcome.SHED:
-            self._refused_s[seen.upstream_id] = now_s
         if seen.outcome is Outcome.BROKEN and digest is not None:
             self.crashers.lost(digest, _loss_name(key), now_s)
             self._news.lost(LossReport(digest, key), now_s)
@@ -344,66 +339,9 @@
             if zone == self._settings.availability_zone:
                 self.zones.find_place(section.roster, self._settings.ip)
 
-    def _hear(self, finding: Finding, now_s: float) -> None:
-        upstream_id = self._ids.get(finding.upstream_key)
-        if upstream_id is not None:
-            seen = Observation(upstream_id, finding.outcome, finding.duration_s)
-            self._learn(seen, finding.observer, now_s)
-
-    def _hear_refusal(self, key: int, observer: str, now_s: float) -> None:
-        upstream_id = self._ids.get(key)
-        if upstream_id is None:
-            return
-        if now_s - self._refused_s.get(upstream_id, float("-inf")) > _ECHO_S:
-            self._learn(Observation(upstream_id, Outcome.SHED, 0.0), observer, now_s)
-
-    def _hear_answers(self, key: int, duration_s: float, now_s: float) -> None:
-        """Take successes that came at one time; this instance's own are among them."""
-        record = self.upstreams.records.get(self._ids.get(key, ""))
-        if record is None:
-            return
-        if self.suspicion.is_clear(record.id):
-            self.load.answered(record.id, now_s)
-            self._measure(record, duration_s, now_s)
-            return
-        seen = Observation(record.id, Outcome.SUCCESS, duration_s)
-        self._learn(seen, "", now_s)
-
     def _trial_rank(self, record: UpstreamRecord) -> int:
         return self.membership.rank_for(f"trial {record.id}", record.availability_zone)
 
-    def _learn(self, seen: Observation, observer: str, now_s: float) -> None:
-        record = self.upstreams.records.get(seen.upstream_id)
-        if record is None:
-            return
-        before = self.suspicion.standing(seen.upstream_id, now_s)
-        usual_s = self.durations.mean_s(record.service)
-        self.suspicion.observe(seen, observer, usual_s, now_s)
-        if seen.outcome in _ANSWERED:
-            self.load.answered(seen.upstream_id, now_s)
-        if seen.outcome is Outcome.SUCCESS:
-            self._measure(record, seen.duration_s, now_s)
-        elif seen.outcome in _LOST_ANSWERS:
-            self.placement.trials.failed(record.service, now_s)
-        after = self.suspicion.standing(seen.upstream_id, now_s)
-        if before is not after:
-            self._log.event(
-                "upstream_standing",
-                upstream=seen.upstream_id,
-                service=record.service,
-                before=before.value,
-                after=after.value,
-                outcome=seen.outcome.name.lower(),
-                observer=observer,
-                duration_s=seen.duration_s,
-            )
-
-    def _measure(self, record: UpstreamRecord, duration_s: float, now_s: float) -> None:
-        """Take the duration of work, without the part that was spent waiting for a slot."""
-        under_way = self.load.in_flight(record.id, now_s) + 1
-        waiting = max(under_way - record.slots, 0) / record.slots
-        self.durations.observe(record.service, record.id, duration_s / (1.0 + waiting))
-
     def _upstreams_changed(self, before: dict[str, UpstreamRecord], source: str) -> None:
         after = self.upstreams.records
         for upstream_id in before.keys() | after.keys():
@@ -425,9 +363,7 @@
             elif old is None and new.warmup_s > 0:
                 self.placement.warm_from_s[upstream_id] = self._clock() + new.warmup_s
         listed = set(after)
-        self._ids = {upstream_key(upstream_id): upstream_id for upstream_id in after}
-        for upstream_id in self._refused_s.keys() - listed:
-            del self._refused_s[upstream_id]
+        self._evidence.keep_only(listed)
         self.shares.changed()
         self.load.keep_only(listed)
         self.suspicion.keep_only(listed)
