Refuse beats that their hub could not pass on

Cause, found by reading the change: a hub packs its members' addresses, capacities, keys and digests into fields of fixed width. One beat of foreign bytes with a value that does not fit would raise in the hub's timer, which is not set again: the zone would hear nothing more. Change: such beats are malformed, as other foreign bytes are.

--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -14,6 +14,7 @@
 from egretrail.cluster._malformed import MALFORMED, MalformedMessage
 from egretrail.cluster._section import Section
 from egretrail.cluster._section_codec import (
+    address_number,
     decode_instances,
     decode_section,
     encode_instances,
@@ -29,6 +30,8 @@
 _UNPACKED_BYTES_MAX = 64 * 1024
 #: How compressed datagrams begin; others begin with the head of a list.
 _COMPRESSED = b"\x78"
+#: The largest key of an upstream, and digest of a request.
+_KEY_MAX, _DIGEST_MAX = 2**32 - 1, 2**64 - 1
 #: Rows of an introduction that one datagram holds: 12 bytes each.
 _INTRODUCED_MAX = 90
 
@@ -223,25 +226,49 @@
 
 def _finding(row: Sequence[Any], observer: str) -> Finding:
     upstream_key, outcome, duration_ms = row
-    return Finding(int(upstream_key), Outcome(outcome), duration_ms / 1000, observer)
+    return Finding(_key(upstream_key), Outcome(outcome), duration_ms / 1000, observer)
+
+
+def _key(value: Any) -> int:
+    """Return an upstream's key; hubs pack them in 32 bits."""
+    key = int(value)
+    if not 0 <= key <= _KEY_MAX:
+        raise ValueError(f"upstream key {key}")
+    return key
+
+
+def _digest(value: Any) -> RequestDigest:
+    digest = int(value)
+    if not 0 <= digest <= _DIGEST_MAX:
+        raise ValueError(f"request digest {digest}")
+    return RequestDigest(digest)
+
+
+def _capacity(value: Any) -> float:
+    capacity = float(value)
+    if not 0.0 <= capacity < float("inf"):
+        raise ValueError(f"capacity {capacity}")
+    return capacity
 
 
 def _beat(row: Sequence[Any]) -> Beat:
     origin = str(row[0])
+    # What a hub packs must fit, or one odd beat would silence it.
+    address_number(origin)
     return Beat(
         origin=origin,
         availability_zone=str(row[1]),
         incarnation=int(row[2]),
         sequence=int(row[3]),
         state=InstanceState(row[4]),
-        capacity=float(row[5]),
+        capacity=_capacity(row[5]),
         config_version=int(row[6]),
         upstreams_revision=int(row[7]),
         store_contact=bool(row[8]),
-        loads={int(key): int(count) for key, count in row[9].items()},
+        loads={_key(key): max(int(count), 0) for key, count in row[9].items()},
         first_finding=int(row[10]),
         findings=[_finding(entry, origin) for entry in row[11]],
-        losses=[LossReport(RequestDigest(int(digest)), int(key)) for digest, key in row[12]],
+        losses=[LossReport(_digest(digest), _key(key)) for digest, key in row[12]],
         repeats=_counts(row[13]),
         routine=[_finding(entry, origin) for entry in row[14]],
         dropped=[DropReport(str(name), int(revision)) for name, revision in row[15]],
--- a/src/egretrail/cluster/tests/test_cluster.py
+++ b/src/egretrail/cluster/tests/test_cluster.py
@@ -153,7 +153,30 @@
     return bytes(msgpack.packb([5, 1, 0, [msgpack.packb(row)]]))
 
 
+def _beat_row(position: int, value: object) -> bytes:
+    """Return a datagram of one beat with one field replaced."""
+    datagram = msgpack.unpackb(encode_beats(BeatsDatagram(0, [beat("10.0.0.2")])))
+    datagram[3][0][position] = value
+    return bytes(msgpack.packb(datagram))
+
+
 class MalformedTest(EgretrailTestCase):
+    @cases(
+        {
+            "an origin that is no address": (0, "o"),
+            "a capacity that is no number": (5, float("nan")),
+            "a capacity without end": (5, float("inf")),
+            "a load of a key beyond 32 bits": (9, {2**32: 1}),
+            "a finding of a negative key": (11, [[-1, 1, 3]]),
+            "a success of a key beyond 32 bits": (14, [[2**32, 0, 3]]),
+            "a loss of a negative digest": (12, [[-1, 5]]),
+        }
+    )
+    def test_a_beat_that_its_hub_could_not_pass_on_is_malformed(
+        self, case: tuple[int, object]
+    ) -> None:
+        self.assertIsInstance(decode_datagram(_beat_row(*case)), Err)
+
     @cases(
         {
             "more than a datagram can hold": zlib.compress(b"\x00" * 10_000_000),
