--- a/src/egretrail/gateway/tests/fleet.py
+++ b/src/egretrail/gateway/tests/fleet.py
@@ -1,14 +1,17 @@
 """Fleets of instances over a simulated network, for tests on a paused clock."""
 
 import asyncio
+import contextvars
 import os
 import random
 from collections.abc import Sequence
+from dataclasses import replace
 
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.network import SimulatedLinks, SimulatedNetwork
 from egretrail.gateway.tests.settings import gateway_settings
+from egretrail.gateway.tests.streams import OWN_ADDRESS, SimulatedStreams
 from egretrail.platform import PlatformLayout
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
@@ -18,11 +21,15 @@
 
     def __init__(self, sizes: Sequence[int]) -> None:
         self.network = SimulatedNetwork()
+        #: How instances fetch state from each other; None where they do not.
+        self.streams: SimulatedStreams | None = None
         self.views: dict[str, FleetView] = {}
         self.addresses = [f"10.0.{z}.{n}" for z, size in enumerate(sizes) for n in range(size)]
         self.links: dict[str, SimulatedLinks] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self._incarnations: dict[str, int] = {}
+        #: The share of a core of single instances; 1 of all others.
+        self.capacities: dict[str, float] = {}
 
     def start(self, address: str, contacts: Sequence[str]) -> asyncio.Task[None]:
         """Start an instance that knows some addresses."""
@@ -30,7 +37,9 @@
         rng = random.Random(address)
         log = EventLog(address, descriptor=os.open(os.devnull, os.O_WRONLY))
         zone = f"z{address.split('.')[2]}"
-        settings = gateway_settings(address, zone)
+        settings = replace(
+            gateway_settings(address, zone), capacity=self.capacities.get(address, 1.0)
+        )
         view = FleetView(settings, self._next_incarnation(address), loop.time, log, rng)
         view.take_upstreams(
             [
@@ -45,9 +54,17 @@
         links.add_seeds(list(contacts))
         self.views[address] = view
         self.links[address] = links
-        self.tasks[address] = loop.create_task(links.beat_forever())
+        context = contextvars.copy_context()
+        context.run(OWN_ADDRESS.set, address)
+        self.network.contexts[address] = context
+        self.tasks[address] = loop.create_task(self._run(links), context=context)
         return self.tasks[address]
 
+    async def _run(self, links: SimulatedLinks) -> None:
+        if self.streams is not None:
+            await links.open_streams()
+        await links.beat_forever()
+
     def kill(self, address: str) -> None:
         """End an instance without a word."""
         self.tasks.pop(address).cancel()
--- a/src/egretrail/gateway/tests/network.py
+++ b/src/egretrail/gateway/tests/network.py
@@ -1,6 +1,7 @@
 """A network between the peers of one process, for tests and benchmarks on a paused clock."""
 
 import asyncio
+import contextvars
 import random
 from dataclasses import dataclass
 
@@ -20,6 +21,8 @@
     #: Datagrams and bytes between instances of two zones.
     datagrams_across: int = 0
     bytes_across: int = 0
+    #: Bytes of streams.
+    bytes_streamed: int = 0
 
 
 class SimulatedNetwork:
@@ -48,6 +51,11 @@
         self.traffic = Traffic()
         #: What the link of each instance carries; datagrams beyond it are lost.
         self.limit_bytes_per_s = float("inf")
+        #: The same of single instances.
+        self.limits_bytes_per_s: dict[str, float] = {}
+        self._link_taken_s: dict[str, float] = {}
+        #: Where the code of an instance runs.
+        self.contexts: dict[str, contextvars.Context] = {}
 
     def send(self, data: bytes, sender: str, target: str) -> None:
         """Deliver a datagram later, unless it is lost."""
@@ -55,16 +63,39 @@
         receiver = self.links.get(target)
         if self._link_is_full(sender, len(data)) or receiver is None:
             return
-        if sender in self.frozen or target in self.frozen:
-            return
-        if frozenset({sender, target}) in self.cut or (sender, target) in self.cut_one_way:
+        if not self.reaches(sender, target):
             return
         if self._rng.random() < self.loss:
             return
         inside = sender.split(".")[2] == target.split(".")[2]
         self._count(len(data), inside=inside)
         delay_s = self._inside_s if inside else self._across_s
-        asyncio.get_running_loop().call_later(delay_s, receiver.received, data, sender)
+        asyncio.get_running_loop().call_later(
+            delay_s, receiver.received, data, sender, context=self.contexts.get(target)
+        )
+
+    def reaches(self, sender: str, target: str) -> bool:
+        """Return whether what one sends arrives at another."""
+        if sender in self.frozen or target in self.frozen:
+            return False
+        cut = frozenset({sender, target}) in self.cut
+        return not cut and (sender, target) not in self.cut_one_way
+
+    def carry(self, sender: str, target: str, size_bytes: int) -> float:
+        """Take room on both links for a piece of a stream; return when it arrives, from now."""
+        now_s = asyncio.get_running_loop().time()
+        inside = sender.split(".")[2] == target.split(".")[2]
+        self.traffic.bytes_streamed += size_bytes
+        sent_s = max(self._link_free_s.get(sender, now_s), now_s)
+        sent_s += size_bytes / self._limit(sender)
+        self._link_free_s[sender] = sent_s
+        taken_s = max(self._link_taken_s.get(target, now_s), sent_s)
+        taken_s += size_bytes / self._limit(target)
+        self._link_taken_s[target] = taken_s
+        return taken_s + (self._inside_s if inside else self._across_s) - now_s
+
+    def _limit(self, address: str) -> float:
+        return self.limits_bytes_per_s.get(address, self.limit_bytes_per_s)
 
     def _count(self, size_bytes: int, *, inside: bool) -> None:
         if inside:
@@ -79,7 +110,7 @@
         free_s = max(self._link_free_s.get(sender, now_s), now_s)
         if free_s - now_s > _LINK_QUEUE_S:
             return True
-        self._link_free_s[sender] = free_s + size_bytes / self.limit_bytes_per_s
+        self._link_free_s[sender] = free_s + size_bytes / self._limit(sender)
         return False
 
 
@@ -94,5 +125,9 @@
         self.network, self.ip = network, ip
         network.links[ip] = self
 
+    async def open_streams(self) -> None:
+        """Listen for questions about state, without a socket for datagrams."""
+        await self._exchange.open()
+
     def _send(self, data: bytes, target: str) -> None:
         self.network.send(data, self.ip, target)
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -12,6 +12,7 @@
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._pool import UpstreamPool
+from egretrail.gateway._state_exchange import StateExchange, StateOffer
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.settings import gateway_settings
 from egretrail.http1 import Request
@@ -75,6 +76,30 @@
 
         self._play(act)
 
+    def test_an_unknown_route_is_not_denied_by_a_configuration_that_is_known_to_be_old(
+        self,
+    ) -> None:
+        """Callers took 404 for final, for routes that were added seconds before.
+
+        The instance had been told that a newer version exists and was still fetching it; the newer
+        version may have the route. Whoever is up to date denies, whoever is behind must not.
+        """
+
+        async def act(executor: Executor, view: FleetView, backend: StandInBackend) -> None:
+            self.assertEqual(404, (await executor.serve(_request(b"GET", b"/new/1"))).status)
+            log = EventLog("test", descriptor=_null())
+            exchange = StateExchange(
+                gateway_settings(), view, PlatformLayout(), log, random.Random(1)
+            )
+            exchange.fetch_if_newer(StateOffer("127.0.0.2", "zone-a", 2, 0))
+            answer = await executor.serve(_request(b"GET", b"/new/1"))
+            self.assertEqual(503, answer.status)
+            self.assertLess(float(dict(answer.headers)[b"Retry-After"]), 1.0)
+            # What the older version routes is still served.
+            self.assertEqual(200, (await executor.serve(_request(b"GET", b"/read/1"))).status)
+
+        self._play(act)
+
     def test_a_request_that_hangs_is_answered_when_its_routes_time_is_over(self) -> None:
         async def act(executor: Executor, view: FleetView, backend: StandInBackend) -> None:
             backend.behaviour = Behaviour.HANGING
