Deny no route by a configuration that is known to be old

Callers took 404 for final, for routes that the operators had added. Cause: an instance denied by the version that it had, also where it had been told of a newer one, or where nothing had told it of any version for seconds. It now answers 503 with Retry-After 0.25 s there (reason config_behind), and 404 only where it reaches the store or a peer has named its version in the last 2 s, and nobody a newer one. What the older version routes is served as before.

Why it holds: whoever denies has the newest version that it can know of.

--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -28,6 +28,8 @@
 _START_WAIT_S = 0.6
 #: When an instance that knows no configuration expects to know it.
 _STARTING_RETRY_S = 0.3
+#: When an instance that has heard of a newer configuration expects to have it.
+_CONFIG_RETRY_S = 0.25
 #: A request that crashes upstreams is refused for good; it is told to stay away for long.
 _CRASHING_RETRY_S = 30.0
 
@@ -88,6 +90,9 @@
             return self._contract.not_run(_STARTING_RETRY_S)
         path = request.target.partition(b"?")[0].decode("latin-1")
         route = view.routes.find(terms.host, path)
+        if route is None and not view.knows_config_is_current:
+            self._refused(terms, "", "config_behind", _CONFIG_RETRY_S)
+            return self._contract.not_run(_CONFIG_RETRY_S)
         if route is None:
             version = view.config_version
             self._log.event(
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -47,6 +47,10 @@
     upstream_key,
 )
 
+#: Hubs name their version several times a second. After this silence an instance is cut off, and
+#: what it knows may be old.
+_CONFIG_WORD_S = 2.0
+
 
 class FleetView:
     """The state behind all decisions of an instance. It changes only through these methods."""
@@ -77,6 +81,8 @@
         #: it does not have.
         self._newest_version = 0
         self._behind_since_s: float | None = None
+        #: When a peer last said which version it has.
+        self._version_heard_s = float("-inf")
         #: The routes of the configuration in force.
         self.routes: RouteTable | None = None
         #: The listed upstreams.
@@ -142,9 +148,22 @@
         """Whether callers may be sent here."""
         return self.config is not None and self.upstreams.revision > 0 and not self.leaving
 
+    @property
+    def knows_config_is_current(self) -> bool:
+        """Whether no newer configuration is known of, and one would be heard of.
+
+        Load: a configuration of thousands of routes takes a moment on its way. Who denies a route
+        meanwhile that the operators have just added tells its caller that it will never be there.
+        """
+        if self._newest_version > self.config_version:
+            return False
+        heard_s = self._clock() - self._version_heard_s
+        return self.store_contact or heard_s < _CONFIG_WORD_S
+
     def heard_of_config(self, version: int) -> None:
         """Take which version of the configuration a peer has."""
         now_s = self._clock()
+        self._version_heard_s = now_s
         self._newest_version = max(self._newest_version, version)
         if self._behind_since_s is None and version > self.config_version:
             self._behind_since_s = now_s
