--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -9,6 +9,7 @@
     KnownOutlines,
     PartedConfig,
     PartsCollection,
+    at_once,
     part_config,
 )
 from egretrail.cluster._datagrams import (
@@ -89,6 +90,7 @@
     "UpstreamsQuestion",
     "UpstreamsReply",
     "ZoneShare",
+    "at_once",
     "decode_datagram",
     "decode_outline",
     "decode_parts",
--- a/src/egretrail/cluster/_config_parts.py
+++ b/src/egretrail/cluster/_config_parts.py
@@ -4,12 +4,15 @@
 from collections import OrderedDict
 from collections.abc import Generator, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import xxhash
 
 from egretrail.cluster._config_rows import pack_head, pack_part, unpack_head, unpack_part
 from egretrail.traffic import FleetConfig, Route, Service
 
+T = TypeVar("T")
+
 #: Parts of each configuration. A change of one route moves a part, and their digests take 2 KB
 #: where nothing in common is known: 4,000 routes make parts of 1.6 KB.
 PART_COUNT = 256
@@ -125,6 +128,16 @@
     return PartedConfig.of(pack_head(config.version, config.limits), parts)
 
 
+def at_once(work: Generator[None, None, T]) -> T:
+    """Run work to its end and return its result, where nothing waits meanwhile."""
+    while True:
+        try:
+            next(work)
+        except StopIteration as done:
+            result: T = done.value
+            return result
+
+
 @dataclass(slots=True)
 class KnownOutlines:
     """The digests of the last configurations of an instance, by their digest."""
--- a/src/egretrail/cluster/tests/test_config_parts.py
+++ b/src/egretrail/cluster/tests/test_config_parts.py
@@ -18,12 +18,12 @@
     KnownOutlines,
     PartedConfig,
     PartsCollection,
+    at_once,
     decode_parts,
     encode_parts,
     part_config,
 )
 from egretrail.cluster._config_parts import PART_COUNT
-from egretrail.gateway._slices import at_once
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import (
     ClientLimits,
--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -42,6 +42,10 @@
         "the upstreams of service {service} refused it and no repeat was left ({attempts} sent)"
     ),
     "crashes_upstreams": "three upstreams were lost while they ran it",
+    "config_behind": (
+        "no route of the configuration in force takes it, and the instance cannot know whether a"
+        " newer one does"
+    ),
     "starting": "the instance did not know the configuration yet",
     "stopping": "the instance was about to stop",
 }
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -7,7 +7,7 @@
 
 from result import Result
 
-from egretrail.gateway._slices import at_once
+from egretrail.cluster import at_once
 from egretrail.http1 import Answer, ReceivedAnswer, Request
 from egretrail.store import Entry
 from egretrail.traffic import FleetConfig, UpstreamRecord
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -89,7 +89,8 @@
         self._view = view
         self._log = log
         self._loop = asyncio.get_running_loop()
-        self._exchange = StateExchange(settings, view, log, rng)
+        #: Fetches upstreams and configurations from peers.
+        self.state = StateExchange(settings, view, log, rng)
         self._following = Following(settings.ip, self._loop.time())
         self._hub: HubLinks | None = None
         #: How often this process was the hub: each time its sums and their numbers begin anew.
@@ -116,7 +117,7 @@
             lambda: _Datagrams(self), local_addr=address
         )
         self._transport = transport
-        await self._exchange.open()
+        await self.state.open()
 
     async def beat_forever(self) -> None:
         """Send a beat at the interval, drop who is silent, and take or give up the hub's part."""
@@ -249,7 +250,7 @@
         offer = StateOffer(
             beat.origin, beat.availability_zone, beat.config_version, beat.upstreams_revision
         )
-        self._exchange.fetch_if_newer(offer, at_once=self._hub is not None)
+        self.state.fetch_if_newer(offer, at_once=self._hub is not None)
 
     def _pass_to_hub(self, beat: Beat, hops: int, sender: str, now_s: float) -> None:
         """Pass a beat on: its way to the hub is cut, or it knows no hub yet."""
@@ -335,7 +336,7 @@
             section.config_version,
             section.upstreams_revision,
         )
-        self._exchange.fetch_if_newer(offer, at_once=self._hub is not None)
+        self.state.fetch_if_newer(offer, at_once=self._hub is not None)
 
     def _pass_to_clients(self, datagram: SectionsDatagram, sender: str) -> None:
         now_s = self._loop.time()
@@ -358,7 +359,7 @@
             introduction.config_version,
             introduction.upstreams_revision,
         )
-        self._exchange.fetch_if_newer(offer, at_once=self._hub is not None)
+        self.state.fetch_if_newer(offer, at_once=self._hub is not None)
 
     def _meet(self, instance: Instance, now_s: float) -> None:
         """Take an instance by another's word, and name one of the own zone to the hub.
--- a/src/egretrail/gateway/_slices.py
+++ b/src/egretrail/gateway/_slices.py
@@ -7,16 +7,6 @@
 T = TypeVar("T")
 
 
-def at_once(work: Generator[None, None, T]) -> T:
-    """Run work to its end and return its result, where nothing waits meanwhile."""
-    while True:
-        try:
-            next(work)
-        except StopIteration as done:
-            result: T = done.value
-            return result
-
-
 async def in_slices(work: Generator[None, None, T]) -> T:
     """Run work to its end and return its result; other tasks run at each of its ``yield``s.
 
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -160,6 +160,11 @@
         heard_s = self._clock() - self._version_heard_s
         return self.store_contact or heard_s < _CONFIG_WORD_S
 
+    @property
+    def config_behind_s(self) -> float:
+        """For how long a newer version than the one in force has been known of; 0 for none."""
+        return 0.0 if self._behind_since_s is None else self._clock() - self._behind_since_s
+
     def heard_of_config(self, version: int) -> None:
         """Take which version of the configuration a peer has."""
         now_s = self._clock()
@@ -174,7 +179,7 @@
         if config.version <= self.config_version:
             return False
         before = self.config_version
-        behind_s = 0.0 if self._behind_since_s is None else self._clock() - self._behind_since_s
+        behind_s = self.config_behind_s
         self.config = config
         self.parted_config = parted
         self.known_outlines.remember(parted)
--- a/src/egretrail/gateway/tests/network.py
+++ b/src/egretrail/gateway/tests/network.py
@@ -127,7 +127,7 @@
 
     async def open_streams(self) -> None:
         """Listen for questions about state, without a socket for datagrams."""
-        await self._exchange.open()
+        await self.state.open()
 
     def _send(self, data: bytes, target: str) -> None:
         self.network.send(data, self.ip, target)
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -8,12 +8,11 @@
 
 from result import Ok
 
-from egretrail.cluster import part_config
+from egretrail.cluster import at_once, part_config
 from egretrail.gateway._executor import Executor
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._pool import UpstreamPool
-from egretrail.gateway._slices import at_once
 from egretrail.gateway._state_exchange import StateExchange, StateOffer
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.settings import gateway_settings
--- a/src/egretrail/gateway/tests/test_large_config.py
+++ b/src/egretrail/gateway/tests/test_large_config.py
@@ -13,8 +13,7 @@
 
 from result import Ok
 
-from egretrail.cluster import part_config
-from egretrail.gateway._slices import at_once
+from egretrail.cluster import at_once, part_config
 from egretrail.gateway.tests.fleet import Fleet
 from egretrail.gateway.tests.streams import SimulatedStreams
 from egretrail.platform import PlatformLayout
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -10,10 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretrail.cluster import Instance, InstanceState, Scope, Section, part_config
+from egretrail.cluster import Instance, InstanceState, Scope, Section, at_once, part_config
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
-from egretrail.gateway._slices import at_once
 from egretrail.gateway._store_sync import StoreSync
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.settings import gateway_settings
