Count no word of a starting peer as one about the configuration in force

A peer without a configuration names version 0. An instance that is cut off together with starting ones would have denied routes on their word. Found by reading; no test of its own.

--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -166,7 +166,9 @@
         return 0.0 if self._behind_since_s is None else self._clock() - self._behind_since_s
 
     def heard_of_config(self, version: int) -> None:
-        """Take which version of the configuration a peer has."""
+        """Take which version of the configuration a peer has; 0 says nothing."""
+        if version == 0:
+            return
         now_s = self._clock()
         self._version_heard_s = now_s
         self._newest_version = max(self._newest_version, version)
