--- /dev/null
+++ b/src/egretrail/gateway/_config_state.py
@@ -0,0 +1,74 @@
+"""The configuration in force on one instance, and what it knows of newer ones."""
+
+from collections.abc import Callable
+
+from egretrail.cluster import KnownOutlines, PartedConfig
+from egretrail.traffic import FleetConfig, RouteTable
+
+#: Hubs name their version several times a second. After this silence an instance is cut off, and
+#: what it knows may be old.
+_WORD_S = 2.0
+
+
+class ConfigState:
+    """Holds the newest configuration that arrived whole; versions only rise."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        #: The configuration in its parts, as instances tell each other; None before one is known.
+        self.parted: PartedConfig | None = None
+        #: Its routes.
+        self.routes: RouteTable | None = None
+        #: What the last configurations consisted of, for instances that still have them.
+        self.outlines = KnownOutlines()
+        self._newest_version = 0
+        #: Since when a version is known of that has not arrived.
+        self._behind_since_s: float | None = None
+        #: When a peer last said which version it has.
+        self._heard_s = float("-inf")
+
+    @property
+    def config(self) -> FleetConfig | None:
+        """The configuration in force; None before one is known."""
+        return self.parted.config if self.parted is not None else None
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before one is known."""
+        return self.parted.config.version if self.parted is not None else 0
+
+    @property
+    def behind_s(self) -> float:
+        """For how long a newer version than the one in force has been known of; 0 for none."""
+        return 0.0 if self._behind_since_s is None else self._clock() - self._behind_since_s
+
+    def is_current(self, *, reaches_store: bool) -> bool:
+        """Return whether no newer version is known of, and one would be heard of.
+
+        Load: a configuration of thousands of routes takes a moment on its way. Who denies a route
+        meanwhile that the operators have just added tells its caller that it will never be there.
+        """
+        if self._newest_version > self.version:
+            return False
+        return reaches_store or self._clock() - self._heard_s < _WORD_S
+
+    def heard_of(self, version: int) -> None:
+        """Take which version a peer has; 0 says nothing."""
+        if version == 0:
+            return
+        self._heard_s = self._clock()
+        self._newest_version = max(self._newest_version, version)
+        if self._behind_since_s is None and version > self.version:
+            self._behind_since_s = self._heard_s
+
+    def take(self, parted: PartedConfig) -> bool:
+        """Put a configuration in force, unless the one in force is as new."""
+        if parted.config.version <= self.version:
+            return False
+        self.parted = parted
+        self.routes = RouteTable(parted.config)
+        self.outlines.remember(parted)
+        if parted.config.version >= self._newest_version:
+            self._newest_version = parted.config.version
+            self._behind_since_s = None
+        return True
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -85,11 +85,11 @@
 
     def _admit(self, request: Request, terms: CallerTerms) -> Work | Answer:
         view = self._view
-        if view.routes is None or view.upstreams.revision == 0:
+        if view.configs.routes is None or view.upstreams.revision == 0:
             self._refused(terms, "", "starting", _STARTING_RETRY_S)
             return self._contract.not_run(_STARTING_RETRY_S)
         path = request.target.partition(b"?")[0].decode("latin-1")
-        route = view.routes.find(terms.host, path)
+        route = view.configs.routes.find(terms.host, path)
         if route is None and not view.knows_config_is_current:
             self._refused(terms, "", "config_behind", _CONFIG_RETRY_S)
             return self._contract.not_run(_CONFIG_RETRY_S)
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -187,7 +187,7 @@
             "members": float(self._view.membership.size()),
             "upstreams": float(len(self._view.upstreams.records)),
             "config_version": float(self._view.config_version),
-            "config_behind_seconds": self._view.config_behind_s,
+            "config_behind_seconds": self._view.configs.behind_s,
             "state_fetched_bytes_total": float(self._peers.state.fetched_bytes),
             "state_fetches_failed_total": float(self._peers.state.fetches_failed),
             "store_contact": float(self._view.store_contact),
--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -151,7 +151,7 @@
 
     def fetch_if_newer(self, offer: StateOffer, *, at_once: bool = False) -> None:
         """Ask a peer for its state where it is newer, at once where others will ask this one."""
-        self._view.heard_of_config(offer.config_version)
+        self._view.configs.heard_of(offer.config_version)
         if self._failed_until_s.get(offer.address, 0.0) > self._loop.time():
             return
         if self._fetching_upstreams is None and self._has_newer_upstreams(offer):
@@ -242,7 +242,7 @@
 
     async def _collect(self, peer: _Peer) -> PartedConfig | None:
         """Fetch what is missing of a peer's configuration; None where it has moved on meanwhile."""
-        own = self._view.parted_config
+        own = self._view.configs.parted
         base = own.digest if own is not None else 0
         outline = await peer.ask(OutlineQuestion(base), decode_outline)
         if not outline.head:
@@ -312,16 +312,16 @@
         return self._replies.get((revision, asked), make)
 
     def _outline_reply(self, base: int) -> bytes:
-        config = self._view.parted_config
+        config = self._view.configs.parted
         if config is None:
             return encode_outline(ConfigOutline(b"", 0, 0, {}))
-        known = self._view.known_outlines
+        known = self._view.configs.outlines
         return self._replies.get(
             (config.digest, base), lambda: encode_outline(known.outline(config, base))
         )
 
     def _parts_reply(self, wanted: Mapping[int, int]) -> bytes:
-        config = self._view.parted_config
+        config = self._view.configs.parted
         held = config.parts if config is not None else ()
         # What has been replaced since the outline is left out: the asker asks for another one.
         parts = [
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -206,7 +206,7 @@
             self._log.event("config_refused", revision=revision, cause=decoded.err_value)
             return
         if decoded.ok_value.version > self._view.config_version:
-            parted = await in_slices(part_config(decoded.ok_value, self._view.parted_config))
+            parted = await in_slices(part_config(decoded.ok_value, self._view.configs.parted))
             self._view.take_config(parted, "store")
 
     def _take_changes(self, entries: Sequence[Entry], revision: int) -> None:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -11,7 +11,6 @@
     Finding,
     Instance,
     InstanceState,
-    KnownOutlines,
     LossReport,
     Membership,
     OwnNews,
@@ -35,22 +34,18 @@
     SuspicionBook,
     TrialPace,
 )
+from egretrail.gateway._config_state import ConfigState
 from egretrail.gateway._evidence import Evidence
 from egretrail.gateway._interfaces import GatewaySettings
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._zones import ZoneSums
 from egretrail.traffic import (
     FleetConfig,
-    RouteTable,
     UpstreamRecord,
     UpstreamTable,
     upstream_key,
 )
 
-#: Hubs name their version several times a second. After this silence an instance is cut off, and
-#: what it knows may be old.
-_CONFIG_WORD_S = 2.0
-
 
 class FleetView:
     """The state behind all decisions of an instance. It changes only through these methods."""
@@ -71,20 +66,8 @@
         self._sequence = 0
         self._news = OwnNews()
         self._most_alive = 1
-        #: The configuration in force; None before one is known.
-        self.config: FleetConfig | None = None
-        #: The same in the parts that instances tell each other.
-        self.parted_config: PartedConfig | None = None
-        #: What the last configurations consisted of, for instances that still have them.
-        self.known_outlines = KnownOutlines()
-        #: The newest version that anybody has named, and when this instance first heard of one that
-        #: it does not have.
-        self._newest_version = 0
-        self._behind_since_s: float | None = None
-        #: When a peer last said which version it has.
-        self._version_heard_s = float("-inf")
-        #: The routes of the configuration in force.
-        self.routes: RouteTable | None = None
+        #: The configuration in force.
+        self.configs = ConfigState(clock)
         #: The listed upstreams.
         self.upstreams = UpstreamTable()
         #: The other instances.
@@ -141,59 +124,33 @@
     @property
     def config_version(self) -> int:
         """The version of the configuration in force; 0 before one is known."""
-        return self.config.version if self.config is not None else 0
+        return self.configs.version
+
+    @property
+    def config(self) -> FleetConfig | None:
+        """The configuration in force; None before one is known."""
+        return self.configs.config
 
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self.config is not None and self.upstreams.revision > 0 and not self.leaving
+        return self.config_version > 0 and self.upstreams.revision > 0 and not self.leaving
 
     @property
     def knows_config_is_current(self) -> bool:
-        """Whether no newer configuration is known of, and one would be heard of.
-
-        Load: a configuration of thousands of routes takes a moment on its way. Who denies a route
-        meanwhile that the operators have just added tells its caller that it will never be there.
-        """
-        if self._newest_version > self.config_version:
-            return False
-        heard_s = self._clock() - self._version_heard_s
-        return self.store_contact or heard_s < _CONFIG_WORD_S
-
-    @property
-    def config_behind_s(self) -> float:
-        """For how long a newer version than the one in force has been known of; 0 for none."""
-        return 0.0 if self._behind_since_s is None else self._clock() - self._behind_since_s
-
-    def heard_of_config(self, version: int) -> None:
-        """Take which version of the configuration a peer has; 0 says nothing."""
-        if version == 0:
-            return
-        now_s = self._clock()
-        self._version_heard_s = now_s
-        self._newest_version = max(self._newest_version, version)
-        if self._behind_since_s is None and version > self.config_version:
-            self._behind_since_s = now_s
+        """Whether nothing newer is known of than the configuration in force, and would be."""
+        return self.configs.is_current(reaches_store=self.store_contact)
 
     def take_config(self, parted: PartedConfig, source: str) -> bool:
         """Put a configuration in force, unless the one in force is as new."""
-        config = parted.config
-        if config.version <= self.config_version:
+        before, behind_s = self.config_version, self.configs.behind_s
+        if not self.configs.take(parted):
             return False
-        before = self.config_version
-        behind_s = self.config_behind_s
-        self.config = config
-        self.parted_config = parted
-        self.known_outlines.remember(parted)
-        self.routes = RouteTable(config)
-        self._newest_version = max(self._newest_version, config.version)
-        if config.version == self._newest_version:
-            self._behind_since_s = None
         self._log.event(
             "config_in_force",
-            version=config.version,
+            version=parted.config.version,
             before=before,
-            routes=len(config.routes),
+            routes=len(parted.config.routes),
             behind_s=behind_s,
             source=source,
         )
@@ -420,7 +377,7 @@
         self.on_news(True)
 
     def _note_serving(self) -> None:
-        if self.config is not None and self.upstreams.revision > 0:
+        if self.config_version > 0 and self.upstreams.revision > 0:
             self.serving.set()
 
 
