--- a/scaffolding/tests/test_gateway_processes.py
+++ b/scaffolding/tests/test_gateway_processes.py
@@ -251,6 +251,32 @@
 
         self.play(act)
 
+    def test_thousands_of_routes_and_their_changes_reach_all_and_one_that_starts(self) -> None:
+        async def act(stage: Stage) -> None:
+            store = stage.fleet.store
+            many = [route(f"r{n}", f"/many/{n}/", "catalogue") for n in range(3_000)]
+            for version in range(5, 15):
+                rows = [*_ROUTES, *many, route("new", f"/new/{version}/", "catalogue")]
+                store.write("op/config", config(version, rows))
+                if version == 9:
+                    stage.fleet.kill(3)
+                    await stage.fleet.exit_code(3)
+                    await stage.fleet.start_gateway(3)
+                await asyncio.sleep(0.1)
+
+            async def everywhere() -> bool:
+                replies = [await stage.read(n, "/new/14/1") for n in range(4)]
+                return all(reply.status == 200 for reply in replies)
+
+            await stage.until(everywhere, "in force")
+            for number in range(4):
+                self.assertEqual(200, (await stage.read(number, "/many/2999/1")).status)
+                self.assertEqual(404, (await stage.read(number, "/new/5/1")).status)
+                self.assertNotIn("task_failed", stage.fleet.log(number))
+                self.assertIn("routes=3003 behind_s", stage.fleet.log(number))
+
+        self.play(act, count=4)
+
     def test_gateways_serve_and_start_while_the_store_is_away(self) -> None:
         async def act(stage: Stage) -> None:
             stage.fleet.store.mode = StoreMode.BUSY
