Take no words of upstreams that are older than what is known

Cause: changes were taken whatever their revision. A reader whose own watch lagged behind a peer's list, or an instance to which a peer's reply came late, listed again what had been removed meanwhile, at the newer revision: no later change told of it, and it took work until all upstreams were fetched again, ten seconds after the last time or later. The other way round a late removal took a sound upstream out that had started since. Both were told on to others, under a revision that these already had.

Change: what ends at the known revision or before it is left alone. It holds because each batch of changes begins at or before the known revision, which never falls: whoever has the state of a revision has all words up to it. Drops, which no revision of the store goes with, have their own way into the table (UpstreamTable.drop); as before they are recorded under the known revision.

Callers would have had requests sent to an upstream that was gone.

--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -364,13 +364,15 @@
 
     def _drop(self, reports: Iterable[DropReport], source: str) -> None:
         known = self.upstreams.records
-        gone = {
-            known[report.upstream_id].name: None
+        gone = [
+            known[report.upstream_id].name
             for report in reports
             if report.upstream_id in known and known[report.upstream_id].revision <= report.revision
-        }
+        ]
         if gone:
-            self.change_upstreams(dict(gone), self.upstreams.revision, source)
+            before = dict(known)
+            self.upstreams.drop(gone)
+            self._upstreams_changed(before, source)
 
     def _state(self) -> InstanceState:
         if self.leaving:
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -138,17 +138,26 @@
         return True
 
     def apply(self, changes: Mapping[str, UpstreamRecord | None], revision: int) -> None:
-        """Take changes by name after the known revision; None for a record that was removed."""
+        """Take what changed up to a revision, by name; None for a record that was removed.
+
+        It begins at the known revision or before it. What ends there or before it is known: its
+        words arrive after newer ones, and would list again what has been removed since.
+        """
+        if revision <= self.revision:
+            return
         for name, record in changes.items():
             if record is None:
                 self._by_name.pop(name, None)
             elif self._is_newest(record):
                 self._by_name[name] = self._admit(record)
-        self.revision = max(self.revision, revision)
-        self._changes.extend(_Change(self.revision, name) for name in changes)
-        while len(self._changes) > _CHANGES_MAX:
-            self._changes_since = max(self._changes_since, self._changes.popleft().revision)
-        self._index()
+        self.revision = revision
+        self._changed(changes)
+
+    def drop(self, names: Iterable[str]) -> None:
+        """Take records from the list that the store has not named since the known revision."""
+        for name in names:
+            self._by_name.pop(name, None)
+        self._changed(names)
 
     def changes_since(self, revision: int) -> Mapping[str, UpstreamRecord | None] | None:
         """Return what changed since a revision, by name; None where that is not remembered.
@@ -172,6 +181,12 @@
             self._by_name[record.name] = self._admit(record)
             self._index()
 
+    def _changed(self, names: Iterable[str]) -> None:
+        self._changes.extend(_Change(self.revision, name) for name in names)
+        while len(self._changes) > _CHANGES_MAX:
+            self._changes_since = max(self._changes_since, self._changes.popleft().revision)
+        self._index()
+
     def _is_newest(self, record: UpstreamRecord) -> bool:
         """Return whether no later start of the record's name was seen, and remember its own."""
         newest_ms = max(self._started_ms.pop(record.name, 0), record.started_ms)
