--- a/src/egretrail/gateway/tests/test_upstream_exchange.py
+++ b/src/egretrail/gateway/tests/test_upstream_exchange.py
@@ -453,6 +453,29 @@
 
     @cases(
         {
+            "one_reader_keeps_a_lifetime_whose_successor_another_had_seen": [
+                (Exchange.learn_at_once, 40),
+                (Exchange.start, 29),
+                (Exchange.fetch, 34),
+                (Exchange.learn_at_once, 5),
+                (Exchange.start, 29),
+                (Exchange.ask_store, 8),
+                (Exchange.hear_store, 10),
+                (Exchange.remove, 29),
+                (Exchange.learn_at_once, 27),
+                (Exchange.fetch, 18),
+            ],
+            "a_removal_is_known_and_a_reply_comes_from_one_that_keeps_it": [
+                (Exchange.start, 9),
+                (Exchange.learn_at_once, 19),
+                (Exchange.fetch, 40),
+                (Exchange.remove, 30),
+                (Exchange.learn_at_once, 27),
+                (Exchange.fetch, 30),
+                (Exchange.ask, 25),
+                (Exchange.learn_at_once, 40),
+                (Exchange.hear_reply_twice, 18),
+            ],
             "the_same_question_before_and_after_a_drop": [
                 (Exchange.start, 12),
                 (Exchange.learn_at_once, 17),
