Make a reply about upstreams anew after a drop

Cause: replies are kept for the next peer with the same question, by the revision that they tell. When a reader drops what had vanished with the store's outage, no revision goes with it, so the reply from before was given for as long as that revision lasted. Who had not heard of the drop, as an instance that has just started, took the upstream into service, and no later change told of it.

Change: replies are kept by the edition of the table, which rises with each change of the list.

The reply is made at most once for each change and question, as before where no drop comes.

--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -309,7 +309,8 @@
         if asked.with_doubts:
             # Doubts change without a revision.
             return make()
-        return self._replies.get((revision, asked), make)
+        # A drop goes with no revision; a reply from before it would list what was dropped.
+        return self._replies.get((view.upstreams.edition, asked), make)
 
     def _outline_reply(self, base: int) -> bytes:
         config = self._view.parted_config
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -95,6 +95,8 @@
     records: dict[str, UpstreamRecord] = field(default_factory=dict)
     #: The store's revision up to which changes are known.
     revision: int = 0
+    #: Rises with each change of the list, also where no revision goes with it.
+    edition: int = 0
     _by_service: dict[str, list[UpstreamRecord]] = field(default_factory=dict)
     _by_name: dict[str, UpstreamRecord] = field(default_factory=dict)
     _left: dict[str, None] = field(default_factory=dict)
@@ -208,6 +210,7 @@
             del self._left[next(iter(self._left))]
 
     def _index(self) -> None:
+        self.edition += 1
         self.records = {record.id: record for record in self._by_name.values()}
         by_service: dict[str, list[UpstreamRecord]] = {}
         for record in self.records.values():
