--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -5,7 +5,7 @@
 import os
 import random
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -199,6 +199,32 @@
 
         self._play(act)
 
+    def test_an_answer_that_is_older_than_a_peers_list_lets_nothing_lapse(self) -> None:
+        async def act(stage: _Stage) -> None:
+            upstreams = stage.view.upstreams
+            stage.view.take_upstreams(list(upstreams), upstreams.revision + 100, "peer")
+            for name in ("u1", "u2", "u3"):
+                stage.unlist(name)
+            await asyncio.sleep(4.0)
+            self.assertEqual({"u1", "u2", "u3", "u4"}, stage.ready())
+
+        self._play(act)
+
+    def test_a_lapsed_entry_that_a_peer_tells_to_be_back_is_not_dropped(self) -> None:
+        async def act(stage: _Stage) -> None:
+            for name in ("u1", "u2", "u3"):
+                stage.unlist(name)
+            await asyncio.sleep(0.5)
+            self.assertEqual({"u1", "u2", "u3", "u4"}, stage.ready())
+            stage.sync.turn = False
+            revision = stage.store.revision + 1
+            back = replace(stage.view.upstreams.records["u1"], revision=revision)
+            stage.view.change_upstreams({"u1": back}, revision, "peer")
+            await asyncio.sleep(4.0)
+            self.assertEqual({"u1", "u4"}, stage.ready())
+
+        self._play(act)
+
     def test_one_removed_entry_in_calm_times_takes_no_work_at_once(self) -> None:
         async def act(stage: _Stage) -> None:
             await asyncio.sleep(30.0)
