Drop no upstream for what an old answer of the store lacks

Cause: a reader compares the store's answer with its table, which a peer may have moved on meanwhile. Upstreams that had listed themselves since were missing in the older answer, counted as lapsed where half a service was missing, and were dropped 2.2 s later, with a word to all others. The same happened to one that had lapsed and was told back by a peer, where the reader had stopped to read: only its own watch ended the wait.

Change: an answer older than the table lets nothing lapse, and a lapsed upstream is dropped only if its entry is the one that vanished.

Callers would have found a sound upstream unused until the whole list was fetched again.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -83,7 +83,8 @@
         self._others_reach_store = False
         #: Until when entries that vanish count as lapsed while the store was away.
         self._lapses_until_s = float("-inf")
-        self._vanished: dict[str, float] = {}
+        #: Entries that count as lapsed: until when they are kept, and their last revision.
+        self._vanished: dict[str, tuple[float, int]] = {}
         self._listed: frozenset[str] = frozenset()
 
     async def run(self) -> None:
@@ -172,7 +173,8 @@
         revision = read.ok_value.revision
         records = {record.name: record for record in self._decode(read.ok_value.entries)}
         gone = {record.name for record in self._view.upstreams} - records.keys()
-        self._keep_vanished(gone, records)
+        if revision >= self._view.upstreams.revision:
+            self._keep_vanished(gone, records)
         self._view.take_upstreams(records.values(), revision, "store")
         while self.should_read():
             watched = await self._store.watch(prefix, revision, _WATCH_S)
@@ -213,7 +215,9 @@
         last = self._last_words(entries)
         removed = {name for name, word in last.items() if word is None}
         kept: dict[str, UpstreamRecord] = {}
-        self._keep_vanished(removed, kept)
+        # A peer may have told newer words, and an upstream that it lists has not lapsed.
+        if revision > self._view.upstreams.revision:
+            self._keep_vanished(removed, kept)
         self._view.change_upstreams({**last, **kept}, revision, "store")
 
     def _last_words(self, entries: Sequence[Entry]) -> dict[str, UpstreamRecord | None]:
@@ -243,13 +247,13 @@
             if record is None or record.state is not UpstreamState.READY:
                 continue
             if self._lapsed(record, gone, now_s):
-                self._vanished.setdefault(record.id, now_s + _LAPSE_KEEP_S)
+                self._vanished.setdefault(record.id, (now_s + _LAPSE_KEEP_S, record.revision))
                 records[name] = record
                 self._log.event("upstream_lapsed", upstream=record.id)
 
     def _lapsed(self, record: UpstreamRecord, gone: Set[str], now_s: float) -> bool:
         if record.id in self._vanished:
-            return self._vanished[record.id] > now_s
+            return self._vanished[record.id][0] > now_s
         if now_s < self._lapses_until_s:
             return True
         alike = self._view.upstreams.ready(record.service)
@@ -261,10 +265,20 @@
         while True:
             await asyncio.sleep(_LOOK_S)
             now_s = self._loop.time()
-            due = [name for name, until_s in self._vanished.items() if until_s <= now_s]
-            for name in due:
-                del self._vanished[name]
-            self._view.drop_upstreams(due)
+            due = [
+                (upstream_id, revision)
+                for upstream_id, (until_s, revision) in self._vanished.items()
+                if until_s <= now_s
+            ]
+            for upstream_id, _ in due:
+                del self._vanished[upstream_id]
+            listed = self._view.upstreams.records
+            # One that a peer has told since is back.
+            self._view.drop_upstreams(
+                upstream_id
+                for upstream_id, revision in due
+                if upstream_id in listed and listed[upstream_id].revision == revision
+            )
 
     def _decode(self, entries: Sequence[Entry]) -> list[UpstreamRecord]:
         records = []
