List nothing again that was gone at a later revision

Cause: a reader keeps upstreams that vanished with an outage of the store for 2.2 s, and tells them with its list. Another reader, whose way to the store was open, had told that they are gone. Who knew of the removal and then fetched from the first reader took them into service again. Two details made it worse: a reply that was made before a drop and came after it undid the drop, and an upstream that had started again and gone stayed listed where a reader kept the lifetime before it.

Change: the table remembers at which revision a listed name was seen absent, and takes no entry that was written by then; of a drop it remembers the revision of the dropped entry. An entry that comes back has a later revision and is taken. A kept older lifetime, written before the known one, tells that the known one is gone; an old lifetime's word that was stored late still does not.

Callers would have had requests sent to a gone upstream for 2.2 s, or longer after the drop.

--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -64,8 +64,8 @@
         object.__setattr__(self, "id", lifetime)
 
 
-#: Lifetimes that have left, and the last starts of names that are no longer listed, are remembered
-#: up to this number each, about 100 bytes each.
+#: Lifetimes that have left, and the last starts and absences of names that are no longer listed,
+#: are remembered up to this number each, about 100 bytes each.
 _DEPARTED_MAX = 20_000
 
 
@@ -100,6 +100,8 @@
     _by_service: dict[str, list[UpstreamRecord]] = field(default_factory=dict)
     _by_name: dict[str, UpstreamRecord] = field(default_factory=dict)
     _left: dict[str, None] = field(default_factory=dict)
+    #: The last revision at which a name that was listed was not, or that of its dropped entry.
+    _absent: dict[str, int] = field(default_factory=dict)
     #: The newest start that was seen of each name.
     _started_ms: dict[str, int] = field(default_factory=dict)
     #: The last changes, the oldest first, and the revision since which none is missing.
@@ -129,10 +131,9 @@
             return False
         before, self._by_name = self._by_name, {}
         for record in records:
-            if self._is_newest(record):
-                self._by_name[record.name] = self._admit(record)
-            elif record.name in before:
-                self._by_name[record.name] = before[record.name]
+            self._take(record, before.get(record.name), revision)
+        for name in before.keys() - self._by_name.keys():
+            self._remember_absent(name, revision)
         self.revision = revision
         self._changes.clear()
         self._changes_since = revision
@@ -148,17 +149,20 @@
         if revision <= self.revision:
             return
         for name, record in changes.items():
+            before = self._by_name.pop(name, None)
             if record is None:
-                self._by_name.pop(name, None)
-            elif self._is_newest(record):
-                self._by_name[name] = self._admit(record)
+                self._remember_absent(name, revision)
+            else:
+                self._take(record, before, revision)
         self.revision = revision
         self._changed(changes)
 
     def drop(self, names: Iterable[str]) -> None:
         """Take records from the list that the store has not named since the known revision."""
         for name in names:
-            self._by_name.pop(name, None)
+            record = self._by_name.pop(name, None)
+            if record is not None:
+                self._remember_absent(name, record.revision)
         self._changed(names)
 
     def changes_since(self, revision: int) -> Mapping[str, UpstreamRecord | None] | None:
@@ -189,6 +193,23 @@
             self._changes_since = max(self._changes_since, self._changes.popleft().revision)
         self._index()
 
+    def _take(self, record: UpstreamRecord, before: UpstreamRecord | None, revision: int) -> None:
+        """List what a name's entry was at a revision, or what was listed before."""
+        if 0 < record.revision <= self._absent.get(record.name, 0):
+            # Whoever told it keeps what vanished with the store's outage.
+            return
+        if self._is_newest(record):
+            self._by_name[record.name] = self._admit(record)
+        elif before is not None and not record.revision < before.revision <= revision:
+            # The word of an older lifetime was stored late. One that was stored earlier would not
+            # be told if the known one were still in the list.
+            self._by_name[record.name] = before
+
+    def _remember_absent(self, name: str, revision: int) -> None:
+        self._absent[name] = max(self._absent.pop(name, 0), revision)
+        if len(self._absent) > _DEPARTED_MAX:
+            del self._absent[next(iter(self._absent))]
+
     def _is_newest(self, record: UpstreamRecord) -> bool:
         """Return whether no later start of the record's name was seen, and remember its own."""
         newest_ms = max(self._started_ms.pop(record.name, 0), record.started_ms)
