Tell a drop with the next revision

Cause: a drop goes with no revision of the store, and was recorded under the known one. Whoever had that revision and had missed the drop's own word, which is told for a moment only, never asked for it: with each later change it was told the rest. The upstream took work there until all were fetched again, ten seconds later or, in calm times, with the first change after that.

Change: it is recorded under the revision that follows.

Not covered: an instance that missed the word and fetches from a reader that had never kept the upstream; the whole list heals it.

--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -155,7 +155,7 @@
             else:
                 self._take(record, before, revision)
         self.revision = revision
-        self._changed(changes)
+        self._changed(changes, revision)
 
     def drop(self, names: Iterable[str]) -> None:
         """Take records from the list that the store has not named since the known revision."""
@@ -163,7 +163,8 @@
             record = self._by_name.pop(name, None)
             if record is not None:
                 self._remember_absent(name, record.revision)
-        self._changed(names)
+        # Whoever has the known revision asks for nothing before the next one.
+        self._changed(names, self.revision + 1)
 
     def changes_since(self, revision: int) -> Mapping[str, UpstreamRecord | None] | None:
         """Return what changed since a revision, by name; None where that is not remembered.
@@ -187,8 +188,8 @@
             self._by_name[record.name] = self._admit(record)
             self._index()
 
-    def _changed(self, names: Iterable[str]) -> None:
-        self._changes.extend(_Change(self.revision, name) for name in names)
+    def _changed(self, names: Iterable[str], revision: int) -> None:
+        self._changes.extend(_Change(revision, name) for name in names)
         while len(self._changes) > _CHANGES_MAX:
             self._changes_since = max(self._changes_since, self._changes.popleft().revision)
         self._index()
