--- a/src/egretrail/traffic/tests/test_traffic.py
+++ b/src/egretrail/traffic/tests/test_traffic.py
@@ -263,11 +263,38 @@
         table.replace([self._record("a"), self._record("b")], 3)
         table.apply({"a": None, "c": self._record("c"), "d": self._record("d")}, 5)
         table.apply({"c": None}, 7)
-        changes = table.changes_since(revision)
-        named = None
-        if changes is not None:
-            named = {name: record and record.name for name, record in changes.items()}
-        self.assertEqual(expected, named)
+        self.assertEqual(expected, self._told(table, revision))
+
+    @cases(
+        {
+            "a_newer_list_which_hides_what_came_and_went": (9, 8, None),
+            "a_newer_list_for_one_that_had_all_before_it": (9, 7, None),
+            "another_list_of_the_same_revision": (7, 6, {"c": None, "d": "d"}),
+            "another_list_for_one_that_had_the_same_revision": (7, 7, {"d": "d"}),
+        }
+    )
+    def test_what_is_told_after_a_whole_list(
+        self, case: tuple[int, int, dict[str, str | None] | None]
+    ) -> None:
+        revision, known, expected = case
+        table = UpstreamTable()
+        table.replace([self._record("a"), self._record("c")], 6)
+        table.apply({"c": None}, 7)
+        table.replace([self._record("a"), self._record("d")], revision)
+        self.assertEqual(expected, self._told(table, known))
+
+    def test_a_drop_is_told_also_after_the_same_list_was_read_again(self) -> None:
+        table = UpstreamTable()
+        table.replace([self._record("a"), self._record("c")], 6)
+        table.drop(["c"])
+        table.replace([self._record("a")], 6)
+        self.assertEqual({"c": None}, self._told(table, 6))
+
+    def _told(self, table: UpstreamTable, known: int) -> dict[str, str | None] | None:
+        changes = table.changes_since(known)
+        if changes is None:
+            return None
+        return {name: record.name if record else None for name, record in changes.items()}
 
     def test_a_follower_holds_the_same_after_any_number_of_changes(self) -> None:
         rng = random.Random(3)
