Keep the changes over a whole list of the known revision

Cause: a whole list ended the memory of changes, also where it was of the known revision, as after each call of a reader that failed. All who asked next were told the whole list, 29 KB in place of 0.1 KB, and a drop that was due with the next revision was not told at all.

Change: what differs from a list of the same revision is recorded as due with the next revision; the rest stays.

--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -134,6 +134,12 @@
             self._take(record, before.get(record.name), revision)
         for name in before.keys() - self._by_name.keys():
             self._remember_absent(name, revision)
+        if revision == self.revision:
+            names = before.keys() | self._by_name.keys()
+            differ = [name for name in names if before.get(name) != self._by_name.get(name)]
+            self._changed(differ, revision + 1)
+            return True
+        # The list does not tell what came and went since the known revision.
         self.revision = revision
         self._changes.clear()
         self._changes_since = revision
