Fetch what changed of the upstreams first, and the whole list beside it

Cause: each ten seconds an instance asked for the whole list in place of the changes, and asked for nothing else until it had come. The instances of a zone had begun together, so all of them asked their hub at the same moment. On a hub's link that is nearly full the replies wait behind each other, each try fails after 0.7 s of silence, the hub is not asked for 0.5 s, and the next try asks for the whole list again: the word that an upstream is leaving is not heard of meanwhile.

Change: changes are always asked for first. The whole list is fetched by a task of its own after them, each 7.5 to 12.5 s; where that fails changes go on, the peer is not passed over, and the next interval begins.

Callers saw requests sent to upstreams that were leaving.

--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -47,9 +47,11 @@
 #: Instances that hear of a newer state at the same moment ask within this time, so that the one
 #: that has it serves a zone of 70 one after the other.
 _SPREAD_S = 0.04
-#: All upstreams are fetched this often, in place of changes: what two instances held apart at the
-#: same revision is joined then.
+#: All upstreams are fetched this often beside changes: what two instances held apart at the same
+#: revision is joined then.
 _WHOLE_INTERVAL_S = 10.0
+#: The interval varies by this share, since a zone that asks at one moment fills its hub's link.
+_WHOLE_SPREAD = 0.5
 #: Connections that wait to be taken: a whole zone may ask at once.
 _BACKLOG = 512
 #: How often an outline is asked for on one connection: parts of it may be replaced meanwhile.
@@ -120,8 +122,8 @@
 class StateExchange:
     """Fetches what a peer knows and this instance does not, one peer at a time for each kind.
 
-    Upstreams and configurations are fetched beside each other: a large configuration must not keep
-    the word that an upstream is leaving.
+    Changes of upstreams, all upstreams and configurations are fetched beside each other: neither a
+    large configuration nor a long list must keep the word that an upstream is leaving.
     """
 
     def __init__(
@@ -136,8 +138,9 @@
         self._fetching_config: asyncio.Task[None] | None = None
         #: Peers that failed, and until when they are not asked.
         self._failed_until_s: dict[str, float] = {}
-        #: When all upstreams were fetched last.
-        self._whole_s = float("-inf")
+        self._fetching_whole: asyncio.Task[None] | None = None
+        #: From when on all upstreams are to be fetched again.
+        self._whole_due_s = float("-inf")
         self._arrived = PartsCollection()
         self._replies = _Replies()
         self._server: asyncio.Server | None = None
@@ -163,13 +166,26 @@
             self._fetching_config = self._loop.create_task(self._guard(offer, fetch))
             self._fetching_config.add_done_callback(self._config_fetched)
 
+    def _fetch_whole_if_due(self, offer: StateOffer) -> None:
+        """Ask for all upstreams of a peer whose changes have just been taken."""
+        if self._fetching_whole is None and self._loop.time() > self._whole_due_s:
+            fetch = self._fetch_whole(offer)
+            guarded = self._guard(offer, fetch, pauses=False)
+            self._fetching_whole = self._loop.create_task(guarded)
+            self._fetching_whole.add_done_callback(self._whole_fetched)
+
+    def _whole_fetched(self, _: asyncio.Task[None]) -> None:
+        self._fetching_whole = None
+
     def _upstreams_fetched(self, _: asyncio.Task[None]) -> None:
         self._fetching_upstreams = None
 
     def _config_fetched(self, _: asyncio.Task[None]) -> None:
         self._fetching_config = None
 
-    async def _guard(self, offer: StateOffer, fetch: Coroutine[Any, Any, None]) -> None:
+    async def _guard(
+        self, offer: StateOffer, fetch: Coroutine[Any, Any, None], *, pauses: bool = True
+    ) -> None:
         """Log the failure of a fetch; the next offer begins another one."""
         try:
             await fetch
@@ -178,7 +194,8 @@
             now_s = self._loop.time()
             for peer in [one for one, until_s in self._failed_until_s.items() if until_s < now_s]:
                 del self._failed_until_s[peer]
-            self._failed_until_s[offer.address] = now_s + _FAILED_PAUSE_S
+            if pauses:
+                self._failed_until_s[offer.address] = now_s + _FAILED_PAUSE_S
             self._log.event(
                 "fetch_failed",
                 peer=offer.address,
@@ -215,16 +232,29 @@
         await self._wait_for_turn(offer, at_once=at_once)
         if not self._has_newer_upstreams(offer):
             return
-        view = self._view
-        whole_due = self._loop.time() - self._whole_s > _WHOLE_INTERVAL_S
-        revision = 0 if whole_due else view.upstreams.revision
-        question = UpstreamsQuestion(revision, with_doubts=view.upstreams.revision == 0)
+        known = self._view.upstreams.revision
+        question = UpstreamsQuestion(known, with_doubts=known == 0)
         async with self._connected(offer.address) as peer:
-            reply = await peer.ask(question, decode_upstreams)
+            self._take_reply(offer, await peer.ask(question, decode_upstreams))
+        self._fetch_whole_if_due(offer)
+
+    async def _fetch_whole(self, offer: StateOffer) -> None:
+        """Fetch all upstreams; where it fails, changes go on and the next interval begins."""
+        self._put_off_whole()
+        async with self._connected(offer.address) as peer:
+            question = UpstreamsQuestion(0, with_doubts=False)
+            self._take_reply(offer, await peer.ask(question, decode_upstreams))
+
+    def _put_off_whole(self) -> None:
+        spread = 1.0 + (self._rng.random() - 0.5) * _WHOLE_SPREAD
+        self._whole_due_s = self._loop.time() + _WHOLE_INTERVAL_S * spread
+
+    def _take_reply(self, offer: StateOffer, reply: UpstreamsReply) -> None:
+        view = self._view
         source = f"peer {offer.address}"
         view.adopt_doubts(reply.doubts)
         if reply.upstreams is not None:
-            self._whole_s = self._loop.time()
+            self._put_off_whole()
             view.take_upstreams(reply.upstreams, reply.revision, source)
         if reply.changes is not None:
             view.change_upstreams(dict(reply.changes), reply.revision, source)
