Log an instance that is behind the newest list of upstreams, and the list of each attempt

When an upstream that was leaving got a request 2.6 s after the store knew, the lines of the instance could not say which list it had, whether it had heard of a newer one, or for how long. attempt names the revision that the upstream was chosen from; upstreams_behind says that a newer revision has been known of for more than a second, once until it has come: at most one line a second.

--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -197,6 +197,7 @@
             considered=choice.considered,
             trial=choice.trial,
             left_s=query.left_s,
+            upstreams_revision=self._view.upstreams.revision,
         )
         self._view.begin(choice.upstream.id, trial=choice.trial)
         task = self._loop.create_task(self._attempts.run(work, choice.upstream))
--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -155,6 +155,7 @@
     def fetch_if_newer(self, offer: StateOffer, *, at_once: bool = False) -> None:
         """Ask a peer for its state where it is newer, at once where others will ask this one."""
         self._view.heard_of_config(offer.config_version)
+        self._view.heard_of_upstreams(offer.upstreams_revision, offer.address)
         if self._failed_until_s.get(offer.address, 0.0) > self._loop.time():
             return
         if self._fetching_upstreams is None and self._has_newer_upstreams(offer):
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -50,6 +50,8 @@
 #: Hubs name their version several times a second. After this silence an instance is cut off, and
 #: what it knows may be old.
 _CONFIG_WORD_S = 2.0
+#: A newer list of upstreams that is not here after this time is logged, once until it has come.
+_UPSTREAMS_LATE_S = 1.0
 
 
 class FleetView:
@@ -87,6 +89,11 @@
         self.routes: RouteTable | None = None
         #: The listed upstreams.
         self.upstreams = UpstreamTable()
+        #: The first revision of the upstreams that was heard of and has not come, since when, and
+        #: whether that was logged.
+        self._awaited_revision = 0
+        self._awaited_since_s: float | None = None
+        self._awaited_logged = False
         #: The other instances.
         self.membership = Membership(settings.ip, settings.availability_zone, settings.capacity)
         #: Requests under way over the fleet.
@@ -173,6 +180,26 @@
         if self._behind_since_s is None and version > self.config_version:
             self._behind_since_s = now_s
 
+    def heard_of_upstreams(self, revision: int, peer: str) -> None:
+        """Take which revision of the upstreams a peer has."""
+        if revision <= self.upstreams.revision:
+            return
+        now_s = self._clock()
+        if self._awaited_since_s is None:
+            self._awaited_since_s = now_s
+            self._awaited_revision = revision
+        behind_s = now_s - self._awaited_since_s
+        if behind_s > _UPSTREAMS_LATE_S and not self._awaited_logged:
+            self._awaited_logged = True
+            self._log.event(
+                "upstreams_behind",
+                revision=self.upstreams.revision,
+                awaited=self._awaited_revision,
+                newest=revision,
+                peer=peer,
+                behind_s=behind_s,
+            )
+
     def take_config(self, parted: PartedConfig, source: str) -> bool:
         """Put a configuration in force, unless the one in force is as new."""
         config = parted.config
@@ -391,6 +418,9 @@
         return self.membership.rank_for(f"trial {record.id}", record.availability_zone)
 
     def _upstreams_changed(self, before: dict[str, UpstreamRecord], source: str) -> None:
+        if self.upstreams.revision >= self._awaited_revision:
+            self._awaited_since_s = None
+            self._awaited_logged = False
         after = self.upstreams.records
         for upstream_id in before.keys() | after.keys():
             old, new = before.get(upstream_id), after.get(upstream_id)
--- a/src/egretrail/gateway/tests/test_upstream_exchange.py
+++ b/src/egretrail/gateway/tests/test_upstream_exchange.py
@@ -9,6 +9,7 @@
 import traceback
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
+from unittest import mock
 
 from result import Ok
 
@@ -507,3 +508,36 @@
         for number in range(_COURSES):
             rng = random.Random(number)
             self._play([(rng.choice(_STEPS), rng.randrange(_PICKS)) for _ in range(_STEPS_EACH)])
+
+
+class BehindTest(EgretrailTestCase):
+    """An instance that is behind what peers name says so once, and again only after it has come."""
+
+    @cases(
+        {
+            "in_time": ([(0.0, 7), (0.9, 7)], 0),
+            "late": ([(0.0, 7), (1.1, 8), (1.2, 9), (3.0, 9)], 1),
+            "the_same_revision": ([(0.0, 5), (3.0, 5)], 0),
+            "each_came_in_time": ([(0.0, 7), (0.9, "7"), (1.0, 8), (1.9, 8)], 0),
+            "newer_ones_came_but_not_the_newest": ([(0.0, 7), (0.5, "8"), (0.6, 9), (1.5, 9)], 0),
+            "older_ones_came": ([(0.0, 7), (0.9, "6"), (1.1, 7)], 1),
+            "late_twice": ([(0.0, 7), (1.1, 7), (1.2, "7"), (2.0, 8), (3.1, 8), (3.2, 8)], 2),
+        }
+    )
+    def test_how_often_it_is_logged(
+        self, case: tuple[Sequence[tuple[float, int | str]], int]
+    ) -> None:
+        """Numbers are revisions that a peer names, texts those that come."""
+        words, expected = case
+        clock_s = [0.0]
+        own = gateway_settings()
+        log = mock.create_autospec(EventLog, instance=True)
+        view = FleetView(own, 1, lambda: clock_s[0], log, random.Random(1))
+        view.take_upstreams([], 5, "store")
+        for clock_s[0], word in words:
+            if isinstance(word, str):
+                view.change_upstreams({}, int(word), "peer")
+            else:
+                view.heard_of_upstreams(word, "10.0.0.2")
+        told = [call for call in log.event.call_args_list if call.args == ("upstreams_behind",)]
+        self.assertEqual(expected, len(told))
