--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -46,6 +46,9 @@
     upstream_key,
 )
 
+#: A newer list of upstreams that is not here after this time is logged, once until it has come.
+_UPSTREAMS_LATE_S = 1.0
+
 
 class FleetView:
     """The state behind all decisions of an instance. It changes only through these methods."""
@@ -70,6 +73,11 @@
         self.configs = ConfigState(clock)
         #: The listed upstreams.
         self.upstreams = UpstreamTable()
+        #: The first revision of the upstreams that was heard of and has not come, since when, and
+        #: whether that was logged.
+        self._awaited_revision = 0
+        self._awaited_since_s: float | None = None
+        self._awaited_logged = False
         #: The other instances.
         self.membership = Membership(settings.ip, settings.availability_zone, settings.capacity)
         #: Requests under way over the fleet.
@@ -141,6 +149,26 @@
         """Whether nothing newer is known of than the configuration in force, and would be."""
         return self.configs.is_current(reaches_store=self.store_contact)
 
+    def heard_of_upstreams(self, revision: int, peer: str) -> None:
+        """Take which revision of the upstreams a peer has."""
+        if revision <= self.upstreams.revision:
+            return
+        now_s = self._clock()
+        if self._awaited_since_s is None:
+            self._awaited_since_s = now_s
+            self._awaited_revision = revision
+        behind_s = now_s - self._awaited_since_s
+        if behind_s > _UPSTREAMS_LATE_S and not self._awaited_logged:
+            self._awaited_logged = True
+            self._log.event(
+                "upstreams_behind",
+                revision=self.upstreams.revision,
+                awaited=self._awaited_revision,
+                newest=revision,
+                peer=peer,
+                behind_s=behind_s,
+            )
+
     def take_config(self, parted: PartedConfig, source: str) -> bool:
         """Put a configuration in force, unless the one in force is as new."""
         before, behind_s = self.config_version, self.configs.behind_s
@@ -323,13 +351,15 @@
 
     def _drop(self, reports: Iterable[DropReport], source: str) -> None:
         known = self.upstreams.records
-        gone = {
-            known[report.upstream_id].name: None
+        gone = [
+            known[report.upstream_id].name
             for report in reports
             if report.upstream_id in known and known[report.upstream_id].revision <= report.revision
-        }
+        ]
         if gone:
-            self.change_upstreams(dict(gone), self.upstreams.revision, source)
+            before = dict(known)
+            self.upstreams.drop(gone)
+            self._upstreams_changed(before, source)
 
     def _state(self) -> InstanceState:
         if self.leaving:
@@ -348,6 +378,9 @@
         return self.membership.rank_for(f"trial {record.id}", record.availability_zone)
 
     def _upstreams_changed(self, before: dict[str, UpstreamRecord], source: str) -> None:
+        if self.upstreams.revision >= self._awaited_revision:
+            self._awaited_since_s = None
+            self._awaited_logged = False
         after = self.upstreams.records
         for upstream_id in before.keys() | after.keys():
             old, new = before.get(upstream_id), after.get(upstream_id)
