Refuse values of the store that peers cannot be told

A configuration with a whole number beyond 64 bits, or with a name that is no text, ended the process that read it when it was packed for the peers, and then the next reader: found by a review. Such values are faults of the document now, and what is in force stays.

--- a/src/egretrail/platform/_fields.py
+++ b/src/egretrail/platform/_fields.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+_WHOLE_BOUND = 2**63
 _UNITS_S = {"ms": 0.001, "s": 1.0}
 
 
@@ -42,12 +43,22 @@
             faults.append(f"{path}: not a table")
 
     def text(self, name: str, default: str | None = None) -> str:
-        """Return a string."""
-        return str(self._typed(name, str, "", default))
+        """Return a string that can be written as UTF-8."""
+        text = str(self._typed(name, str, "", default))
+        try:
+            text.encode()
+        except UnicodeEncodeError as error:
+            self._fault(name, str(error))
+            return ""
+        return text
 
     def whole(self, name: str, default: int | None = None) -> int:
-        """Return a whole number."""
-        return int(self._typed(name, int, 0, default))
+        """Return a whole number of 64 bits, the most that peers can be told."""
+        number = int(self._typed(name, int, 0, default))
+        if not -_WHOLE_BOUND <= number < _WHOLE_BOUND:
+            self._fault(name, "out of bounds")
+            return 0
+        return number
 
     def number(self, name: str, default: float | None = None) -> float:
         """Return a number."""
