Take the last valid configuration of several that come together

A version followed at once by one that cannot be used was lost where both came in one answer of the store: only the last was looked at. Now the versions are looked at from the last one back to a valid one. Seen failing before (version 2 in place of 3).

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -112,7 +112,6 @@
             return True
         if not self._view.ready:
             return rank == 0 or self._loop.time() - self._started_s > self._patience_s
-        if self._peer_reaches_store():
             return False
         return rank == 0 or rank == 1 + int(self._loop.time() / _TURN_S) % _TURNS
 
@@ -193,23 +192,19 @@
             await asyncio.sleep(_GATHER_S)
 
     async def _take_config(self, entries: Sequence[Entry]) -> None:
-        """Put the last of some versions in force; the ones before it were replaced already."""
-        versions = [
-            entry
-            for entry in entries
-            if entry.path == self._layout.config_path and entry.value is not None
-        ]
-        if not versions:
-            return
-        value = (versions[-1].value or "").encode(errors="surrogateescape")
-        decoded = await in_slices(self._layout.read_config(value))
-        if isinstance(decoded, Err):
-            revision = versions[-1].revision
-            self._log.event("config_refused", revision=revision, cause=decoded.err_value)
+        """Put the last valid one of some versions in force; those before it were replaced."""
+        for entry in reversed(entries):
+            if entry.path != self._layout.config_path or entry.value is None:
+                continue
+            value = entry.value.encode(errors="surrogateescape")
+            decoded = await in_slices(self._layout.read_config(value))
+            if isinstance(decoded, Err):
+                self._log.event("config_refused", revision=entry.revision, cause=decoded.err_value)
+                continue
+            if decoded.ok_value.version > self._view.config_version:
+                parted = await in_slices(part_config(decoded.ok_value, self._view.configs.parted))
+                self._view.take_config(parted, "store")
             return
-        if decoded.ok_value.version > self._view.config_version:
-            parted = await in_slices(part_config(decoded.ok_value, self._view.configs.parted))
-            self._view.take_config(parted, "store")
 
     def _take_changes(self, entries: Sequence[Entry], revision: int) -> None:
         last = self._last_words(entries)
@@ -308,12 +303,10 @@
         if self._view.store_contact:
             self._log.event("store_lost", part=name, cause=failure)
         # A store that turns this instance away and serves others lets nothing lapse.
-        self._others_reach_store |= self._peer_reaches_store()
         if self._away_since_s is None:
             self._away_since_s = max(self._last_success_s, self._reading_since_s)
         self._view.store_contact = False
 
-    def _peer_reaches_store(self) -> bool:
         return self._view.others_reach_store()
 
     async def _keep_listing(self) -> None:
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -199,6 +199,31 @@
 
         self._play(act)
 
+    def test_a_name_that_is_no_text_is_refused(self) -> None:
+        """It cannot be told to peers, and ended the process that read it, and the next reader."""
+
+        async def act(stage: _Stage) -> None:
+            stage.configure(config(3, [route("\ud800", "/read/", "s")]))
+            await asyncio.sleep(1.0)
+            self.assertLess(stage.view.config_version, 3)
+            stage.configure(config(5, _ROUTES))
+            await asyncio.sleep(1.0)
+            self.assertEqual(5, stage.view.config_version)
+
+        self._play(act)
+
+    def test_a_version_is_taken_also_with_a_broken_one_right_after_it(self) -> None:
+        async def act(stage: _Stage) -> None:
+            # After a first change the next two come together.
+            stage.configure(config(2, _ROUTES))
+            await asyncio.sleep(0.01)
+            stage.configure(config(3, _ROUTES))
+            stage.configure({"routes": "none"})
+            await asyncio.sleep(3.0)
+            self.assertEqual(3, stage.view.config_version)
+
+        self._play(act)
+
     def test_an_answer_that_is_older_than_a_peers_list_lets_nothing_lapse(self) -> None:
         async def act(stage: _Stage) -> None:
             upstreams = stage.view.upstreams
