Deny no route in a zone that is cut off as a whole, and wait for no version that nobody has

Callers in a zone cut off from the others and from the store still got 404 for new routes, since the zone's own instances confirmed each other's version; and a version that was named once and never came turned every denial into 503 for good. Found by a review. An instance denies where its own reading of the configuration works, or where it hears of one that reaches the store or of most of the fleet; a newer version that nobody has named for 10 s is no longer waited for. Reading the upstreams no longer counts as reading the configuration. With the store away from the whole fleet, denials go on.

The executor's test says that the configuration is read.

--- a/src/egretrail/gateway/_config_state.py
+++ b/src/egretrail/gateway/_config_state.py
@@ -8,6 +8,9 @@
 #: Hubs name their version several times a second. After this silence an instance is cut off, and
 #: what it knows may be old.
 _WORD_S = 2.0
+#: A version that nobody has named for this long is not waited for: its only holder is gone, or it
+#: was a garbled word.
+_NEWEST_KEPT_S = 10.0
 
 
 class ConfigState:
@@ -21,7 +24,11 @@
         self.routes: RouteTable | None = None
         #: What the last configurations consisted of, for instances that still have them.
         self.outlines = KnownOutlines()
+        #: Whether the last reading of the configuration from the store succeeded.
+        self.reaches_store = False
+        #: The newest version that was named, and when last.
         self._newest_version = 0
+        self._newest_s = float("-inf")
         #: Since when a version is known of that has not arrived.
         self._behind_since_s: float | None = None
         #: When a peer last said which version it has.
@@ -40,24 +47,28 @@
     @property
     def behind_s(self) -> float:
         """For how long a newer version than the one in force has been known of; 0 for none."""
+        self._forget_newest()
         return 0.0 if self._behind_since_s is None else self._clock() - self._behind_since_s
 
-    def is_current(self, *, reaches_store: bool) -> bool:
+    def is_current(self, *, hears_fleet: bool) -> bool:
         """Return whether no newer version is known of, and one would be heard of.
 
         Load: a configuration of thousands of routes takes a moment on its way. Who denies a route
         meanwhile that the operators have just added tells its caller that it will never be there.
+        ``hears_fleet`` is False where peers that are heard may be as cut off as this one.
         """
+        self._forget_newest()
         if self._newest_version > self.version:
             return False
-        return reaches_store or self._clock() - self._heard_s < _WORD_S
+        return self.reaches_store or (hears_fleet and self._clock() - self._heard_s < _WORD_S)
 
     def heard_of(self, version: int) -> None:
         """Take which version a peer has; 0 says nothing."""
         if version == 0:
             return
         self._heard_s = self._clock()
-        self._newest_version = max(self._newest_version, version)
+        if version >= self._newest_version:
+            self._newest_version, self._newest_s = version, self._heard_s
         if self._behind_since_s is None and version > self.version:
             self._behind_since_s = self._heard_s
 
@@ -69,6 +80,12 @@
         self.routes = RouteTable(parted.config)
         self.outlines.remember(parted)
         if parted.config.version >= self._newest_version:
-            self._newest_version = parted.config.version
+            self._newest_version, self._newest_s = parted.config.version, self._clock()
             self._behind_since_s = None
         return True
+
+    def _forget_newest(self) -> None:
+        late = self._clock() - self._newest_s > _NEWEST_KEPT_S
+        if self._newest_version > self.version and late:
+            self._newest_version = self.version
+            self._behind_since_s = None
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -112,6 +112,7 @@
             return True
         if not self._view.ready:
             return rank == 0 or self._loop.time() - self._started_s > self._patience_s
+        if self._peer_reaches_store():
             return False
         return rank == 0 or rank == 1 + int(self._loop.time() / _TURN_S) % _TURNS
 
@@ -146,20 +147,25 @@
     async def _follow_config(self) -> PlatformFailure | None:
         """Read the configuration and follow its changes until a call fails."""
         # A snapshot tells the store's revision. The value's own may be older than its history.
+        configs = self._view.configs
+        configs.reaches_store = False
         read = await self._store.snapshot(self._layout.config_path)
         if isinstance(read, Err):
             return read.err_value
         self._succeeded()
         revision = read.ok_value.revision
         await self._take_config(read.ok_value.entries)
+        configs.reaches_store = True
         while self.should_read():
             watched = await self._store.watch(self._layout.config_path, revision, _WATCH_S)
             if isinstance(watched, Err):
+                configs.reaches_store = False
                 return watched.err_value
             self._succeeded()
             await self._take_config(watched.ok_value.entries)
             revision = max(revision, watched.ok_value.revision)
             await self._gather(watched.ok_value.entries)
+        configs.reaches_store = False
         return None
 
     async def _follow_upstreams(self) -> PlatformFailure | None:
@@ -303,10 +309,12 @@
         if self._view.store_contact:
             self._log.event("store_lost", part=name, cause=failure)
         # A store that turns this instance away and serves others lets nothing lapse.
+        self._others_reach_store |= self._peer_reaches_store()
         if self._away_since_s is None:
             self._away_since_s = max(self._last_success_s, self._reading_since_s)
         self._view.store_contact = False
 
+    def _peer_reaches_store(self) -> bool:
         return self._view.others_reach_store()
 
     async def _keep_listing(self) -> None:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -46,6 +46,8 @@
     upstream_key,
 )
 
+#: Whoever hears this part of the largest fleet that it has known is not cut off with its zone.
+_FLEET_SHARE = 0.5
 #: A newer list of upstreams that is not here after this time is logged, once until it has come.
 _UPSTREAMS_LATE_S = 1.0
 
@@ -147,7 +149,8 @@
     @property
     def knows_config_is_current(self) -> bool:
         """Whether nothing newer is known of than the configuration in force, and would be."""
-        return self.configs.is_current(reaches_store=self.store_contact)
+        hears_fleet = self.others_reach_store() or self.known_share() > _FLEET_SHARE
+        return self.configs.is_current(hears_fleet=hears_fleet)
 
     def heard_of_upstreams(self, revision: int, peer: str) -> None:
         """Take which revision of the upstreams a peer has."""
@@ -225,6 +228,7 @@
         source = f"peer {section.hub}"
         if followed:
             self.zones.take(section, self._evidence.ids, now_s)
+            self._most_alive = max(self._most_alive, self.zones.instances(now_s))
             self._take_roster(section, now_s)
         elif section.roster is not None:
             # One of them may be before the hub that is followed.
@@ -318,9 +322,7 @@
 
     def known_share(self) -> float:
         """Return the part of the fleet that this instance hears, for shared allowances."""
-        alive = self.zones.instances(self._clock())
-        self._most_alive = max(alive, self._most_alive)
-        return alive / self._most_alive
+        return min(self.zones.instances(self._clock()) / self._most_alive, 1.0)
 
     def permits_repeat(self, service: str) -> bool:
         """Return whether a request may be sent once more within the fleet's budget.
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -89,7 +89,7 @@
         async def act(executor: Executor, view: FleetView, backend: StandInBackend) -> None:
             # Cut off from the store and from all peers it cannot know what is in force.
             self.assertEqual(503, (await executor.serve(_request(b"GET", b"/new/1"))).status)
-            view.store_contact = True
+            view.configs.reaches_store = True
             self.assertEqual(404, (await executor.serve(_request(b"GET", b"/new/1"))).status)
             log = EventLog("test", descriptor=_null())
             exchange = StateExchange(gateway_settings(), view, log, random.Random(1))
