--- a/src/egretrail/gateway/tests/streams.py
+++ b/src/egretrail/gateway/tests/streams.py
@@ -100,6 +100,9 @@
     def __init__(self, network: SimulatedNetwork) -> None:
         self._network = network
         self._servers: dict[str, tuple[Serve, contextvars.Context]] = {}
+        #: Addresses that take connections after this time and then say nothing, while their
+        #: datagrams arrive.
+        self.silent_s: dict[str, float] = {}
 
     async def start_server(self, serve: Serve, host: str, port: int, **_: object) -> _Listener:
         """Listen on an address."""
@@ -111,6 +114,10 @@
         own = OWN_ADDRESS.get()
         if not self._network.reaches(own, host) or not self._network.reaches(host, own):
             await asyncio.sleep(3600.0)
+        if host in self.silent_s:
+            await asyncio.sleep(self.silent_s[host])
+            there, back = _Pipe(self._network, own, host), _Pipe(self._network, host, own)
+            return back.reader, _Writer(there, back)
         if host not in self._servers:
             raise ConnectionRefusedError(host)
         await asyncio.sleep(self._network.carry(own, host, 0) * 2)
