Ask another peer for changes of upstreams where the first does not answer

Cause: an instance asked one peer at a time, and a stream that stood still kept it for up to 0.7 s to connect and 0.7 s more for the reply. The hub's datagrams arrived meanwhile and offered newer lists from others, which were left alone. The failed peer was then passed over for 0.5 s only, less than a try takes: two such hubs were asked in turns and those that would have answered hardly ever. A configuration that failed also held back the same peer's changes of upstreams.

Change: where changes have not come 0.3 s after the last peer was asked, another one that offers them is asked beside it, at most three at a time and only for changes. Replies that come late or out of order are safe since older words are refused. Pauses after failures are kept for upstreams and configurations apart.

Longer pauses after repeated failures were tried and changed nothing. Callers saw requests sent to leaving upstreams.

--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -42,6 +42,10 @@
 _NEXT_QUESTION_S = 2.0
 #: A peer that failed is not asked again for this long, so that another one that offers is.
 _FAILED_PAUSE_S = 0.5
+#: Where changes have not come after this time, another peer is asked beside the first. The word
+#: that an upstream is leaving must not wait for a stream that stands still.
+_OVERTAKE_S = 0.3
+_ASKED_MAX = 3
 #: State of another zone's instance is fetched only if nobody of the own zone had it by then.
 _OTHER_ZONE_DELAY_S = 0.15
 #: Instances that hear of a newer state at the same moment ask within this time, so that the one
@@ -119,8 +123,25 @@
         return reply
 
 
+@dataclass(slots=True)
+class _Pauses:
+    """Peers that failed and are not asked for a while."""
+
+    _until_s: dict[str, float] = field(default_factory=dict)
+
+    def holds(self, peer: str, now_s: float) -> bool:
+        """Return whether a peer is not to be asked."""
+        return self._until_s.get(peer, 0.0) > now_s
+
+    def failed(self, peer: str, now_s: float) -> None:
+        """Begin a pause, and forget those that are over."""
+        for old in [one for one, until_s in self._until_s.items() if until_s < now_s]:
+            del self._until_s[old]
+        self._until_s[peer] = now_s + _FAILED_PAUSE_S
+
+
 class StateExchange:
-    """Fetches what a peer knows and this instance does not, one peer at a time for each kind.
+    """Fetches what a peer knows and this instance does not, from few peers at a time.
 
     Changes of upstreams, all upstreams and configurations are fetched beside each other: neither a
     large configuration nor a long list must keep the word that an upstream is leaving.
@@ -134,10 +155,13 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._fetching_upstreams: asyncio.Task[None] | None = None
+        #: Fetches of changes by the peer that is asked, and when the last one began.
+        self._fetching_upstreams: dict[str, asyncio.Task[None]] = {}
+        self._asked_s = float("-inf")
         self._fetching_config: asyncio.Task[None] | None = None
-        #: Peers that failed, and until when they are not asked.
-        self._failed_until_s: dict[str, float] = {}
+        #: For each kind, so that a configuration that fails keeps no word of upstreams.
+        self._upstream_pauses = _Pauses()
+        self._config_pauses = _Pauses()
         self._fetching_whole: asyncio.Task[None] | None = None
         #: From when on all upstreams are to be fetched again.
         self._whole_due_s = float("-inf")
@@ -156,47 +180,55 @@
         """Ask a peer for its state where it is newer, at once where others will ask this one."""
         self._view.heard_of_config(offer.config_version)
         self._view.heard_of_upstreams(offer.upstreams_revision, offer.address)
-        if self._failed_until_s.get(offer.address, 0.0) > self._loop.time():
-            return
-        if self._fetching_upstreams is None and self._has_newer_upstreams(offer):
+        now_s, peer = self._loop.time(), offer.address
+        if self._has_newer_upstreams(offer) and self._may_ask(peer, now_s):
             fetch = self._fetch_upstreams(offer, at_once=at_once)
-            self._fetching_upstreams = self._loop.create_task(self._guard(offer, fetch))
-            self._fetching_upstreams.add_done_callback(self._upstreams_fetched)
-        if self._fetching_config is None and self._has_newer_config(offer):
+            task = self._loop.create_task(self._guard(offer, fetch, self._upstream_pauses))
+            self._fetching_upstreams[peer] = task
+            self._asked_s = now_s
+            task.add_done_callback(lambda _: self._fetching_upstreams.pop(peer))
+        paused = self._config_pauses.holds(peer, now_s)
+        if self._fetching_config is None and self._has_newer_config(offer) and not paused:
             fetch = self._fetch_config(offer, at_once=at_once)
-            self._fetching_config = self._loop.create_task(self._guard(offer, fetch))
+            guarded = self._guard(offer, fetch, self._config_pauses)
+            self._fetching_config = self._loop.create_task(guarded)
             self._fetching_config.add_done_callback(self._config_fetched)
 
+    def _may_ask(self, peer: str, now_s: float) -> bool:
+        """Return whether a peer may be asked for changes, beside those that have not answered."""
+        asked = self._fetching_upstreams
+        if peer in asked or self._upstream_pauses.holds(peer, now_s):
+            return False
+        if not asked:
+            return True
+        # Whole lists, which are told at the start, would only fill the link.
+        overtakes = self._view.upstreams.revision > 0 and now_s - self._asked_s > _OVERTAKE_S
+        return overtakes and len(asked) < _ASKED_MAX
+
     def _fetch_whole_if_due(self, offer: StateOffer) -> None:
         """Ask for all upstreams of a peer whose changes have just been taken."""
         if self._fetching_whole is None and self._loop.time() > self._whole_due_s:
             fetch = self._fetch_whole(offer)
-            guarded = self._guard(offer, fetch, pauses=False)
+            guarded = self._guard(offer, fetch, None)
             self._fetching_whole = self._loop.create_task(guarded)
             self._fetching_whole.add_done_callback(self._whole_fetched)
 
     def _whole_fetched(self, _: asyncio.Task[None]) -> None:
         self._fetching_whole = None
 
-    def _upstreams_fetched(self, _: asyncio.Task[None]) -> None:
-        self._fetching_upstreams = None
-
     def _config_fetched(self, _: asyncio.Task[None]) -> None:
         self._fetching_config = None
 
     async def _guard(
-        self, offer: StateOffer, fetch: Coroutine[Any, Any, None], *, pauses: bool = True
+        self, offer: StateOffer, fetch: Coroutine[Any, Any, None], pauses: _Pauses | None
     ) -> None:
         """Log the failure of a fetch; the next offer begins another one."""
         try:
             await fetch
         except Exception as error:
             self.fetches_failed += 1
-            now_s = self._loop.time()
-            for peer in [one for one, until_s in self._failed_until_s.items() if until_s < now_s]:
-                del self._failed_until_s[peer]
-            if pauses:
-                self._failed_until_s[offer.address] = now_s + _FAILED_PAUSE_S
+            if pauses is not None:
+                pauses.failed(offer.address, self._loop.time())
             self._log.event(
                 "fetch_failed",
                 peer=offer.address,
