--- a/src/egretrail/gateway/tests/fleet.py
+++ b/src/egretrail/gateway/tests/fleet.py
@@ -70,6 +70,11 @@
         links = self.network.links.pop(address)
         del self.links[address], self.views[address]
         links.end()
+        for fetch in (links.state._fetching_upstreams, links.state._fetching_config):
+            if fetch is not None:
+                fetch.cancel()
+        if self.streams is not None:
+            self.streams.lose(address)
 
     def freeze(self, address: str) -> None:
         """Let an instance neither send nor take anything; its timers run on and are lost."""
--- a/src/egretrail/gateway/tests/network.py
+++ b/src/egretrail/gateway/tests/network.py
@@ -21,8 +21,9 @@
     #: Datagrams and bytes between instances of two zones.
     datagrams_across: int = 0
     bytes_across: int = 0
-    #: Bytes of streams.
+    #: Bytes of streams, and those of them between instances of two zones.
     bytes_streamed: int = 0
+    bytes_streamed_across: int = 0
 
 
 class SimulatedNetwork:
@@ -65,7 +66,7 @@
             return
         if not self.reaches(sender, target):
             return
-        if self._rng.random() < self.loss:
+        if self.loses():
             return
         inside = sender.split(".")[2] == target.split(".")[2]
         self._count(len(data), inside=inside)
@@ -81,11 +82,23 @@
         cut = frozenset({sender, target}) in self.cut
         return not cut and (sender, target) not in self.cut_one_way
 
+    def reaches_both_ways(self, one: str, other: str) -> bool:
+        """Return whether two hear each other."""
+        if self.loses():
+            return False
+        return self.reaches(one, other) and self.reaches(other, one)
+
+    def loses(self) -> bool:
+        """Return whether what is sent now is lost by chance."""
+        return self._rng.random() < self.loss
+
     def carry(self, sender: str, target: str, size_bytes: int) -> float:
         """Take room on both links for a piece of a stream; return when it arrives, from now."""
         now_s = asyncio.get_running_loop().time()
         inside = sender.split(".")[2] == target.split(".")[2]
         self.traffic.bytes_streamed += size_bytes
+        if not inside:
+            self.traffic.bytes_streamed_across += size_bytes
         sent_s = max(self._link_free_s.get(sender, now_s), now_s)
         sent_s += size_bytes / self._limit(sender)
         self._link_free_s[sender] = sent_s
@@ -94,6 +107,13 @@
         self._link_taken_s[target] = taken_s
         return taken_s + (self._inside_s if inside else self._across_s) - now_s
 
+    def occupy(self, address: str, size_bytes: int) -> None:
+        """Take room on an instance's link, in and out, for what callers and upstreams send."""
+        now_s = asyncio.get_running_loop().time()
+        for used_s in (self._link_free_s, self._link_taken_s):
+            free_s = max(used_s.get(address, now_s), now_s)
+            used_s[address] = free_s + size_bytes / self._limit(address)
+
     def _limit(self, address: str) -> float:
         return self.limits_bytes_per_s.get(address, self.limit_bytes_per_s)
 
--- a/src/egretrail/gateway/tests/streams.py
+++ b/src/egretrail/gateway/tests/streams.py
@@ -13,6 +13,8 @@
 
 #: What one stream has on its way at a time.
 _WINDOW_BYTES = 32_768
+#: What is lost on its way is sent again after this time, doubled each time.
+_RESEND_FIRST_S = 0.2
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -24,6 +26,7 @@
         self._network = network
         self._sender = sender
         self._target = target
+        self.ends = frozenset({sender, target})
         self._buffer = bytearray()
         self._wake = asyncio.Event()
         self._ending = False
@@ -47,6 +50,15 @@
         if not self.reader.at_eof():
             self.reader.feed_eof()
 
+    def lose(self) -> None:
+        """Lose what is on its way, and tell nobody: one end is dead."""
+        self._task.cancel()
+        self._buffer.clear()
+
+    def is_done(self) -> bool:
+        """Return whether nothing is carried any more."""
+        return self._task.done()
+
     async def drain(self) -> None:
         """Wait until little is queued."""
         while len(self._buffer) > 2 * _WINDOW_BYTES and not self._task.done():
@@ -63,9 +75,13 @@
                 continue
             piece = bytes(self._buffer[:_WINDOW_BYTES])
             del self._buffer[:_WINDOW_BYTES]
+            resend_s = _RESEND_FIRST_S
             await asyncio.sleep(self._network.carry(self._sender, self._target, len(piece)))
-            if self._network.reaches(self._sender, self._target):
-                self.reader.feed_data(piece)
+            # Without acknowledgements the other way a piece is sent again too.
+            while not self._network.reaches_both_ways(self._sender, self._target):
+                await asyncio.sleep(resend_s)
+                resend_s *= 2
+            self.reader.feed_data(piece)
 
 
 class _Writer:
@@ -100,22 +116,37 @@
     def __init__(self, network: SimulatedNetwork) -> None:
         self._network = network
         self._servers: dict[str, tuple[Serve, contextvars.Context]] = {}
+        #: Addresses of instances that were lost with their machines: nothing answers there.
+        self._lost: set[str] = set()
+        self._pipes: list[_Pipe] = []
+
+    def lose(self, address: str) -> None:
+        """End an instance's streams without a word; whoever asks there waits."""
+        self._servers.pop(address, None)
+        self._lost.add(address)
+        for pipe in self._pipes:
+            if address in pipe.ends:
+                pipe.lose()
 
     async def start_server(self, serve: Serve, host: str, port: int, **_: object) -> _Listener:
         """Listen on an address."""
+        self._lost.discard(host)
         self._servers[host] = (serve, contextvars.copy_context())
         return _Listener()
 
     async def open_connection(self, host: str, port: int) -> tuple[asyncio.StreamReader, _Writer]:
         """Connect the instance that runs to another one; a cut way hangs."""
         own = OWN_ADDRESS.get()
-        if not self._network.reaches(own, host) or not self._network.reaches(host, own):
+        if host in self._lost or not self._network.reaches_both_ways(own, host):
             await asyncio.sleep(3600.0)
         if host not in self._servers:
             raise ConnectionRefusedError(host)
         await asyncio.sleep(self._network.carry(own, host, 0) * 2)
+        if host in self._lost:
+            await asyncio.sleep(3600.0)
         serve, context = self._servers[host]
         there, back = _Pipe(self._network, own, host), _Pipe(self._network, host, own)
+        self._pipes = [pipe for pipe in self._pipes if not pipe.is_done()] + [there, back]
         served = serve(there.reader, _Writer(back, there))  # type: ignore[arg-type]
         asyncio.get_running_loop().create_task(served, context=context)  # type: ignore[arg-type]
         return back.reader, _Writer(there, back)
