Let a zone fetch configurations from its own hub, not from the reader of another zone

Callers would take 503 for a new route for as long as this takes. Cause: a member hears of a version from the other zones before its own hub has it, waited 0.15 s, and then asked the reader of the other zone though its own hub had the version by then.

An instance now waits 0.8 s for a word of its own zone (0.3 s before it serves), which covers a hub that takes over from a dead one, and asks who gives it. Hubs ask at once as before. A failure is held against the peer that was asked. Why it holds: only hubs, and those that hear of none for 0.8 s, go to another zone.

--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -42,8 +42,12 @@
 _NEXT_QUESTION_S = 2.0
 #: A peer that failed is not asked again for this long, so that another one that offers is.
 _FAILED_PAUSE_S = 0.5
-#: State of another zone's instance is fetched only if nobody of the own zone had it by then.
+#: Upstreams of another zone's instance are fetched only if nobody of the own zone had them by then.
 _OTHER_ZONE_DELAY_S = 0.15
+#: The same of configurations, which take a hub longer, also one that takes over from a dead one;
+#: and before callers are served.
+_OTHER_ZONE_CONFIG_DELAY_S = 0.8
+_OTHER_ZONE_START_DELAY_S = 0.3
 #: Instances that hear of a newer state at the same moment ask within this time, so that the one
 #: that has it serves a zone of 70 one after the other.
 _SPREAD_S = 0.04
@@ -79,6 +83,15 @@
         super().__init__(str(failure))
 
 
+class _PeerFailed(Exception):  # noqa: N818 - named for what happened
+    """A peer that was asked did not answer, or not in its turn."""
+
+    def __init__(self, address: str, cause: Exception) -> None:
+        super().__init__(f"{address}: {cause!r}")
+        self.address = address
+        self.cause = cause
+
+
 @dataclass(slots=True)
 class _Peer:
     """A connection to a peer that is asked."""
@@ -139,6 +152,9 @@
         #: When all upstreams were fetched last.
         self._whole_s = float("-inf")
         self._arrived = PartsCollection()
+        #: The last instance of the own zone that offered a newer configuration, and a wait for one.
+        self._own_zone_offer: StateOffer | None = None
+        self._own_zone_offered = asyncio.Event()
         self._replies = _Replies()
         self._server: asyncio.Server | None = None
         #: Bytes of replies that arrived, and fetches that failed.
@@ -158,7 +174,12 @@
             fetch = self._fetch_upstreams(offer, at_once=at_once)
             self._fetching_upstreams = self._loop.create_task(self._guard(offer, fetch))
             self._fetching_upstreams.add_done_callback(self._upstreams_fetched)
-        if self._fetching_config is None and self._has_newer_config(offer):
+        if not self._has_newer_config(offer):
+            return
+        if self._is_of_own_zone(offer):
+            self._own_zone_offer = offer
+            self._own_zone_offered.set()
+        if self._fetching_config is None:
             fetch = self._fetch_config(offer, at_once=at_once)
             self._fetching_config = self._loop.create_task(self._guard(offer, fetch))
             self._fetching_config.add_done_callback(self._config_fetched)
@@ -173,19 +194,24 @@
         """Log the failure of a fetch; the next offer begins another one."""
         try:
             await fetch
+        except _PeerFailed as failed:
+            self._note_failure(offer, failed.address, failed.cause)
         except Exception as error:
-            self.fetches_failed += 1
-            now_s = self._loop.time()
-            for peer in [one for one, until_s in self._failed_until_s.items() if until_s < now_s]:
-                del self._failed_until_s[peer]
-            self._failed_until_s[offer.address] = now_s + _FAILED_PAUSE_S
-            self._log.event(
-                "fetch_failed",
-                peer=offer.address,
-                config_version=offer.config_version,
-                upstreams_revision=offer.upstreams_revision,
-                cause=repr(error),
-            )
+            self._note_failure(offer, offer.address, error)
+
+    def _note_failure(self, offer: StateOffer, address: str, cause: Exception) -> None:
+        self.fetches_failed += 1
+        now_s = self._loop.time()
+        for peer in [one for one, until_s in self._failed_until_s.items() if until_s < now_s]:
+            del self._failed_until_s[peer]
+        self._failed_until_s[address] = now_s + _FAILED_PAUSE_S
+        self._log.event(
+            "fetch_failed",
+            peer=address,
+            config_version=offer.config_version,
+            upstreams_revision=offer.upstreams_revision,
+            cause=repr(cause),
+        )
 
     def _has_newer_upstreams(self, offer: StateOffer) -> bool:
         return offer.upstreams_revision > self._view.upstreams.revision
@@ -196,20 +222,46 @@
     async def _wait_for_turn(self, offer: StateOffer, *, at_once: bool) -> None:
         if at_once or not self._view.ready:
             return
-        own_zone = offer.availability_zone == self._settings.availability_zone
-        delay_s = 0.0 if own_zone else _OTHER_ZONE_DELAY_S
+        delay_s = 0.0 if self._is_of_own_zone(offer) else _OTHER_ZONE_DELAY_S
         await asyncio.sleep(delay_s + self._rng.random() * _SPREAD_S)
 
+    def _is_of_own_zone(self, offer: StateOffer) -> bool:
+        return offer.availability_zone == self._settings.availability_zone
+
+    async def _choose(self, offer: StateOffer, *, at_once: bool) -> StateOffer:
+        """Wait for this instance's turn; return whom to ask for a configuration.
+
+        Load: a zone hears of a version from the others before its own hub has it. If its instances
+        went there, one reader of the store would send the configuration to all zones.
+        """
+        if at_once:
+            return offer
+        ready = self._view.ready
+        if not self._is_of_own_zone(offer):
+            self._own_zone_offered.clear()
+            delay_s = _OTHER_ZONE_CONFIG_DELAY_S if ready else _OTHER_ZONE_START_DELAY_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(delay_s):
+                    await self._own_zone_offered.wait()
+            if self._own_zone_offered.is_set() and self._own_zone_offer is not None:
+                offer = self._own_zone_offer
+        if ready:
+            await asyncio.sleep(self._rng.random() * _SPREAD_S)
+        return offer
+
     @contextlib.asynccontextmanager
     async def _connected(self, address: str) -> AsyncIterator[_Peer]:
-        async with asyncio.timeout(_SILENCE_S):
-            streams = await asyncio.open_connection(address, self._settings.peer_port)
-        peer = _Peer(*streams)
         try:
-            yield peer
-        finally:
-            self.fetched_bytes += peer.received_bytes
-            peer.writer.close()
+            async with asyncio.timeout(_SILENCE_S):
+                streams = await asyncio.open_connection(address, self._settings.peer_port)
+            peer = _Peer(*streams)
+            try:
+                yield peer
+            finally:
+                self.fetched_bytes += peer.received_bytes
+                peer.writer.close()
+        except Exception as error:
+            raise _PeerFailed(address, error) from error
 
     async def _fetch_upstreams(self, offer: StateOffer, *, at_once: bool) -> None:
         await self._wait_for_turn(offer, at_once=at_once)
@@ -230,7 +282,7 @@
             view.change_upstreams(dict(reply.changes), reply.revision, source)
 
     async def _fetch_config(self, offer: StateOffer, *, at_once: bool) -> None:
-        await self._wait_for_turn(offer, at_once=at_once)
+        offer = await self._choose(offer, at_once=at_once)
         async with self._connected(offer.address) as peer:
             for _ in range(_OUTLINES_MAX):
                 if not self._has_newer_config(offer):
