Send a configuration to three at a time, and let each of them tell others

Callers would take 503 for a new route from most of a weak zone, and its doubts and loads stood still meanwhile. Cause: the hub sent to all members at the same time.

Who lacks more than 64 KB takes one of three places, or is told whom to ask: an instance that has said that it has all, three askers each, then a rest of 0.25 s. Hubs are not made to wait (12 places). A place lapses for others after 0.12 s without a question, so that dead and cut-off askers keep nobody. Small changes are sent at once as before.

Why it holds: what waits for a hub's link is three replies however large the zone is, and those that can tell grow by a multiple in each round.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -27,6 +27,7 @@
     OutlineQuestion,
     PartsQuestion,
     Question,
+    Referral,
     UpstreamsQuestion,
     UpstreamsReply,
     decode_outline,
@@ -36,6 +37,7 @@
     encode_outline,
     encode_parts,
     encode_question,
+    encode_referral,
     encode_upstreams,
 )
 from egretrail.cluster._following import HUB_SILENCE_S, Following
@@ -83,6 +85,7 @@
     "PartsCollection",
     "PartsQuestion",
     "Question",
+    "Referral",
     "RosterSlice",
     "Scope",
     "Section",
@@ -102,6 +105,7 @@
     "encode_parts",
     "encode_passed_on",
     "encode_question",
+    "encode_referral",
     "encode_sections",
     "encode_upstreams",
     "part_config",
--- a/src/egretrail/cluster/_fetch_codec.py
+++ b/src/egretrail/cluster/_fetch_codec.py
@@ -54,6 +54,18 @@
 
     #: The digest of the asker's configuration; 0 for none.
     base: int
+    #: The asker's address: others may be told to ask it once it has all.
+    asker: str = ""
+    #: Whether the asker is a hub, whose zone waits for it.
+    is_hub: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Referral:
+    """Tells an asker to ask another instance, since many ask this one."""
+
+    #: Its address; empty for the same one again.
+    address: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,8 +85,8 @@
     match question:
         case UpstreamsQuestion(revision, with_doubts):
             document = [_VERSION, 0, revision, with_doubts]
-        case OutlineQuestion(base):
-            document = [_VERSION, 1, base]
+        case OutlineQuestion(base, asker, is_hub):
+            document = [_VERSION, 1, base, asker, is_hub]
         case PartsQuestion(wanted):
             document = [_VERSION, 2, dict(wanted)]
     packed: bytes = msgpack.packb(document)
@@ -90,8 +102,8 @@
         match kind, rest:
             case 0, [revision, with_doubts]:
                 return Ok(UpstreamsQuestion(int(revision), bool(with_doubts)))
-            case 1, [base]:
-                return Ok(OutlineQuestion(int(base)))
+            case 1, [base, asker, is_hub]:
+                return Ok(OutlineQuestion(int(base), str(asker), bool(is_hub)))
             case 2, [wanted]:
                 return Ok(PartsQuestion(_digests(wanted)))
             case _:
@@ -107,12 +119,21 @@
     return packed
 
 
-def decode_outline(data: bytes) -> Result[ConfigOutline, MalformedMessage]:
-    """Read an outline."""
+def encode_referral(referral: Referral) -> bytes:
+    """Return the form of a referral, which comes in place of an outline."""
+    packed: bytes = msgpack.packb([_VERSION, referral.address])
+    return packed
+
+
+def decode_outline(data: bytes) -> Result[ConfigOutline | Referral, MalformedMessage]:
+    """Read an outline, or what comes in its place."""
     try:
-        version, head, digest, base, changed = msgpack.unpackb(data, strict_map_key=False)
+        version, *rest = msgpack.unpackb(data, strict_map_key=False)
         if version != _VERSION:
             return Err(MalformedMessage(f"version {version!r}"))
+        if len(rest) == 1:
+            return Ok(Referral(str(rest[0])))
+        head, digest, base, changed = rest
         return Ok(ConfigOutline(bytes(head), int(digest), int(base), _digests(changed)))
     except MALFORMED as error:
         return Err(MalformedMessage(repr(error)))
--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -6,7 +6,7 @@
 from collections import OrderedDict
 from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from typing import Any, Generic, TypeVar
 
 from result import Err, Result
 
@@ -18,6 +18,7 @@
     PartsCollection,
     PartsQuestion,
     Question,
+    Referral,
     UpstreamsQuestion,
     UpstreamsReply,
     decode_outline,
@@ -27,8 +28,10 @@
     encode_outline,
     encode_parts,
     encode_question,
+    encode_referral,
     encode_upstreams,
 )
+from egretrail.gateway._fetch_places import FetchPlaces
 from egretrail.gateway._frames import read_frame, write_frame
 from egretrail.gateway._interfaces import GatewaySettings
 from egretrail.gateway._log import EventLog
@@ -58,6 +61,12 @@
 _BACKLOG = 512
 #: How often an outline is asked for on one connection: parts of it may be replaced meanwhile.
 _OUTLINES_MAX = 8
+#: How often a fetch is told to ask another instance, or the same one again.
+_REFERRALS_MAX = 8
+#: An instance that another one named may be gone; the offer's own can be asked again.
+_REFERRED_SILENCE_S = 0.3
+#: Whoever lacks less of a configuration is sent it at once.
+_SMALL_BYTES = 65_536
 #: Replies that are kept for others with the same question, some kilobytes each.
 _REPLIES_MAX = 32
 
@@ -115,12 +124,12 @@
 
 
 @dataclass(slots=True)
-class _Replies:
+class _Replies(Generic[T]):
     """The last replies by what they answer: a whole zone asks the same."""
 
-    _made: OrderedDict[object, bytes] = field(default_factory=OrderedDict)
+    _made: OrderedDict[object, T] = field(default_factory=OrderedDict)
 
-    def get(self, key: object, make: Callable[[], bytes]) -> bytes:
+    def get(self, key: object, make: Callable[[], T]) -> T:
         """Return the reply to a question, made where nobody asked the same before."""
         reply = self._made.get(key)
         if reply is None:
@@ -155,7 +164,11 @@
         #: The last instance of the own zone that offered a newer configuration, and a wait for one.
         self._own_zone_offer: StateOffer | None = None
         self._own_zone_offered = asyncio.Event()
-        self._replies = _Replies()
+        self._replies: _Replies[bytes] = _Replies()
+        #: Outlines, and whether they lack much.
+        self._outlines: _Replies[tuple[bytes, bool]] = _Replies()
+        self._places = FetchPlaces(self._loop.time, self._zone_of)
+        self._visits = 0
         self._server: asyncio.Server | None = None
         #: Bytes of replies that arrived, and fetches that failed.
         self.fetched_bytes = self.fetches_failed = 0
@@ -168,7 +181,7 @@
     def fetch_if_newer(self, offer: StateOffer, *, at_once: bool = False) -> None:
         """Ask a peer for its state where it is newer, at once where others will ask this one."""
         self._view.heard_of_config(offer.config_version)
-        if self._failed_until_s.get(offer.address, 0.0) > self._loop.time():
+        if self._is_paused(offer.address):
             return
         if self._fetching_upstreams is None and self._has_newer_upstreams(offer):
             fetch = self._fetch_upstreams(offer, at_once=at_once)
@@ -184,6 +197,9 @@
             self._fetching_config = self._loop.create_task(self._guard(offer, fetch))
             self._fetching_config.add_done_callback(self._config_fetched)
 
+    def _is_paused(self, address: str) -> bool:
+        return self._failed_until_s.get(address, 0.0) > self._loop.time()
+
     def _upstreams_fetched(self, _: asyncio.Task[None]) -> None:
         self._fetching_upstreams = None
 
@@ -225,6 +241,10 @@
         delay_s = 0.0 if self._is_of_own_zone(offer) else _OTHER_ZONE_DELAY_S
         await asyncio.sleep(delay_s + self._rng.random() * _SPREAD_S)
 
+    def _zone_of(self, address: str) -> str | None:
+        instance = self._view.membership.named(address)
+        return None if instance is None else instance.availability_zone
+
     def _is_of_own_zone(self, offer: StateOffer) -> bool:
         return offer.availability_zone == self._settings.availability_zone
 
@@ -250,9 +270,9 @@
         return offer
 
     @contextlib.asynccontextmanager
-    async def _connected(self, address: str) -> AsyncIterator[_Peer]:
+    async def _connected(self, address: str, silence_s: float = _SILENCE_S) -> AsyncIterator[_Peer]:
         try:
-            async with asyncio.timeout(_SILENCE_S):
+            async with asyncio.timeout(silence_s):
                 streams = await asyncio.open_connection(address, self._settings.peer_port)
             peer = _Peer(*streams)
             try:
@@ -283,20 +303,43 @@
 
     async def _fetch_config(self, offer: StateOffer, *, at_once: bool) -> None:
         offer = await self._choose(offer, at_once=at_once)
-        async with self._connected(offer.address) as peer:
-            for _ in range(_OUTLINES_MAX):
-                if not self._has_newer_config(offer):
-                    return
-                config = await self._collect(peer)
-                source = f"peer {offer.address}"
-                if config is not None and not self._view.take_config(config, source):
-                    return
+        address, silence_s = offer.address, _SILENCE_S
+        for _ in range(_REFERRALS_MAX):
+            async with self._connected(address, silence_s) as peer:
+                referral = await self._fetch_from(peer, offer, is_hub=at_once)
+            if referral is None:
+                return
+            address, silence_s = offer.address, _SILENCE_S
+            own = referral.address in ("", self._settings.ip)
+            if not own and not self._is_paused(referral.address):
+                address, silence_s = referral.address, _REFERRED_SILENCE_S
+
+    async def _fetch_from(self, peer: _Peer, offer: StateOffer, *, is_hub: bool) -> Referral | None:
+        """Fetch configurations from a peer while it has newer ones, unless it names another."""
+        for _ in range(_OUTLINES_MAX):
+            if not self._has_newer_config(offer):
+                return None
+            config = await self._collect(peer, is_hub=is_hub)
+            if isinstance(config, Referral):
+                return config
+            source = f"peer {offer.address}"
+            if config is not None:
+                if not self._view.take_config(config, source):
+                    return None
+                # It may name this instance to others now.
+                has_all = OutlineQuestion(config.digest, self._settings.ip, is_hub)
+                write_frame(peer.writer, encode_question(has_all))
+                return None
+        return None
 
-    async def _collect(self, peer: _Peer) -> PartedConfig | None:
+    async def _collect(self, peer: _Peer, *, is_hub: bool) -> PartedConfig | Referral | None:
         """Fetch what is missing of a peer's configuration; None where it has moved on meanwhile."""
         own = self._view.parted_config
         base = own.digest if own is not None else 0
-        outline = await peer.ask(OutlineQuestion(base), decode_outline)
+        question = OutlineQuestion(base, self._settings.ip, is_hub)
+        outline = await peer.ask(question, decode_outline)
+        if isinstance(outline, Referral):
+            return outline
         if not outline.head:
             raise FetchFailed(MalformedMessage("no configuration"))
         self._arrived.keep_only(outline)
@@ -319,28 +362,32 @@
         return config
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._visits += 1
+        visit = self._visits
         try:
             while True:
                 decoded = decode_question(await read_frame(reader, _NEXT_QUESTION_S))
                 if isinstance(decoded, Err):
                     return
-                write_frame(writer, self._reply_to(decoded.ok_value))
+                write_frame(writer, await self._reply_to(decoded.ok_value, visit))
                 async with asyncio.timeout(_NEXT_QUESTION_S):
                     await writer.drain()
         except (TimeoutError, OSError, EOFError, ValueError):
             # The asker closed the connection, or tells of its failure; here nothing has changed.
             return
         finally:
+            self._places.leave(visit)
             with contextlib.suppress(OSError):
                 writer.close()
 
-    def _reply_to(self, question: Question) -> bytes:
+    async def _reply_to(self, question: Question, visit: int) -> bytes:
         match question:
             case UpstreamsQuestion():
                 return self._upstreams_reply(question)
-            case OutlineQuestion(base):
-                return self._outline_reply(base)
+            case OutlineQuestion():
+                return await self._outline_reply(question, visit)
             case PartsQuestion(wanted):
+                self._places.keep(visit)
                 return self._parts_reply(wanted)
 
     def _upstreams_reply(self, asked: UpstreamsQuestion) -> bytes:
@@ -363,14 +410,31 @@
             return make()
         return self._replies.get((revision, asked), make)
 
-    def _outline_reply(self, base: int) -> bytes:
+    async def _outline_reply(self, asked: OutlineQuestion, visit: int) -> bytes:
+        reply, much = self._outline(asked.base)
+        if not much:
+            config = self._view.parted_config
+            if config is not None and config.digest == asked.base and asked.asker:
+                self._places.completed(asked.asker)
+            return reply
+        teller = await self._places.admit(visit, asked.asker, is_hub=asked.is_hub)
+        if teller is not None:
+            return encode_referral(Referral(teller))
+        # Another version may be in force by now.
+        return self._outline(asked.base)[0]
+
+    def _outline(self, base: int) -> tuple[bytes, bool]:
+        """Return an outline for those that have a configuration, and whether they lack much."""
         config = self._view.parted_config
         if config is None:
-            return encode_outline(ConfigOutline(b"", 0, 0, {}))
-        known = self._view.known_outlines
-        return self._replies.get(
-            (config.digest, base), lambda: encode_outline(known.outline(config, base))
-        )
+            return encode_outline(ConfigOutline(b"", 0, 0, {})), False
+
+        def make() -> tuple[bytes, bool]:
+            outline = self._view.known_outlines.outline(config, base)
+            lacking_bytes = sum(len(config.parts[number].packed) for number in outline.changed)
+            return encode_outline(outline), lacking_bytes > _SMALL_BYTES
+
+        return self._outlines.get((config.digest, base), make)
 
     def _parts_reply(self, wanted: Mapping[int, int]) -> bytes:
         config = self._view.parted_config
