Ask another instance of the zone where the one that offers cannot be asked

Callers of instances cut off from their hub would take 503 for new routes until the end of the cut. Cause: the hub's word comes by others, but the fetch went to the hub itself, each time for 0.7 s and again 0.5 s later.

While the instance that offered is paused after a failure, an instance of the own zone is asked that is not. One that has nothing newer yet is left alone for 0.1 s. Why it holds: each try goes to another instance, and most of them have the version by then.

--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -5,7 +5,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Generic, TypeVar
 
 from result import Err, Result
@@ -45,6 +45,8 @@
 _NEXT_QUESTION_S = 2.0
 #: A peer that failed is not asked again for this long, so that another one that offers is.
 _FAILED_PAUSE_S = 0.5
+#: A peer that had nothing newer yet is not asked again for this long.
+_NO_NEWER_PAUSE_S = 0.1
 #: Upstreams of another zone's instance are fetched only if nobody of the own zone had them by then.
 _OTHER_ZONE_DELAY_S = 0.15
 #: The same of configurations, which take a hub longer, also one that takes over from a dead one;
@@ -182,7 +184,10 @@
         """Ask a peer for its state where it is newer, at once where others will ask this one."""
         self._view.heard_of_config(offer.config_version)
         if self._is_paused(offer.address):
-            return
+            other = self._another_than(offer)
+            if other is None:
+                return
+            offer = replace(offer, address=other)
         if self._fetching_upstreams is None and self._has_newer_upstreams(offer):
             fetch = self._fetch_upstreams(offer, at_once=at_once)
             self._fetching_upstreams = self._loop.create_task(self._guard(offer, fetch))
@@ -200,6 +205,21 @@
     def _is_paused(self, address: str) -> bool:
         return self._failed_until_s.get(address, 0.0) > self._loop.time()
 
+    def _another_than(self, offer: StateOffer) -> str | None:
+        """Return whom to ask in place of one of the own zone that failed.
+
+        Load: the way to the hub is cut, and its word comes by others. They have what it offers.
+        """
+        if not self._is_of_own_zone(offer):
+            return None
+        order = self._view.membership.order(offer.availability_zone)
+        others = [
+            one
+            for one in order
+            if one not in (offer.address, self._settings.ip) and not self._is_paused(one)
+        ]
+        return self._rng.choice(others) if others else None
+
     def _upstreams_fetched(self, _: asyncio.Task[None]) -> None:
         self._fetching_upstreams = None
 
@@ -308,6 +328,8 @@
             async with self._connected(address, silence_s) as peer:
                 referral = await self._fetch_from(peer, offer, is_hub=at_once)
             if referral is None:
+                if self._has_newer_config(offer):
+                    self._failed_until_s[address] = self._loop.time() + _NO_NEWER_PAUSE_S
                 return
             address, silence_s = offer.address, _SILENCE_S
             own = referral.address in ("", self._settings.ip)
