Try a connection to a peer anew after 0.2 s

Callers of a lossy zone would wait for a new route. Cause: the system sends a lost first segment again after 1 s, when the peer has been given up after 0.7 s: with a tenth lost, each tenth fetch lost 0.7 s and its peer, and a zone waited as long where it was its hub's. Why it holds: two lost ones in a row are one in a hundred, and the second has 0.5 s.

--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -41,6 +41,9 @@
 
 #: A peer that is asked and of which nothing arrives for this long is taken as cut off.
 _SILENCE_S = 0.7
+#: A connection that is not there by then is tried anew: a lost first segment is sent again by the
+#: system after a second only, when the peer would be taken as cut off.
+_CONNECT_AGAIN_S = 0.2
 #: A peer that asked once keeps its connection for the next question for this long.
 _NEXT_QUESTION_S = 2.0
 #: A peer that failed is not asked again for this long, so that another one that offers is.
@@ -66,7 +69,7 @@
 #: How often a fetch is told to ask another instance, or the same one again.
 _REFERRALS_MAX = 8
 #: An instance that another one named may be gone; the offer's own can be asked again.
-_REFERRED_SILENCE_S = 0.3
+_REFERRED_SILENCE_S = 0.4
 #: Whoever lacks less of a configuration is sent it at once.
 _SMALL_BYTES = 65_536
 #: Replies that are kept for others with the same question, some kilobytes each.
@@ -292,9 +295,7 @@
     @contextlib.asynccontextmanager
     async def _connected(self, address: str, silence_s: float = _SILENCE_S) -> AsyncIterator[_Peer]:
         try:
-            async with asyncio.timeout(silence_s):
-                streams = await asyncio.open_connection(address, self._settings.peer_port)
-            peer = _Peer(*streams)
+            peer = _Peer(*await self._open_connection(address, silence_s))
             try:
                 yield peer
             finally:
@@ -303,6 +304,16 @@
         except Exception as error:
             raise _PeerFailed(address, error) from error
 
+    async def _open_connection(
+        self, address: str, silence_s: float
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        port = self._settings.peer_port
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CONNECT_AGAIN_S):
+                return await asyncio.open_connection(address, port)
+        async with asyncio.timeout(silence_s - _CONNECT_AGAIN_S):
+            return await asyncio.open_connection(address, port)
+
     async def _fetch_upstreams(self, offer: StateOffer, *, at_once: bool) -> None:
         await self._wait_for_turn(offer, at_once=at_once)
         if not self._has_newer_upstreams(offer):
