--- /dev/null
+++ b/src/egretrail/gateway/_config_fetch.py
@@ -0,0 +1,184 @@
+"""Fetches a configuration that is newer than the one in force, part by part."""
+
+import asyncio
+import contextlib
+import random
+
+from egretrail.cluster import (
+    MalformedMessage,
+    OutlineQuestion,
+    PartedConfig,
+    PartsCollection,
+    PartsQuestion,
+    Referral,
+    decode_outline,
+    decode_parts,
+)
+from egretrail.gateway._interfaces import GatewaySettings
+from egretrail.gateway._peer_streams import (
+    SILENCE_S,
+    FetchFailed,
+    Pauses,
+    PeerStream,
+    PeerStreams,
+    StateOffer,
+)
+from egretrail.gateway._upstreams_fetch import SPREAD_S
+from egretrail.gateway._view import FleetView
+
+#: A peer that had nothing newer yet is not asked again for this long.
+_NO_NEWER_PAUSE_S = 0.1
+#: A configuration of another zone's instance is fetched only if nobody of the own zone had it by
+#: then; a hub that takes over from a dead one needs some tenths of a second. Sooner at the start,
+#: before callers are served.
+_OTHER_ZONE_DELAY_S = 0.8
+_OTHER_ZONE_START_DELAY_S = 0.3
+#: How often an outline is asked for on one connection: parts of it may be replaced meanwhile.
+_OUTLINES_MAX = 8
+#: How often a fetch is told to ask another instance, or the same one again.
+_REFERRALS_MAX = 8
+#: An instance that another one named may be gone; the offer's own can be asked again.
+_REFERRED_SILENCE_S = 0.4
+
+
+class ConfigFetch:
+    """Asks one peer at a time, and keeps the parts that arrived until they are a whole version."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        view: FleetView,
+        streams: PeerStreams,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._streams = streams
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[None] | None = None
+        self._arrived = PartsCollection()
+        #: The last instance of the own zone that offered a newer configuration, and a wait for one.
+        self._own_zone_offer: StateOffer | None = None
+        self._own_zone_offered = asyncio.Event()
+        self._pauses = Pauses()
+
+    def offered(self, offer: StateOffer, *, at_once: bool) -> None:
+        """Fetch where a peer has a newer configuration."""
+        self._view.configs.heard_of(offer.config_version)
+        if not self._is_newer(offer) or self.is_paused(offer.address):
+            return
+        if self._is_of_own_zone(offer):
+            self._own_zone_offer = offer
+            self._own_zone_offered.set()
+        if self._task is None:
+            self._task = self._loop.create_task(self._fetch(offer, at_once=at_once))
+            self._task.add_done_callback(self._fetched)
+
+    def is_paused(self, peer: str) -> bool:
+        """Return whether a peer has failed lately."""
+        return self._pauses.holds(peer, self._loop.time())
+
+    def stop(self) -> None:
+        """End what is under way."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _fetched(self, _: asyncio.Task[None]) -> None:
+        self._task = None
+
+    def _is_newer(self, offer: StateOffer) -> bool:
+        return offer.config_version > self._view.config_version
+
+    def _is_of_own_zone(self, offer: StateOffer) -> bool:
+        return offer.availability_zone == self._settings.availability_zone
+
+    async def _fetch(self, offer: StateOffer, *, at_once: bool) -> None:
+        try:
+            if not at_once:
+                offer = await self._choose(offer)
+            await self._ask_in_turn(offer, is_hub=at_once)
+        except Exception as error:
+            # The next offer begins another fetch, with the parts that have come.
+            self._pauses.begin(self._streams.failed(offer, error), self._loop.time())
+
+    async def _choose(self, offer: StateOffer) -> StateOffer:
+        """Wait for this instance's turn; return whom to ask.
+
+        Load: a zone hears of a version from the others before its own hub has it. If its instances
+        went there, one reader of the store would send the configuration to all zones.
+        """
+        ready = self._view.ready
+        if not self._is_of_own_zone(offer):
+            self._own_zone_offered.clear()
+            delay_s = _OTHER_ZONE_DELAY_S if ready else _OTHER_ZONE_START_DELAY_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(delay_s):
+                    await self._own_zone_offered.wait()
+            if self._own_zone_offered.is_set() and self._own_zone_offer is not None:
+                offer = self._own_zone_offer
+        if ready:
+            await asyncio.sleep(self._rng.random() * SPREAD_S)
+        return offer
+
+    async def _ask_in_turn(self, offer: StateOffer, *, is_hub: bool) -> None:
+        """Ask the instance that offers, and those that are named in its place."""
+        address, silence_s = offer.address, SILENCE_S
+        for _ in range(_REFERRALS_MAX):
+            async with self._streams.connected(address, silence_s) as peer:
+                referral = await self._fetch_from(peer, address, offer, is_hub=is_hub)
+            if referral is None:
+                if self._is_newer(offer):
+                    self._pauses.begin(address, self._loop.time(), _NO_NEWER_PAUSE_S)
+                return
+            address, silence_s = offer.address, SILENCE_S
+            own = referral.address in ("", self._settings.ip)
+            if not own and not self.is_paused(referral.address):
+                address, silence_s = referral.address, _REFERRED_SILENCE_S
+
+    async def _fetch_from(
+        self, peer: PeerStream, address: str, offer: StateOffer, *, is_hub: bool
+    ) -> Referral | None:
+        """Fetch a configuration from a peer, unless it names another one."""
+        for _ in range(_OUTLINES_MAX):
+            if not self._is_newer(offer):
+                return None
+            config = await self._collect(peer, is_hub=is_hub)
+            if isinstance(config, Referral):
+                return config
+            if config is None:
+                continue
+            if self._view.take_config(config, f"peer {address}"):
+                # It may name this instance to others now.
+                peer.tell(OutlineQuestion(config.digest, self._settings.ip, is_hub))
+            return None
+        return None
+
+    async def _collect(self, peer: PeerStream, *, is_hub: bool) -> PartedConfig | Referral | None:
+        """Fetch what is missing of a peer's configuration; None where it has moved on meanwhile."""
+        own = self._view.configs.parted
+        base = own.digest if own is not None else 0
+        question = OutlineQuestion(base, self._settings.ip, is_hub)
+        outline = await peer.ask(question, decode_outline)
+        if isinstance(outline, Referral):
+            return outline
+        if not outline.head:
+            raise FetchFailed(MalformedMessage("no configuration"))
+        self._arrived.keep_only(outline)
+        lacking = self._arrived.lacking(outline, own)
+        while lacking:
+            parts = await peer.ask(PartsQuestion(lacking), decode_parts)
+            if not parts:
+                return None
+            for part in parts:
+                self._arrived.add(part)
+            before, lacking = lacking, self._arrived.lacking(outline, own)
+            if len(lacking) == len(before):
+                raise FetchFailed(MalformedMessage("parts that were not asked for"))
+            # Each reply is some milliseconds of work.
+            await asyncio.sleep(0)
+        config = self._arrived.join(outline, own)
+        self._arrived.clear()
+        if config is None:
+            raise FetchFailed(MalformedMessage("the parts are not those of the outline"))
+        return config
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -25,7 +25,8 @@
 from egretrail.gateway._interfaces import GatewaySettings
 from egretrail.gateway._introducer import Introducer
 from egretrail.gateway._log import EventLog
-from egretrail.gateway._state_exchange import StateExchange, StateOffer
+from egretrail.gateway._peer_streams import StateOffer
+from egretrail.gateway._state_exchange import StateExchange
 from egretrail.gateway._timer import Timer
 from egretrail.gateway._view import FleetView
 
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -12,8 +12,9 @@
 from egretrail.gateway._executor import Executor
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._metrics import GatewayMetrics
+from egretrail.gateway._peer_streams import StateOffer
 from egretrail.gateway._pool import UpstreamPool
-from egretrail.gateway._state_exchange import StateExchange, StateOffer
+from egretrail.gateway._state_exchange import StateExchange
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.settings import gateway_settings
 from egretrail.http1 import Request
--- a/src/egretrail/gateway/tests/test_upstream_exchange.py
+++ b/src/egretrail/gateway/tests/test_upstream_exchange.py
@@ -272,7 +272,7 @@
             whole = pick % 7 == 0
             question = UpstreamsQuestion(0 if whole else known[asker], with_doubts=False)
             own = self.instances[giver]
-            decoded = decode_upstreams(own.exchange._reply_to(question))
+            decoded = decode_upstreams(own.exchange.answers.upstreams_reply(question))
             assert isinstance(decoded, Ok)
             extras = self._extras(own)
             self.replies.append(_Reply(asker, giver, decoded.ok_value, extras, set(own.dropped)))
