Tell parts in replies of 64 KB

With a tenth of all pieces lost a fetch of 3,600 routes took 22 pieces, two of which were sent again after 0.2 s or more. Twice as large replies need half as many; compressed, three of them take a link of 10 Mbit/s some 30 ms.

--- a/src/egretrail/cluster/_fetch_codec.py
+++ b/src/egretrail/cluster/_fetch_codec.py
@@ -17,7 +17,7 @@
 _VERSION = 5
 #: Parts of a reply are packed to this size before compression, so that a reply takes a weak link
 #: a few milliseconds and one after the other goes to many that ask.
-_PARTS_REPLY_BYTES = 32_768
+_PARTS_REPLY_BYTES = 65_536
 #: What a reply of parts may unpack to; one part alone may be larger than a reply.
 _PARTS_BYTES_MAX = 16 * 1024 * 1024
 #: Routes of one customer are alike: the fastest level makes a fifth of them.
