--- a/src/egretrail/gateway/_fetch_places.py
+++ b/src/egretrail/gateway/_fetch_places.py
@@ -37,8 +37,8 @@
     """The places for those that are sent much.
 
     Load: 70 instances of a zone ask at the same moment for 60 KB each. Sent to all at once over a
-    link of 10 Mbit/s nobody has all of it for three seconds, and the hub's word is lost behind it.
-    Sent to three at a time, each of whom tells three others, all have it after half a second.
+    link of 10 Mbit/s nobody has all of it for two seconds, and the hub's word is lost behind it.
+    Sent to three at a time, each of whom tells three others, all have it after a second.
     """
 
     #: The clock.
