--- a/scaffolding/platform/caller.py
+++ b/scaffolding/platform/caller.py
@@ -39,6 +39,22 @@
             return []
         return [str(one) for one in json.loads(answer.body)["addresses"]]
 
+    async def ask_lifetime(self, address: str, zone: str) -> str | None:
+        """Return how long a directory's answer may be kept, as it states it."""
+        target = f"/api/resolve?name={self.host}&region=r&zone={zone}"
+        answer = await self._exchange(address, b"GET", target.encode(), [], b"")
+        if answer is None or answer.status != 200:
+            return None
+        return str(json.loads(answer.body)["ttl"])
+
+    async def metric(self, address: str, name: str) -> float | None:
+        """Return a metric's value; None where it is not told."""
+        answer = await self._exchange(address, b"GET", b"/", [], b"")
+        for line in answer.body.decode().splitlines() if answer is not None else ():
+            if line.startswith(f"{name} "):
+                return float(line.rpartition(" ")[2])
+        return None
+
     async def is_ready(self, address: str) -> bool:
         """Return whether an instance says that it is ready."""
         answer = await self._exchange(address, b"GET", b"/api/ready", [], b"")
--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import random
+import re
 import signal
 import socket
 import sys
@@ -107,12 +108,14 @@
         hosts = ["127.0.0.1", *self._ips, *(self.store_host(n) for n in range(count))]
         self._ports = free_ports(7, hosts)
         #: The way of each gateway to the store.
-        self.store_links = [LinkProxy(f"127.0.0.1:{self._ports[6]}") for _ in self._ips]
+        self.store_links = [LinkProxy(self.store_address) for _ in self._ips]
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         #: Gateways whose process is being started now.
         self._starting: set[int] = set()
         #: Processes that were started, by gateway.
         self.starts: Counter[int] = Counter()
+        #: What was changed of each gateway's settings, as it stands in the file.
+        self._changes: dict[int, dict[str, str]] = {}
         self._runner: web.AppRunner | None = None
         self._folder = Path(tempfile.mkdtemp(prefix="gateway-fleet-"))
         self.logs = self._folder
@@ -137,6 +140,15 @@
         """Return where a gateway reaches the store, by which the store knows the gateway."""
         return self._ips[number].replace("127.0.", "127.1.")
 
+    def metrics(self, number: int) -> str:
+        """Return where a gateway tells its metrics."""
+        return f"{self._ips[number]}:{self._ports[4] + 1}"
+
+    @property
+    def store_address(self) -> str:
+        """Where the store itself listens, behind the gateways' ways to it."""
+        return f"127.0.0.1:{self._ports[6]}"
+
     def zone(self, number: int) -> str:
         """Return a gateway's zone."""
         return ZONES[number % len(ZONES)]
@@ -166,8 +178,8 @@
 
     async def _start_process(self, number: int) -> None:
         self.starts[number] += 1
-        path = self._folder / f"node-{number}.toml"
-        path.write_text(self._settings(number))
+        path = self.settings_file(number)
+        path.write_text(self.settings(number))
         log = (self._folder / f"node-{number}.log").open("ab")
         environment = {
             "PATH": os.environ.get("PATH", ""),
@@ -219,7 +231,23 @@
         """Return what a gateway has logged."""
         return (self._folder / f"node-{number}.log").read_text()
 
-    def _settings(self, number: int) -> str:
+    def settings_file(self, number: int) -> Path:
+        """Return where a gateway's settings stand."""
+        return self._folder / f"node-{number}.toml"
+
+    def change_settings(self, number: int, **fields: str) -> None:
+        """Change fields of a gateway's settings file; the process is told nothing."""
+        self._changes.setdefault(number, {}).update(fields)
+        self.settings_file(number).write_text(self.settings(number))
+
+    def settings(self, number: int) -> str:
+        """Return a gateway's settings as its file holds them."""
+        text = self._first_settings(number)
+        for name, value in self._changes.get(number, {}).items():
+            text = re.sub(rf"(?m)^{name} = .*$", f"{name} = {value}", text)
+        return text
+
+    def _first_settings(self, number: int) -> str:
         ip = self._ips[number]
         front, ready, directory, control, peers, store, _ = self._ports
         return f"""
--- a/scaffolding/tests/test_gateway_processes.py
+++ b/scaffolding/tests/test_gateway_processes.py
@@ -2,76 +2,12 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
 
-from egretrail.testing import EgretrailTestCase, cases
-from scaffolding.platform import Behaviour, Caller, GatewayFleet, Reply, StandInBackend
-from scaffolding.platform.fleet import HOST, config, order_route, route
+from egretrail.testing import cases
+from scaffolding.platform import Behaviour, StandInBackend
+from scaffolding.platform.fleet import config, route
 from scaffolding.platform.store import StoreMode
-
-_LIMIT_S = 60.0
-#: A bound that a healthy fleet passes in a small part of; it only ends a test that hangs.
-_SOON_S = 20.0
-
-_ROUTES = [
-    route("read", "/read/", "catalogue", timeout="20000ms"),
-    order_route("order", "/order/", "orders", timeout="20000ms"),
-]
-
-Act = Callable[["Stage"], Awaitable[None]]
-
-
-class Stage:
-    """A fleet that is ready, with a caller."""
-
-    def __init__(self, fleet: GatewayFleet) -> None:
-        self.fleet = fleet
-        self.caller = Caller(HOST)
-
-    async def until(self, holds: Callable[[], Awaitable[bool]], what: str) -> None:
-        """Wait until something holds."""
-        async with asyncio.timeout(_SOON_S):
-            while not await holds():
-                await asyncio.sleep(0.05)
-
-    async def until_ready(self, number: int) -> None:
-        """Wait until a gateway is ready."""
-        await self.until(lambda: self.caller.is_ready(self.fleet.ready(number)), "ready")
-
-    async def read(self, number: int, path: str = "/read/1", wait_s: float = 20.0) -> Reply:
-        """Send an idempotent request to a gateway."""
-        return await self.caller.send(self.fleet.traffic(number), "GET", path, wait_s=wait_s)
-
-    async def order(self, number: int, body: bytes = b"one") -> Reply:
-        """Send a request that must run at most once."""
-        return await self.caller.send(
-            self.fleet.traffic(number), "POST", "/order/1", body, wait_s=20.0
-        )
-
-    def runs(self, reply: Reply) -> int:
-        """Return how often a client attempt ran."""
-        return sum(backend.runs[reply.attempt] for backend in self.fleet.backends)
-
-
-class GatewayTest(EgretrailTestCase):
-    """Starts a fleet for each test and ends all of its processes."""
-
-    def play(self, act: Act, count: int = 3, backends: int = 3) -> None:
-        async def run() -> None:
-            fleet = GatewayFleet(count)
-            stage = Stage(fleet)
-            try:
-                fleet.store.write("op/config", config(2, _ROUTES))
-                await fleet.add_backends("catalogue", backends)
-                await fleet.add_backends("orders", backends)
-                await fleet.start()
-                for number in range(count):
-                    await stage.until_ready(number)
-                await act(stage)
-            finally:
-                await fleet.stop()
-
-        self.run_real(run(), _LIMIT_S)
+from scaffolding.tests.gateway_stage import ROUTES, GatewayTest, Stage
 
 
 class PathTest(GatewayTest):
@@ -233,14 +169,14 @@
     def test_a_new_version_is_in_force_everywhere_and_an_older_or_broken_one_nowhere(self) -> None:
         async def act(stage: Stage) -> None:
             store = stage.fleet.store
-            store.write("op/config", config(5, [*_ROUTES, route("new", "/new/", "catalogue")]))
+            store.write("op/config", config(5, [*ROUTES, route("new", "/new/", "catalogue")]))
 
             async def everywhere() -> bool:
                 replies = [await stage.read(n, "/new/1") for n in range(3)]
                 return all(reply.status == 200 for reply in replies)
 
             await stage.until(everywhere, "in force")
-            store.write("op/config", config(4, _ROUTES))
+            store.write("op/config", config(4, ROUTES))
             store.write("op/config", {"version": "00000009", "routes": "none"})
 
             async def refused() -> bool:
@@ -268,7 +204,7 @@
             # The gateways of one zone, which read the store for themselves otherwise.
             for number in (0, 2):
                 stage.fleet.store.modes[stage.fleet.store_host(number)] = StoreMode.BUSY
-            version = config(7, [*_ROUTES, route("new", "/new/", "catalogue")])
+            version = config(7, [*ROUTES, route("new", "/new/", "catalogue")])
             stage.fleet.store.write("op/config", version)
 
             async def everywhere() -> bool:
@@ -292,7 +228,7 @@
             store = stage.fleet.store
             store.write("op/other", {})
             store.forget_history()
-            store.write("op/config", config(8, [*_ROUTES, route("new", "/new/", "catalogue")]))
+            store.write("op/config", config(8, [*ROUTES, route("new", "/new/", "catalogue")]))
 
             async def everywhere() -> bool:
                 return (await stage.read(1, "/new/1")).status == 200
