Let no SIGHUP end a gateway whose loop is closed

A process that had been told to stop ended with code -1 where a SIGHUP came in its last moments. Cause: closing the loop gives SIGHUP its first meaning back, which ends the process. It is now blocked once the last answer is out. Of three tests with a SIGHUP each millisecond from the termination signal on, all failed before and pass now; the requests under way were answered in both.

--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -126,6 +126,8 @@
             connections_opened=self._pool.opened,
         )
         self.log.flush()
+        # Once the loop is closed, a hang-up would end the process as if it had failed.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
     async def _guard(self, name: str, work: object) -> None:
         """Run a task of the process; its failure is logged and ends the process."""
