Let no SIGHUP end a gateway that starts

A process ended with code -1 where a SIGHUP came while its program was loaded or its settings were read. Cause: the signal's first meaning holds until the loop has its handler; loading takes 0.22 s on this machine alone and more on a weak or busy one. Instances run a small module, egretrail.start, that sets the signal aside before anything else is loaded; the settings are read afterwards in any case. What is left are the interpreter's own first hundredths of a second.

Both tests stop a process at a pipe, in an import and at its settings, and send the signal there: -1 before, 0 after.

--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -187,7 +187,7 @@
             "EGRETRAIL_NODE_FILE": str(path),
         }
         self._processes[number] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "egretrail.platform", env=environment, stdout=log, stderr=log
+            sys.executable, "-m", "egretrail.start", env=environment, stdout=log, stderr=log
         )
         log.close()
 
--- a/scaffolding/tests/test_gateway_settings.py
+++ b/scaffolding/tests/test_gateway_settings.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import tempfile
+import tomllib
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -18,6 +19,8 @@
 _ROOT = Path(__file__).resolve().parents[2]
 #: Longer than two looks at a file of which no signal tells.
 _LOOKS_S = 5.0
+#: A bound that a healthy process passes in a small part of; it only ends a test that hangs.
+_SOON_S = 20.0
 _TOLD = {"with_a_signal": True, "without_a_signal": False}
 
 
@@ -150,28 +153,30 @@
         self.play(act)
 
 
+#: Stops a process at the import of a module until a pipe is written to.
+_WAITING_IMPORT = """
+import os, sys
+class Waiting:
+    def find_spec(self, name, path=None, target=None):
+        if name == "egretrail.gateway":
+            open(os.environ["WAIT_AT"]).close()
+sys.meta_path.insert(0, Waiting())
+"""
+
+
 class StartTest(EgretrailTestCase):
-    def test_a_signal_while_the_process_starts_does_not_end_it(self) -> None:
+    @cases({"while_it_is_loaded": True, "while_it_reads_its_settings": False})
+    def test_a_signal_does_not_end_a_process_that_starts(self, loading: bool) -> None:
         async def run() -> None:
-            with tempfile.TemporaryDirectory() as folder:
-                # The process waits here for its settings, before it serves.
-                pipe = Path(folder) / "node.toml"
-                os.mkfifo(pipe)
-                environment = {
-                    "PATH": os.environ.get("PATH", ""),
-                    "PYTHONPATH": str(_ROOT / "src"),
-                    "EGRETRAIL_NODE_FILE": str(pipe),
-                }
-                process = await asyncio.create_subprocess_exec(
-                    *(sys.executable, "-m", "egretrail.platform"),
-                    env=environment,
-                    stdout=asyncio.subprocess.PIPE,
-                )
+            with tempfile.TemporaryDirectory() as name:
+                folder = Path(name)
+                process = await _spawn(folder, loading)
                 assert process.stdout is not None
                 try:
-                    await self._start(process, pipe)
-                    while b"event=start " not in await process.stdout.readline():
-                        self.assertIsNone(process.returncode)
+                    async with asyncio.timeout(_SOON_S):
+                        await self._disturb(process, folder)
+                        while b"event=start " not in await process.stdout.readline():
+                            self.assertIsNone(process.returncode)
                     process.send_signal(signal.SIGTERM)
                     self.assertEqual(0, await process.wait())
                 finally:
@@ -181,14 +186,42 @@
 
         self.run_real(run())
 
-    async def _start(self, process: asyncio.subprocess.Process, pipe: Path) -> None:
+    async def _disturb(self, process: asyncio.subprocess.Process, folder: Path) -> None:
+        """Send the signal while the process waits at the pipe, then let it go on."""
+        pipe = folder / "pipe"
         settings = GatewayFleet(2).settings(0)
         descriptor = await asyncio.to_thread(os.open, pipe, os.O_WRONLY)
         process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
-        ordinary = pipe.with_suffix(".new")
+        # What is read later is an ordinary file.
+        ordinary = folder / "new"
         ordinary.write_text(settings)
         ordinary.rename(pipe)
         with contextlib.suppress(BrokenPipeError):
             os.write(descriptor, settings.encode())
         os.close(descriptor)
+
+
+async def _spawn(folder: Path, loading: bool) -> asyncio.subprocess.Process:
+    """Start a gateway that waits at a pipe, which is its settings file or stops an import."""
+    pipe = folder / "pipe"
+    os.mkfifo(pipe)
+    environment = {
+        "PATH": os.environ.get("PATH", ""),
+        "PYTHONPATH": f"{folder}:{_ROOT / 'src'}",
+        "EGRETRAIL_NODE_FILE": str(pipe),
+    }
+    if loading:
+        (folder / "sitecustomize.py").write_text(_WAITING_IMPORT)
+        environment["WAIT_AT"] = str(pipe)
+    return await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", _entry_point()),
+        env=environment,
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+
+def _entry_point() -> str:
+    """Return the module that instances run."""
+    deployed = tomllib.loads((_ROOT / "deploy" / "system.toml").read_text())
+    return str(deployed["roles"]["gateway"]["run"]).rpartition(" ")[2]
