Take over a changed settings file while a gateway runs

Values of a changed file waited for the next start, and the store's old address was called for good. Cause: the file was read on SIGHUP only, and only to log whether it differed; each part of the process kept what it was given at its start.

Which fields need a start is a type of its own, StartSettings (name, zone, own addresses and ports); parts that need only those are given only those. All others are taken over: seeds, the store's address, memory, capacity, grace, the directory's bound, the repeat budget. The file is read on SIGHUP, and looked at each two seconds without one (file number, size, times; its contents only when these differ or the last read failed). It counts once two reads a tenth of a second apart are alike, since a half-written file may be valid and its missing fields would get their defaults. A fault is told once. The reload event names what was taken over and what waits.

A watch that waits at the store's old address is given up, which may be silent for eight seconds. A longer window of the repeat budget reaches back to repeats that are forgotten, so its constant part counts as used until it has passed once. While an instance stops, its grace only gets shorter: which one the kill follows is not known then.

--- a/scaffolding/tests/test_gateway_settings.py
+++ b/scaffolding/tests/test_gateway_settings.py
@@ -153,6 +153,28 @@
         self.play(act)
 
 
+class StoppingTest(GatewayTest):
+    def test_a_longer_grace_keeps_no_stopping_process_past_the_one_it_had(self) -> None:
+        async def act(stage: Stage) -> None:
+            for backend in stage.fleet.backends:
+                backend.work_s = 60.0
+            under_way = asyncio.create_task(stage.read(0, wait_s=60.0))
+            await asyncio.sleep(0.3)
+            stage.fleet.kill(0, signal.SIGTERM)
+            _change(stage, 0, True, grace='"40s"')
+
+            async def told() -> bool:
+                return bool(_events(stage, 0, "reload"))
+
+            await stage.until(told, "told")
+            # The grace was 6 s.
+            async with asyncio.timeout(_SOON_S):
+                self.assertEqual(0, await stage.fleet.exit_code(0))
+            under_way.cancel()
+
+        self.play(act)
+
+
 #: Stops a process at the import of a module until a pipe is written to.
 _WAITING_IMPORT = """
 import os, sys
--- a/scaffolding/tests/test_platform_store.py
+++ b/scaffolding/tests/test_platform_store.py
@@ -42,6 +42,30 @@
         self.assertEqual(data, (entries["servers/b"] or "").encode(errors="surrogateescape"))
 
 
+class CloseTest(EgretrailTestCase):
+    def test_a_closed_client_keeps_no_connection(self) -> None:
+        async def run() -> None:
+            runner = web.AppRunner(StandInStore().app())
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            host, port = runner.addresses[0][:2]
+            client = PlatformStore(f"{host}:{port}")
+            try:
+                waiting = asyncio.create_task(client.watch("servers/", 1, 0.3))
+                await client.get("k")
+                await client.get("k")
+                client.close()
+                self.assertIsInstance(await waiting, Ok)
+                await asyncio.sleep(0.1)
+                assert runner.server is not None
+                self.assertEqual([], runner.server.connections)
+            finally:
+                await runner.cleanup()
+
+        self.run_real(run())
+
+
 class SlowLinkTest(EgretrailTestCase):
     """Large values over slow links.
 
--- a/src/egretrail/cluster/_membership.py
+++ b/src/egretrail/cluster/_membership.py
@@ -111,6 +111,12 @@
         self._own_leaving = True
         self._orders.clear()
 
+    def set_own_capacity(self, capacity: float) -> None:
+        """Take a changed capacity of this instance."""
+        if capacity != self._own_capacity:
+            self._own_capacity = capacity
+            self._changed(self._zone)
+
     def instances(self) -> Iterable[Instance]:
         """Return all living instances but this one."""
         return [entry.instance for entry in self._entries.values()]
--- a/src/egretrail/cluster/tests/test_cluster.py
+++ b/src/egretrail/cluster/tests/test_cluster.py
@@ -250,6 +250,21 @@
             membership.hear(instance(address, availability_zone=zone, state=state), 0.0)
         return membership
 
+    def test_a_changed_own_capacity_changes_the_order(self) -> None:
+        membership = self._fleet()
+        changes: list[int] = []
+        membership.on_change = lambda: changes.append(1)
+        hub = membership.order("a")[0]
+        membership.set_own_capacity(1.0)
+        self.assertEqual([], changes)
+        membership.set_own_capacity(10.0)
+        self.assertEqual("10.0.0.1", membership.order("a")[0])
+        membership.set_own_capacity(0.1)
+        self.assertEqual("10.0.0.1", membership.order("a")[-1])
+        self.assertEqual(2, len(changes))
+        membership.set_own_capacity(1.0)
+        self.assertEqual(hub, membership.order("a")[0])
+
     def test_an_instance_that_its_hub_does_not_hear_is_gone_within_a_second_and_a_bit(self) -> None:
         membership = self._fleet()
         self.assertEqual([], list(membership.expire(1.0)))
--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -50,12 +50,27 @@
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
+        #: Until then the constant allowance counts as used.
+        self._slack_used_until_s = float("-inf")
         self._requests: dict[str, SlidingSum] = {}
         self._repeats: dict[str, SlidingSum] = {}
         self._recent: dict[str, SlidingSum] = {}
         self._own: dict[str, RepeatCounts] = {}
         self._told: dict[tuple[str, str], RepeatCounts] = {}
 
+    def set_bounds(self, ratio: float, window_s: float, slack: float, now_s: float) -> None:
+        """Change the budget; what was counted before stays counted.
+
+        A longer window reaches back to repeats that are forgotten. The requests that went with them
+        are forgotten too, so only the constant allowance may have been used by them.
+        """
+        if window_s > self._window_s:
+            self._slack_used_until_s = now_s + window_s
+        self._ratio, self._window_s, self._slack = ratio, window_s, slack
+        for table in (self._requests, self._repeats):
+            for window in table.values():
+                window.set_window(window_s)
+
     def routed(self, service: str, now_s: float) -> None:
         """Count a request of a client."""
         own = self._own.get(service, RepeatCounts())
@@ -114,7 +129,8 @@
 
     def _allowed(self, service: str, now_s: float, known_share: float) -> float:
         requests = self._total(self._requests, service, now_s)
-        return _USED_SHARE * (self._ratio * requests + self._slack * known_share)
+        slack = 0.0 if now_s < self._slack_used_until_s else self._slack
+        return _USED_SHARE * (self._ratio * requests + slack * known_share)
 
     def _count_repeats(self, service: str, count: int, now_s: float) -> None:
         self._count(self._repeats, service, count, now_s)
--- a/src/egretrail/dispatch/_window.py
+++ b/src/egretrail/dispatch/_window.py
@@ -16,6 +16,10 @@
         self._buckets: deque[tuple[float, int]] = deque()
         self._sum = 0
 
+    def set_window(self, window_s: float) -> None:
+        """Change the window; what lay outside of the one before is not known any more."""
+        self._window_s = window_s
+
     def add(self, count: int, now_s: float) -> None:
         """Add to the sum at a time that is not before that of earlier calls."""
         start_s = now_s - now_s % _BUCKET_S
--- a/src/egretrail/dispatch/tests/test_repeats.py
+++ b/src/egretrail/dispatch/tests/test_repeats.py
@@ -60,6 +60,43 @@
         self.assertAlmostEqual(0.75 * (20 + 30), use.allowed)
         self.assertEqual(0, budget.uses(13.0, 0.5)[_SERVICE].repeats)
 
+    @cases(
+        {
+            "less of everything": (0.1, 5.0, 20.0),
+            "more of everything": (0.4, 20.0, 90.0),
+            "a longer window": (_RATIO, 30.0, _SLACK),
+            "a longer window and less": (0.1, 20.0, 20.0),
+        }
+    )
+    def test_every_window_after_a_change_is_within_the_changed_budget(
+        self, case: tuple[float, float, float]
+    ) -> None:
+        ratio, window_s, slack = case
+        budget = RepeatBudget(_RATIO, _WINDOW_S, _SLACK)
+        changed_s, end_s = 40.0, 120.0
+        requests: list[float] = []
+        repeats: list[float] = []
+        for step in range(round(end_s * 20)):
+            now_s = step / 20
+            if now_s == changed_s:
+                budget.set_bounds(ratio, window_s, slack, now_s)
+            if step % 4 == 0:
+                budget.routed(_SERVICE, now_s)
+                requests.append(now_s)
+            while budget.permits(_SERVICE, now_s, 1.0):
+                budget.repeated(_SERVICE, now_s)
+                repeats.append(now_s)
+        # What the bounds before the change allowed is not taken back: a window that ends soon after
+        # it holds the larger of both.
+        for end in range(round(changed_s) + 1, round(end_s)):
+            begin = end - window_s
+            late = [t for t in repeats if max(begin, changed_s) <= t < end]
+            early = [t for t in repeats if begin <= t < changed_s]
+            asked = [t for t in requests if begin <= t < end]
+            allowed = ratio * len(asked) + slack
+            self.assertLessEqual(len(late) + len(early), max(allowed, len(early)))
+        self.assertGreater(len([t for t in repeats if t > changed_s + window_s]), 0)
+
     def test_a_restarted_instance_brings_no_old_counts(self) -> None:
         budget = RepeatBudget(_RATIO, _WINDOW_S, _SLACK)
         other = RepeatBudget(_RATIO, _WINDOW_S, _SLACK)
--- a/src/egretrail/gateway/__init__.py
+++ b/src/egretrail/gateway/__init__.py
@@ -15,6 +15,7 @@
 )
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._process import Platform, run_gateway, settings_path
+from egretrail.gateway._settings_file import SettingsFile
 
 __all__ = [
     "AnswerKind",
@@ -25,6 +26,7 @@
     "Platform",
     "ReportedLoad",
     "RequestContract",
+    "SettingsFile",
     "StoreLayout",
     "run_gateway",
     "settings_path",
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from egretrail.cluster import Beat, Hub, HubState, Scope, Section, encode_sections
-from egretrail.gateway._interfaces import GatewaySettings
+from egretrail.gateway._interfaces import StartSettings
 from egretrail.gateway._timer import Timer
 from egretrail.gateway._view import FleetView
 
@@ -42,7 +42,7 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings: StartSettings,
         view: FleetView,
         incarnation: int,
         send: Callable[[bytes, str], None],
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -14,8 +14,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GatewaySettings:
-    """The settings of one gateway instance."""
+class StartSettings:
+    """The settings of one gateway instance that only a start takes over.
+
+    Others know the instance by them: it is listed, heard and called under them until it ends.
+    """
 
     #: The instance's name.
     name: str
@@ -33,6 +36,12 @@
     peer_port: int
     #: The port of metrics.
     metrics_port: int
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings(StartSettings):
+    """All settings of one gateway instance; those named here are taken over while it runs."""
+
     #: Addresses of some instances that may be up, without ports.
     seeds: Sequence[str]
     #: The store, ``IP:PORT``.
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -133,6 +133,10 @@
         """Take addresses of instances that the store listed."""
         self._extra_seeds = [a for a in addresses if a != self._settings.ip]
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Go on with changed settings."""
+        self._settings = settings
+
     @property
     def is_hub(self) -> bool:
         """Whether this instance is the hub of its zone, or of a part of it."""
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -7,17 +7,16 @@
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
-from result import Err, Result
+from result import Err
 
 from egretrail.cluster import InstanceState
 from egretrail.gateway._directory import DIRECTORY_TTL_S, Candidate, directory_addresses
 from egretrail.gateway._executor import Executor
 from egretrail.gateway._interfaces import (
     GatewaySettings,
-    InvalidDocument,
     RequestContract,
     StoreLayout,
 )
@@ -25,6 +24,8 @@
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._pool import UpstreamPool
+from egretrail.gateway._settings_change import settings_change
+from egretrail.gateway._settings_file import SettingsFile, SettingsWatch
 from egretrail.gateway._store_sync import StoreSync
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import Answer, BodyBudget, Handler, Request, ServerConnection, ServerLimits
@@ -53,8 +54,8 @@
 class Platform:
     """What the platform gives: the settings' reader, the store and the contract."""
 
-    #: Reads the settings.
-    read_settings: Callable[[], Result[GatewaySettings, InvalidDocument]]
+    #: Holds the settings.
+    settings_file: SettingsFile
     #: Opens the store's client.
     open_store: Callable[[GatewaySettings], Store]
     #: Where the store keeps what, and how.
@@ -74,10 +75,11 @@
         self._platform = platform
         self._loop = loop
         self._connections: set[ServerConnection] = set()
-        self._bodies = BodyBudget(int(settings.memory_mb * _BODIES_SHARE * 1024 * 1024))
+        self._bodies = BodyBudget(_bodies_bytes(settings))
         self._servers: list[asyncio.Server] = []
         self._stop = asyncio.Event()
         self._stopping_since_s: float | None = None
+        self._settings_watch = SettingsWatch(platform.settings_file, settings, loop.time())
         self.log = EventLog(settings.name)
         self._metrics = GatewayMetrics()
         self._view = FleetView(settings, incarnation, loop.time, self.log, rng)
@@ -99,7 +101,7 @@
         )
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._loop.add_signal_handler(signal.SIGHUP, self._settings_watch.signal)
         await self._peers.open()
         await self._listen(self._settings.traffic_address, self._serve)
         await self._listen(self._settings.ready_address, self._answer_ready)
@@ -218,20 +220,39 @@
         swept_s = self._loop.time()
         while True:
             await asyncio.sleep(_HOUSEKEEPING_S)
+            self._look_at_settings()
             self.log.flush()
             if self._loop.time() - swept_s >= _SWEEP_S:
                 swept_s = self._loop.time()
                 self._pool.sweep()
 
-    def _reload(self) -> None:
-        read = self._platform.read_settings()
+    def _look_at_settings(self) -> None:
+        read = self._settings_watch.look(self._loop.time())
+        if read is None:
+            return
         if isinstance(read, Err):
             self.log.event("settings_refused", cause=read.err_value)
             return
-        changed = read.ok_value != self._settings
-        # Addresses and bounds of a process are those of its start; the platform restarts it where
-        # they change.
-        self.log.event("reload", changed=changed)
+        change = settings_change(self._settings, read.ok_value)
+        self._take_over(change.settings)
+        self.log.event("reload", taken=",".join(change.taken), waiting=",".join(change.waiting))
+
+    def _take_over(self, settings: GatewaySettings) -> None:
+        """Go on with changed settings; nothing that is under way ends for it."""
+        before = self._settings
+        if self._stopping_since_s is not None:
+            # Which grace the kill follows is not known then.
+            grace_s = min(before.stop_grace_s, settings.stop_grace_s)
+            settings = replace(settings, stop_grace_s=grace_s)
+        self._settings = settings
+        self._bodies.set_limit(_bodies_bytes(settings))
+        self._view.take_settings(settings)
+        self._peers.take_settings(settings)
+        if settings.store_address != before.store_address:
+            old, self._store = self._store, self._platform.open_store(settings)
+            self._store.calls_total = old.calls_total
+            self._sync.use_store(self._store)
+            old.close()
 
     async def _wind_down(self) -> None:
         """Leave the directory at once, serve who still comes, and end when nobody does."""
@@ -242,9 +263,11 @@
         for connection in self._connections:
             connection.end_after_answers()
         linger_s = DIRECTORY_TTL_S * _LINGER_TTLS
-        end_s = self._stopping_since_s + self._settings.stop_grace_s - _STOP_MARGIN_S
         quiet_s = self._stopping_since_s + min(linger_s, self._settings.stop_grace_s / 2)
-        while self._loop.time() < end_s:
+        while (
+            self._loop.time() - self._stopping_since_s
+            < self._settings.stop_grace_s - _STOP_MARGIN_S
+        ):
             for connection in list(self._connections):
                 connection.end_after_answers()
             if self._loop.time() >= quiet_s and not any(c.busy for c in self._connections):
@@ -258,13 +281,17 @@
         self._pool.close()
 
 
+def _bodies_bytes(settings: GatewaySettings) -> int:
+    return int(settings.memory_mb * _BODIES_SHARE * 1024 * 1024)
+
+
 async def _run(platform: Platform, settings: GatewaySettings) -> None:
     await Gateway(settings, platform).run()
 
 
 def run_gateway(platform: Platform) -> int:
     """Run a gateway until it is told to stop; return the process's exit code."""
-    read = platform.read_settings()
+    read = platform.settings_file.read()
     if isinstance(read, Err):
         os.write(2, f"event=settings_refused cause={str(read.err_value)!r}\n".encode())
         return 2
--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -30,7 +30,7 @@
     encode_upstreams,
 )
 from egretrail.gateway._frames import read_frame, write_frame
-from egretrail.gateway._interfaces import GatewaySettings
+from egretrail.gateway._interfaces import StartSettings
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._view import FleetView
 
@@ -125,7 +125,7 @@
     """
 
     def __init__(
-        self, settings: GatewaySettings, view: FleetView, log: EventLog, rng: random.Random
+        self, settings: StartSettings, view: FleetView, log: EventLog, rng: random.Random
     ) -> None:
         self._settings = settings
         self._view = view
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -4,12 +4,13 @@
 import ipaddress
 import json
 import random
-from collections.abc import Awaitable, Callable, Sequence, Set
+from collections.abc import Callable, Coroutine, Sequence, Set
+from typing import Any
 
 from result import Err
 
 from egretrail.cluster import part_config
-from egretrail.gateway._interfaces import GatewaySettings, StoreLayout
+from egretrail.gateway._interfaces import StartSettings, StoreLayout
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._slices import in_slices
@@ -18,6 +19,8 @@
 from egretrail.store import Entry, HistoryLost, PlatformFailure, Store
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
+_Following = asyncio.Task[PlatformFailure | None]
+
 #: Zones whose hubs read the store for all: one may be cut off from it, or its reader turned away.
 #: With five zones, each change of an upstream costs two calls in place of five.
 _READING_ZONES = 2
@@ -56,7 +59,7 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings: StartSettings,
         view: FleetView,
         store: Store,
         layout: StoreLayout,
@@ -85,6 +88,8 @@
         self._lapses_until_s = float("-inf")
         self._vanished: dict[str, float] = {}
         self._listed: frozenset[str] = frozenset()
+        #: What follows a part of the store now.
+        self._following: set[_Following] = set()
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -95,6 +100,17 @@
             tasks.create_task(self._keep_listing())
             tasks.create_task(self._drop_vanished())
 
+    def use_store(self, store: Store) -> None:
+        """Send the next calls to another address of the store.
+
+        A watch that waits at the old one, which may be silent, would keep the changes of the next
+        seconds from all who hear them from here.
+        """
+        self._store = store
+        self._listed = frozenset()
+        for following in self._following:
+            following.cancel()
+
     def should_read(self) -> bool:
         """Return whether this instance reads the store itself.
 
@@ -121,7 +137,7 @@
         return self._settings.availability_zone in zones[:_READING_ZONES]
 
     async def _keep(
-        self, name: str, follow: Callable[[], Awaitable[PlatformFailure | None]]
+        self, name: str, follow: Callable[[], Coroutine[Any, Any, PlatformFailure | None]]
     ) -> None:
         """Follow a part of the store whenever this instance should."""
         retry_s = _RETRY_FIRST_S
@@ -133,7 +149,7 @@
                 await asyncio.sleep(_LOOK_S)
                 continue
             began_s = self._loop.time()
-            failure = await follow()
+            failure = await self._until_moved(follow())
             if isinstance(failure, HistoryLost):
                 self._log.event("store_history_lost", part=name, cause=failure)
             elif failure is not None:
@@ -143,6 +159,19 @@
             await asyncio.sleep(retry_s * (0.75 + self._rng.random() * 0.5))
             retry_s = min(retry_s * 2, _RETRY_MAX_S)
 
+    async def _until_moved(
+        self, follow: Coroutine[Any, Any, PlatformFailure | None]
+    ) -> PlatformFailure | None:
+        """Follow a part of the store until a call fails or the store has another address."""
+        following = self._loop.create_task(follow)
+        self._following.add(following)
+        try:
+            await asyncio.wait([following])
+        finally:
+            self._following.discard(following)
+            following.cancel()
+        return None if following.cancelled() else following.result()
+
     async def _follow_config(self) -> PlatformFailure | None:
         """Read the configuration and follow its changes until a call fails."""
         # A snapshot tells the store's revision. The value's own may be older than its history.
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -133,6 +133,15 @@
         #: Called with the upstreams that are listed after each change.
         self.on_upstreams: Callable[[set[str]], None] = lambda listed: None
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Go on with changed settings; the others hear of the capacity."""
+        self._settings = settings
+        self.membership.set_own_capacity(settings.capacity)
+        self.repeats.set_bounds(
+            settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack, self._clock()
+        )
+        self.on_news(False)
+
     @property
     def own_zone(self) -> str:
         """The availability zone of this instance."""
--- a/src/egretrail/gateway/tests/test_peers.py
+++ b/src/egretrail/gateway/tests/test_peers.py
@@ -8,6 +8,7 @@
 from egretrail.dispatch import Observation, Outcome, Standing
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.fleet import Fleet
+from egretrail.gateway.tests.settings import gateway_settings
 from egretrail.testing import EgretrailTestCase, cases
 
 
@@ -60,6 +61,29 @@
 
         self.run_paused(run())
 
+    def test_changed_seeds_are_told_and_a_changed_capacity_is_known(self) -> None:
+        async def run() -> None:
+            fleet = Fleet([6, 6])
+            tasks = [fleet.start(a, []) for a in fleet.addresses]
+            await asyncio.sleep(3.0)
+            self.assertEqual({fleet.addresses[0]}, fleet.known(fleet.addresses[0]))
+            changed = fleet.addresses[4]
+            for number, address in enumerate(fleet.addresses):
+                settings = gateway_settings(address, f"z{number // 6}")
+                capacity = 0.25 if address == changed else 1.0
+                settings = replace(settings, seeds=fleet.addresses[:1], capacity=capacity)
+                fleet.views[address].take_settings(settings)
+                fleet.links[address].take_settings(settings)
+            await asyncio.sleep(6.0)
+            for address, view in fleet.views.items():
+                self.assertEqual(set(fleet.addresses), fleet.known(address))
+                if address.startswith("10.0.0."):
+                    self.assertEqual(changed, view.membership.order("z0")[-1])
+            for task in tasks:
+                task.cancel()
+
+        self.run_paused(run())
+
     def test_what_one_observes_all_know(self) -> None:
         async def run() -> None:
             fleet = Fleet([8, 8])
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -110,6 +110,30 @@
 
         self._play(act)
 
+    @cases({"answers": False, "is down": True})
+    def test_another_address_of_the_store_is_called_next(self, is_out: bool) -> None:
+        async def act(stage: _Stage) -> None:
+            old, new = stage.store, FakeStore()
+            for entry in old.entries.values():
+                new._apply(entry.path, entry.value)
+            if is_out:
+                old.set_out(True)
+                await asyncio.sleep(3.0)
+            stage.sync.use_store(new)
+            # Past the time for which lapsed entries are kept, and well before the end of a watch.
+            await asyncio.sleep(4.0)
+            calls = sum(old.calls.values())
+            new._apply(stage.layout.config_path, json.dumps(config(3, _ROUTES)))
+            new._apply(stage.layout.upstreams_prefix + "u1", None)
+            await asyncio.sleep(0.2)
+            self.assertEqual({"u2", "u3", "u4"}, stage.ready())
+            self.assertEqual(3, stage.view.config_version)
+            self.assertTrue(stage.view.store_contact)
+            await asyncio.sleep(20.0)
+            self.assertEqual(calls, sum(old.calls.values()))
+
+        self._play(act)
+
     @cases(
         {
             "an unknown state": json.dumps({**_ENTRY, "state": "thinking"}),
--- a/src/egretrail/http1/_server.py
+++ b/src/egretrail/http1/_server.py
@@ -40,8 +40,14 @@
     """
 
     def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
         self._left_bytes = limit_bytes
 
+    def set_limit(self, limit_bytes: int) -> None:
+        """Change the limit; what is held stays held."""
+        self._left_bytes += limit_bytes - self._limit_bytes
+        self._limit_bytes = limit_bytes
+
     def take(self, size_bytes: int) -> bool:
         """Take room for a piece of a body; return whether there was any."""
         if size_bytes > self._left_bytes:
--- a/src/egretrail/http1/tests/test_http1.py
+++ b/src/egretrail/http1/tests/test_http1.py
@@ -178,6 +178,18 @@
 
         self.run_real(run())
 
+    @cases({"more": (5000, 4000), "less": (2000, 1000), "less than is held": (500, 0)})
+    def test_a_changed_budget_leaves_what_is_held(self, case: tuple[int, int]) -> None:
+        limit_bytes, left_bytes = case
+        bodies = BodyBudget(3000)
+        self.assertTrue(bodies.take(1000))
+        bodies.set_limit(limit_bytes)
+        self.assertEqual(left_bytes > 0, bodies.take(left_bytes or 1))
+        self.assertFalse(bodies.take(1))
+        bodies.give_back(1000 + left_bytes)
+        self.assertTrue(bodies.take(limit_bytes))
+        self.assertFalse(bodies.take(1))
+
     def test_work_is_cancelled_when_the_client_leaves(self) -> None:
         cancelled = asyncio.Event()
 
--- a/src/egretrail/platform/__init__.py
+++ b/src/egretrail/platform/__init__.py
@@ -5,11 +5,12 @@
 
 from egretrail.platform._contract import PlatformContract
 from egretrail.platform._layout import PlatformLayout
-from egretrail.platform._node_file import SETTINGS_VARIABLE, read_node_file
+from egretrail.platform._node_file import SETTINGS_VARIABLE, NodeFile, read_node_file
 from egretrail.platform._store import PlatformStore
 
 __all__ = [
     "SETTINGS_VARIABLE",
+    "NodeFile",
     "PlatformContract",
     "PlatformLayout",
     "PlatformStore",
--- a/src/egretrail/platform/_node_file.py
+++ b/src/egretrail/platform/_node_file.py
@@ -1,17 +1,37 @@
 """The settings file that the platform writes for each process."""
 
 import tomllib
+from collections.abc import Hashable
 from pathlib import Path
 
 from result import Err, Ok, Result
 
-from egretrail.gateway import GatewaySettings, InvalidDocument
+from egretrail.gateway import GatewaySettings, InvalidDocument, SettingsFile
 from egretrail.platform._fields import Fields
 
 #: The environment variable that holds the file's path.
 SETTINGS_VARIABLE = "EGRETRAIL_NODE_FILE"
 
 
+class NodeFile(SettingsFile):
+    """The settings file of a running process."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+
+    def read(self) -> Result[GatewaySettings, InvalidDocument]:
+        """Read the file."""
+        return read_node_file(self._path)
+
+    def stamp(self) -> Hashable:
+        """Return which file it is, its size and when it was last changed."""
+        try:
+            held = self._path.stat()
+        except OSError as error:
+            return error.errno
+        return held.st_ino, held.st_size, held.st_mtime_ns, held.st_ctime_ns
+
+
 def read_node_file(path: Path) -> Result[GatewaySettings, InvalidDocument]:
     """Read the settings file; unknown fields are ignored, all faults are told at once."""
     try:
--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -51,6 +51,13 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._idle: list[ClientConnection] = []
+        self._idle_max = _IDLE_MAX
+
+    def close(self) -> None:
+        """Keep no connections any more; calls under way end as they would."""
+        self._idle_max = 0
+        while self._idle:
+            self._idle.pop().abort()
 
     async def get(self, path: str) -> Result[Entry | None, PlatformFailure]:
         """Read one path; None when it does not exist."""
@@ -196,7 +203,7 @@
             if written_path is not None:
                 return Err(WriteUnknown(written_path, cause))
             return Err(StoreUnavailable(call, cause))
-        if connection.reusable and len(self._idle) < _IDLE_MAX:
+        if connection.reusable and len(self._idle) < self._idle_max:
             self._idle.append(connection)
         else:
             connection.abort()
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -12,7 +12,7 @@
 
 from egretrail.gateway import AnswerKind
 from egretrail.http1 import ReceivedAnswer, Request
-from egretrail.platform import PlatformContract, PlatformLayout, read_node_file
+from egretrail.platform import NodeFile, PlatformContract, PlatformLayout, read_node_file
 from egretrail.store import Entry
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import RouteKind, UpstreamState
@@ -316,6 +316,23 @@
         self.assertEqual(["10.1.0.34", "10.2.0.34"], list(node.seeds))
         self.assertEqual((1.0, 6.0, 62.0), _bounds(node))
 
+    @cases(
+        {
+            "another size": lambda path: path.write_text(_NODE + "\n"),
+            "replaced by another of the same size": lambda path: _replace(path),
+            "gone": lambda path: path.unlink(),
+        }
+    )
+    def test_the_stamp_of_a_file_differs_after_a_change(self, change: Any) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            path.write_text(_NODE)
+            file = NodeFile(path)
+            before = file.stamp()
+            self.assertEqual(before, file.stamp())
+            change(path)
+            self.assertNotEqual(before, file.stamp())
+
     @cases(
         {
             "not there": (None, 1),
@@ -331,6 +348,12 @@
         self.assertEqual(count, len(read.err_value.faults))
 
 
+def _replace(path: Path) -> None:
+    other = path.with_suffix(".new")
+    other.write_text(_NODE)
+    other.replace(path)
+
+
 def _bounds(settings: Any) -> tuple[float, float, float]:
     return settings.capacity, settings.stop_grace_s, settings.repeat_slack
 
--- a/src/egretrail/start.py
+++ b/src/egretrail/start.py
@@ -12,9 +12,7 @@
 
     return gateway.run_gateway(
         gateway.Platform(
-            read_settings=lambda: platform.read_node_file(
-                gateway.settings_path(platform.SETTINGS_VARIABLE)
-            ),
+            settings_file=platform.NodeFile(gateway.settings_path(platform.SETTINGS_VARIABLE)),
             open_store=lambda settings: platform.PlatformStore(settings.store_address),
             layout=platform.PlatformLayout(),
             contract=platform.PlatformContract(),
--- a/src/egretrail/store/_store.py
+++ b/src/egretrail/store/_store.py
@@ -47,6 +47,9 @@
     #: Calls that were sent so far.
     calls_total: int = 0
 
+    def close(self) -> None:
+        """Keep no connections any more; calls under way end as they would."""
+
     @abc.abstractmethod
     async def get(self, path: str) -> Result[Entry | None, PlatformFailure]:
         """Read one path; None when it does not exist."""
