--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -1,6 +1,7 @@
 """The platform's names, each decoded once."""
 
 import json
+import re
 import tempfile
 from collections.abc import Mapping
 from pathlib import Path
@@ -347,6 +348,38 @@
         assert isinstance(read, Err)
         self.assertEqual(count, len(read.err_value.faults))
 
+    @cases(
+        {
+            "a_port_of_another_type": ("internalPorts", '[["x"], 2]'),
+            "a_port_that_is_no_number": ("internalPorts", "[nan, 2]"),
+            "a_port_with_a_fraction": ("internalPorts", "[7540.5, 7555]"),
+            "a_port_beyond_all": ("internalPorts", "[70000, 70015]"),
+            "no_ports": ("internalPorts", "[]"),
+            "a_seed_of_another_type": ("seeds", "[1]"),
+            "a_seed_that_is_no_address": ("seeds", '["host"]'),
+            "a_seed_that_is_a_name": ("seeds", '["host.example:8544"]'),
+            "a_store_without_a_port": ("address", '"10.200.1.7"'),
+            "a_store_that_is_a_name": ("address", '"store.example:8541"'),
+            "a_store_with_another_port": ("address", '"10.200.1.7:x"'),
+            "no_memory": ("memoryMb", "0"),
+            "no_share": ("cpuShare", "0.0"),
+            "a_share_below_nothing": ("cpuShare", "-1"),
+            "a_share_beyond_numbers": ("cpuShare", "1e308"),
+            "an_empty_window": ("budgetWindow", '"0s"'),
+            "a_slack_below_nothing": ("budgetSlack", "-1"),
+            "a_ratio_below_nothing": ("retryBudgetRatio", "-0.1"),
+            "nested_too_deep": ("nodeName", "[" * 5000),
+        }
+    )
+    def test_a_value_that_would_break_a_running_process_is_one_fault(
+        self, case: tuple[str, str]
+    ) -> None:
+        name, value = case
+        bounds = 'budgetWindow = "10s"\nretryBudgetRatio = 0.2\n'
+        read = self._read(re.sub(rf"(?m)^{name} = .*$", f"{name} = {value}", _NODE + bounds))
+        assert isinstance(read, Err), read
+        self.assertEqual(1, len(read.err_value.faults))
+
 
 def _replace(path: Path) -> None:
     other = path.with_suffix(".new")
