Refuse values of a settings file that would break a process

Cause: fields were checked for their types at most. Ports, seeds, the store's address, memory, capacity and the repeat budget now have to be values that the process can run with, and a document nested too deep is a fault as any other. Addresses must be numbers: a name would be looked up in the loop, which stands still meanwhile. This holds at the start too, where such a file ended the process by an exception or let it run unheard.

--- a/src/egretrail/platform/_fields.py
+++ b/src/egretrail/platform/_fields.py
@@ -81,6 +81,12 @@
         """Return whether a field is there."""
         return self._table.get(name) is not None
 
+    def check(self, name: str, holds: bool, fault: str) -> None:
+        """Add a fault of a field where something does not hold, unless it has one already."""
+        known = any(one.startswith(f"{self._path}.{name}: ") for one in self._faults)
+        if not holds and not known:
+            self._fault(name, fault)
+
     def _typed(self, name: str, kind: Any, empty: Any, default: Any) -> Any:
         value = self._table.get(name)
         if value is None and default is not None:
--- a/src/egretrail/platform/_node_file.py
+++ b/src/egretrail/platform/_node_file.py
@@ -1,5 +1,7 @@
 """The settings file that the platform writes for each process."""
 
+import ipaddress
+import math
 import tomllib
 from collections.abc import Hashable
 from pathlib import Path
@@ -11,6 +13,7 @@
 
 #: The environment variable that holds the file's path.
 SETTINGS_VARIABLE = "EGRETRAIL_NODE_FILE"
+_PORT_MAX = 65_535
 
 
 class NodeFile(SettingsFile):
@@ -36,7 +39,7 @@
     """Read the settings file; unknown fields are ignored, all faults are told at once."""
     try:
         document = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return Err(InvalidDocument(str(path), [repr(error)]))
     faults: list[str] = []
     settings = _settings(Fields(document, "settings", faults))
@@ -51,17 +54,16 @@
     listen = network.table("listen")
     bounds = file.table("terms").table("bounds")
     limits = node.table("limits")
-    # Two numbers: the first and the last free port.
-    ports = network.rows("internalPorts") or [0, 1]
-    return GatewaySettings(
+    peer_port = _first_port(network)
+    settings = GatewaySettings(
         name=node.text("nodeName"),
         ip=node.text("ip"),
         availability_zone=node.text("zone"),
         traffic_address=listen.text("front"),
         ready_address=listen.text("ready"),
         directory_address=listen.text("directory"),
-        peer_port=int(ports[0]),
-        metrics_port=int(ports[0]) + 1,
+        peer_port=peer_port,
+        metrics_port=peer_port + 1,
         # Addresses of a face that this program does not serve; only the IP numbers are used.
         seeds=[str(seed).rpartition(":")[0] for seed in network.rows("seeds")],
         store_address=file.table("platform").table("platform").text("address"),
@@ -74,3 +76,35 @@
         repeat_window_s=bounds.time_s("budgetWindow", "10s"),
         repeat_slack=bounds.number("budgetSlack", 0.0),
     )
+    network.check("seeds", all(_is_ip(seed) for seed in settings.seeds), "not all are IP:PORT")
+    store = file.table("platform").table("platform")
+    store.check("address", _is_address(settings.store_address), "not IP:PORT")
+    limits.check("memoryMb", settings.memory_mb > 0, "not above 0")
+    is_capacity = 0 < settings.capacity < math.inf
+    limits.check("cpuShare", is_capacity, "times cores is not above 0 and finite")
+    bounds.check("budgetWindow", settings.repeat_window_s > 0, "not above 0")
+    bounds.check("retryBudgetRatio", settings.repeat_ratio >= 0, "below 0")
+    bounds.check("budgetSlack", settings.repeat_slack >= 0, "below 0")
+    return settings
+
+
+def _first_port(network: Fields) -> int:
+    """Return the first of the free ports, of which the first and the last are named."""
+    ports = network.rows("internalPorts")
+    first = ports[0] if ports else None
+    if type(first) is int and 0 < first < _PORT_MAX:
+        return first
+    network.check("internalPorts", False, f"does not begin with a port: {ports!r}")
+    return 0
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return _is_ip(host) and port.isdecimal() and 0 < int(port) <= _PORT_MAX
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        return bool(ipaddress.ip_address(text))
+    except ValueError:
+        return False
