Soak: reload gateways with changed files, half-written ones and stops right after

The soak sent a SIGHUP and left the file as it was, so nothing was ever taken over in it. A reload now changes the directory's bound, the processor share, memory and the way to the store, writes half of the file first at times, tells of it by up to four signals or by none, and stops the gateway right after at times. Requests around a reload count as those around a stop: none may be cut.

--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -149,6 +149,10 @@
         """Where the store itself listens, behind the gateways' ways to it."""
         return f"127.0.0.1:{self._ports[6]}"
 
+    def store_way(self, number: int) -> str:
+        """Return a gateway's own way to the store, on which faults strike."""
+        return f"{self.store_host(number)}:{self._ports[5]}"
+
     def zone(self, number: int) -> str:
         """Return a gateway's zone."""
         return ZONES[number % len(ZONES)]
--- a/scaffolding/soak/_faults.py
+++ b/scaffolding/soak/_faults.py
@@ -31,6 +31,13 @@
 #: This process counts as slowed when its loop wakes up so late.
 _LAG_S = 0.5
 _LAG_LOOK_S = 0.1
+#: Requests sent within this time of a reload must not be cut.
+_RELOAD_S = 3.0
+#: How often a settings file is half written first, for how long at most, how many signals tell of
+#: it, and how often the gateway is stopped right after.
+_HALF_SHARE, _HALF_WRITTEN_S = 0.4, 0.3
+_SIGNALS_MAX = 5
+_STOP_SHARE = 0.3
 _BACKEND_FAULTS = (
     Behaviour.FAILING,
     Behaviour.SHEDDING,
@@ -68,7 +75,7 @@
         self.all_backends: list[StandInBackend] = []
         #: What was harmed when.
         self.disturbances = Disturbances()
-        #: Planned stops of gateways.
+        #: Planned stops of gateways, and reloads.
         self.stops = Disturbances()
         #: Backends that said that they leave: when, and the bound for new work.
         self.leaves: list[tuple[StandInBackend, float, float]] = []
@@ -154,7 +161,9 @@
         await self._start_again(number)
 
     async def _stop(self, fault: Fault, rng: random.Random) -> None:
-        number = self._any_gateway(rng)
+        await self._stop_one(self._any_gateway(rng))
+
+    async def _stop_one(self, number: int) -> None:
         if not self._fleet.is_running(number):
             return
         now_s = asyncio.get_running_loop().time()
@@ -183,8 +192,34 @@
             self._fleet.kill(number, signal.SIGCONT)
 
     async def _reload(self, fault: Fault, rng: random.Random) -> None:
+        """Change a gateway's file, half of it first at times; tell it or not; stop it at times."""
+        number = self._any_gateway(rng)
+        if not self._fleet.is_running(number):
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.stops.add(f"gateway-{number}", now_s, now_s + _RELOAD_S)
+        if rng.random() < _HALF_SHARE:
+            whole = self._fleet.settings(number)
+            self._fleet.settings_file(number).write_text(whole[: rng.randrange(len(whole))])
+            self._hang_up(number)
+            await asyncio.sleep(rng.random() * _HALF_WRITTEN_S)
+        addresses = [self._fleet.store_address, self._fleet.store_way(number)]
+        self._fleet.change_settings(
+            number,
+            ttl_max=rng.choice(['"1s"', '"3s"', '"5s"']),
+            cpuShare=rng.choice(["0.5", "1.0", "2.0"]),
+            memoryMb=rng.choice(["200", "300"]),
+            address=f'"{rng.choice(addresses)}"',
+        )
+        for _ in range(rng.randrange(_SIGNALS_MAX)):
+            self._hang_up(number)
+            await asyncio.sleep(rng.random() * 0.1)
+        if rng.random() < _STOP_SHARE:
+            await self._stop_one(number)
+
+    def _hang_up(self, number: int) -> None:
         with contextlib.suppress(ProcessLookupError):
-            self._fleet.kill(self._any_gateway(rng), signal.SIGHUP)
+            self._fleet.kill(number, signal.SIGHUP)
 
     async def _start_again(self, number: int) -> None:
         await self._fleet.start_gateway(number)
