Signal a stopping process in tests without taking its exit code

Seen once in five plays of the file: the process was told to have ended with 255. Cause: Popen.send_signal polls the child first, and a poll just after its end takes the exit code from asyncio's watcher. The series of signals goes through the process's descriptor now; what is asked of the process is the same.

--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -213,6 +213,10 @@
         """Send a gateway's process a signal."""
         self._processes[number].send_signal(how)
 
+    def process_id(self, number: int) -> int:
+        """Return the id of a gateway's process."""
+        return self._processes[number].pid
+
     async def exit_code(self, number: int) -> int:
         """Wait for a gateway's process to end."""
         return await self._processes[number].wait()
--- a/scaffolding/tests/test_gateway_settings.py
+++ b/scaffolding/tests/test_gateway_settings.py
@@ -142,10 +142,13 @@
             for number in signals:
                 stage.fleet.kill(0, number)
             ending = asyncio.create_task(stage.fleet.exit_code(0))
+            # The process's own method would take the exit code from whoever waits for it.
+            process = os.pidfd_open(stage.fleet.process_id(0))
             while not ending.done():
                 with contextlib.suppress(ProcessLookupError):
-                    stage.fleet.kill(0, signal.SIGHUP)
+                    signal.pidfd_send_signal(process, signal.SIGHUP)
                 await asyncio.sleep(0.001)
+            os.close(process)
             self.assertEqual(0, await ending)
             for task in under_way:
                 self.assertEqual(200, (await task).status)
