--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -42,14 +42,20 @@
 _NEXT_QUESTION_S = 2.0
 #: A peer that failed is not asked again for this long, so that another one that offers is.
 _FAILED_PAUSE_S = 0.5
+#: Where changes have not come after this time, another peer is asked beside the first. The word
+#: that an upstream is leaving must not wait for a stream that stands still.
+_OVERTAKE_S = 0.3
+_ASKED_MAX = 3
 #: State of another zone's instance is fetched only if nobody of the own zone had it by then.
 _OTHER_ZONE_DELAY_S = 0.15
 #: Instances that hear of a newer state at the same moment ask within this time, so that the one
 #: that has it serves a zone of 70 one after the other.
 _SPREAD_S = 0.04
-#: All upstreams are fetched this often, in place of changes: what two instances held apart at the
-#: same revision is joined then.
+#: All upstreams are fetched this often beside changes: what two instances held apart at the same
+#: revision is joined then.
 _WHOLE_INTERVAL_S = 10.0
+#: The interval varies by this share, since a zone that asks at one moment fills its hub's link.
+_WHOLE_SPREAD = 0.5
 #: Connections that wait to be taken: a whole zone may ask at once.
 _BACKLOG = 512
 #: How often an outline is asked for on one connection: parts of it may be replaced meanwhile.
@@ -117,11 +123,28 @@
         return reply
 
 
+@dataclass(slots=True)
+class _Pauses:
+    """Peers that failed and are not asked for a while."""
+
+    _until_s: dict[str, float] = field(default_factory=dict)
+
+    def holds(self, peer: str, now_s: float) -> bool:
+        """Return whether a peer is not to be asked."""
+        return self._until_s.get(peer, 0.0) > now_s
+
+    def failed(self, peer: str, now_s: float) -> None:
+        """Begin a pause, and forget those that are over."""
+        for old in [one for one, until_s in self._until_s.items() if until_s < now_s]:
+            del self._until_s[old]
+        self._until_s[peer] = now_s + _FAILED_PAUSE_S
+
+
 class StateExchange:
-    """Fetches what a peer knows and this instance does not, one peer at a time for each kind.
+    """Fetches what a peer knows and this instance does not, from few peers at a time.
 
-    Upstreams and configurations are fetched beside each other: a large configuration must not keep
-    the word that an upstream is leaving.
+    Changes of upstreams, all upstreams and configurations are fetched beside each other: neither a
+    large configuration nor a long list must keep the word that an upstream is leaving.
     """
 
     def __init__(
@@ -132,12 +155,16 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._fetching_upstreams: asyncio.Task[None] | None = None
+        #: Fetches of changes by the peer that is asked, and when the last one began.
+        self._fetching_upstreams: dict[str, asyncio.Task[None]] = {}
+        self._asked_s = float("-inf")
         self._fetching_config: asyncio.Task[None] | None = None
-        #: Peers that failed, and until when they are not asked.
-        self._failed_until_s: dict[str, float] = {}
-        #: When all upstreams were fetched last.
-        self._whole_s = float("-inf")
+        #: For each kind, so that a configuration that fails keeps no word of upstreams.
+        self._upstream_pauses = _Pauses()
+        self._config_pauses = _Pauses()
+        self._fetching_whole: asyncio.Task[None] | None = None
+        #: From when on all upstreams are to be fetched again.
+        self._whole_due_s = float("-inf")
         self._arrived = PartsCollection()
         self._replies = _Replies()
         self._server: asyncio.Server | None = None
@@ -151,34 +178,57 @@
 
     def fetch_if_newer(self, offer: StateOffer, *, at_once: bool = False) -> None:
         """Ask a peer for its state where it is newer, at once where others will ask this one."""
-        self._view.heard_of_config(offer.config_version)
-        if self._failed_until_s.get(offer.address, 0.0) > self._loop.time():
-            return
-        if self._fetching_upstreams is None and self._has_newer_upstreams(offer):
+        self._view.configs.heard_of(offer.config_version)
+        self._view.heard_of_upstreams(offer.upstreams_revision, offer.address)
+        now_s, peer = self._loop.time(), offer.address
+        if self._has_newer_upstreams(offer) and self._may_ask(peer, now_s):
             fetch = self._fetch_upstreams(offer, at_once=at_once)
-            self._fetching_upstreams = self._loop.create_task(self._guard(offer, fetch))
-            self._fetching_upstreams.add_done_callback(self._upstreams_fetched)
-        if self._fetching_config is None and self._has_newer_config(offer):
+            task = self._loop.create_task(self._guard(offer, fetch, self._upstream_pauses))
+            self._fetching_upstreams[peer] = task
+            self._asked_s = now_s
+            task.add_done_callback(lambda _: self._fetching_upstreams.pop(peer))
+        paused = self._config_pauses.holds(peer, now_s)
+        if self._fetching_config is None and self._has_newer_config(offer) and not paused:
             fetch = self._fetch_config(offer, at_once=at_once)
-            self._fetching_config = self._loop.create_task(self._guard(offer, fetch))
+            guarded = self._guard(offer, fetch, self._config_pauses)
+            self._fetching_config = self._loop.create_task(guarded)
             self._fetching_config.add_done_callback(self._config_fetched)
 
-    def _upstreams_fetched(self, _: asyncio.Task[None]) -> None:
-        self._fetching_upstreams = None
+    def _may_ask(self, peer: str, now_s: float) -> bool:
+        """Return whether a peer may be asked for changes, beside those that have not answered."""
+        asked = self._fetching_upstreams
+        if peer in asked or self._upstream_pauses.holds(peer, now_s):
+            return False
+        if not asked:
+            return True
+        # Whole lists, which are told at the start, would only fill the link.
+        overtakes = self._view.upstreams.revision > 0 and now_s - self._asked_s > _OVERTAKE_S
+        return overtakes and len(asked) < _ASKED_MAX
+
+    def _fetch_whole_if_due(self, offer: StateOffer) -> None:
+        """Ask for all upstreams of a peer whose changes have just been taken."""
+        if self._fetching_whole is None and self._loop.time() > self._whole_due_s:
+            fetch = self._fetch_whole(offer)
+            guarded = self._guard(offer, fetch, None)
+            self._fetching_whole = self._loop.create_task(guarded)
+            self._fetching_whole.add_done_callback(self._whole_fetched)
+
+    def _whole_fetched(self, _: asyncio.Task[None]) -> None:
+        self._fetching_whole = None
 
     def _config_fetched(self, _: asyncio.Task[None]) -> None:
         self._fetching_config = None
 
-    async def _guard(self, offer: StateOffer, fetch: Coroutine[Any, Any, None]) -> None:
+    async def _guard(
+        self, offer: StateOffer, fetch: Coroutine[Any, Any, None], pauses: _Pauses | None
+    ) -> None:
         """Log the failure of a fetch; the next offer begins another one."""
         try:
             await fetch
         except Exception as error:
             self.fetches_failed += 1
-            now_s = self._loop.time()
-            for peer in [one for one, until_s in self._failed_until_s.items() if until_s < now_s]:
-                del self._failed_until_s[peer]
-            self._failed_until_s[offer.address] = now_s + _FAILED_PAUSE_S
+            if pauses is not None:
+                pauses.failed(offer.address, self._loop.time())
             self._log.event(
                 "fetch_failed",
                 peer=offer.address,
@@ -215,16 +265,29 @@
         await self._wait_for_turn(offer, at_once=at_once)
         if not self._has_newer_upstreams(offer):
             return
-        view = self._view
-        whole_due = self._loop.time() - self._whole_s > _WHOLE_INTERVAL_S
-        revision = 0 if whole_due else view.upstreams.revision
-        question = UpstreamsQuestion(revision, with_doubts=view.upstreams.revision == 0)
+        known = self._view.upstreams.revision
+        question = UpstreamsQuestion(known, with_doubts=known == 0)
+        async with self._connected(offer.address) as peer:
+            self._take_reply(offer, await peer.ask(question, decode_upstreams))
+        self._fetch_whole_if_due(offer)
+
+    async def _fetch_whole(self, offer: StateOffer) -> None:
+        """Fetch all upstreams; where it fails, changes go on and the next interval begins."""
+        self._put_off_whole()
         async with self._connected(offer.address) as peer:
-            reply = await peer.ask(question, decode_upstreams)
+            question = UpstreamsQuestion(0, with_doubts=False)
+            self._take_reply(offer, await peer.ask(question, decode_upstreams))
+
+    def _put_off_whole(self) -> None:
+        spread = 1.0 + (self._rng.random() - 0.5) * _WHOLE_SPREAD
+        self._whole_due_s = self._loop.time() + _WHOLE_INTERVAL_S * spread
+
+    def _take_reply(self, offer: StateOffer, reply: UpstreamsReply) -> None:
+        view = self._view
         source = f"peer {offer.address}"
         view.adopt_doubts(reply.doubts)
         if reply.upstreams is not None:
-            self._whole_s = self._loop.time()
+            self._put_off_whole()
             view.take_upstreams(reply.upstreams, reply.revision, source)
         if reply.changes is not None:
             view.change_upstreams(dict(reply.changes), reply.revision, source)
@@ -242,7 +305,7 @@
 
     async def _collect(self, peer: _Peer) -> PartedConfig | None:
         """Fetch what is missing of a peer's configuration; None where it has moved on meanwhile."""
-        own = self._view.parted_config
+        own = self._view.configs.parted
         base = own.digest if own is not None else 0
         outline = await peer.ask(OutlineQuestion(base), decode_outline)
         if not outline.head:
@@ -309,19 +372,20 @@
         if asked.with_doubts:
             # Doubts change without a revision.
             return make()
-        return self._replies.get((revision, asked), make)
+        # A drop goes with no revision; a reply from before it would list what was dropped.
+        return self._replies.get((view.upstreams.edition, asked), make)
 
     def _outline_reply(self, base: int) -> bytes:
-        config = self._view.parted_config
+        config = self._view.configs.parted
         if config is None:
             return encode_outline(ConfigOutline(b"", 0, 0, {}))
-        known = self._view.known_outlines
+        known = self._view.configs.outlines
         return self._replies.get(
             (config.digest, base), lambda: encode_outline(known.outline(config, base))
         )
 
     def _parts_reply(self, wanted: Mapping[int, int]) -> bytes:
-        config = self._view.parted_config
+        config = self._view.configs.parted
         held = config.parts if config is not None else ()
         # What has been replaced since the outline is left out: the asker asks for another one.
         parts = [
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -86,7 +86,8 @@
         self._others_reach_store = False
         #: Until when entries that vanish count as lapsed while the store was away.
         self._lapses_until_s = float("-inf")
-        self._vanished: dict[str, float] = {}
+        #: Entries that count as lapsed: until when they are kept, and their last revision.
+        self._vanished: dict[str, tuple[float, int]] = {}
         self._listed: frozenset[str] = frozenset()
         #: What follows a part of the store now.
         self._following: set[_Following] = set()
@@ -175,20 +176,25 @@
     async def _follow_config(self) -> PlatformFailure | None:
         """Read the configuration and follow its changes until a call fails."""
         # A snapshot tells the store's revision. The value's own may be older than its history.
+        configs = self._view.configs
+        configs.reaches_store = False
         read = await self._store.snapshot(self._layout.config_path)
         if isinstance(read, Err):
             return read.err_value
         self._succeeded()
         revision = read.ok_value.revision
         await self._take_config(read.ok_value.entries)
+        configs.reaches_store = True
         while self.should_read():
             watched = await self._store.watch(self._layout.config_path, revision, _WATCH_S)
             if isinstance(watched, Err):
+                configs.reaches_store = False
                 return watched.err_value
             self._succeeded()
             await self._take_config(watched.ok_value.entries)
             revision = max(revision, watched.ok_value.revision)
             await self._gather(watched.ok_value.entries)
+        configs.reaches_store = False
         return None
 
     async def _follow_upstreams(self) -> PlatformFailure | None:
@@ -201,7 +207,8 @@
         revision = read.ok_value.revision
         records = {record.name: record for record in self._decode(read.ok_value.entries)}
         gone = {record.name for record in self._view.upstreams} - records.keys()
-        self._keep_vanished(gone, records)
+        if revision >= self._view.upstreams.revision:
+            self._keep_vanished(gone, records)
         self._view.take_upstreams(records.values(), revision, "store")
         while self.should_read():
             watched = await self._store.watch(prefix, revision, _WATCH_S)
@@ -220,29 +227,27 @@
             await asyncio.sleep(_GATHER_S)
 
     async def _take_config(self, entries: Sequence[Entry]) -> None:
-        """Put the last of some versions in force; the ones before it were replaced already."""
-        versions = [
-            entry
-            for entry in entries
-            if entry.path == self._layout.config_path and entry.value is not None
-        ]
-        if not versions:
-            return
-        value = (versions[-1].value or "").encode(errors="surrogateescape")
-        decoded = await in_slices(self._layout.read_config(value))
-        if isinstance(decoded, Err):
-            revision = versions[-1].revision
-            self._log.event("config_refused", revision=revision, cause=decoded.err_value)
+        """Put the last valid one of some versions in force; those before it were replaced."""
+        for entry in reversed(entries):
+            if entry.path != self._layout.config_path or entry.value is None:
+                continue
+            value = entry.value.encode(errors="surrogateescape")
+            decoded = await in_slices(self._layout.read_config(value))
+            if isinstance(decoded, Err):
+                self._log.event("config_refused", revision=entry.revision, cause=decoded.err_value)
+                continue
+            if decoded.ok_value.version > self._view.config_version:
+                parted = await in_slices(part_config(decoded.ok_value, self._view.configs.parted))
+                self._view.take_config(parted, "store")
             return
-        if decoded.ok_value.version > self._view.config_version:
-            parted = await in_slices(part_config(decoded.ok_value, self._view.parted_config))
-            self._view.take_config(parted, "store")
 
     def _take_changes(self, entries: Sequence[Entry], revision: int) -> None:
         last = self._last_words(entries)
         removed = {name for name, word in last.items() if word is None}
         kept: dict[str, UpstreamRecord] = {}
-        self._keep_vanished(removed, kept)
+        # A peer may have told newer words, and an upstream that it lists has not lapsed.
+        if revision > self._view.upstreams.revision:
+            self._keep_vanished(removed, kept)
         self._view.change_upstreams({**last, **kept}, revision, "store")
 
     def _last_words(self, entries: Sequence[Entry]) -> dict[str, UpstreamRecord | None]:
@@ -272,13 +277,13 @@
             if record is None or record.state is not UpstreamState.READY:
                 continue
             if self._lapsed(record, gone, now_s):
-                self._vanished.setdefault(record.id, now_s + _LAPSE_KEEP_S)
+                self._vanished.setdefault(record.id, (now_s + _LAPSE_KEEP_S, record.revision))
                 records[name] = record
                 self._log.event("upstream_lapsed", upstream=record.id)
 
     def _lapsed(self, record: UpstreamRecord, gone: Set[str], now_s: float) -> bool:
         if record.id in self._vanished:
-            return self._vanished[record.id] > now_s
+            return self._vanished[record.id][0] > now_s
         if now_s < self._lapses_until_s:
             return True
         alike = self._view.upstreams.ready(record.service)
@@ -290,10 +295,20 @@
         while True:
             await asyncio.sleep(_LOOK_S)
             now_s = self._loop.time()
-            due = [name for name, until_s in self._vanished.items() if until_s <= now_s]
-            for name in due:
-                del self._vanished[name]
-            self._view.drop_upstreams(due)
+            due = [
+                (upstream_id, revision)
+                for upstream_id, (until_s, revision) in self._vanished.items()
+                if until_s <= now_s
+            ]
+            for upstream_id, _ in due:
+                del self._vanished[upstream_id]
+            listed = self._view.upstreams.records
+            # One that a peer has told since is back.
+            self._view.drop_upstreams(
+                upstream_id
+                for upstream_id, revision in due
+                if upstream_id in listed and listed[upstream_id].revision == revision
+            )
 
     def _decode(self, entries: Sequence[Entry]) -> list[UpstreamRecord]:
         records = []
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -64,8 +64,8 @@
         object.__setattr__(self, "id", lifetime)
 
 
-#: Lifetimes that have left, and the last starts of names that are no longer listed, are remembered
-#: up to this number each, about 100 bytes each.
+#: Lifetimes that have left, and the last starts and absences of names that are no longer listed,
+#: are remembered up to this number each, about 100 bytes each.
 _DEPARTED_MAX = 20_000
 
 
@@ -95,9 +95,13 @@
     records: dict[str, UpstreamRecord] = field(default_factory=dict)
     #: The store's revision up to which changes are known.
     revision: int = 0
+    #: Rises with each change of the list, also where no revision goes with it.
+    edition: int = 0
     _by_service: dict[str, list[UpstreamRecord]] = field(default_factory=dict)
     _by_name: dict[str, UpstreamRecord] = field(default_factory=dict)
     _left: dict[str, None] = field(default_factory=dict)
+    #: The last revision at which a name that was listed was not, or that of its dropped entry.
+    _absent: dict[str, int] = field(default_factory=dict)
     #: The newest start that was seen of each name.
     _started_ms: dict[str, int] = field(default_factory=dict)
     #: The last changes, the oldest first, and the revision since which none is missing.
@@ -127,10 +131,15 @@
             return False
         before, self._by_name = self._by_name, {}
         for record in records:
-            if self._is_newest(record):
-                self._by_name[record.name] = self._admit(record)
-            elif record.name in before:
-                self._by_name[record.name] = before[record.name]
+            self._take(record, before.get(record.name), revision)
+        for name in before.keys() - self._by_name.keys():
+            self._remember_absent(name, revision)
+        if revision == self.revision:
+            names = before.keys() | self._by_name.keys()
+            differ = [name for name in names if before.get(name) != self._by_name.get(name)]
+            self._changed(differ, revision + 1)
+            return True
+        # The list does not tell what came and went since the known revision.
         self.revision = revision
         self._changes.clear()
         self._changes_since = revision
@@ -138,17 +147,30 @@
         return True
 
     def apply(self, changes: Mapping[str, UpstreamRecord | None], revision: int) -> None:
-        """Take changes by name after the known revision; None for a record that was removed."""
+        """Take what changed up to a revision, by name; None for a record that was removed.
+
+        It begins at the known revision or before it. What ends there or before it is known: its
+        words arrive after newer ones, and would list again what has been removed since.
+        """
+        if revision <= self.revision:
+            return
         for name, record in changes.items():
+            before = self._by_name.pop(name, None)
             if record is None:
-                self._by_name.pop(name, None)
-            elif self._is_newest(record):
-                self._by_name[name] = self._admit(record)
-        self.revision = max(self.revision, revision)
-        self._changes.extend(_Change(self.revision, name) for name in changes)
-        while len(self._changes) > _CHANGES_MAX:
-            self._changes_since = max(self._changes_since, self._changes.popleft().revision)
-        self._index()
+                self._remember_absent(name, revision)
+            else:
+                self._take(record, before, revision)
+        self.revision = revision
+        self._changed(changes, revision)
+
+    def drop(self, names: Iterable[str]) -> None:
+        """Take records from the list that the store has not named since the known revision."""
+        for name in names:
+            record = self._by_name.pop(name, None)
+            if record is not None:
+                self._remember_absent(name, record.revision)
+        # Whoever has the known revision asks for nothing before the next one.
+        self._changed(names, self.revision + 1)
 
     def changes_since(self, revision: int) -> Mapping[str, UpstreamRecord | None] | None:
         """Return what changed since a revision, by name; None where that is not remembered.
@@ -172,6 +194,29 @@
             self._by_name[record.name] = self._admit(record)
             self._index()
 
+    def _changed(self, names: Iterable[str], revision: int) -> None:
+        self._changes.extend(_Change(revision, name) for name in names)
+        while len(self._changes) > _CHANGES_MAX:
+            self._changes_since = max(self._changes_since, self._changes.popleft().revision)
+        self._index()
+
+    def _take(self, record: UpstreamRecord, before: UpstreamRecord | None, revision: int) -> None:
+        """List what a name's entry was at a revision, or what was listed before."""
+        if 0 < record.revision <= self._absent.get(record.name, 0):
+            # Whoever told it keeps what vanished with the store's outage.
+            return
+        if self._is_newest(record):
+            self._by_name[record.name] = self._admit(record)
+        elif before is not None and not record.revision < before.revision <= revision:
+            # The word of an older lifetime was stored late. One that was stored earlier would not
+            # be told if the known one were still in the list.
+            self._by_name[record.name] = before
+
+    def _remember_absent(self, name: str, revision: int) -> None:
+        self._absent[name] = max(self._absent.pop(name, 0), revision)
+        if len(self._absent) > _DEPARTED_MAX:
+            del self._absent[next(iter(self._absent))]
+
     def _is_newest(self, record: UpstreamRecord) -> bool:
         """Return whether no later start of the record's name was seen, and remember its own."""
         newest_ms = max(self._started_ms.pop(record.name, 0), record.started_ms)
@@ -193,6 +238,7 @@
             del self._left[next(iter(self._left))]
 
     def _index(self) -> None:
+        self.edition += 1
         self.records = {record.id: record for record in self._by_name.values()}
         by_service: dict[str, list[UpstreamRecord]] = {}
         for record in self.records.values():
