--- a/src/egretrail/gateway/_config_fetch.py
+++ b/src/egretrail/gateway/_config_fetch.py
@@ -14,7 +14,7 @@
     decode_outline,
     decode_parts,
 )
-from egretrail.gateway._interfaces import GatewaySettings
+from egretrail.gateway._interfaces import StartSettings
 from egretrail.gateway._peer_streams import (
     SILENCE_S,
     FetchFailed,
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings: StartSettings,
         view: FleetView,
         streams: PeerStreams,
         rng: random.Random,
--- a/src/egretrail/gateway/_peer_streams.py
+++ b/src/egretrail/gateway/_peer_streams.py
@@ -10,7 +10,7 @@
 
 from egretrail.cluster import MalformedMessage, Question, encode_question
 from egretrail.gateway._frames import read_frame, write_frame
-from egretrail.gateway._interfaces import GatewaySettings
+from egretrail.gateway._interfaces import StartSettings
 from egretrail.gateway._log import EventLog
 
 T = TypeVar("T")
@@ -100,7 +100,7 @@
 class PeerStreams:
     """Opens connections to peers and counts what comes of them."""
 
-    def __init__(self, settings: GatewaySettings, log: EventLog) -> None:
+    def __init__(self, settings: StartSettings, log: EventLog) -> None:
         self._settings = settings
         self._log = log
         #: Bytes of replies that arrived, and fetches that failed.
--- a/src/egretrail/gateway/_upstreams_fetch.py
+++ b/src/egretrail/gateway/_upstreams_fetch.py
@@ -4,7 +4,7 @@
 import random
 
 from egretrail.cluster import UpstreamsQuestion, UpstreamsReply, decode_upstreams
-from egretrail.gateway._interfaces import GatewaySettings
+from egretrail.gateway._interfaces import StartSettings
 from egretrail.gateway._peer_streams import Pauses, PeerStreams, StateOffer
 from egretrail.gateway._view import FleetView
 
@@ -29,7 +29,7 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings: StartSettings,
         view: FleetView,
         streams: PeerStreams,
         rng: random.Random,
