--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -34,6 +34,7 @@
     SuspicionBook,
     TrialPace,
 )
+from egretrail.gateway._awaited_upstreams import AwaitedUpstreams
 from egretrail.gateway._config_state import ConfigState
 from egretrail.gateway._evidence import Evidence
 from egretrail.gateway._interfaces import GatewaySettings
@@ -48,8 +49,6 @@
 
 #: Whoever hears this part of the largest fleet that it has known is not cut off with its zone.
 _FLEET_SHARE = 0.5
-#: A newer list of upstreams that is not here after this time is logged, once until it has come.
-_UPSTREAMS_LATE_S = 1.0
 
 
 class FleetView:
@@ -75,11 +74,7 @@
         self.configs = ConfigState(clock)
         #: The listed upstreams.
         self.upstreams = UpstreamTable()
-        #: The first revision of the upstreams that was heard of and has not come, since when, and
-        #: whether that was logged.
-        self._awaited_revision = 0
-        self._awaited_since_s: float | None = None
-        self._awaited_logged = False
+        self._awaited = AwaitedUpstreams()
         #: The other instances.
         self.membership = Membership(settings.ip, settings.availability_zone, settings.capacity)
         #: Requests under way over the fleet.
@@ -165,17 +160,12 @@
         """Take which revision of the upstreams a peer has."""
         if revision <= self.upstreams.revision:
             return
-        now_s = self._clock()
-        if self._awaited_since_s is None:
-            self._awaited_since_s = now_s
-            self._awaited_revision = revision
-        behind_s = now_s - self._awaited_since_s
-        if behind_s > _UPSTREAMS_LATE_S and not self._awaited_logged:
-            self._awaited_logged = True
+        behind_s = self._awaited.heard_of(revision, self._clock())
+        if behind_s is not None:
             self._log.event(
                 "upstreams_behind",
                 revision=self.upstreams.revision,
-                awaited=self._awaited_revision,
+                awaited=self._awaited.revision,
                 newest=revision,
                 peer=peer,
                 behind_s=behind_s,
@@ -389,9 +379,7 @@
         return self.membership.rank_for(f"trial {record.id}", record.availability_zone)
 
     def _upstreams_changed(self, before: dict[str, UpstreamRecord], source: str) -> None:
-        if self.upstreams.revision >= self._awaited_revision:
-            self._awaited_since_s = None
-            self._awaited_logged = False
+        self._awaited.arrived(self.upstreams.revision)
         after = self.upstreams.records
         for upstream_id in before.keys() | after.keys():
             old, new = before.get(upstream_id), after.get(upstream_id)
