Take a later lifetime of an upstream also from an older word

An upstream that had started again under its name got no work where a reader of the store read the whole list right after a late word of the lifetime before: the list holds that word, another reader fetched it at the newer revision, and its own watch, which told of the new lifetime, was then refused as known.

Now a later lifetime of a listed name is taken whatever the revision, and told with the next one. The new case failed before; a name that is not listed any more stays so. The model of upstreams' words passes.

--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -150,9 +150,12 @@
         """Take what changed up to a revision, by name; None for a record that was removed.
 
         It begins at the known revision or before it. What ends there or before it is known: its
-        words arrive after newer ones, and would list again what has been removed since.
+        words arrive after newer ones, and would list again what has been removed since. A later
+        lifetime of a listed name is news even then: a late word of the one before it may stand in
+        its place in the whole list that told the known revision.
         """
         if revision <= self.revision:
+            self._take_later_lifetimes(changes)
             return
         for name, record in changes.items():
             before = self._by_name.pop(name, None)
@@ -194,6 +197,19 @@
             self._by_name[record.name] = self._admit(record)
             self._index()
 
+    def _take_later_lifetimes(self, changes: Mapping[str, UpstreamRecord | None]) -> None:
+        later = []
+        for name, record in changes.items():
+            listed = self._by_name.get(name)
+            if record is None or listed is None or record.started_ms <= listed.started_ms:
+                continue
+            if self._is_newest(record):
+                self._by_name[name] = self._admit(record)
+                later.append(name)
+        if later:
+            # Whoever has the known revision asks for nothing before the next one.
+            self._changed(later, self.revision + 1)
+
     def _changed(self, names: Iterable[str], revision: int) -> None:
         self._changes.extend(_Change(revision, name) for name in names)
         while len(self._changes) > _CHANGES_MAX:
--- a/src/egretrail/traffic/tests/test_traffic.py
+++ b/src/egretrail/traffic/tests/test_traffic.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
+from dataclasses import replace
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -290,6 +291,25 @@
         table.replace([self._record("a")], 6)
         self.assertEqual({"c": None}, self._told(table, 6))
 
+    @cases(
+        {
+            # A whole list that was read after it holds a late word of the lifetime before it.
+            "a listed name": (["x"], True),
+            "a name that is not listed any more": ([], False),
+        }
+    )
+    def test_a_newer_lifetime_is_taken_also_from_an_older_word(
+        self, case: tuple[Sequence[str], bool]
+    ) -> None:
+        names, expected = case
+        table = UpstreamTable()
+        old = self._record("x", started_ms=1_000)
+        table.replace([old], 18)
+        table.replace([replace(old, state=UpstreamState.DRAINING) for _ in names], 20)
+        new = self._record("x", started_ms=2_000)
+        table.apply({"x": replace(new, revision=19)}, 20)
+        self.assertEqual(expected, bool(table.ready("s")))
+
     def _told(self, table: UpstreamTable, known: int) -> dict[str, str | None] | None:
         changes = table.changes_since(known)
         if changes is None:
