Log the hops of a configuration: read, fetched, nothing newer

A configuration that is in force late said only for how long a newer one had been known of. Where the time went (the store's last byte, decoding, the wait for the own zone's offer, the questions, instances that were asked and had nothing newer) could not be told from logs. New events config_read, config_fetched and config_not_newer. Nothing else changes.

--- a/src/egretrail/gateway/_config_fetch.py
+++ b/src/egretrail/gateway/_config_fetch.py
@@ -15,6 +15,7 @@
     decode_parts,
 )
 from egretrail.gateway._interfaces import StartSettings
+from egretrail.gateway._log import EventLog
 from egretrail.gateway._peer_streams import (
     SILENCE_S,
     FetchFailed,
@@ -49,11 +50,13 @@
         settings: StartSettings,
         view: FleetView,
         streams: PeerStreams,
+        log: EventLog,
         rng: random.Random,
     ) -> None:
         self._settings = settings
         self._view = view
         self._streams = streams
+        self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
@@ -94,10 +97,20 @@
         return offer.availability_zone == self._settings.availability_zone
 
     async def _fetch(self, offer: StateOffer, *, at_once: bool) -> None:
+        began_s = self._loop.time()
         try:
             if not at_once:
                 offer = await self._choose(offer)
+            asked_s = self._loop.time()
             await self._ask_in_turn(offer, is_hub=at_once)
+            if not self._is_newer(offer):
+                self._log.event(
+                    "config_fetched",
+                    version=self._view.config_version,
+                    offered_by=offer.address,
+                    waited_s=asked_s - began_s,
+                    fetch_s=self._loop.time() - asked_s,
+                )
         except Exception as error:
             # The next offer begins another fetch, with the parts that have come.
             self._pauses.begin(self._streams.failed(offer, error), self._loop.time())
@@ -130,6 +143,12 @@
             if referral is None:
                 if self._is_newer(offer):
                     self._pauses.begin(address, self._loop.time(), _NO_NEWER_PAUSE_S)
+                    self._log.event(
+                        "config_not_newer",
+                        peer=address,
+                        offered_by=offer.address,
+                        config_version=offer.config_version,
+                    )
                 return
             address, silence_s = offer.address, SILENCE_S
             own = referral.address in ("", self._settings.ip)
--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -32,7 +32,7 @@
         #: Connections to peers, and what they have brought.
         self.streams = PeerStreams(settings, log)
         self._upstreams = UpstreamsFetch(settings, view, self.streams, rng)
-        self._config = ConfigFetch(settings, view, self.streams, rng)
+        self._config = ConfigFetch(settings, view, self.streams, log, rng)
         #: Answers peers.
         self.answers = StateAnswers(view)
         self._server: asyncio.Server | None = None
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -231,6 +231,7 @@
         for entry in reversed(entries):
             if entry.path != self._layout.config_path or entry.value is None:
                 continue
+            arrived_s = self._loop.time()
             value = entry.value.encode(errors="surrogateescape")
             decoded = await in_slices(self._layout.read_config(value))
             if isinstance(decoded, Err):
@@ -238,6 +239,13 @@
                 continue
             if decoded.ok_value.version > self._view.config_version:
                 parted = await in_slices(part_config(decoded.ok_value, self._view.configs.parted))
+                self._log.event(
+                    "config_read",
+                    version=decoded.ok_value.version,
+                    revision=entry.revision,
+                    size_bytes=len(value),
+                    prepare_s=self._loop.time() - arrived_s,
+                )
                 self._view.take_config(parted, "store")
             return
 
