Tests that fail: changes are late behind a peer that stands still or has nothing newer

Operators saw requests handled by a configuration 2.9 s after a newer one was acknowledged, and requests at upstreams that had begun to leave 2.5 s before.

* members ask the hub of their zone and, where that fails, others of the zone, who have nothing either.
* a request is sent by a choice from before its connection was opened, 0.35 s at the longest.

--- a/src/egretrail/gateway/tests/test_config_in_trouble.py
+++ b/src/egretrail/gateway/tests/test_config_in_trouble.py
@@ -5,10 +5,12 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
+from unittest import mock
 
 from result import Ok
 
 from egretrail.cluster import PartedConfig, at_once, part_config
+from egretrail.gateway._log import EventLog
 from egretrail.gateway.tests.fleet import Fleet
 from egretrail.gateway.tests.streams import SimulatedStreams
 from egretrail.platform import PlatformLayout
@@ -231,6 +233,20 @@
     play.change(_routes(_ROUTES, 2_500))
 
 
+async def _streams_of_the_hub_stand_still(play: _Play) -> None:
+    _let_streams_stand_still(play, [_FAR])
+
+
+async def _streams_of_two_hubs_stand_still(play: _Play) -> None:
+    _let_streams_stand_still(play, [_READING[0], _FAR])
+
+
+def _let_streams_stand_still(play: _Play, zones: Sequence[int]) -> None:
+    """Let the zones' hubs take connections and say nothing there; their datagrams arrive."""
+    assert play.fleet.streams is not None
+    play.fleet.streams.silent_s |= {play.order(zone)[0]: 0.6 for zone in zones}
+
+
 async def _slow_members(play: _Play) -> None:
     slow = play.order(_FAR)[-8:]
     for address in slow:
@@ -326,6 +342,8 @@
     "the_hub_does_not_hear_some": _deaf_hub,
     "some_do_not_hear_the_hub": _mute_hub,
     "some_have_not_heard_the_hub_for_long": _mute_hub_before,
+    "the_hubs_streams_stand_still": _streams_of_the_hub_stand_still,
+    "the_streams_of_two_hubs_stand_still": _streams_of_two_hubs_stand_still,
     "some_have_slow_and_busy_links": _slow_members,
     "some_have_full_links_for_a_second": _full_members,
     "a_tenth_of_the_datagrams_is_lost": _lossy,
@@ -380,6 +398,27 @@
 
 
 class ConfigOnItsWayTest(EgretrailTestCase):
+    @cases({"strong_hubs": 2, "weak_hubs": 0})
+    def test_nobody_is_sent_on_to_an_instance_that_has_nothing_newer(self, strong: int) -> None:
+        """Instances were sent on to others that had completed only the version before."""
+
+        async def run() -> Sequence[str]:
+            sent_on = []
+
+            def note(log: EventLog, name: str, **fields: object) -> None:
+                if name == "config_not_newer" and fields["peer"] != fields["offered_by"]:
+                    sent_on.append(str(fields["peer"]))
+
+            async with _running([12, 12, 36], strong) as play:
+                play.change(_routes(_FIRST_ROUTES))
+                await asyncio.sleep(1.5)
+                with mock.patch.object(EventLog, "event", note):
+                    play.change(_routes(_ROUTES))
+                    await asyncio.sleep(_IN_FORCE_S)
+            return sent_on
+
+        self.assertEqual([], self.run_paused(run()))
+
     @cases({"strong_hubs": 2, "weak_hubs": 0})
     def test_few_ask_other_zones(self, strong: int) -> None:
         """What crosses between zones grows with the zones, not with their instances."""
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -5,6 +5,8 @@
 import os
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from unittest import mock
 
 from result import Ok
 
@@ -17,7 +19,7 @@
 from egretrail.gateway._state_exchange import StateExchange
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.settings import gateway_settings
-from egretrail.http1 import Request
+from egretrail.http1 import ClientConnection, Request
 from egretrail.platform import PlatformContract, PlatformLayout
 from egretrail.platform.tests.requests import client_request
 from egretrail.testing import EgretrailTestCase
@@ -103,6 +105,28 @@
 
         self._play(act)
 
+    def test_a_request_is_not_sent_to_an_upstream_that_began_to_leave_while_it_connected(
+        self,
+    ) -> None:
+        """Requests were sent by a choice from before the upstream's word arrived."""
+
+        async def act(executor: Executor, view: FleetView, backend: StandInBackend) -> None:
+            acquire = UpstreamPool.acquire
+            [record] = view.upstreams
+
+            async def acquire_late(pool: UpstreamPool, name: str, address: str) -> ClientConnection:
+                connection = await acquire(pool, name, address)
+                leaving = replace(record, state=UpstreamState.DRAINING, revision=6)
+                view.take_upstreams([leaving], 6, "test")
+                return connection
+
+            with mock.patch.object(UpstreamPool, "acquire", acquire_late):
+                answer = await executor.serve(_request(b"POST", b"/order/1"))
+            self.assertEqual(503, answer.status)
+            self.assertEqual(0, sum(backend.runs.values()))
+
+        self._play(act)
+
     def test_a_request_that_hangs_is_answered_when_its_routes_time_is_over(self) -> None:
         async def act(executor: Executor, view: FleetView, backend: StandInBackend) -> None:
             backend.behaviour = Behaviour.HANGING
