Name only instances that have the newest configuration to others

Callers were served by an old configuration longer than needed: an instance that asks its hub is sent on to another one while the hub's places are taken, and the hub named whoever had completed any version in the last 5 s. Where versions follow each other within that time, those instances have nothing newer; the asker came back, and was sent on to the next one.

An instance is now remembered with the digest of what it completed, and named only while that digest is in force at the one that names it.

--- a/src/egretrail/gateway/_fetch_places.py
+++ b/src/egretrail/gateway/_fetch_places.py
@@ -22,8 +22,10 @@
 
 @dataclass(slots=True)
 class _Teller:
-    """An instance that was sent all."""
+    """An instance that was sent all of a configuration."""
 
+    #: The digest of the configuration.
+    digest: int
     #: Until when it is named.
     until_s: float
     #: How often it was named since its last rest.
@@ -45,6 +47,8 @@
     clock: Callable[[], float]
     #: The zone of an instance; None for one that is not known to live.
     zone_of: Callable[[str], str | None]
+    #: The digest of the configuration in force here; 0 for none.
+    held: Callable[[], int]
     _taken: dict[int, float] = field(default_factory=dict)
     _tellers: dict[str, _Teller] = field(default_factory=dict)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -81,8 +85,8 @@
             self._wake()
 
     def completed(self, asker: str) -> None:
-        """Take that an instance has got all, and can tell others."""
-        self._tellers[asker] = _Teller(self.clock() + _NAMED_S)
+        """Take that an instance has the configuration in force here, and can tell others."""
+        self._tellers[asker] = _Teller(self.held(), self.clock() + _NAMED_S)
         self._wake()
 
     def _name(self, asker: str, now_s: float) -> str:
@@ -101,7 +105,12 @@
         return ""
 
     def _forget_old(self, now_s: float) -> None:
-        for address in [one for one, it in self._tellers.items() if it.until_s <= now_s]:
+        held = self.held()
+        for address in [
+            one
+            for one, teller in self._tellers.items()
+            if teller.until_s <= now_s or teller.digest != held
+        ]:
             del self._tellers[address]
 
     def _wake(self) -> None:
--- a/src/egretrail/gateway/_state_answers.py
+++ b/src/egretrail/gateway/_state_answers.py
@@ -61,7 +61,7 @@
         self._replies: _Replies[bytes] = _Replies()
         #: Outlines, and whether they lack much.
         self._outlines: _Replies[tuple[bytes, bool]] = _Replies()
-        self._places = FetchPlaces(asyncio.get_running_loop().time, self._zone_of)
+        self._places = FetchPlaces(asyncio.get_running_loop().time, self._zone_of, self._held)
         self._visits = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -155,6 +155,10 @@
         key = tuple(part.digest for part in parts)
         return self._replies.get(key, lambda: encode_parts(parts))
 
+    def _held(self) -> int:
+        config = self._view.configs.parted
+        return 0 if config is None else config.digest
+
     def _zone_of(self, address: str) -> str | None:
         instance = self._view.membership.named(address)
         return None if instance is None else instance.availability_zone
