Fetch a configuration from another peer where the first one stands still

Callers were served by an old configuration while a newer one was in force elsewhere. An instance asked one peer at a time: the hub of its zone, and after a failure others of the zone, who wait for the same hub.

* After 0.3 s in which nothing new arrived, up to two other peers are asked beside the first, as for changes of upstreams; both use PeerTurns now.
Parts that arrive from any of them are kept together.
* An offer of another zone waits for the own zone's apart from those who are asked.
It took the other zone's place while it asked the own zone.
* After a failure inside the own zone, other zones' offers are taken at once for 2 s.
A peer that fails again and again is left out for up to 2 s.
* Nothing is fetched from a peer whose version is not newer; the parts of an older version made the collected ones be forgotten.

--- a/src/egretrail/cluster/_config_parts.py
+++ b/src/egretrail/cluster/_config_parts.py
@@ -87,6 +87,11 @@
     #: The digests of the parts that are not as in the base, by number.
     changed: Mapping[int, int]
 
+    @property
+    def version(self) -> int:
+        """The version that it is of; raises one of ``MALFORMED`` for a head that is none."""
+        return unpack_head(self.head)[0]
+
 
 def part_digest(packed: bytes) -> int:
     """Return the digest of a part's bytes."""
--- a/src/egretrail/gateway/_config_fetch.py
+++ b/src/egretrail/gateway/_config_fetch.py
@@ -1,10 +1,10 @@
 """Fetches a configuration that is newer than the one in force, part by part."""
 
 import asyncio
-import contextlib
 import random
 
 from egretrail.cluster import (
+    ConfigOutline,
     MalformedMessage,
     OutlineQuestion,
     PartedConfig,
@@ -19,11 +19,11 @@
 from egretrail.gateway._peer_streams import (
     SILENCE_S,
     FetchFailed,
-    Pauses,
     PeerStream,
     PeerStreams,
     StateOffer,
 )
+from egretrail.gateway._peer_turns import PeerTurns
 from egretrail.gateway._upstreams_fetch import SPREAD_S
 from egretrail.gateway._view import FleetView
 
@@ -34,6 +34,8 @@
 #: before callers are served.
 _OTHER_ZONE_DELAY_S = 0.8
 _OTHER_ZONE_START_DELAY_S = 0.3
+#: After a fetch inside the own zone failed, other zones' instances are asked at once for this long.
+_OWN_ZONE_DISTRUST_S = 2.0
 #: How often an outline is asked for on one connection: parts of it may be replaced meanwhile.
 _OUTLINES_MAX = 8
 #: How often a fetch is told to ask another instance, or the same one again.
@@ -43,7 +45,7 @@
 
 
 class ConfigFetch:
-    """Asks one peer at a time, and keeps the parts that arrived until they are a whole version."""
+    """Asks few peers at a time, and keeps the parts that arrived until they are a whole version."""
 
     def __init__(
         self,
@@ -59,36 +61,34 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._task: asyncio.Task[None] | None = None
+        self._turns = PeerTurns()
         self._arrived = PartsCollection()
-        #: The last instance of the own zone that offered a newer configuration, and a wait for one.
-        self._own_zone_offer: StateOffer | None = None
-        self._own_zone_offered = asyncio.Event()
-        self._pauses = Pauses()
+        #: Another zone's offer that waits for one of the own zone.
+        self._later: asyncio.Task[None] | None = None
+        #: When a fetch from an instance of the own zone last failed.
+        self._own_zone_failed_s = float("-inf")
 
     def offered(self, offer: StateOffer, *, at_once: bool) -> None:
         """Fetch where a peer has a newer configuration."""
         self._view.configs.heard_of(offer.config_version)
         if not self._is_newer(offer) or self.is_paused(offer.address):
             return
-        if self._is_of_own_zone(offer):
-            self._own_zone_offer = offer
-            self._own_zone_offered.set()
-        if self._task is None:
-            self._task = self._loop.create_task(self._fetch(offer, at_once=at_once))
-            self._task.add_done_callback(self._fetched)
+        distrusted = self._loop.time() - self._own_zone_failed_s < _OWN_ZONE_DISTRUST_S
+        if self._is_of_own_zone(offer) or at_once or self._turns.is_asking or distrusted:
+            self._ask(offer, is_hub=at_once)
+        elif self._later is None:
+            self._later = self._loop.create_task(self._ask_later(offer))
+            self._later.add_done_callback(self._asked_later)
 
     def is_paused(self, peer: str) -> bool:
         """Return whether a peer has failed lately."""
-        return self._pauses.holds(peer, self._loop.time())
+        return self._turns.pauses.holds(peer, self._loop.time())
 
     def stop(self) -> None:
         """End what is under way."""
-        if self._task is not None:
-            self._task.cancel()
-
-    def _fetched(self, _: asyncio.Task[None]) -> None:
-        self._task = None
+        self._turns.stop()
+        if self._later is not None:
+            self._later.cancel()
 
     def _is_newer(self, offer: StateOffer) -> bool:
         return offer.config_version > self._view.config_version
@@ -96,43 +96,45 @@
     def _is_of_own_zone(self, offer: StateOffer) -> bool:
         return offer.availability_zone == self._settings.availability_zone
 
-    async def _fetch(self, offer: StateOffer, *, at_once: bool) -> None:
+    def _ask(self, offer: StateOffer, *, is_hub: bool) -> None:
+        """Begin to ask an instance, unless others are asked already and have not fallen silent."""
+        now_s = self._loop.time()
+        if self._turns.admits(offer.address, now_s):
+            self._turns.begin(offer.address, self._fetch(offer, is_hub=is_hub), now_s)
+
+    async def _ask_later(self, offer: StateOffer) -> None:
+        """Ask another zone's instance if nobody of the own zone has answered by then.
+
+        Load: a zone hears of a version from the others before its own hub has it. If its instances
+        went there, one reader of the store would send the configuration to all zones.
+        """
+        ready = self._view.ready
+        await asyncio.sleep(_OTHER_ZONE_DELAY_S if ready else _OTHER_ZONE_START_DELAY_S)
+        if self._is_newer(offer):
+            self._ask(offer, is_hub=False)
+
+    def _asked_later(self, _: asyncio.Task[None]) -> None:
+        self._later = None
+
+    async def _fetch(self, offer: StateOffer, *, is_hub: bool) -> None:
         began_s = self._loop.time()
         try:
-            if not at_once:
-                offer = await self._choose(offer)
-            asked_s = self._loop.time()
-            await self._ask_in_turn(offer, is_hub=at_once)
+            if not is_hub and self._view.ready:
+                await asyncio.sleep(self._rng.random() * SPREAD_S)
+            await self._ask_in_turn(offer, is_hub=is_hub)
             if not self._is_newer(offer):
                 self._log.event(
                     "config_fetched",
                     version=self._view.config_version,
                     offered_by=offer.address,
-                    waited_s=asked_s - began_s,
-                    fetch_s=self._loop.time() - asked_s,
+                    fetch_s=self._loop.time() - began_s,
                 )
         except Exception as error:
             # The next offer begins another fetch, with the parts that have come.
-            self._pauses.begin(self._streams.failed(offer, error), self._loop.time())
-
-    async def _choose(self, offer: StateOffer) -> StateOffer:
-        """Wait for this instance's turn; return whom to ask.
-
-        Load: a zone hears of a version from the others before its own hub has it. If its instances
-        went there, one reader of the store would send the configuration to all zones.
-        """
-        ready = self._view.ready
-        if not self._is_of_own_zone(offer):
-            self._own_zone_offered.clear()
-            delay_s = _OTHER_ZONE_DELAY_S if ready else _OTHER_ZONE_START_DELAY_S
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(delay_s):
-                    await self._own_zone_offered.wait()
-            if self._own_zone_offered.is_set() and self._own_zone_offer is not None:
-                offer = self._own_zone_offer
-        if ready:
-            await asyncio.sleep(self._rng.random() * SPREAD_S)
-        return offer
+            failed = self._streams.failed(offer, error)
+            self._turns.pauses.failed(failed, self._loop.time())
+            if failed == offer.address and self._is_of_own_zone(offer):
+                self._own_zone_failed_s = self._loop.time()
 
     async def _ask_in_turn(self, offer: StateOffer, *, is_hub: bool) -> None:
         """Ask the instance that offers, and those that are named in its place."""
@@ -142,7 +144,7 @@
                 referral = await self._fetch_from(peer, address, offer, is_hub=is_hub)
             if referral is None:
                 if self._is_newer(offer):
-                    self._pauses.begin(address, self._loop.time(), _NO_NEWER_PAUSE_S)
+                    self._turns.pauses.begin(address, self._loop.time(), _NO_NEWER_PAUSE_S)
                     self._log.event(
                         "config_not_newer",
                         peer=address,
@@ -162,31 +164,40 @@
         for _ in range(_OUTLINES_MAX):
             if not self._is_newer(offer):
                 return None
-            config = await self._collect(peer, is_hub=is_hub)
-            if isinstance(config, Referral):
-                return config
+            outline = await self._ask_outline(peer, is_hub=is_hub)
+            if isinstance(outline, Referral):
+                self._turns.moved(self._loop.time())
+                return outline
+            if outline.version <= self._view.config_version:
+                return None
+            self._turns.moved(self._loop.time())
+            config = await self._collect(peer, outline)
             if config is None:
                 continue
             if self._view.take_config(config, f"peer {address}"):
                 # It may name this instance to others now.
                 peer.tell(OutlineQuestion(config.digest, self._settings.ip, is_hub))
+                self._turns.stop(but=asyncio.current_task())
             return None
         return None
 
-    async def _collect(self, peer: PeerStream, *, is_hub: bool) -> PartedConfig | Referral | None:
-        """Fetch what is missing of a peer's configuration; None where it has moved on meanwhile."""
+    async def _ask_outline(self, peer: PeerStream, *, is_hub: bool) -> ConfigOutline | Referral:
         own = self._view.configs.parted
         base = own.digest if own is not None else 0
         question = OutlineQuestion(base, self._settings.ip, is_hub)
         outline = await peer.ask(question, decode_outline)
-        if isinstance(outline, Referral):
-            return outline
-        if not outline.head:
+        if isinstance(outline, ConfigOutline) and not outline.head:
             raise FetchFailed(MalformedMessage("no configuration"))
+        return outline
+
+    async def _collect(self, peer: PeerStream, outline: ConfigOutline) -> PartedConfig | None:
+        """Fetch what is missing of a peer's configuration; None where it has moved on meanwhile."""
+        own = self._view.configs.parted
         self._arrived.keep_only(outline)
         lacking = self._arrived.lacking(outline, own)
         while lacking:
             parts = await peer.ask(PartsQuestion(lacking), decode_parts)
+            self._turns.moved(self._loop.time())
             if not parts:
                 return None
             for part in parts:
--- a/src/egretrail/gateway/_fetch_places.py
+++ b/src/egretrail/gateway/_fetch_places.py
@@ -12,8 +12,8 @@
 #: Whoever asks for nothing more for this long leaves its place to others until it goes on: it is
 #: dead, frozen, or waits for something that was lost. Three replies take some 20 ms.
 _LAPSE_S = 0.12
-#: An asker waits so long for a place, less than what it takes for silence.
-_WAIT_S = 0.4
+#: An asker waits so long for a place, less than the time after which it asks another peer beside.
+_WAIT_S = 0.2
 #: An instance that has got all is named to so many, then rests for the time that these take.
 _NAMED_MAX, _REST_S = 3, 0.25
 #: After this time it is no longer named: it may be gone.
--- a/src/egretrail/gateway/_peer_streams.py
+++ b/src/egretrail/gateway/_peer_streams.py
@@ -20,8 +20,9 @@
 #: A connection that is not there by then is tried anew: a lost first segment is sent again by the
 #: system after a second only, when the peer would be taken as cut off.
 _CONNECT_AGAIN_S = 0.2
-#: A peer that failed is not asked again for this long, so that another one that offers is.
-_FAILED_PAUSE_S = 0.5
+#: A peer that failed is not asked again for this long, so that another one that offers is; for
+#: twice as long each time that it fails soon after, up to the maximum.
+_FAILED_PAUSE_S, _FAILED_PAUSE_MAX_S = 0.5, 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,21 +81,40 @@
         write_frame(self.writer, encode_question(question))
 
 
+@dataclass(frozen=True, slots=True)
+class _Pause:
+    """A time in which a peer is not asked."""
+
+    #: When it ends.
+    until_s: float
+    #: How long it is.
+    length_s: float
+
+
 @dataclass(slots=True)
 class Pauses:
     """Peers that failed and are not asked for a while."""
 
-    _until_s: dict[str, float] = field(default_factory=dict)
+    _pauses: dict[str, _Pause] = field(default_factory=dict)
 
     def holds(self, peer: str, now_s: float) -> bool:
         """Return whether a peer is not to be asked."""
-        return self._until_s.get(peer, 0.0) > now_s
-
-    def begin(self, peer: str, now_s: float, pause_s: float = _FAILED_PAUSE_S) -> None:
-        """Begin a pause, and forget those that are over."""
-        for old in [one for one, until_s in self._until_s.items() if until_s < now_s]:
-            del self._until_s[old]
-        self._until_s[peer] = now_s + pause_s
+        pause = self._pauses.get(peer)
+        return pause is not None and pause.until_s > now_s
+
+    def failed(self, peer: str, now_s: float) -> None:
+        """Begin a pause after a failure."""
+        before = self._pauses.get(peer)
+        again = before is not None and now_s < before.until_s + before.length_s
+        length_s = before.length_s * 2 if before is not None and again else 0.0
+        self.begin(peer, now_s, min(max(length_s, _FAILED_PAUSE_S), _FAILED_PAUSE_MAX_S))
+
+    def begin(self, peer: str, now_s: float, length_s: float) -> None:
+        """Begin a pause, and forget those that are long over."""
+        old = [who for who, it in self._pauses.items() if it.until_s + it.length_s < now_s]
+        for who in old:
+            del self._pauses[who]
+        self._pauses[peer] = _Pause(now_s + length_s, length_s)
 
 
 class PeerStreams:
--- a/src/egretrail/gateway/_upstreams_fetch.py
+++ b/src/egretrail/gateway/_upstreams_fetch.py
@@ -5,13 +5,10 @@
 
 from egretrail.cluster import UpstreamsQuestion, UpstreamsReply, decode_upstreams
 from egretrail.gateway._interfaces import StartSettings
-from egretrail.gateway._peer_streams import Pauses, PeerStreams, StateOffer
+from egretrail.gateway._peer_streams import PeerStreams, StateOffer
+from egretrail.gateway._peer_turns import PeerTurns
 from egretrail.gateway._view import FleetView
 
-#: Where changes have not come after this time, another peer is asked beside the first. The word
-#: that an upstream is leaving must not wait for a stream that stands still.
-_OVERTAKE_S = 0.3
-_ASKED_MAX = 3
 #: Upstreams of another zone's instance are fetched only if nobody of the own zone had them by then.
 _OTHER_ZONE_DELAY_S = 0.15
 #: Instances that hear of a newer state at the same moment ask within this time, so that the one
@@ -39,40 +36,28 @@
         self._streams = streams
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        #: Fetches of changes by the peer that is asked, and when the last one began.
-        self._changes: dict[str, asyncio.Task[None]] = {}
-        self._asked_s = float("-inf")
+        #: Who is asked for changes.
+        self._turns = PeerTurns()
         self._whole: asyncio.Task[None] | None = None
         #: From when on all upstreams are to be fetched again.
         self._whole_due_s = float("-inf")
-        self._pauses = Pauses()
 
     def offered(self, offer: StateOffer, *, at_once: bool) -> None:
         """Ask for changes where a peer has newer ones."""
         self._view.heard_of_upstreams(offer.upstreams_revision, offer.address)
-        peer, now_s = offer.address, self._loop.time()
-        if not self._is_newer(offer) or not self._may_ask(peer, now_s):
-            return
-        task = self._loop.create_task(self._fetch(offer, at_once=at_once))
-        self._changes[peer] = task
-        self._asked_s = now_s
-        task.add_done_callback(lambda _: self._changes.pop(peer))
+        now_s = self._loop.time()
+        # Whole lists, which are told at the start, would only fill the link.
+        may_overtake = self._view.upstreams.revision > 0
+        if self._is_newer(offer) and self._turns.admits(
+            offer.address, now_s, may_overtake=may_overtake
+        ):
+            self._turns.begin(offer.address, self._fetch(offer, at_once=at_once), now_s)
 
     def stop(self) -> None:
         """End what is under way."""
-        for task in [*self._changes.values(), self._whole]:
-            if task is not None:
-                task.cancel()
-
-    def _may_ask(self, peer: str, now_s: float) -> bool:
-        """Return whether a peer may be asked, beside those that have not answered."""
-        if peer in self._changes or self._pauses.holds(peer, now_s):
-            return False
-        if not self._changes:
-            return True
-        # Whole lists, which are told at the start, would only fill the link.
-        overtakes = self._view.upstreams.revision > 0 and now_s - self._asked_s > _OVERTAKE_S
-        return overtakes and len(self._changes) < _ASKED_MAX
+        self._turns.stop()
+        if self._whole is not None:
+            self._whole.cancel()
 
     def _is_newer(self, offer: StateOffer) -> bool:
         return offer.upstreams_revision > self._view.upstreams.revision
@@ -88,7 +73,7 @@
                 self._take(offer, await peer.ask(question, decode_upstreams))
         except Exception as error:
             # The next offer begins another fetch.
-            self._pauses.begin(self._streams.failed(offer, error), self._loop.time())
+            self._turns.pauses.failed(self._streams.failed(offer, error), self._loop.time())
             return
         if self._whole is None and self._loop.time() > self._whole_due_s:
             self._whole = self._loop.create_task(self._fetch_whole(offer))
