Notice that the path to the store fell silent while a watch waits

The readers of the store wait in a watch for up to nine seconds, and trusted its connection for as long. Where connections go silent for good without a reset, those of all readers at the same moment, nobody hears of a leaving upstream or a changed configuration until the watches end, though new connections work: up to nine seconds, where 2.5 are allowed.

The store's connections are probed after a second without a packet and each second from then on, so that a silent path ends the watch after three seconds, and the next call goes over a new connection. It costs four probes a second for the whole fleet. The test failed before; that a path's silence ends a watch was not played.

--- a/scaffolding/tests/test_platform_store.py
+++ b/scaffolding/tests/test_platform_store.py
@@ -3,10 +3,13 @@
 import asyncio
 import base64
 import json
+import socket
+from unittest import mock
 
 from aiohttp import web
 from result import Err, Ok, Result
 
+from egretrail.http1 import ClientConnection, open_connection
 from egretrail.platform import PlatformStore
 from egretrail.store import Entry, PlatformFailure, Snapshot
 from egretrail.testing import EgretrailTestCase, cases
@@ -66,6 +69,40 @@
         self.run_real(run())
 
 
+class SilentPathTest(EgretrailTestCase):
+    def test_a_path_that_falls_silent_under_a_watch_is_noticed(self) -> None:
+        """A watch was trusted for nine seconds, whatever became of its connection."""
+
+        async def run() -> float:
+            opened: list[ClientConnection] = []
+
+            async def connect(*args: object, **options: object) -> ClientConnection:
+                opened.append(await open_connection(*args, **options))  # type: ignore[arg-type]
+                return opened[-1]
+
+            runner = web.AppRunner(StandInStore().app(), shutdown_timeout=0.1)
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            host, port = runner.addresses[0][:2]
+            client = PlatformStore(f"{host}:{port}")
+            try:
+                with mock.patch("egretrail.platform._store.open_connection", connect):
+                    await client.watch("servers/", 1, 0.1)
+                sock = opened[0]._transport.get_extra_info("socket")  # type: ignore[union-attr]
+                if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE):
+                    return float("inf")
+                idle_s, interval_s, probes = (
+                    sock.getsockopt(socket.IPPROTO_TCP, option)
+                    for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+                )
+                return float(idle_s + interval_s * probes)
+            finally:
+                client.close()
+                await runner.cleanup()
+
+        self.assertLessEqual(self.run_real(run()), 3.0)
+
+
 class SlowLinkTest(EgretrailTestCase):
     """Large values over slow links.
 
--- a/src/egretrail/http1/_client.py
+++ b/src/egretrail/http1/_client.py
@@ -14,6 +14,10 @@
 #: Unacknowledged bytes end a connection after this long, so that a path that went silent is seen
 #: well before the shortest timeouts of routes (2 s), and three lost packets in a row are survived.
 _UNACKNOWLEDGED_MAX_S = 1.5
+#: A connection on which answers may be long in coming is probed after so many seconds without a
+#: packet, and again each second; the limit on unacknowledged bytes holds for probes too.
+_PROBE_IDLE_S = _PROBE_INTERVAL_S = 1
+_PROBES_MAX = 2
 #: The system's errors for a path on which nothing arrives.
 _SILENT_ERRORS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 #: Answers are held in memory; a longer one is an error. Bodies in use have some kilobytes.
@@ -235,8 +239,14 @@
             self._answer.set_exception(failure)
 
 
-async def open_connection(address: str, timeout_s: float) -> ClientConnection:
-    """Open a connection to ``IP:PORT``; raises ConnectFailed."""
+async def open_connection(
+    address: str, timeout_s: float, *, probed: bool = False
+) -> ClientConnection:
+    """Open a connection to ``IP:PORT``; raises ConnectFailed.
+
+    ``probed`` ends it within some three seconds after its path went silent, also while nothing is
+    sent.
+    """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
@@ -250,4 +260,9 @@
     if sock is not None:
         milliseconds = int(_UNACKNOWLEDGED_MAX_S * 1000)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+        if probed:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES_MAX)
     return connection
--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -219,7 +219,8 @@
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
-        return await open_connection(self._address, _CONNECT_TIMEOUT_S)
+        # A watch waits for seconds on a path that may have gone silent meanwhile.
+        return await open_connection(self._address, _CONNECT_TIMEOUT_S, probed=True)
 
 
 async def _exchange(connection: ClientConnection, data: bytes, timeout_s: float) -> ReceivedAnswer:
