Send no request to an upstream that began to leave while it connected

Upstreams that had begun to leave got requests later than allowed. An upstream is chosen, then a connection to it is opened, for up to 0.35 s, and the request was sent whatever had become known meanwhile: these tenths come on top of the time by which the instance itself hears late.

The upstream is looked up again when its connection is there; a request that was not sent goes to another one and counts as no attempt, like one whose connection failed.

--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -53,6 +53,9 @@
         except ConnectFailed as error:
             self._observe(upstream_id, Outcome.UNREACHABLE, started_s)
             return AttemptResult(Fate.UNREACHABLE, cause=str(error))
+        if not self._view.upstreams.takes_work(upstream_id):
+            self._pool.release(upstream_id, connection)
+            return AttemptResult(Fate.LEAVING, cause="the upstream leaves")
         started_s = self._loop.time()
         left_s = work.end_s - started_s - _RETURN_S
         request = work.request
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -11,7 +11,7 @@
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._pool import UpstreamPool
 from egretrail.gateway._view import FleetView
-from egretrail.gateway._work import AttemptResult, Fate, Work
+from egretrail.gateway._work import UNSENT, AttemptResult, Fate, Work
 from egretrail.http1 import Answer, Request
 from egretrail.traffic import choose_service
 
@@ -207,7 +207,7 @@
         return None
 
     def _may_send_again(self, work: Work, result: AttemptResult) -> bool:
-        if result.fate is Fate.UNREACHABLE:
+        if result.fate in UNSENT:
             return work.unreachable <= _UNREACHABLE_MAX
         if result.fate is Fate.FAILED and not work.repeatable:
             return False
@@ -223,7 +223,7 @@
         if result.fate is Fate.FAILED:
             work.may_have_run = True
             work.failure = result.received or work.failure
-        if result.fate is Fate.UNREACHABLE:
+        if result.fate in UNSENT:
             work.unreachable += 1
             # Nothing was sent, so it counts neither as an attempt nor as a repeat.
             work.sends -= 1
--- a/src/egretrail/gateway/_work.py
+++ b/src/egretrail/gateway/_work.py
@@ -18,10 +18,16 @@
     NOT_RUN = "not_run"
     #: No connection was opened.
     UNREACHABLE = "unreachable"
+    #: The upstream began to leave while its connection was opened; nothing was sent.
+    LEAVING = "leaving"
     #: It ran, or may have run.
     FAILED = "failed"
 
 
+#: Fates of attempts that sent nothing.
+UNSENT = frozenset({Fate.UNREACHABLE, Fate.LEAVING})
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
     """The end of one attempt."""
@@ -52,7 +58,7 @@
     end_s: float
     #: The upstreams that were chosen so far.
     tried: list[str] = field(default_factory=list)
-    #: How many of them could not be reached.
+    #: To how many of them nothing could be sent.
     unreachable: int = 0
     #: How many of them it was sent to.
     sends: int = 0
