A test that fails: upstreams get more than the limit that they name

An upstream in need names how many requests a second it takes from all instances together, and got its usual share.

--- a/scaffolding/platform/backend.py
+++ b/scaffolding/platform/backend.py
@@ -64,6 +64,8 @@
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     #: Runs that ended since the connection closed.
     cancelled: list[str] = field(default_factory=list)
+    #: The requests a second that it names as its limit for all callers together.
+    limit_per_s: float | None = None
     #: Where it listens.
     address: str = ""
     _running: int = 0
@@ -198,6 +200,8 @@
         attempt: str,
         fields: dict[str, str],
     ) -> None:
+        if self.limit_per_s is not None:
+            fields = {**fields, "Server-Limit": f"{self.limit_per_s:g}"}
         writer.write(_message(status, body, attempt, fields))
 
 
