Send upstreams no more than the limit that they name

No instance read the field (shown by reading, and by arrivals that do not change when the limit is named). Instances that each keep the limit would send a multiple of it, and counts that are told come a tenth of a second to a second and a half late.

The limit is parted by rank: a few instances of the upstream's zone send to it, each its part, and the others none, so that nothing has to be counted together. Where all upstreams of a service are limited, a request is refused at once with the time until the next part.

--- a/scaffolding/tests/test_gateway_limits.py
+++ b/scaffolding/tests/test_gateway_limits.py
@@ -11,7 +11,8 @@
 _KEPT_AFTER_S = 3.0
 #: In any time of this length an upstream gets at most this multiple of its limit, and so many more.
 _WINDOW_S, _FACTOR, _SLACK = 4.0, 1.5, 5
-_GATEWAYS = 6
+#: Callers of each gateway: together they need more slots than the upstreams have.
+_GATEWAYS, _CALLERS, _WORK_S = 6, 4, 0.2
 
 
 def _most_in_a_window(times_s: Sequence[float]) -> int:
@@ -28,11 +29,14 @@
 
         async def act(stage: Stage) -> None:
             backends = [one for one in stage.fleet.backends if one.service == "orders"]
+            for backend in backends:
+                backend.work_s = _WORK_S
             for backend in backends[:limited]:
                 backend.limit_per_s = 2.0
             loop = asyncio.get_running_loop()
             began_s = loop.time()
-            calling = [loop.create_task(_order_forever(stage, n)) for n in range(_GATEWAYS)]
+            gateways = [n for n in range(_GATEWAYS) for _ in range(_CALLERS)]
+            calling = [loop.create_task(_order_forever(stage, n)) for n in gateways]
             await asyncio.sleep(_KEPT_AFTER_S + 6.0)
             for task in calling:
                 task.cancel()
--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -3,7 +3,7 @@
 No module here does input or output: datagrams are values, and the time is an argument.
 """
 
-from egretrail.cluster._beat import Beat, DropReport, Finding, LossReport
+from egretrail.cluster._beat import Beat, DropReport, Finding, LimitReport, LossReport
 from egretrail.cluster._config_parts import (
     ConfigOutline,
     KnownOutlines,
@@ -74,6 +74,7 @@
     "InstanceState",
     "Introduction",
     "KnownOutlines",
+    "LimitReport",
     "LoadRows",
     "LoadSlice",
     "LossReport",
--- a/src/egretrail/cluster/_beat.py
+++ b/src/egretrail/cluster/_beat.py
@@ -45,6 +45,18 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """What an upstream said of how many requests it takes from the whole fleet."""
+
+    #: The key of the upstream.
+    upstream_key: int
+    #: The requests a second that it takes; None where it no longer names a limit.
+    limit_per_s: float | None
+    #: How long ago it said so: what was said later holds, however it is told.
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Beat:
     """One heartbeat with the news since the last ones.
@@ -87,6 +99,8 @@
     repeats: Mapping[str, RepeatCounts] = field(default_factory=dict)
     #: Those of ``repeats`` that the zone has heard of; a hub that is new counts what is beyond.
     told_repeats: Mapping[str, RepeatCounts] = field(default_factory=dict)
+    #: Limits that upstreams named or gave up in the last seconds.
+    limits: Sequence[LimitReport] = ()
 
     def instance(self) -> Instance:
         """Return what is listed of the beat's origin."""
--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -16,8 +16,10 @@
 from egretrail.cluster._section_codec import (
     address_number,
     decode_instances,
+    decode_limits,
     decode_section,
     encode_instances,
+    encode_limits,
     encode_section,
 )
 from egretrail.dispatch import Outcome, RepeatCounts, RequestDigest
@@ -208,6 +210,7 @@
         [_finding_row(seen) for seen in beat.routine],
         [[drop.upstream_id, drop.revision] for drop in beat.dropped],
         _counts_row(beat.told_repeats),
+        encode_limits(beat.limits),
     ]
 
 
@@ -273,4 +276,5 @@
         routine=[_finding(entry, origin) for entry in row[14]],
         dropped=[DropReport(str(name), int(revision)) for name, revision in row[15]],
         told_repeats=_counts(row[16]),
+        limits=decode_limits(row[17]) if len(row) > 17 else (),
     )
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from egretrail.cluster._beat import Beat, DropReport, Finding, LossReport
+from egretrail.cluster._beat import Beat, DropReport, Finding, LimitReport, LossReport
 from egretrail.cluster._finding_log import FindingLog
 from egretrail.cluster._instance import Instance
 from egretrail.cluster._membership import address_part
@@ -39,6 +39,10 @@
 _LOSS_TOLD_S = 0.3
 _LOSS_REMEMBERED_S = 2.0
 _DROP_TOLD_S = 3.0
+#: Limits of upstreams are told for this long after each word, and remembered for longer: beats
+#: repeat them. Words that are so close are the same one.
+_LIMIT_TOLD_S, _LIMIT_REMEMBERED_S = 2.0, 10.0
+_SAME_WORD_S = 0.05
 #: The list of the zone is told at once when it changes, and again after so long for each row, so
 #: that the bytes stay the same; bounded so that a small list heals fast and a large one at all.
 _ROSTER_ROW_S = {Scope.ZONE: 0.04, Scope.ACROSS: 0.07}
@@ -89,12 +93,42 @@
     total_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Limit:
+    """What an upstream said of its limit, and when."""
+
+    limit_per_s: float | None
+    said_s: float
+
+
 @dataclass(slots=True)
 class _Reports:
-    """Losses and drops that are told for some time, with the time they came."""
+    """Losses, drops and limits that are told for some time, with the time they came."""
 
     losses: dict[LossReport, float] = field(default_factory=dict)
     drops: dict[DropReport, float] = field(default_factory=dict)
+    limits: dict[int, _Limit] = field(default_factory=dict)
+
+    def take_limit(self, report: LimitReport, now_s: float) -> bool:
+        """Take what an upstream said of its limit; return whether it is news."""
+        said_s = now_s - report.age_s
+        known = self.limits.get(report.upstream_key)
+        if known is not None and said_s <= known.said_s + _SAME_WORD_S:
+            return False
+        self.limits[report.upstream_key] = _Limit(report.limit_per_s, said_s)
+        return known is None or known.limit_per_s != report.limit_per_s
+
+    def limits_told(self, now_s: float) -> Sequence[LimitReport]:
+        """Return the limits to be told now, and forget the old ones."""
+        ages_s = {key: now_s - limit.said_s for key, limit in self.limits.items()}
+        for key in [one for one, age_s in ages_s.items() if age_s > _LIMIT_REMEMBERED_S]:
+            del self.limits[key]
+        told = [
+            LimitReport(key, limit.limit_per_s, max(ages_s[key], 0.0))
+            for key, limit in self.limits.items()
+            if ages_s[key] <= _LIMIT_TOLD_S
+        ]
+        return told[:_REPORTS_MAX]
 
     def losses_told(self, now_s: float) -> Sequence[LossReport]:
         """Return the losses to be told now, and forget the old ones."""
@@ -246,6 +280,7 @@
             "findings": findings,
             "losses": self._reports.losses_told(now_s),
             "dropped": self._reports.drops_told(now_s),
+            "limits": self._reports.limits_told(now_s),
         }
 
     def _follow(self, member: _Member, beat: Beat) -> bool:
@@ -275,6 +310,8 @@
         for drop in beat.dropped:
             urgent |= drop not in self._reports.drops
             self._reports.drops.setdefault(drop, now_s)
+        for limit in beat.limits:
+            urgent |= self._reports.take_limit(limit, now_s)
         return urgent
 
     def _find(self, finding: Finding, now_s: float) -> bool:
--- a/src/egretrail/cluster/_news.py
+++ b/src/egretrail/cluster/_news.py
@@ -4,13 +4,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from egretrail.cluster._beat import DropReport, Finding, LossReport
+from egretrail.cluster._beat import DropReport, Finding, LimitReport, LossReport
 
 #: Findings and losses are repeated in all beats of this time, so that they survive a lost datagram:
 #: the next beat comes within 0.25 s.
 _NEWS_S = 0.3
 #: Dropped upstreams are told for longer, since an instance that misses the word sends to them on.
 _DROPPED_S = 3.0
+#: Limits of upstreams are told for this long; the hub tells them for longer.
+_LIMITS_S = 1.0
 #: Findings, and successes, of one beat: about 10 bytes each, so that a beat is one packet.
 _TOLD_MAX = 40
 
@@ -22,6 +24,7 @@
     _findings: deque[tuple[float, Finding]] = field(default_factory=deque)
     _losses: deque[tuple[float, LossReport]] = field(default_factory=deque)
     _dropped: deque[tuple[float, DropReport]] = field(default_factory=deque)
+    _limits: dict[int, tuple[float, float | None]] = field(default_factory=dict)
     _routine: list[Finding] = field(default_factory=list)
     #: The number of the oldest finding that is still told.
     first_finding: int = 0
@@ -43,6 +46,10 @@
         """Take upstreams that this instance dropped."""
         self._dropped.extend((now_s, report) for report in reports)
 
+    def limited(self, upstream_key: int, limit_per_s: float | None, now_s: float) -> None:
+        """Take what an upstream said of its limit just now."""
+        self._limits[upstream_key] = (now_s, limit_per_s)
+
     def forget_old(self, now_s: float) -> None:
         """Drop what was told for long enough."""
         while self._findings and self._findings[0][0] < now_s - _NEWS_S:
@@ -52,6 +59,8 @@
             self._losses.popleft()
         while self._dropped and self._dropped[0][0] < now_s - _DROPPED_S:
             self._dropped.popleft()
+        for key in [one for one, (at_s, _) in self._limits.items() if at_s < now_s - _LIMITS_S]:
+            del self._limits[key]
 
     def findings(self) -> Sequence[Finding]:
         """Return the findings to be told, the oldest first."""
@@ -65,6 +74,13 @@
         """Return the dropped upstreams to be told."""
         return [report for _, report in self._dropped][:_TOLD_MAX]
 
+    def limits(self, now_s: float) -> Sequence[LimitReport]:
+        """Return the limits to be told."""
+        return [
+            LimitReport(key, limit_per_s, now_s - at_s)
+            for key, (at_s, limit_per_s) in list(self._limits.items())[:_TOLD_MAX]
+        ]
+
     def take_successes(self) -> Sequence[Finding]:
         """Return the successes since the last beat."""
         taken, self._routine = self._routine, []
--- a/src/egretrail/cluster/_section.py
+++ b/src/egretrail/cluster/_section.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from egretrail.cluster._beat import DropReport, Finding, LossReport
+from egretrail.cluster._beat import DropReport, Finding, LimitReport, LossReport
 from egretrail.cluster._instance import Instance
 from egretrail.dispatch import RepeatCounts
 
@@ -117,5 +117,7 @@
     dropped: Sequence[DropReport] = ()
     #: Requests and repeats of the zone by service, since the hub began to count.
     repeats: Mapping[str, RepeatCounts] = field(default_factory=dict)
+    #: Limits that upstreams named or gave up in the last seconds.
+    limits: Sequence[LimitReport] = ()
     #: Who lives in the zone.
     roster: RosterSlice | None = None
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -9,7 +9,7 @@
 
 import msgpack
 
-from egretrail.cluster._beat import DropReport, Finding, LossReport
+from egretrail.cluster._beat import DropReport, Finding, LimitReport, LossReport
 from egretrail.cluster._instance import Instance, InstanceState
 from egretrail.cluster._section import (
     ChangedRows,
@@ -27,7 +27,7 @@
 _FINDING = struct.Struct("<IBHI")
 #: Capacities are told in steps of this part of a core; the largest that can be told has 12.7.
 _CAPACITY_STEP = 0.05
-_BYTE_MAX, _SHORT_MAX = 0xFF, 0xFFFF
+_BYTE_MAX, _SHORT_MAX, _WORD_MAX = 0xFF, 0xFFFF, 0xFFFF_FFFF
 #: Durations in one byte: from a millisecond to a minute, to within 2.2%.
 _SHORTEST_S = 0.001
 _STEPS_A_DOUBLING = 16
@@ -100,6 +100,7 @@
             [[drop.upstream_id, drop.revision] for drop in section.dropped],
             {name: [one.requests, one.repeats] for name, one in section.repeats.items()},
             _roster_fields(section.roster),
+            encode_limits(section.limits),
         ]
     )
     return packed
@@ -129,9 +130,44 @@
         dropped=[DropReport(str(name), int(revision)) for name, revision in row[16]],
         repeats={str(name): RepeatCounts(int(a), int(b)) for name, (a, b) in row[17].items()},
         roster=_roster(row[18], zone),
+        limits=decode_limits(row[19]) if len(row) > 19 else (),
     )
 
 
+def encode_limits(limits: Iterable[LimitReport]) -> list[list[Any]]:
+    """Return the rows of limits: upstream, requests a second or None, age in milliseconds."""
+    return [[one.upstream_key, one.limit_per_s, round(one.age_s * 1000)] for one in limits]
+
+
+def decode_limits(rows: Iterable[Sequence[Any]]) -> Sequence[LimitReport]:
+    """Return the limits of rows; numbers that are none raise one of ``MALFORMED``."""
+    return [
+        LimitReport(_key(key), None if limit is None else _rate(limit), _age_s(age_ms))
+        for key, limit, age_ms in rows
+    ]
+
+
+def _key(value: Any) -> int:
+    key = int(value)
+    if not 0 <= key <= _WORD_MAX:
+        raise ValueError(f"upstream key {key}")
+    return key
+
+
+def _rate(value: Any) -> float:
+    rate = float(value)
+    if not 0.0 <= rate < math.inf:
+        raise ValueError(f"limit {rate}")
+    return rate
+
+
+def _age_s(value: Any) -> float:
+    age_ms = int(value)
+    if age_ms < 0:
+        raise ValueError(f"age {age_ms}")
+    return age_ms / 1000
+
+
 def _words(numbers: Sequence[int]) -> bytes:
     return struct.pack(f"<{len(numbers)}I", *numbers)
 
--- a/src/egretrail/cluster/tests/test_cluster.py
+++ b/src/egretrail/cluster/tests/test_cluster.py
@@ -18,6 +18,7 @@
     Instance,
     InstanceState,
     Introduction,
+    LimitReport,
     LoadRows,
     LoadSlice,
     LossReport,
@@ -63,6 +64,7 @@
             told_repeats={"s": RepeatCounts(4, 1)},
             routine=[Finding(78, Outcome.SUCCESS, 0.3, "10.0.0.2")],
             dropped=[DropReport("u3", 41)],
+            limits=[LimitReport(7, 1.5, 0.25), LimitReport(8, None, 1.0)],
         )
         decoded = decode_datagram(encode_beats(BeatsDatagram(1, [sent])))
         self.assertEqual(Ok(BeatsDatagram(1, [sent])), decoded)
@@ -81,6 +83,7 @@
             "reports": {
                 "losses": [LossReport(RequestDigest(2**63 + 5), 77)],
                 "dropped": [DropReport("u3", 41)],
+                "limits": [LimitReport(7, 1.5, 0.25), LimitReport(2**32 - 1, None, 1.0)],
                 "repeats": {"s": RepeatCounts(2**33, 1)},
             },
             "a list of the zone": {
--- a/src/egretrail/cluster/tests/test_hub.py
+++ b/src/egretrail/cluster/tests/test_hub.py
@@ -10,6 +10,7 @@
     Following,
     Hub,
     HubState,
+    LimitReport,
     LossReport,
     RosterSlice,
     Scope,
@@ -111,6 +112,7 @@
             "a refusal": ({"findings": [_finding(5, Outcome.SHED)]}, False),
             "a loss": ({"losses": [LossReport(RequestDigest(1), 5)]}, True),
             "a drop": ({"dropped": [DropReport("u", 4)]}, True),
+            "a limit": ({"limits": [LimitReport(5, 1.5, 0.0)]}, True),
             "a load": ({"loads": {5: 1}}, False),
             "an answer": ({"routine": [_finding(5, Outcome.SUCCESS)]}, False),
             "nothing": ({}, False),
@@ -121,6 +123,17 @@
         hub = _hub(beat("10.0.0.2", 1))
         self.assertIs(urgent, hub.hear(beat("10.0.0.2", 2, **parts), 0.1, direct=True))
 
+    def test_an_older_word_of_a_limit_that_a_beat_repeats_is_not_told(self) -> None:
+        hub = _hub(beat("10.0.0.2", 1), beat("10.0.0.3", 1))
+        hub.hear(beat("10.0.0.2", 2, limits=[LimitReport(5, 1.5, 0.0)]), 0.1, direct=True)
+        hub.hear(beat("10.0.0.3", 2, limits=[LimitReport(5, None, 0.0)]), 0.5, direct=True)
+        again = beat("10.0.0.2", 3, limits=[LimitReport(5, 1.5, 0.5)])
+        self.assertFalse(hub.hear(again, 0.6, direct=True))
+        section, *_ = hub.urgent_sections(Scope.ACROSS, _STATE, 0.6)
+        [report] = section.limits
+        self.assertIsNone(report.limit_per_s)
+        self.assertAlmostEqual(0.1, report.age_s)
+
     def test_a_finding_is_told_thrice_to_each_scope_however_often_beats_repeat_it(self) -> None:
         hub = _hub(beat("10.0.0.2", 1))
         for sequence in range(2, 6):
--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -6,6 +6,7 @@
 
 from egretrail.dispatch._crashers import CrashingRequests, RequestDigest, request_digest
 from egretrail.dispatch._durations import ServiceDurations
+from egretrail.dispatch._limits import LimitPlace, LimitWord, UpstreamLimits
 from egretrail.dispatch._load import FleetLoad
 from egretrail.dispatch._observation import Observation, Outcome
 from egretrail.dispatch._placement import Choice, Placement, PlacementQuery, Refusal, RefusalReason
@@ -22,6 +23,8 @@
     "CrashingRequests",
     "DoubtRecord",
     "FleetLoad",
+    "LimitPlace",
+    "LimitWord",
     "Observation",
     "Outcome",
     "Placement",
@@ -36,5 +39,6 @@
     "Standing",
     "SuspicionBook",
     "TrialPace",
+    "UpstreamLimits",
     "request_digest",
 ]
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from egretrail.dispatch._durations import ServiceDurations
+from egretrail.dispatch._limits import LimitPlace, UpstreamLimits
 from egretrail.dispatch._load import FleetLoad
 from egretrail.dispatch._suspicion import Standing, SuspicionBook
 from egretrail.dispatch._trials import TrialPace
@@ -72,6 +73,8 @@
     ALL_SUSPECT = "all_suspect"
     #: The work in front of it would take longer than the time it has left.
     NO_TIME = "no_time"
+    #: Every upstream has named a limit, of which this instance has nothing left now.
+    LIMITED = "limited"
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +141,8 @@
     trials: TrialPace
     #: Until when upstreams that have just started are slow.
     warm_from_s: dict[str, float] = field(default_factory=dict)
+    #: The limits that upstreams have named.
+    limits: UpstreamLimits = field(default_factory=lambda: UpstreamLimits(_sole_place))
     #: Whether a slot of an upstream is this instance's share.
     owns: Callable[[UpstreamRecord], bool] = lambda record: True
     #: Breaks ties, so that instances with equal views spread.
@@ -156,13 +161,17 @@
         candidates = [record for record in ready if record.id not in query.excluded]
         if not candidates:
             return Refusal(RefusalReason.NO_UPSTREAM, self.pause_s(query.service))
+        within_limits = [one for one in candidates if self.limits.admits(one, now_s)]
+        if not within_limits:
+            retry_after_s = self.limits.retry_after_s(candidates, now_s)
+            return Refusal(RefusalReason.LIMITED, retry_after_s)
         suspects: list[UpstreamRecord] = []
         in_service: list[UpstreamRecord] = []
         best: UpstreamRecord | None = None
         best_charge = float("inf")
         free: UpstreamRecord | None = None
         free_charge = float("inf")
-        for record in candidates:
+        for record in within_limits:
             standing = self.suspicion.standing(record.id, now_s)
             if standing in (Standing.SUSPECT, Standing.PROBATION):
                 suspects.append(record)
@@ -264,5 +273,10 @@
         return _bounded(self.durations.mean_s(service))
 
 
+def _sole_place(_: UpstreamRecord) -> LimitPlace:
+    """Return the place of an instance that is alone."""
+    return LimitPlace(True, 0, 1, 1, 1.0)
+
+
 def _bounded(wait_s: float) -> float:
     return min(max(wait_s, _RETRY_MIN_S), _RETRY_MAX_S)
--- /dev/null
+++ b/src/egretrail/dispatch/tests/test_limits.py
@@ -0,0 +1,136 @@
+"""What an instance may send to an upstream that has named a limit for the whole fleet."""
+
+from egretrail.dispatch import LimitPlace, LimitWord, UpstreamLimits
+from egretrail.testing import EgretrailTestCase, cases
+from egretrail.traffic import UpstreamRecord, UpstreamState
+
+_UPSTREAM = UpstreamRecord("u", "s", "10.0.0.1:80", "a", 3, UpstreamState.READY)
+_ALONE = LimitPlace(True, 0, 1, 1, 1.0)
+
+
+def _place(rank: int, *, responsible: bool = True, known_share: float = 1.0) -> LimitPlace:
+    return LimitPlace(responsible, rank, 10, 30, known_share)
+
+
+def _sent(limits: UpstreamLimits, from_s: float, for_s: float) -> int:
+    """Return how many requests are sent where one waits at each moment."""
+    sent = 0
+    for step in range(round(for_s * 100)):
+        now_s = from_s + step / 100
+        if limits.admits(_UPSTREAM, now_s):
+            limits.sent(_UPSTREAM, now_s)
+            sent += 1
+    return sent
+
+
+class PartTest(EgretrailTestCase):
+    @cases(
+        {
+            "a small limit: the first of the zone": (0.3, _place(0), 0.3),
+            "a small limit: the second": (0.3, _place(1), 0.0),
+            "the limit of several": (2.0, _place(3), 0.5),
+            "behind those": (2.0, _place(4), 0.0),
+            "another zone's instance": (2.0, _place(0, responsible=False), 0.0),
+            "a limit for the whole zone": (12.0, _place(9), 1.2),
+            "a limit for all": (60.0, _place(9, responsible=False), 2.0),
+            "cut off with a tenth of the fleet": (2.0, _place(0, known_share=0.1), 0.2),
+            "nothing": (0.0, _place(0), 0.0),
+        }
+    )
+    def test_part(self, case: tuple[float, LimitPlace, float]) -> None:
+        limit_per_s, place, part_per_s = case
+        self.assertAlmostEqual(part_per_s, place.part_per_s(limit_per_s))
+
+    @cases({str(limit): limit for limit in (0.1, 0.7, 1.1, 1.8, 4.9, 5.0, 14.0, 15.0, 90.0)})
+    def test_the_parts_of_all_are_the_limit(self, limit_per_s: float) -> None:
+        zones = [(True, 10), (False, 10), (False, 10)]
+        parts = [
+            _place(rank, responsible=responsible).part_per_s(limit_per_s)
+            for responsible, size in zones
+            for rank in range(size)
+        ]
+        self.assertAlmostEqual(limit_per_s, sum(parts))
+
+
+class SendingTest(EgretrailTestCase):
+    @cases({"none": (None, 400), "two": (2.0, 8), "a_tenth": (0.1, 0), "zero": (0.0, 0)})
+    def test_sent_in_4_s(self, case: tuple[float | None, int]) -> None:
+        limit_per_s, sent = case
+        limits = UpstreamLimits(lambda _: _ALONE)
+        limits.named("u", limit_per_s, 0.0)
+        self.assertAlmostEqual(sent, _sent(limits, 0.0, 4.0), delta=1)
+
+    def test_an_upstream_that_takes_nothing_is_asked_now_and_then(self) -> None:
+        """The end of a limit shows in answers only."""
+        limits = UpstreamLimits(lambda _: _ALONE)
+        limits.named("u", 0.0, 0.0)
+        self.assertEqual(2, _sent(limits, 0.0, 25.0))
+
+    def test_nothing_is_saved_up_before_a_limit_is_named_or_taken_over(self) -> None:
+        place = [_place(5)]
+        limits = UpstreamLimits(lambda _: place[0])
+        limits.named("u", 1.0, 0.0)
+        self.assertEqual(0, _sent(limits, 0.0, 5.0))
+        place[0] = _place(0)
+        self.assertFalse(limits.admits(_UPSTREAM, 5.3))
+        self.assertTrue(limits.admits(_UPSTREAM, 7.5))
+
+    def test_who_cannot_send_is_told_when_to_come_back(self) -> None:
+        limits = UpstreamLimits(lambda _: _ALONE)
+        limits.named("u", 2.0, 0.0)
+        self.assertAlmostEqual(0.5, limits.retry_after_s([_UPSTREAM], 0.0))
+        limits = UpstreamLimits(lambda _: _place(9))
+        limits.named("u", 4.0, 0.0)
+        self.assertAlmostEqual(0.25, limits.retry_after_s([_UPSTREAM], 0.0))
+
+
+class EndTest(EgretrailTestCase):
+    @cases(
+        {
+            "at once, by an answer that was made before": (0.1, False),
+            "later": (0.6, True),
+        }
+    )
+    def test_an_answer_without_a_limit_ends_it(self, case: tuple[float, bool]) -> None:
+        after_s, ends = case
+        limits = UpstreamLimits(lambda _: _ALONE)
+        limits.named("u", 2.0, 0.0)
+        limits.named("u", None, after_s)
+        self.assertEqual(ends, limits.limit_per_s("u") is None)
+
+    def test_an_older_word_that_is_told_later_changes_nothing(self) -> None:
+        limits = UpstreamLimits(lambda _: _ALONE)
+        limits.named("u", 2.0, 0.0)
+        limits.named("u", None, 1.0)
+        self.assertFalse(limits.hear(LimitWord("u", 2.0, 0.5), 1.2))
+        self.assertTrue(limits.hear(LimitWord("u", 3.0, 1.5), 1.6))
+        self.assertEqual(3.0, limits.limit_per_s("u"))
+
+    def test_a_limit_that_nobody_names_again_is_forgotten(self) -> None:
+        limits = UpstreamLimits(lambda _: _place(9))
+        limits.named("u", 1.0, 0.0)
+        self.assertFalse(limits.admits(_UPSTREAM, 29.0))
+        self.assertTrue(limits.admits(_UPSTREAM, 31.0))
+
+    def test_another_lifetime_has_no_limit(self) -> None:
+        limits = UpstreamLimits(lambda _: _place(9))
+        limits.named("u", 1.0, 0.0)
+        limits.keep_only({"u~2"})
+        self.assertIsNone(limits.limit_per_s("u"))
+
+
+class TellingTest(EgretrailTestCase):
+    @cases(
+        {
+            "the same at once": (2.0, 0.2, False),
+            "a little more": (2.1, 0.2, False),
+            "half": (1.0, 0.2, True),
+            "the same after a while": (2.0, 5.5, True),
+            "the end": (None, 0.8, True),
+        }
+    )
+    def test_the_others_hear_what_is_news(self, case: tuple[float | None, float, bool]) -> None:
+        limit_per_s, at_s, told = case
+        limits = UpstreamLimits(lambda _: _ALONE)
+        self.assertIsNotNone(limits.named("u", 2.0, 0.0))
+        self.assertEqual(told, limits.named("u", limit_per_s, at_s) is not None)
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from result import Err
+
 from egretrail.dispatch import Observation, Outcome, RequestDigest
 from egretrail.gateway._interfaces import AnswerKind, RequestContract
 from egretrail.gateway._log import EventLog
@@ -99,6 +101,8 @@
         if load is not None:
             self._view.load.report(upstream_id, max(load.running + load.waiting - 1, 0), now_s)
         kind = self._contract.kind(received)
+        if kind not in (AnswerKind.WRONG_UPSTREAM, AnswerKind.INVALID):
+            self._note_limit(upstream_id, received)
         if kind is AnswerKind.SERVED:
             self._observe(upstream_id, Outcome.SUCCESS, started_s)
             self._view.crashers.answered(work.digest)
@@ -118,6 +122,14 @@
             return AttemptResult(Fate.FAILED, None, "no valid answer")
         return AttemptResult(Fate.FAILED, received, "the upstream failed")
 
+    def _note_limit(self, upstream_id: str, received: ReceivedAnswer) -> None:
+        named = self._contract.named_limit(received)
+        if isinstance(named, Err):
+            # What it named before stays in force: the upstream is in need of something.
+            self._log.event("limit_refused", upstream=upstream_id, cause=named.err_value)
+            return
+        self._view.named_limit(upstream_id, named.ok_value)
+
     def _count_across(self, upstream: UpstreamRecord, kind: str, size_bytes: int) -> None:
         if upstream.availability_zone != self._view.placement.availability_zone:
             self._metrics.crossed(kind, size_bytes)
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -177,4 +177,4 @@
 
 def is_urgent(section: Section) -> bool:
     """Return whether a section of another zone should be told in the own one at once."""
-    return bool(section.findings or section.losses or section.dropped)
+    return bool(section.findings or section.losses or section.dropped or section.limits)
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -142,6 +142,17 @@
     waiting: int
 
 
+@dataclass(frozen=True, slots=True)
+class InvalidLimit:
+    """A limit in an answer that is no number of requests a second."""
+
+    #: What stands there.
+    stated: str
+
+    def __str__(self) -> str:
+        return f"no number of requests a second: {self.stated!r}"
+
+
 class RequestContract(abc.ABC):
     """The headers and statuses that callers, gateways and upstreams use between them."""
 
@@ -167,6 +178,13 @@
     def reported_load(self, answer: ReceivedAnswer) -> ReportedLoad | None:
         """Return the load that an answer states."""
 
+    @abc.abstractmethod
+    def named_limit(self, answer: ReceivedAnswer) -> Result[float | None, InvalidLimit]:
+        """Return how many requests a second its upstream takes from all instances together.
+
+        None where it names no limit, so that the one it named before has ended.
+        """
+
     @abc.abstractmethod
     def answer(self, received: ReceivedAnswer) -> Answer:
         """Return an upstream's answer as it is passed to the client, unchanged in its meaning."""
--- a/src/egretrail/platform/_contract.py
+++ b/src/egretrail/platform/_contract.py
@@ -1,10 +1,19 @@
 """The header names, statuses and paths that the platform prescribes."""
 
 import json
+import math
 from collections.abc import Sequence
 from urllib.parse import parse_qs
 
-from egretrail.gateway import AnswerKind, CallerTerms, ReportedLoad, RequestContract
+from result import Err, Ok, Result
+
+from egretrail.gateway import (
+    AnswerKind,
+    CallerTerms,
+    InvalidLimit,
+    ReportedLoad,
+    RequestContract,
+)
 from egretrail.http1 import Answer, ReceivedAnswer, Request, end_to_end, header_value
 
 _ATTEMPT_ID = b"x-egretrail-attempt-id"
@@ -15,6 +24,8 @@
 _EXPECTED_INSTANCE = b"x-egretrail-expected-instance"
 #: Running, waiting, slots.
 _LOAD = b"x-egretrail-backend-load"
+#: Requests a second that the upstream takes from all instances together, a decimal number.
+_LIMIT = b"server-limit"
 #: Its presence says that the request was not run, whatever its value.
 _NOT_EXECUTED = b"x-egretrail-not-executed"
 
@@ -91,6 +102,19 @@
             return None
         return ReportedLoad(running=int(parts[0]), waiting=int(parts[1]))
 
+    def named_limit(self, answer: ReceivedAnswer) -> Result[float | None, InvalidLimit]:
+        """Return how many requests a second its upstream takes from all instances together."""
+        stated = answer.value(_LIMIT)
+        if stated is None:
+            return Ok(None)
+        try:
+            limit_per_s = float(stated)
+        except ValueError:
+            return Err(InvalidLimit(_text(stated)))
+        if not 0.0 <= limit_per_s < math.inf:
+            return Err(InvalidLimit(_text(stated)))
+        return Ok(limit_per_s)
+
     def answer(self, received: ReceivedAnswer) -> Answer:
         """Return an upstream's answer as it is passed to the client.
 
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -62,6 +62,26 @@
         self.assertEqual((200, b"x"), (passed.status, passed.body))
         self.assertEqual([_SEAL, _ID, (b"X-Own", b"1")], list(passed.headers))
 
+    @cases(
+        {
+            "a number": (b"1.8", 1.8),
+            "nothing at all": (b"0", 0.0),
+            "huge": (b"1e9", 1e9),
+            "with space": (b" 2 ", 2.0),
+            "none": (None, None),
+        }
+    )
+    def test_which_limit_it_names(self, case: tuple[bytes | None, float | None]) -> None:
+        stated, expected = case
+        headers = [] if stated is None else [(b"Server-Limit", stated)]
+        named = _CONTRACT.named_limit(_answer(200, _SEAL, *headers))
+        self.assertEqual(Ok(expected), named)
+
+    @cases({"text": b"few", "negative": b"-1", "infinite": b"inf", "none": b"nan", "empty": b""})
+    def test_a_limit_that_is_no_number_of_requests_is_refused(self, stated: bytes) -> None:
+        named = _CONTRACT.named_limit(_answer(200, _SEAL, (b"Server-Limit", stated)))
+        self.assertIsInstance(named, Err)
+
     @cases({"own": (b"a1", True), "another's": (b"a2", False), "none": (None, True)})
     def test_whose_answer(self, case: tuple[bytes | None, bool]) -> None:
         stated, expected = case
