Let callers of limited upstreams come back after a usual duration

Where all upstreams of a service are limited, a caller was told to come back after the shortest time in which any instance may send one, a tenth of a second in a large fleet. Callers try a few times, and each try meets another instance: tries in so short a time are spent before parts are free again. Choices, trials and refusals at limits have their tests now.

--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -163,7 +163,10 @@
             return Refusal(RefusalReason.NO_UPSTREAM, self.pause_s(query.service))
         within_limits = [one for one in candidates if self.limits.admits(one, now_s)]
         if not within_limits:
-            retry_after_s = self.limits.retry_after_s(candidates, now_s)
+            # Callers try a few times only, each time at another instance: not all at once.
+            retry_after_s = max(
+                self.limits.retry_after_s(candidates, now_s), self.pause_s(query.service)
+            )
             return Refusal(RefusalReason.LIMITED, retry_after_s)
         suspects: list[UpstreamRecord] = []
         in_service: list[UpstreamRecord] = []
--- a/src/egretrail/dispatch/tests/test_limits.py
+++ b/src/egretrail/dispatch/tests/test_limits.py
@@ -1,6 +1,23 @@
 """What an instance may send to an upstream that has named a limit for the whole fleet."""
 
-from egretrail.dispatch import LimitPlace, LimitWord, UpstreamLimits
+from dataclasses import replace
+
+from egretrail.dispatch import (
+    Choice,
+    FleetLoad,
+    LimitPlace,
+    LimitWord,
+    Observation,
+    Outcome,
+    Placement,
+    PlacementQuery,
+    Refusal,
+    RefusalReason,
+    ServiceDurations,
+    SuspicionBook,
+    TrialPace,
+    UpstreamLimits,
+)
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
@@ -134,3 +151,39 @@
         limits = UpstreamLimits(lambda _: _ALONE)
         self.assertIsNotNone(limits.named("u", 2.0, 0.0))
         self.assertEqual(told, limits.named("u", limit_per_s, at_s) is not None)
+
+
+class PlacementTest(EgretrailTestCase):
+    def _placement(self, limits_per_s: dict[str, float]) -> Placement:
+        load, suspicion = FleetLoad(), SuspicionBook("me")
+        limits = UpstreamLimits(lambda _: _ALONE)
+        for name, limit_per_s in limits_per_s.items():
+            limits.named(name, limit_per_s, 0.0)
+        trials = TrialPace(load, suspicion)
+        return Placement("a", load, ServiceDurations(), suspicion, trials, limits=limits)
+
+    def _choose(self, placement: Placement, now_s: float) -> Choice | Refusal:
+        ready = [replace(_UPSTREAM, name=name) for name in ("u", "v")]
+        query = PlacementQuery("s", left_s=3.0, worth_s=3.0, repeatable=False)
+        return placement.choose(query, ready, now_s)
+
+    def test_an_upstream_with_nothing_left_of_its_limit_is_left_out(self) -> None:
+        placement = self._placement({"u": 0.1})
+        for _ in range(20):
+            choice = self._choose(placement, 1.0)
+            assert isinstance(choice, Choice)
+            self.assertEqual("v", choice.upstream.name)
+
+    def test_a_trial_is_bound_by_the_limit(self) -> None:
+        placement = self._placement({"u": 0.1})
+        failed = Observation("u", Outcome.FAILED, 0.001)
+        placement.suspicion.observe(failed, "b", 0.3, 0.0)
+        choice = self._choose(placement, 9.0)
+        assert isinstance(choice, Choice)
+        self.assertEqual("v", choice.upstream.name)
+
+    def test_a_request_is_refused_at_once_where_all_have_nothing_left(self) -> None:
+        refusal = self._choose(self._placement({"u": 0.5, "v": 1.0}), 0.5)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(RefusalReason.LIMITED, refusal.reason)
+        self.assertAlmostEqual(0.5, refusal.retry_after_s)
