Give the fleets of each test process a loopback network of their own

Two runs of the tests side by side drew ports on the same addresses: a gateway that was started again found its port taken (OSError: [Errno 98]). That the other run held the port was likely and not shown. Addresses now depend on the process; the 12 tests that change settings of running gateways pass beside another whole run.

--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -23,6 +23,10 @@
 ZONES = ("zone-a", "zone-b")
 HOST = "shop.example"
 
+#: The loopback networks of this process's fleets and of their ways to the store: runs side by side
+#: have other ones, so that a gateway that starts again finds its ports free.
+_NETWORK = 2 + 2 * (os.getpid() % 120)
+_STORE_HOST = f"127.{_NETWORK}.0.1"
 
 #: Ports are chosen below those that the system gives to outgoing connections, which would take one
 #: between its choice and its use; with room behind each for the ports next to it.
@@ -104,8 +108,8 @@
     def __init__(self, count: int) -> None:
         self.store = StandInStore()
         self.backends: list[StandInBackend] = []
-        self._ips = [f"127.0.{10 + n // 200}.{1 + n % 200}" for n in range(count)]
-        hosts = ["127.0.0.1", *self._ips, *(self.store_host(n) for n in range(count))]
+        self._ips = [f"127.{_NETWORK}.{10 + n // 200}.{1 + n % 200}" for n in range(count)]
+        hosts = [_STORE_HOST, *self._ips, *(self.store_host(n) for n in range(count))]
         self._ports = free_ports(7, hosts)
         #: The way of each gateway to the store.
         self.store_links = [LinkProxy(self.store_address) for _ in self._ips]
@@ -138,7 +142,7 @@
 
     def store_host(self, number: int) -> str:
         """Return where a gateway reaches the store, by which the store knows the gateway."""
-        return self._ips[number].replace("127.0.", "127.1.")
+        return self._ips[number].replace(f"127.{_NETWORK}.", f"127.{_NETWORK + 1}.")
 
     def metrics(self, number: int) -> str:
         """Return where a gateway tells its metrics."""
@@ -147,7 +151,7 @@
     @property
     def store_address(self) -> str:
         """Where the store itself listens, behind the gateways' ways to it."""
-        return f"127.0.0.1:{self._ports[6]}"
+        return f"{_STORE_HOST}:{self._ports[6]}"
 
     def store_way(self, number: int) -> str:
         """Return a gateway's own way to the store, on which faults strike."""
@@ -161,7 +165,7 @@
         """Start the store, then all gateways."""
         self._runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", self._ports[6]).start()
+        await web.TCPSite(self._runner, _STORE_HOST, self._ports[6]).start()
         for number, link in enumerate(self.store_links):
             await link.start(self.store_host(number), self._ports[5])
         for number in range(len(self._ips)):
