Tell all limits where many upstreams name one at the same moment

A section told the first sixteen limits of its hub, and each is told for two seconds only: with more upstreams in need at once, the others' limits were known to none but the instances that had met them. Sections tell 24 in turns. Found by reading; the test, a hundred at once, failed before (16 told).

--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -43,6 +43,8 @@
 #: repeat them. Words that are so close are the same one.
 _LIMIT_TOLD_S, _LIMIT_REMEMBERED_S = 2.0, 10.0
 _SAME_WORD_S = 0.05
+#: Limits in a section, 18 bytes each; the next sections tell others.
+_LIMITS_MAX = 24
 #: The list of the zone is told at once when it changes, and again after so long for each row, so
 #: that the bytes stay the same; bounded so that a small list heals fast and a large one at all.
 _ROSTER_ROW_S = {Scope.ZONE: 0.04, Scope.ACROSS: 0.07}
@@ -108,6 +110,7 @@
     losses: dict[LossReport, float] = field(default_factory=dict)
     drops: dict[DropReport, float] = field(default_factory=dict)
     limits: dict[int, _Limit] = field(default_factory=dict)
+    _limits_turn: int = 0
 
     def take_limit(self, report: LimitReport, now_s: float) -> bool:
         """Take what an upstream said of its limit; return whether it is news."""
@@ -128,7 +131,11 @@
             for key, limit in self.limits.items()
             if ages_s[key] <= _LIMIT_TOLD_S
         ]
-        return told[:_REPORTS_MAX]
+        if len(told) <= _LIMITS_MAX:
+            return told
+        first = self._limits_turn % len(told)
+        self._limits_turn += _LIMITS_MAX
+        return [*told[first:], *told[:first]][:_LIMITS_MAX]
 
     def losses_told(self, now_s: float) -> Sequence[LossReport]:
         """Return the losses to be told now, and forget the old ones."""
--- a/src/egretrail/cluster/tests/test_hub.py
+++ b/src/egretrail/cluster/tests/test_hub.py
@@ -134,6 +134,18 @@
         self.assertIsNone(report.limit_per_s)
         self.assertAlmostEqual(0.1, report.age_s)
 
+    def test_limits_that_many_upstreams_name_at_once_are_all_told(self) -> None:
+        hub = _hub(beat("10.0.0.2", 1))
+        limits = [LimitReport(key, 1.5, 0.0) for key in range(100)]
+        hub.hear(beat("10.0.0.2", 2, limits=limits), 0.1, direct=True)
+        told = {
+            report.upstream_key
+            for step in range(10)
+            for section in hub.zone_sections(_STATE, 0.2 + step / 10)
+            for report in section.limits
+        }
+        self.assertEqual(set(range(100)), told)
+
     def test_a_finding_is_told_thrice_to_each_scope_however_often_beats_repeat_it(self) -> None:
         hub = _hub(beat("10.0.0.2", 1))
         for sequence in range(2, 6):
