Let the parts of a limit save up what the bound leaves

All parts together may now save two seconds of the limit and two requests, which the bound of any four seconds leaves, and one request may be sent when a limit is first named.

--- a/src/egretrail/dispatch/_limits.py
+++ b/src/egretrail/dispatch/_limits.py
@@ -15,8 +15,10 @@
 #: An instance's part of a limit is at least this much, or it has none: with smaller parts a fleet
 #: whose instances begin with one request each would pass a small limit.
 _PART_MIN_PER_S = 0.5
-#: A part may be saved up for this long, and for one request at least.
-_SAVED_S = 0.5
+#: What all parts together save up at the most, beside what the limit gives meanwhile: this many
+#: seconds of the limit and so many requests. Requests come in clumps, and a part that cannot wait
+#: for the next one is lost to all.
+_SAVED_S, _SAVED_REQUESTS = 2.0, 2.0
 #: A limit below this is taken as this: the end of a limit shows in answers only.
 _LIMIT_MIN_PER_S = 0.1
 #: An answer that names no limit ends one that was not named for this long: answers that were made
@@ -33,6 +35,16 @@
 _RETRY_MIN_S, _RETRY_MAX_S = 0.1, 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class LimitPart:
+    """What one instance may send to an upstream with a limit."""
+
+    #: Requests a second; 0 for none.
+    rate_per_s: float = 0.0
+    #: Requests that it saves up at the most.
+    saved_max: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class LimitPlace:
     """The place of this instance among those that part an upstream's limit."""
@@ -47,15 +59,20 @@
     #: The part of the fleet that is known to live: who is cut off has only its part of a limit.
     known_share: float
 
-    def part_per_s(self, limit_per_s: float) -> float:
-        """Return this instance's part of a limit; 0 for none."""
+    def part(self, limit_per_s: float) -> LimitPart:
+        """Return this instance's part of a limit."""
         known_per_s = limit_per_s * self.known_share
         if known_per_s >= self.fleet_size * _PART_MIN_PER_S:
-            return known_per_s / self.fleet_size
-        if not self.is_responsible:
-            return 0.0
+            return _one_of(self.fleet_size, known_per_s)
         parts = max(min(math.ceil(known_per_s / _PART_MIN_PER_S), self.zone_size), 1)
-        return known_per_s / parts if self.rank < parts else 0.0
+        if not self.is_responsible or self.rank >= parts:
+            return LimitPart()
+        return _one_of(parts, known_per_s)
+
+
+def _one_of(parts: int, limit_per_s: float) -> LimitPart:
+    saved = limit_per_s * _SAVED_S + _SAVED_REQUESTS
+    return LimitPart(limit_per_s / parts, max(saved / parts, 1.0))
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +96,7 @@
     #: What was told to the others last, and when; None for nothing.
     told: LimitWord | None = None
     #: This instance's part of it, and until when it is not looked up again.
-    part_per_s: float = 0.0
+    part: LimitPart = LimitPart()
     part_until_s: float = float("-inf")
     #: The requests that may be sent now, and when they were counted.
     saved: float = 0.0
@@ -147,9 +164,9 @@
             if limit is None or limit.word.limit_per_s is None:
                 continue
             limits_per_s += limit.word.limit_per_s
-            part_per_s = self._part_per_s(limit, record, now_s)
-            if part_per_s > 0:
-                waits_s.append((1.0 - self._save_up(limit, record, now_s)) / part_per_s)
+            rate_per_s = self._part(limit, record, now_s).rate_per_s
+            if rate_per_s > 0:
+                waits_s.append((1.0 - self._save_up(limit, record, now_s)) / rate_per_s)
         anywhere_s = 1.0 / limits_per_s if limits_per_s > 0 else _RETRY_MIN_S
         return min(max(min(waits_s, default=anywhere_s), _RETRY_MIN_S), _RETRY_MAX_S)
 
@@ -161,8 +178,7 @@
     def _take(self, word: LimitWord, now_s: float) -> _Limit:
         limit = self._limits.get(word.upstream_id)
         if limit is None:
-            # Nothing is saved up: many instances may hear of a limit at the same moment.
-            limit = self._limits[word.upstream_id] = _Limit(word, counted_s=now_s)
+            limit = self._limits[word.upstream_id] = _Limit(word, saved=1.0, counted_s=now_s)
         elif limit.word.limit_per_s is None:
             limit.saved, limit.counted_s = 0.0, now_s
         limit.word = word
@@ -175,18 +191,18 @@
             return None
         return limit if now_s - limit.word.said_s <= _KEPT_S else None
 
-    def _part_per_s(self, limit: _Limit, record: UpstreamRecord, now_s: float) -> float:
+    def _part(self, limit: _Limit, record: UpstreamRecord, now_s: float) -> LimitPart:
         if now_s >= limit.part_until_s:
             limit_per_s = max(limit.word.limit_per_s or 0.0, _LIMIT_MIN_PER_S)
-            limit.part_per_s = self._place(record).part_per_s(limit_per_s)
+            limit.part = self._place(record).part(limit_per_s)
             limit.part_until_s = now_s + _PLACE_KEPT_S
-        return limit.part_per_s
+        return limit.part
 
     def _save_up(self, limit: _Limit, record: UpstreamRecord, now_s: float) -> float:
-        part_per_s = self._part_per_s(limit, record, now_s)
-        if part_per_s > 0:
-            earned = (now_s - limit.counted_s) * part_per_s
-            limit.saved = min(limit.saved + earned, max(part_per_s * _SAVED_S, 1.0))
+        part = self._part(limit, record, now_s)
+        if part.rate_per_s > 0:
+            earned = (now_s - limit.counted_s) * part.rate_per_s
+            limit.saved = min(limit.saved + earned, part.saved_max)
         else:
             # Whoever takes over from another one begins with nothing.
             limit.saved = 0.0
