--- a/Makefile
+++ b/Makefile
@@ -15,11 +15,13 @@
 
 # Simulated fleets send in the order in which sets of names are iterated: the same on each run.
 HASH_SEED ?= 1
+# Processes that share the tests; each has loopback addresses of its own.
+WORKERS ?= 4
 # Tests that KNOWN-RED.txt lists, one a line, are printed and passed over.
 KNOWN_RED := $(shell grep -s -o '^[^ ]*::[^ ]*' KNOWN-RED.txt)
 test: setup
 	@if [ -s KNOWN-RED.txt ]; then echo "Known red, passed over:"; cat KNOWN-RED.txt; fi
-	PYTHONHASHSEED=$(HASH_SEED) $(BIN)/python -m pytest $(KNOWN_RED:%=--deselect=%) $(PYTEST_ARGS)
+	PYTHONHASHSEED=$(HASH_SEED) $(BIN)/python -m pytest -n $(WORKERS) $(KNOWN_RED:%=--deselect=%) $(PYTEST_ARGS)
 
 check: setup
 	$(BIN)/black --check --quiet src scaffolding benchmarks deploy
