--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -1,10 +1,11 @@
 """Sums up a zone: what its instances beat to the hub becomes the sections that all hear."""
 
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from egretrail.cluster._beat import Beat, DropReport, Finding, LimitReport, LossReport
+from egretrail.cluster._beat import Beat, Finding
 from egretrail.cluster._finding_log import FindingLog
+from egretrail.cluster._hub_reports import HubReports
 from egretrail.cluster._instance import Instance
 from egretrail.cluster._membership import address_part
 from egretrail.cluster._section import (
@@ -33,18 +34,6 @@
 #: refusals of an overload come by the thousand and say the same.
 _REFUSAL_INTERVAL_S = 0.25
 _REFUSALS_MAX = 64
-#: Losses, and reports of dropped upstreams, in a section.
-_REPORTS_MAX = 16
-#: Losses are told for this long, and remembered for longer: beats repeat them.
-_LOSS_TOLD_S = 0.3
-_LOSS_REMEMBERED_S = 2.0
-_DROP_TOLD_S = 3.0
-#: Limits of upstreams are told for this long after each word, and remembered for longer: beats
-#: repeat them. Words that are so close are the same one.
-_LIMIT_TOLD_S, _LIMIT_REMEMBERED_S = 2.0, 10.0
-_SAME_WORD_S = 0.05
-#: Limits in a section, 18 bytes each; the next sections tell others.
-_LIMITS_MAX = 24
 #: The list of the zone is told at once when it changes, and again after so long for each row, so
 #: that the bytes stay the same; bounded so that a small list heals fast and a large one at all.
 _ROSTER_ROW_S = {Scope.ZONE: 0.04, Scope.ACROSS: 0.07}
@@ -95,62 +84,6 @@
     total_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Limit:
-    """What an upstream said of its limit, and when."""
-
-    limit_per_s: float | None
-    said_s: float
-
-
-@dataclass(slots=True)
-class _Reports:
-    """Losses, drops and limits that are told for some time, with the time they came."""
-
-    losses: dict[LossReport, float] = field(default_factory=dict)
-    drops: dict[DropReport, float] = field(default_factory=dict)
-    limits: dict[int, _Limit] = field(default_factory=dict)
-    _limits_turn: int = 0
-
-    def take_limit(self, report: LimitReport, now_s: float) -> bool:
-        """Take what an upstream said of its limit; return whether it is news."""
-        said_s = now_s - report.age_s
-        known = self.limits.get(report.upstream_key)
-        if known is not None and said_s <= known.said_s + _SAME_WORD_S:
-            return False
-        self.limits[report.upstream_key] = _Limit(report.limit_per_s, said_s)
-        return known is None or known.limit_per_s != report.limit_per_s
-
-    def limits_told(self, now_s: float) -> Sequence[LimitReport]:
-        """Return the limits to be told now, and forget the old ones."""
-        ages_s = {key: now_s - limit.said_s for key, limit in self.limits.items()}
-        for key in [one for one, age_s in ages_s.items() if age_s > _LIMIT_REMEMBERED_S]:
-            del self.limits[key]
-        told = [
-            LimitReport(key, limit.limit_per_s, max(ages_s[key], 0.0))
-            for key, limit in self.limits.items()
-            if ages_s[key] <= _LIMIT_TOLD_S
-        ]
-        if len(told) <= _LIMITS_MAX:
-            return told
-        first = self._limits_turn % len(told)
-        self._limits_turn += _LIMITS_MAX
-        return [*told[first:], *told[:first]][:_LIMITS_MAX]
-
-    def losses_told(self, now_s: float) -> Sequence[LossReport]:
-        """Return the losses to be told now, and forget the old ones."""
-        for loss in [one for one, at_s in self.losses.items() if now_s - at_s > _LOSS_REMEMBERED_S]:
-            del self.losses[loss]
-        told = [loss for loss, at_s in self.losses.items() if now_s - at_s <= _LOSS_TOLD_S]
-        return told[:_REPORTS_MAX]
-
-    def drops_told(self, now_s: float) -> Sequence[DropReport]:
-        """Return the drops to be told now, and forget the old ones."""
-        for drop in [one for one, at_s in self.drops.items() if now_s - at_s > _DROP_TOLD_S]:
-            del self.drops[drop]
-        return list(self.drops)[:_REPORTS_MAX]
-
-
 class Hub:
     """The sums of one zone.
 
@@ -178,7 +111,7 @@
         self._refusals: dict[int, float] = {}
         self._refusals_untold: dict[Scope, dict[int, None]] = {scope: {} for scope in Scope}
         self._findings = {scope: FindingLog() for scope in Scope}
-        self._reports = _Reports()
+        self._reports = HubReports()
         self._repeats: dict[str, RepeatCounts] = {}
         self._roster_tellings = dict.fromkeys(Scope, _ROSTER_TELLINGS)
         self._roster_told_s = {scope: float("-inf") for scope in Scope}
@@ -311,15 +244,7 @@
             answers = self._answers.setdefault(success.upstream_key, _Answers())
             answers.count += 1
             answers.total_s += success.duration_s
-        for loss in beat.losses:
-            urgent |= loss not in self._reports.losses
-            self._reports.losses.setdefault(loss, now_s)
-        for drop in beat.dropped:
-            urgent |= drop not in self._reports.drops
-            self._reports.drops.setdefault(drop, now_s)
-        for limit in beat.limits:
-            urgent |= self._reports.take_limit(limit, now_s)
-        return urgent
+        return self._reports.take(beat, now_s) or urgent
 
     def _find(self, finding: Finding, now_s: float) -> bool:
         """Take a finding; return whether the zone should hear of it at once."""
