--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -190,7 +190,7 @@
         gauges = {
             "members": float(self._view.membership.size()),
             "upstreams": float(len(self._view.upstreams.records)),
-            "upstreams_limited": float(self._view.limits.count()),
+            "upstreams_limited": float(self._view.limits.upstreams.count()),
             "config_version": float(self._view.config_version),
             "config_behind_seconds": self._view.configs.behind_s,
             "state_fetched_bytes_total": float(self._peers.state.streams.fetched_bytes),
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -11,7 +11,6 @@
     Finding,
     Instance,
     InstanceState,
-    LimitReport,
     LossReport,
     Membership,
     OwnNews,
@@ -25,7 +24,6 @@
     DoubtRecord,
     FleetLoad,
     LimitPlace,
-    LimitWord,
     Observation,
     Outcome,
     Placement,
@@ -36,15 +34,14 @@
     Standing,
     SuspicionBook,
     TrialPace,
-    UpstreamLimits,
 )
 from egretrail.gateway._awaited_upstreams import AwaitedUpstreams
 from egretrail.gateway._config_state import ConfigState
 from egretrail.gateway._evidence import Evidence
 from egretrail.gateway._interfaces import GatewaySettings
 from egretrail.gateway._log import EventLog
+from egretrail.gateway._named_limits import NamedLimits, limit_place
 from egretrail.gateway._zones import ZoneSums
-from egretrail.identity import rendezvous_order
 from egretrail.traffic import (
     FleetConfig,
     UpstreamRecord,
@@ -101,7 +98,7 @@
         self.shares = SlotShares(lambda task: self.membership.rank_for(task, own_zone))
         self.membership.on_change = self.shares.changed
         #: Limits that upstreams have named.
-        self.limits = UpstreamLimits(self._limit_place)
+        self.limits = NamedLimits(settings.ip, self._limit_place, self._news, log)
         #: Chooses upstreams.
         self.placement = Placement(
             settings.availability_zone,
@@ -109,7 +106,7 @@
             self.durations,
             self.suspicion,
             TrialPace(self.load, self.suspicion, self._trial_rank, self.repeats.request_rate),
-            limits=self.limits,
+            limits=self.limits.upstreams,
             owns=self.shares.owns,
             rng=rng,
         )
@@ -244,8 +241,7 @@
         for loss in section.losses:
             self.crashers.lost(loss.digest, _loss_name(loss.upstream_key), now_s)
         self._drop(section.dropped, source)
-        for report in section.limits:
-            self._hear_limit(report, source, now_s)
+        self.limits.hear(section.limits, self._evidence.ids, source, now_s)
         for finding in section.findings[skip:]:
             if finding.observer != self._settings.ip:
                 self._evidence.hear(finding, now_s)
@@ -323,13 +319,8 @@
     def named_limit(self, upstream_id: str, limit_per_s: float | None) -> None:
         """Take what an upstream's answer says of its limit, and tell the others."""
         now_s = self._clock()
-        before = self.limits.limit_per_s(upstream_id)
-        word = self.limits.named(upstream_id, limit_per_s, now_s)
-        if word is None:
-            return
-        self._log_limit(word, before, self._settings.ip)
-        self._news.limited(upstream_key(upstream_id), word.limit_per_s, now_s)
-        self.on_news(True)
+        if self.limits.named(upstream_id, limit_per_s, now_s):
+            self.on_news(True)
 
     def begin(self, upstream_id: str, *, trial: bool) -> None:
         """Count a request that is sent to an upstream; a trial is told at once."""
@@ -337,7 +328,7 @@
         self.load.started(upstream_id, now_s)
         record = self.upstreams.records.get(upstream_id)
         if record is not None:
-            self.limits.sent(record, now_s)
+            self.limits.upstreams.sent(record, now_s)
         self.on_news(trial)
 
     def end(self, upstream_id: str) -> None:
@@ -376,38 +367,12 @@
             self._log.event("doubts_adopted", upstreams=len(records))
             self.suspicion.adopt(records, self._clock())
 
-    def _hear_limit(self, report: LimitReport, source: str, now_s: float) -> None:
-        upstream_id = self._evidence.ids.get(report.upstream_key)
-        if upstream_id is None:
-            return
-        before = self.limits.limit_per_s(upstream_id)
-        word = LimitWord(upstream_id, report.limit_per_s, now_s - report.age_s)
-        if self.limits.hear(word, now_s):
-            self._log_limit(word, before, source)
-
-    def _log_limit(self, word: LimitWord, before: float | None, source: str) -> None:
-        if word.limit_per_s != before:
-            self._log.event(
-                "upstream_limit",
-                upstream=word.upstream_id,
-                before="none" if before is None else before,
-                after="none" if word.limit_per_s is None else word.limit_per_s,
-                source=source,
-            )
-
     def _limit_place(self, record: UpstreamRecord) -> LimitPlace:
-        """Return this instance's place among those that part an upstream's limit."""
-        membership = self.membership
-        zones = membership.zones()
-        size = membership.zone_size()
-        responsible = record.availability_zone
-        if responsible not in zones:
-            responsible = rendezvous_order(f"limit {record.id}", zones)[0]
-        return LimitPlace(
-            is_responsible=responsible == self.own_zone,
-            # Another one takes over from an instance that is stopping.
-            rank=size if self.leaving else membership.rank_for(f"limit {record.id}", self.own_zone),
-            zone_size=size,
+        return limit_place(
+            record,
+            self.membership,
+            own_zone=self.own_zone,
+            leaving=self.leaving,
             fleet_size=self.zones.instances(self._clock()),
             known_share=self.known_share(),
         )
@@ -466,7 +431,7 @@
         self.shares.changed()
         self.load.keep_only(listed)
         self.suspicion.keep_only(listed)
-        self.limits.keep_only(listed)
+        self.limits.upstreams.keep_only(listed)
         self._note_serving()
         self.on_upstreams(listed)
         self.on_news(True)
--- a/src/egretrail/gateway/tests/test_named_limits.py
+++ b/src/egretrail/gateway/tests/test_named_limits.py
@@ -202,4 +202,4 @@
 
         play = self._play([11, 11, 10], [1.8] * 4, end)
         for view in play.fleet.views.values():
-            self.assertEqual(0, view.limits.count())
+            self.assertEqual(0, view.limits.upstreams.count())
