Read a store that needs more than a second to answer

Readers of the store gave up each call whose answer did not begin within a second, and began the same call anew: from a store that needs longer, nothing was ever read, so that changes of configurations and upstreams reached nobody.

A call that waited in vain makes the next ones wait twice as long, up to three seconds; each quick answer halves that. The test, a store that answers after 1.3 s, failed before: no call succeeded; now all but the first do.

--- a/scaffolding/tests/test_platform_store.py
+++ b/scaffolding/tests/test_platform_store.py
@@ -103,6 +103,32 @@
         self.assertLessEqual(self.run_real(run()), 3.0)
 
 
+class SlowStoreTest(EgretrailTestCase):
+    def test_a_store_that_answers_after_more_than_a_second_is_read(self) -> None:
+        """Each call gave up after the same second, so that nothing was ever read."""
+
+        async def answer(request: web.Request) -> web.Response:
+            await asyncio.sleep(1.3)
+            item = {"key": "k", "value": "", "revision": 7}
+            return web.json_response({**item, "createdAt": 7, "lease": 0, "currentRev": 7})
+
+        async def run() -> list[bool]:
+            app = web.Application()
+            app.add_routes([web.get("/api/kv-key", answer)])
+            runner = web.AppRunner(app, shutdown_timeout=0.1)
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            host, port = runner.addresses[0][:2]
+            client = PlatformStore(f"{host}:{port}")
+            try:
+                return [isinstance(await client.get("k"), Ok) for _ in range(4)]
+            finally:
+                client.close()
+                await runner.cleanup()
+
+        self.assertEqual([False, True, True, True], self.run_real(run()))
+
+
 class SlowLinkTest(EgretrailTestCase):
     """Large values over slow links.
 
--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -36,8 +36,9 @@
 #: How long a call waits for its answer to begin, and for each next piece of it: the store answers
 #: in 4 ms and in some 250 ms when it is slow, and a large value takes a slow link seconds.
 _CALL_TIMEOUT_S = 1.0
-#: Beyond its own waiting time a watch is given this long.
-_WATCH_MARGIN_S = 1.0
+#: After a call that waited in vain the next ones wait twice as long, up to the maximum: a store
+#: that is slower than any fixed time would never be read. Each quick answer halves it again.
+_CALL_TIMEOUT_MAX_S = 3.0
 _CONNECT_TIMEOUT_S = 0.5
 #: Idle connections kept for the next call.
 _IDLE_MAX = 2
@@ -52,6 +53,8 @@
         self._address = address
         self._idle: list[ClientConnection] = []
         self._idle_max = _IDLE_MAX
+        #: How long a call waits for its answer to begin now.
+        self._patience_s = _CALL_TIMEOUT_S
 
     def close(self) -> None:
         """Keep no connections any more; calls under way end as they would."""
@@ -128,7 +131,7 @@
             f"/api/kv-watch?prefix={quote(prefix, safe='')}&after={after_revision}"
             f"&waitMs={round(wait_s * 1000)}"
         )
-        reply = await self._call("GET", target, call, timeout_s=wait_s + _WATCH_MARGIN_S)
+        reply = await self._call("GET", target, call, wait_s=wait_s)
         if isinstance(reply, Err):
             return reply
         status, document = reply.ok_value
@@ -182,10 +185,13 @@
         call: str,
         body: dict[str, Any] | None = None,
         *,
-        timeout_s: float = _CALL_TIMEOUT_S,
+        wait_s: float = 0.0,
         written_path: str | None = None,
     ) -> Result[tuple[int, Any], PlatformFailure]:
-        """Send one call. A write whose reply is lost is unknown, and never sent again here."""
+        """Send one call that the store answers after up to ``wait_s``, or later where it is slow.
+
+        A write whose reply is lost is unknown, and never sent again here.
+        """
         self.calls_total += 1
         payload = b"" if body is None else json.dumps(body).encode()
         headers = [(b"Host", self._address.encode())]
@@ -197,8 +203,14 @@
         except ConnectFailed as error:
             return Err(StoreUnavailable(call, str(error)))
         try:
-            answer = await _exchange(connection, data, timeout_s)
+            asked_s = asyncio.get_running_loop().time()
+            answer = await _exchange(connection, data, wait_s, self._patience_s)
+            took_s = asyncio.get_running_loop().time() - asked_s
+            if took_s < self._patience_s / 4:
+                self._patience_s = max(self._patience_s / 2, _CALL_TIMEOUT_S)
         except (TimeoutError, ExchangeFailed) as error:
+            if isinstance(error, TimeoutError):
+                self._patience_s = min(self._patience_s * 2, _CALL_TIMEOUT_MAX_S)
             cause = f"{error!r}"
             if written_path is not None:
                 return Err(WriteUnknown(written_path, cause))
@@ -223,14 +235,16 @@
         return await open_connection(self._address, _CONNECT_TIMEOUT_S, probed=True)
 
 
-async def _exchange(connection: ClientConnection, data: bytes, timeout_s: float) -> ReceivedAnswer:
+async def _exchange(
+    connection: ClientConnection, data: bytes, wait_s: float, patience_s: float
+) -> ReceivedAnswer:
     """Send a request's bytes and return the answer, for as long as pieces of it arrive."""
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s) as limit:
+    async with asyncio.timeout(wait_s + patience_s) as limit:
 
         def extend() -> None:
             if not limit.expired():
-                end_s = loop.time() + _CALL_TIMEOUT_S
+                end_s = loop.time() + patience_s
                 limit.reschedule(max(limit.when() or end_s, end_s))
 
         connection.on_progress = extend
