Leave figures of old measurements out of comments

Comments of dispatch and of the gateway told how a value had been found, with figures of replays that are in the commits which brought them. The reasons stay.

--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -16,9 +16,7 @@
 #: zones cost money and a millisecond; an upstream of the own zone with one free slot goes first.
 _OTHER_ZONE_CHARGE = 0.7
 #: Answers of so many bytes are charged as all slots taken besides, up to the largest charge: they
-#: rather wait in their own zone, for 0.7 usual durations at this size and 1.7 at the largest, where
-#: that is in time. With 0.4 for all sizes, bytes between zones were 0.050 GB of a day, with this
-#: 0.039 (one replayed day of 42 s with answers of 1.5, 5 and 90 KB).
+#: rather wait in their own zone, where that is in time, than cost bytes between zones.
 _BYTES_PER_SLOTS = 50_000
 _DISTANCE_CHARGE_MAX = 2.0
 #: What an upstream is charged of which no slot is this instance's share, in any zone: two of three
@@ -56,8 +54,7 @@
 #: however short its time is.
 _WORK_SHARE = 0.8
 #: The same where the answer is to come before it loses worth: nine of ten requests take less than
-#: this many means. In a replay of 1.4 times the slots, 0.71 of the requests are answered within the
-#: objective with it, 0.51 with one mean and 0.43 without the limit (means of four seeds).
+#: this many means.
 _OBJECTIVE_SHARE = 1.8
 #: Retry-After is never shorter: within it the answer would be the same.
 _RETRY_MIN_S = 0.1
@@ -252,9 +249,7 @@
 
         Load: a machine goes dark with many requests on their way and more sent each moment; each
         request alone is overdue only after four usual durations, the upstream as a whole is
-        suspicious after two. In a replay of three dark ones among nine, 40 requests are sent to
-        them within 0.8 s in place of 69 (sum of twelve seeds). Instances hear of all answers in
-        their own zone only.
+        suspicious after two. Instances hear of all answers in their own zone only.
         """
         quiet_s = self.load.quiet_for_s(record.id, now_s)
         if quiet_s <= 0.0:
--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -41,9 +41,8 @@
     Load: upstreams that fail or refuse together make every instance repeat at once, and repeats
     that grow with failures keep upstreams overloaded. Each instance counts what all have told.
     An instance that hears from nobody still counts its own part, and is given no more than its
-    part of the constant allowance. What is allowed is spread over the window: where all upstreams
-    refuse 55% of their work for longer than the budget lasts, the worst second serves 0.45 of the
-    requests in place of 0.39 (replay of eight seconds, means of three seeds).
+    part of the constant allowance. What is allowed is spread over the window, so that a
+    spell of refusals that outlasts the budget finds some of it left in each second.
     """
 
     def __init__(self, ratio: float, window_s: float, slack: float) -> None:
--- a/src/egretrail/dispatch/_shares.py
+++ b/src/egretrail/dispatch/_shares.py
@@ -11,10 +11,9 @@
     Load: 33 instances before 30 upstreams of three slots hear of each other's requests a tenth of a
     second late, and in that time more requests come than slots are free. All choose the same ones,
     and wait while others are idle. What an instance has under way itself it knows at once: with
-    its own share of the slots preferred, requests take 0.236 s on average in place of 0.269 at half
-    of the slots and 0.812 in place of 0.876 at 95% (replay with work of 0.22 s, told each 0.12 s,
-    means of four seeds). A share binds nobody: a request goes where the charge is least. In a zone
-    of no more instances than an upstream has slots, each has a share of all.
+    its own share of the slots preferred, instances meet less often. A share binds nobody: a request
+    goes where the charge is least. In a zone of no more instances than an upstream has slots, each
+    has a share of all.
     """
 
     def __init__(self, rank: Callable[[str], int]) -> None:
--- a/src/egretrail/dispatch/_trials.py
+++ b/src/egretrail/dispatch/_trials.py
@@ -22,8 +22,6 @@
 _FULL_LOAD, _FULL_HASTE = 1.0, 0.5
 #: Work that must not be repeated leaves trials to work that may be, where this instance had any
 #: of the service within this time; below the usual load, where nobody needs the suspects' slots.
-#: With a third of repeatable work, a spell costs 0.73 lost answers in place of 0.95 (replay at 35%
-#: of the slots, means of four seeds).
 _SCOUTS_WINDOW_S = 4.0
 #: With more than this share of a service's recent requests failing, trials are not put off: the
 #: upstreams in service may be the worse ones, and a part of those outside may be sound again.
@@ -38,9 +36,7 @@
 
     Load: failing spells last from seconds to half a minute, and each trial during one fails. A
     service with room to spare waits for the likely end of the spell; a full one, or one that can
-    repeat the request, finds out sooner. In a replay of spells of 9 s before 19 upstreams, 1.6% of
-    the requests fail at a fifth of the slots taken, where 2.6% do with one pause for all loads,
-    and 1.3% (1.8%) at three fifths, with as many answered in time (means of twelve seeds).
+    repeat the request, finds out sooner.
     """
 
     #: Requests under way over the fleet.
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -28,8 +28,7 @@
 #: of the other zones cover that time.
 _WATCH_S = 8.0
 #: After changes the next watch begins this much later, so that those of one moment come together:
-#: each watch ends with the first change, and each is a call that costs money. With 151 upstreams
-#: that list themselves at the start and 26 later, four readers made 876 calls in 42 s without it.
+#: each watch ends with the first change, and each is a call that costs money.
 _GATHER_S = 0.15
 #: After a failed call the store is asked again this much later, up to the maximum: a store that is
 #: down is priced and loaded by each try, and the peers know what changes.
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -344,8 +344,7 @@
         """Return whether a request may be sent once more within the fleet's budget.
 
         Load: while a zone changes its hub nobody hears of the others' repeats, and each instance
-        would take all that the window sets free: with the hubs of two zones killed at once, 262
-        repeats where 260 were allowed (simulated fleet of 18). For these moments none is sent.
+        would take all that the window sets free. For these moments none is sent.
         """
         now_s = self._clock()
         if self.zones.is_late(now_s):
