--- a/src/egretrail/cluster/_hub_reports.py
+++ b/src/egretrail/cluster/_hub_reports.py
@@ -11,10 +11,10 @@
 _LOSS_TOLD_S = 0.3
 _LOSS_REMEMBERED_S = 2.0
 _DROP_TOLD_S = 3.0
-#: Limits of upstreams are told for this long after each word, and remembered for longer: beats
-#: repeat them. Words that are so close are the same one.
+#: Limits of upstreams are told for this long after each statement, and remembered for longer: beats
+#: repeat them. Statements that are so close are the same one.
 _LIMIT_TOLD_S, _LIMIT_REMEMBERED_S = 2.0, 10.0
-_SAME_WORD_S = 0.05
+_SAME_STATEMENT_S = 0.05
 #: Limits in a section, 18 bytes each; the next sections tell others.
 _LIMITS_MAX = 24
 
@@ -24,7 +24,7 @@
     """What an upstream said of its limit, and when."""
 
     limit_per_s: float | None
-    said_s: float
+    stated_s: float
 
 
 @dataclass(slots=True)
@@ -51,7 +51,7 @@
 
     def limits_told(self, now_s: float) -> Sequence[LimitReport]:
         """Return the limits to be told now, and forget the old ones."""
-        ages_s = {key: now_s - limit.said_s for key, limit in self._limits.items()}
+        ages_s = {key: now_s - limit.stated_s for key, limit in self._limits.items()}
         for key in [one for one, age_s in ages_s.items() if age_s > _LIMIT_REMEMBERED_S]:
             del self._limits[key]
         told = [
@@ -82,9 +82,9 @@
 
     def _take_limit(self, report: LimitReport, now_s: float) -> bool:
         """Take what an upstream said of its limit; return whether it is news."""
-        said_s = now_s - report.age_s
+        stated_s = now_s - report.age_s
         known = self._limits.get(report.upstream_key)
-        if known is not None and said_s <= known.said_s + _SAME_WORD_S:
+        if known is not None and stated_s <= known.stated_s + _SAME_STATEMENT_S:
             return False
-        self._limits[report.upstream_key] = _Limit(report.limit_per_s, said_s)
+        self._limits[report.upstream_key] = _Limit(report.limit_per_s, stated_s)
         return known is None or known.limit_per_s != report.limit_per_s
--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -6,7 +6,7 @@
 
 from egretrail.dispatch._crashers import CrashingRequests, RequestDigest, request_digest
 from egretrail.dispatch._durations import ServiceDurations
-from egretrail.dispatch._limits import LimitPlace, LimitWord, UpstreamLimits
+from egretrail.dispatch._limits import LimitPlace, StatedLimit, UpstreamLimits
 from egretrail.dispatch._load import FleetLoad
 from egretrail.dispatch._observation import Observation, Outcome
 from egretrail.dispatch._placement import Choice, Placement, PlacementQuery, Refusal, RefusalReason
@@ -24,7 +24,6 @@
     "DoubtRecord",
     "FleetLoad",
     "LimitPlace",
-    "LimitWord",
     "Observation",
     "Outcome",
     "Placement",
@@ -37,6 +36,7 @@
     "ServiceDurations",
     "SlotShares",
     "Standing",
+    "StatedLimit",
     "SuspicionBook",
     "TrialPace",
     "UpstreamLimits",
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -70,7 +70,7 @@
     ALL_SUSPECT = "all_suspect"
     #: The work in front of it would take longer than the time it has left.
     NO_TIME = "no_time"
-    #: Every upstream has named a limit, of which this instance has nothing left now.
+    #: Every upstream has named a limit, of which this instance has no token left.
     LIMITED = "limited"
 
 
--- a/src/egretrail/dispatch/tests/test_limits.py
+++ b/src/egretrail/dispatch/tests/test_limits.py
@@ -6,7 +6,6 @@
     Choice,
     FleetLoad,
     LimitPlace,
-    LimitWord,
     Observation,
     Outcome,
     Placement,
@@ -14,6 +13,7 @@
     Refusal,
     RefusalReason,
     ServiceDurations,
+    StatedLimit,
     SuspicionBook,
     TrialPace,
     UpstreamLimits,
@@ -40,7 +40,7 @@
     return sent
 
 
-class PartTest(EgretrailTestCase):
+class ShareTest(EgretrailTestCase):
     @cases(
         {
             "a small limit: the first of the zone": (0.3, _place(0), 0.3),
@@ -54,21 +54,21 @@
             "nothing": (0.0, _place(0), 0.0),
         }
     )
-    def test_part(self, case: tuple[float, LimitPlace, float]) -> None:
-        limit_per_s, place, part_per_s = case
-        self.assertAlmostEqual(part_per_s, place.part(limit_per_s).rate_per_s)
+    def test_share(self, case: tuple[float, LimitPlace, float]) -> None:
+        limit_per_s, place, rate_per_s = case
+        self.assertAlmostEqual(rate_per_s, place.share(limit_per_s).rate_per_s)
 
     @cases({str(limit): limit for limit in (0.1, 0.7, 1.1, 1.8, 4.9, 5.0, 14.0, 15.0, 90.0)})
-    def test_the_parts_of_all_are_the_limit(self, limit_per_s: float) -> None:
+    def test_the_shares_of_all_are_the_limit(self, limit_per_s: float) -> None:
         zones = [(True, 10), (False, 10), (False, 10)]
-        parts = [
-            _place(rank, responsible=responsible).part(limit_per_s)
+        shares = [
+            _place(rank, responsible=responsible).share(limit_per_s)
             for responsible, size in zones
             for rank in range(size)
         ]
-        self.assertAlmostEqual(limit_per_s, sum(part.rate_per_s for part in parts))
-        # What is saved up may be sent at one moment.
-        in_4_s = 4 * limit_per_s + sum(part.saved_max for part in parts)
+        self.assertAlmostEqual(limit_per_s, sum(share.rate_per_s for share in shares))
+        # Full buckets may be emptied at one moment.
+        in_4_s = 4 * limit_per_s + sum(share.burst for share in shares)
         self.assertLess(in_4_s, 1.5 * 4 * limit_per_s + 5)
 
 
@@ -123,8 +123,8 @@
         limits = UpstreamLimits(lambda _: _ALONE)
         limits.named("u", 2.0, 0.0)
         limits.named("u", None, 1.0)
-        self.assertFalse(limits.hear(LimitWord("u", 2.0, 0.5), 1.2))
-        self.assertTrue(limits.hear(LimitWord("u", 3.0, 1.5), 1.6))
+        self.assertFalse(limits.hear(StatedLimit("u", 2.0, 0.5), 1.2))
+        self.assertTrue(limits.hear(StatedLimit("u", 3.0, 1.5), 1.6))
         self.assertEqual(3.0, limits.limit_per_s("u"))
 
     def test_a_limit_that_nobody_names_again_is_forgotten(self) -> None:
--- a/src/egretrail/gateway/_named_limits.py
+++ b/src/egretrail/gateway/_named_limits.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from egretrail.cluster import LimitReport, Membership, OwnNews
-from egretrail.dispatch import LimitPlace, LimitWord, UpstreamLimits
+from egretrail.dispatch import LimitPlace, StatedLimit, UpstreamLimits
 from egretrail.gateway._log import EventLog
 from egretrail.identity import rendezvous_order
 from egretrail.traffic import UpstreamRecord, upstream_key
 
 
 class NamedLimits:
-    """Takes words of limits, logs those that change one, and tells the others."""
+    """Takes what upstreams state, logs what changes a limit, and tells the others."""
 
     def __init__(
         self,
@@ -22,17 +22,17 @@
         self._own_address = own_address
         self._news = news
         self._log = log
-        #: The limits and this instance's parts of them.
+        #: The limits and this instance's shares of them.
         self.upstreams = UpstreamLimits(place)
 
     def named(self, upstream_id: str, limit_per_s: float | None, now_s: float) -> bool:
         """Take what an answer to this instance says; return whether the others should hear."""
         before = self.upstreams.limit_per_s(upstream_id)
-        word = self.upstreams.named(upstream_id, limit_per_s, now_s)
-        if word is None:
+        stated = self.upstreams.named(upstream_id, limit_per_s, now_s)
+        if stated is None:
             return False
-        self._log_change(word, before, self._own_address)
-        self._news.limited(upstream_key(upstream_id), word.limit_per_s, now_s)
+        self._log_change(stated, before, self._own_address)
+        self._news.limited(upstream_key(upstream_id), stated.limit_per_s, now_s)
         return True
 
     def hear(
@@ -44,17 +44,17 @@
             if upstream_id is None:
                 continue
             before = self.upstreams.limit_per_s(upstream_id)
-            word = LimitWord(upstream_id, report.limit_per_s, now_s - report.age_s)
-            if self.upstreams.hear(word, now_s):
-                self._log_change(word, before, source)
+            stated = StatedLimit(upstream_id, report.limit_per_s, now_s - report.age_s)
+            if self.upstreams.hear(stated, now_s):
+                self._log_change(stated, before, source)
 
-    def _log_change(self, word: LimitWord, before: float | None, source: str) -> None:
-        if word.limit_per_s != before:
+    def _log_change(self, stated: StatedLimit, before: float | None, source: str) -> None:
+        if stated.limit_per_s != before:
             self._log.event(
                 "upstream_limit",
-                upstream=word.upstream_id,
+                upstream=stated.upstream_id,
                 before="none" if before is None else before,
-                after="none" if word.limit_per_s is None else word.limit_per_s,
+                after="none" if stated.limit_per_s is None else stated.limit_per_s,
                 source=source,
             )
 
@@ -68,7 +68,7 @@
     fleet_size: int,
     known_share: float,
 ) -> LimitPlace:
-    """Return this instance's place among those that part an upstream's limit."""
+    """Return this instance's place among those that share an upstream's limit."""
     zones = membership.zones()
     responsible = record.availability_zone
     if responsible not in zones:
