--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -41,6 +41,10 @@
     "not_run": (
         "the upstreams of service {service} refused it and no repeat was left ({attempts} sent)"
     ),
+    "limited": (
+        "every upstream of service {service} had named a limit, of which this instance had no token"
+        " left"
+    ),
     "crashes_upstreams": "three upstreams were lost while they ran it",
     "config_behind": (
         "no route of the configuration in force takes it, and the instance cannot know whether a"
--- a/src/egretrail/diagnosis/tests/test_diagnosis.py
+++ b/src/egretrail/diagnosis/tests/test_diagnosis.py
@@ -71,6 +71,11 @@
                 Kind.REFUSED,
                 "every upstream of service s",
             ),
+            "limits that are used up": (
+                [_REFUSED.format(reason="limited")],
+                Kind.REFUSED,
+                "every upstream of service s had named a limit",
+            ),
             "upstreams that refused": (
                 [_REFUSED.format(reason="not_run")],
                 Kind.REFUSED,
