--- a/scaffolding/tests/test_platform_store.py
+++ b/scaffolding/tests/test_platform_store.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
 from unittest import mock
 
 from aiohttp import web
@@ -113,18 +115,8 @@
             return web.json_response({**item, "createdAt": 7, "lease": 0, "currentRev": 7})
 
         async def run() -> list[bool]:
-            app = web.Application()
-            app.add_routes([web.get("/api/kv-key", answer)])
-            runner = web.AppRunner(app, shutdown_timeout=0.1)
-            await runner.setup()
-            await web.TCPSite(runner, "127.0.0.1", 0).start()
-            host, port = runner.addresses[0][:2]
-            client = PlatformStore(f"{host}:{port}")
-            try:
+            async with _store_of_one_value(answer) as client:
                 return [isinstance(await client.get("k"), Ok) for _ in range(4)]
-            finally:
-                client.close()
-                await runner.cleanup()
 
         self.assertEqual([False, True, True, True], self.run_real(run()))
 
@@ -153,16 +145,8 @@
             return response
 
         async def run() -> Result[Entry | None, PlatformFailure]:
-            app = web.Application()
-            app.add_routes([web.get("/api/kv-key", answer)])
-            runner = web.AppRunner(app, shutdown_timeout=0.1)
-            await runner.setup()
-            await web.TCPSite(runner, "127.0.0.1", 0).start()
-            host, port = runner.addresses[0][:2]
-            try:
-                return await PlatformStore(f"{host}:{port}").get("k")
-            finally:
-                await runner.cleanup()
+            async with _store_of_one_value(answer) as client:
+                return await client.get("k")
 
         return self.run_real(run())
 
@@ -175,3 +159,22 @@
 
     def test_a_store_that_falls_silent_is_given_up(self) -> None:
         self.assertIsInstance(self._read(b"x" * 600_000, 3, pause_s=0.01, last_s=30.0), Err)
+
+
+@contextlib.asynccontextmanager
+async def _store_of_one_value(
+    answer: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> AsyncIterator[PlatformStore]:
+    """Serve one value in a way of the test's own, and yield a client."""
+    app = web.Application()
+    app.add_routes([web.get("/api/kv-key", answer)])
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    client = PlatformStore(f"{host}:{port}")
+    try:
+        yield client
+    finally:
+        client.close()
+        await runner.cleanup()
--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -16,6 +16,7 @@
 from egretrail.cluster._section_codec import (
     address_number,
     decode_instances,
+    decode_key,
     decode_limits,
     decode_section,
     encode_instances,
@@ -32,8 +33,8 @@
 _UNPACKED_BYTES_MAX = 64 * 1024
 #: How compressed datagrams begin; others begin with the head of a list.
 _COMPRESSED = b"\x78"
-#: The largest key of an upstream, and digest of a request.
-_KEY_MAX, _DIGEST_MAX = 2**32 - 1, 2**64 - 1
+#: The largest digest of a request.
+_DIGEST_MAX = 2**64 - 1
 #: Rows of an introduction that one datagram holds: 12 bytes each.
 _INTRODUCED_MAX = 90
 
@@ -229,15 +230,7 @@
 
 def _finding(row: Sequence[Any], observer: str) -> Finding:
     upstream_key, outcome, duration_ms = row
-    return Finding(_key(upstream_key), Outcome(outcome), duration_ms / 1000, observer)
-
-
-def _key(value: Any) -> int:
-    """Return an upstream's key; hubs pack them in 32 bits."""
-    key = int(value)
-    if not 0 <= key <= _KEY_MAX:
-        raise ValueError(f"upstream key {key}")
-    return key
+    return Finding(decode_key(upstream_key), Outcome(outcome), duration_ms / 1000, observer)
 
 
 def _digest(value: Any) -> RequestDigest:
@@ -268,10 +261,10 @@
         config_version=int(row[6]),
         upstreams_revision=int(row[7]),
         store_contact=bool(row[8]),
-        loads={_key(key): max(int(count), 0) for key, count in row[9].items()},
+        loads={decode_key(key): max(int(count), 0) for key, count in row[9].items()},
         first_finding=int(row[10]),
         findings=[_finding(entry, origin) for entry in row[11]],
-        losses=[LossReport(_digest(digest), _key(key)) for digest, key in row[12]],
+        losses=[LossReport(_digest(digest), decode_key(key)) for digest, key in row[12]],
         repeats=_counts(row[13]),
         routine=[_finding(entry, origin) for entry in row[14]],
         dropped=[DropReport(str(name), int(revision)) for name, revision in row[15]],
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -142,12 +142,13 @@
 def decode_limits(rows: Iterable[Sequence[Any]]) -> Sequence[LimitReport]:
     """Return the limits of rows; numbers that are none raise one of ``MALFORMED``."""
     return [
-        LimitReport(_key(key), None if limit is None else _rate(limit), _age_s(age_ms))
+        LimitReport(decode_key(key), None if limit is None else _rate(limit), _age_s(age_ms))
         for key, limit, age_ms in rows
     ]
 
 
-def _key(value: Any) -> int:
+def decode_key(value: Any) -> int:
+    """Return an upstream's key; hubs pack them in 32 bits."""
     key = int(value)
     if not 0 <= key <= _WORD_MAX:
         raise ValueError(f"upstream key {key}")
