Send second copies of requests to upstreams without a limit only

A second copy takes only room that nobody else needs; at an upstream that has named a limit each token is needed by a request that has no copy yet. Found by reading; the test failed before.

--- a/src/egretrail/dispatch/_limits.py
+++ b/src/egretrail/dispatch/_limits.py
@@ -142,10 +142,15 @@
         """Return the number of upstreams with a limit."""
         return sum(one.stated.limit_per_s is not None for one in self._limits.values())
 
-    def admits(self, record: UpstreamRecord, now_s: float) -> bool:
-        """Return whether an upstream may be sent a request now."""
+    def admits(self, record: UpstreamRecord, now_s: float, *, spare_only: bool = False) -> bool:
+        """Return whether an upstream may be sent a request now.
+
+        ``spare_only`` is set for second copies, which would take the tokens of first ones.
+        """
         limit = self._in_force(record, now_s)
-        return limit is None or self._refill(limit, record, now_s) >= 1.0
+        if limit is None:
+            return True
+        return not spare_only and self._refill(limit, record, now_s) >= 1.0
 
     def sent(self, record: UpstreamRecord, now_s: float) -> None:
         """Count a request that is sent to an upstream."""
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -158,7 +158,9 @@
         candidates = [record for record in ready if record.id not in query.excluded]
         if not candidates:
             return Refusal(RefusalReason.NO_UPSTREAM, self.pause_s(query.service))
-        within_limits = [one for one in candidates if self.limits.admits(one, now_s)]
+        within_limits = [
+            one for one in candidates if self.limits.admits(one, now_s, spare_only=query.spare_only)
+        ]
         if not within_limits:
             # Callers try a few times only, each time at another instance: not all at once.
             retry_after_s = max(
--- a/src/egretrail/dispatch/tests/test_limits.py
+++ b/src/egretrail/dispatch/tests/test_limits.py
@@ -179,6 +179,11 @@
             assert isinstance(choice, Choice)
             self.assertEqual("v", choice.upstream.name)
 
+    def test_second_copies_take_no_tokens(self) -> None:
+        placement = self._placement({"u": 50.0, "v": 50.0})
+        query = PlacementQuery("s", left_s=3.0, worth_s=3.0, repeatable=True, spare_only=True)
+        self.assertIsInstance(placement.choose(query, [_UPSTREAM], 5.0), Refusal)
+
     def test_a_trial_is_bound_by_the_limit(self) -> None:
         placement = self._placement({"u": 0.1})
         failed = Observation("u", Outcome.FAILED, 0.001)
