--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -9,6 +9,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Err, Result
 
 from egretrail.cluster import Instance, InstanceState, Scope, Section, at_once, part_config
 from egretrail.gateway._log import EventLog
@@ -18,6 +19,7 @@
 from egretrail.gateway.tests.settings import gateway_settings
 from egretrail.identity import rendezvous_order
 from egretrail.platform import PlatformLayout
+from egretrail.store import PlatformFailure, Snapshot, StoreUnavailable, WatchEvents
 from egretrail.testing import EgretrailTestCase, FakeStore, cases
 from egretrail.traffic import ClientLimits, FleetConfig
 from scaffolding.platform import StandInBackend
@@ -72,17 +74,42 @@
 Act = Callable[[_Stage], Awaitable[None]]
 
 
+class _SilentStore(FakeStore):
+    """Falls silent: calls get no answer, and the client gives them up."""
+
+    silent = False
+
+    async def snapshot(
+        self, prefix: str, *, stale: bool = False
+    ) -> Result[Snapshot, PlatformFailure]:
+        if self.silent:
+            await asyncio.sleep(1.0)
+            return Err(StoreUnavailable(prefix, "silent"))
+        return await super().snapshot(prefix, stale=stale)
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Result[WatchEvents, PlatformFailure]:
+        end_s = asyncio.get_running_loop().time() + wait_s + 0.5
+        watched = await super().watch(prefix, after_revision, wait_s)
+        if self.silent:
+            await asyncio.sleep(end_s - asyncio.get_running_loop().time())
+            return Err(StoreUnavailable(prefix, "silent"))
+        return watched
+
+
 class StoreSyncTest(EgretrailTestCase):
-    def _play(self, act: Act) -> None:
+    def _play(self, act: Act, store: FakeStore | None = None) -> None:
         async def run() -> None:
             loop = asyncio.get_running_loop()
             rng = random.Random(1)
             log = EventLog("test", descriptor=os.open(os.devnull, os.O_WRONLY))
-            own, layout, store = gateway_settings(), PlatformLayout(), FakeStore()
+            own, layout, held = gateway_settings(), PlatformLayout(), store or FakeStore()
+
             view = FleetView(own, 1, loop.time, log, rng)
             peers = PeerLinks(own, view, log, rng)
-            sync = _Reader(own, view, store, layout, peers, log, rng)
-            stage = _Stage(store, view, layout, sync)
+            sync = _Reader(own, view, held, layout, peers, log, rng)
+            stage = _Stage(held, view, layout, sync)
             stage.configure(config(1, _ROUTES))
             for name in ("u1", "u2", "u3", "u4"):
                 stage.list(name)
@@ -96,6 +123,19 @@
 
         self.run_paused(run())
 
+    def test_a_store_that_falls_silent_is_noticed_before_a_change_is_due(self) -> None:
+        """Both readers trusted silent watches for seconds, and nobody else read meanwhile."""
+        silent = _SilentStore()
+
+        async def act(stage: _Stage) -> None:
+            self.assertTrue(stage.view.store_contact)
+            await asyncio.sleep(3.3)
+            silent.silent = True
+            await asyncio.sleep(1.1)
+            self.assertFalse(stage.view.store_contact)
+
+        self._play(act, silent)
+
     def test_changes_are_taken_at_once(self) -> None:
         async def act(stage: _Stage) -> None:
             self.assertEqual({"u1", "u2", "u3", "u4"}, stage.ready())
