Notice within a second that the store has fallen silent, and let others read

Callers were served by an old configuration at all instances of a fleet. The store had fallen silent for a third of them, both readers among them: a watch that says nothing is trusted until it ends, nine seconds at the longest, and nobody else reads while a reader counts as being in contact. Probes of the connections do not see it: the store's side takes the bytes and does not answer.

A reader now asks twice a second, by a stale read at a tenth of a call's price, whether the store still answers it, ends its watches where it does not, and says so at once: that nobody of a zone is in contact with the store is told to the other zones like a newer version, not with the next sums up to 1.5 s later. Calls at full price stay as they were (the test's bound is unchanged, the stale reads have their own).

--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -102,8 +102,9 @@
         self._since_s = now_s
         self._members: dict[str, _Member] = {}
         self._sequences = {Scope.ZONE: 0, Scope.ACROSS: 0}
-        #: What the last section of each scope said that the hub's instance knows.
-        self._told_states: dict[Scope, HubState] = {}
+        #: What the last section of each scope said that the hub's instance knows, and whether any
+        #: instance of the zone is in contact with the store.
+        self._told_states: dict[Scope, tuple[HubState, bool]] = {}
         self._sums: dict[int, int] = {}
         self._changed: dict[int, None] = {}
         self._part = 0
@@ -193,7 +194,7 @@
     def urgent_sections(self, scope: Scope, state: HubState, now_s: float) -> Iterator[Section]:
         """Yield what must not wait for the next sums."""
         news = self._news(scope, now_s)
-        if any(news.values()) or state != self._told_states.get(scope):
+        if any(news.values()) or self._told(state) != self._told_states.get(scope):
             yield self._section(scope, state, **news)
         yield from self._roster_sections(scope, state, now_s)
 
@@ -232,7 +233,7 @@
         self._replace_loads(member.beat.loads, beat.loads)
         if beat.instance() != member.beat.instance():
             return self._roster_change()
-        return False
+        return beat.store_contact != member.beat.store_contact
 
     def _take_news(self, member: _Member, beat: Beat, now_s: float) -> bool:
         urgent = False
@@ -345,9 +346,12 @@
             )
             yield self._section(scope, state, roster=roster)
 
+    def _told(self, state: HubState) -> tuple[HubState, bool]:
+        return state, self.store_readers() > 0
+
     def _section(self, scope: Scope, state: HubState, **parts: object) -> Section:
         self._sequences[scope] += 1
-        self._told_states[scope] = state
+        self._told_states[scope] = self._told(state)
         return Section(
             scope=scope,
             availability_zone=self._zone,
--- a/src/egretrail/cluster/tests/test_hub.py
+++ b/src/egretrail/cluster/tests/test_hub.py
@@ -134,6 +134,14 @@
         self.assertIsNone(report.limit_per_s)
         self.assertAlmostEqual(0.1, report.age_s)
 
+    def test_the_other_zones_hear_at_once_that_nobody_is_in_contact_with_the_store(self) -> None:
+        hub = _hub(beat("10.0.0.2", 1, store_contact=True))
+        list(hub.across_sections(_STATE, 0.1))
+        list(hub.across_sections(_STATE, 0.2))
+        self.assertTrue(hub.hear(beat("10.0.0.2", 2, store_contact=False), 0.3, direct=True))
+        [section] = hub.urgent_sections(Scope.ACROSS, _STATE, 0.3)
+        self.assertEqual(0, section.store_readers)
+
     def test_limits_that_many_upstreams_name_at_once_are_all_told(self) -> None:
         hub = _hub(beat("10.0.0.2", 1))
         limits = [LimitReport(key, 1.5, 0.0) for key in range(100)]
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -146,6 +146,7 @@
 
     def _tell_across(self) -> None:
         now_s = self._across_told_s = self._clock()
+        self._hub.hear(self._view.own_beat(), now_s, direct=True)
         if now_s >= self._across_sums_due_s - _CLOCK_STEP_S:
             self._across_sums_due_s = now_s + self._across_interval_s()
             sections = list(self._hub.across_sections(self._state(), now_s))
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -16,7 +16,7 @@
 from egretrail.gateway._slices import in_slices
 from egretrail.gateway._view import FleetView
 from egretrail.identity import rendezvous_order
-from egretrail.store import Entry, HistoryLost, PlatformFailure, Store
+from egretrail.store import Entry, HistoryLost, PlatformFailure, Store, StoreUnavailable
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
 _Following = asyncio.Task[PlatformFailure | None]
@@ -24,9 +24,13 @@
 #: Zones whose hubs read the store for all: one may be cut off from it, or its reader turned away.
 #: With five zones, each change of an upstream costs two calls in place of five.
 _READING_ZONES = 2
-#: How long one watch waits. It bounds how long a silent connection is trusted; the readers
-#: of the other zones cover that time.
+#: How long one watch waits.
 _WATCH_S = 8.0
+#: While watches wait, a stale read, which costs a tenth of a call, asks this often whether the
+#: store still answers: one that has fallen silent for the readers of all zones is noticed well
+#: before the next change is due. The read may take so long at first; a slow store doubles it.
+_PULSE_S = 0.5
+_PULSE_LIMIT_S, _PULSE_LIMIT_MAX_S = 0.5, 2.0
 #: After changes the next watch begins this much later, so that those of one moment come together:
 #: each watch ends with the first change, and each is a call that costs money.
 _GATHER_S = 0.15
@@ -90,6 +94,7 @@
         self._listed: frozenset[str] = frozenset()
         #: What follows a part of the store now.
         self._following: set[_Following] = set()
+        self._pulse_limit_s = _PULSE_LIMIT_S
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -97,6 +102,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._keep("config", self._follow_config))
             tasks.create_task(self._keep("upstreams", self._follow_upstreams))
+            tasks.create_task(self._feel_pulse())
             tasks.create_task(self._keep_listing())
             tasks.create_task(self._drop_vanished())
 
@@ -108,6 +114,10 @@
         """
         self._store = store
         self._listed = frozenset()
+        self._begin_anew()
+
+    def _begin_anew(self) -> None:
+        """End the calls that wait; each part of the store is read again."""
         for following in self._following:
             following.cancel()
 
@@ -143,7 +153,7 @@
         retry_s = _RETRY_FIRST_S
         while True:
             if not self.should_read():
-                self._view.store_contact = False
+                self._view.set_store_contact(False)
                 self._away_since_s = None
                 self._reading_since_s = self._loop.time()
                 await asyncio.sleep(_LOOK_S)
@@ -159,6 +169,34 @@
             await asyncio.sleep(retry_s * (0.75 + self._rng.random() * 0.5))
             retry_s = min(retry_s * 2, _RETRY_MAX_S)
 
+    async def _feel_pulse(self) -> None:
+        """End watches that wait for a store that does not answer any more.
+
+        Load: the store falls silent for a part of the instances, the readers of both zones among
+        them. Until one of them says so, nobody else reads, and no change reaches anyone.
+        """
+        while True:
+            await asyncio.sleep(_PULSE_S)
+            if self._view.store_contact and self.should_read():
+                failure = await self._ask_pulse()
+                if failure is not None and self._view.store_contact:
+                    self._failed("pulse", failure)
+                    self._begin_anew()
+
+    async def _ask_pulse(self) -> PlatformFailure | None:
+        path = self._layout.instances_prefix + self._settings.availability_zone
+        asked_s = self._loop.time()
+        limit_s = self._pulse_limit_s
+        try:
+            async with asyncio.timeout(limit_s):
+                read = await self._store.snapshot(path, stale=True)
+        except TimeoutError:
+            self._pulse_limit_s = min(limit_s * 2, _PULSE_LIMIT_MAX_S)
+            return StoreUnavailable("pulse", f"no answer within {limit_s} s")
+        if self._loop.time() - asked_s < limit_s / 4:
+            self._pulse_limit_s = max(limit_s / 2, _PULSE_LIMIT_S)
+        return read.err_value if isinstance(read, Err) else None
+
     async def _until_moved(
         self, follow: Coroutine[Any, Any, PlatformFailure | None]
     ) -> PlatformFailure | None:
@@ -338,8 +376,8 @@
         if away_s > _LAPSE_AWAY_S and not self._others_reach_store:
             self._lapses_until_s = now_s + _LAPSE_KEEP_S
         self._others_reach_store = False
-        self._view.store_contact = True
         self._last_success_s = now_s
+        self._view.set_store_contact(True)
 
     def _failed(self, name: str, failure: PlatformFailure) -> None:
         if self._view.store_contact:
@@ -348,7 +386,7 @@
         self._others_reach_store |= self._peer_reaches_store()
         if self._away_since_s is None:
             self._away_since_s = max(self._last_success_s, self._reading_since_s)
-        self._view.store_contact = False
+        self._view.set_store_contact(False)
 
     def _peer_reaches_store(self) -> bool:
         return self._view.others_reach_store()
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -161,6 +161,12 @@
         hears_fleet = self.others_reach_store() or self.known_share() > _FLEET_SHARE
         return self.configs.is_current(hears_fleet=hears_fleet)
 
+    def set_store_contact(self, contact: bool) -> None:
+        """Take whether the store answers this instance; others read it where it answers nobody."""
+        if contact != self.store_contact:
+            self.store_contact = contact
+            self.on_news(True)
+
     def heard_of_upstreams(self, revision: int, peer: str) -> None:
         """Take which revision of the upstreams a peer has."""
         if revision <= self.upstreams.revision:
--- a/src/egretrail/testing/_fake_store.py
+++ b/src/egretrail/testing/_fake_store.py
@@ -63,7 +63,7 @@
         self, prefix: str, *, stale: bool = False
     ) -> Result[Snapshot, PlatformFailure]:
         """Read all paths under a prefix."""
-        if not await self._admit("snapshot"):
+        if not await self._admit("stale snapshot" if stale else "snapshot"):
             return Err(StoreUnavailable(f"snapshot {prefix}", "outage"))
         found = [e for path, e in sorted(self.entries.items()) if path.startswith(prefix)]
         return Ok(Snapshot(found, self.revision))
