--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -29,8 +29,8 @@
 #: While watches wait, a stale read, which costs a tenth of a call, asks this often whether the
 #: store still answers: one that has fallen silent for the readers of all zones is noticed well
 #: before the next change is due. The read may take so long at first; a slow store doubles it.
-_PULSE_S = 0.5
-_PULSE_LIMIT_S, _PULSE_LIMIT_MAX_S = 0.5, 2.0
+_LIVENESS_INTERVAL_S = 0.5
+_LIVENESS_TIMEOUT_S, _LIVENESS_TIMEOUT_MAX_S = 0.5, 3.0
 #: After changes the next watch begins this much later, so that those of one moment come together:
 #: each watch ends with the first change, and each is a call that costs money.
 _GATHER_S = 0.15
@@ -94,7 +94,7 @@
         self._listed: frozenset[str] = frozenset()
         #: What follows a part of the store now.
         self._following: set[_Following] = set()
-        self._pulse_limit_s = _PULSE_LIMIT_S
+        self._liveness_timeout_s = _LIVENESS_TIMEOUT_S
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -102,7 +102,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._keep("config", self._follow_config))
             tasks.create_task(self._keep("upstreams", self._follow_upstreams))
-            tasks.create_task(self._feel_pulse())
+            tasks.create_task(self._check_liveness())
             tasks.create_task(self._keep_listing())
             tasks.create_task(self._drop_vanished())
 
@@ -169,32 +169,32 @@
             await asyncio.sleep(retry_s * (0.75 + self._rng.random() * 0.5))
             retry_s = min(retry_s * 2, _RETRY_MAX_S)
 
-    async def _feel_pulse(self) -> None:
+    async def _check_liveness(self) -> None:
         """End watches that wait for a store that does not answer any more.
 
         Load: the store falls silent for a part of the instances, the readers of both zones among
         them. Until one of them says so, nobody else reads, and no change reaches anyone.
         """
         while True:
-            await asyncio.sleep(_PULSE_S)
+            await asyncio.sleep(_LIVENESS_INTERVAL_S)
             if self._view.store_contact and self.should_read():
-                failure = await self._ask_pulse()
+                failure = await self._probe_store()
                 if failure is not None and self._view.store_contact:
-                    self._failed("pulse", failure)
+                    self._failed("liveness", failure)
                     self._begin_anew()
 
-    async def _ask_pulse(self) -> PlatformFailure | None:
+    async def _probe_store(self) -> PlatformFailure | None:
         path = self._layout.instances_prefix + self._settings.availability_zone
         asked_s = self._loop.time()
-        limit_s = self._pulse_limit_s
+        timeout_s = self._liveness_timeout_s
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout(timeout_s):
                 read = await self._store.snapshot(path, stale=True)
         except TimeoutError:
-            self._pulse_limit_s = min(limit_s * 2, _PULSE_LIMIT_MAX_S)
-            return StoreUnavailable("pulse", f"no answer within {limit_s} s")
-        if self._loop.time() - asked_s < limit_s / 4:
-            self._pulse_limit_s = max(limit_s / 2, _PULSE_LIMIT_S)
+            self._liveness_timeout_s = min(timeout_s * 2, _LIVENESS_TIMEOUT_MAX_S)
+            return StoreUnavailable("liveness", f"no answer within {timeout_s} s")
+        if self._loop.time() - asked_s < timeout_s / 4:
+            self._liveness_timeout_s = max(timeout_s / 2, _LIVENESS_TIMEOUT_S)
         return read.err_value if isinstance(read, Err) else None
 
     async def _until_moved(
