--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 KNOWN_RED := $(shell grep -s -o '^[^ ]*::[^ ]*' KNOWN-RED.txt)
 test: setup
 	@if [ -s KNOWN-RED.txt ]; then echo "Known red, passed over:"; cat KNOWN-RED.txt; fi
-	PYTHONHASHSEED=$(HASH_SEED) $(BIN)/python -m pytest -n $(WORKERS) $(KNOWN_RED:%=--deselect=%) $(PYTEST_ARGS)
+	PYTHONHASHSEED=$(HASH_SEED) $(BIN)/python -m pytest -n $(WORKERS) --dist worksteal $(KNOWN_RED:%=--deselect=%) $(PYTEST_ARGS)
 
 check: setup
 	$(BIN)/black --check --quiet src scaffolding benchmarks deploy
