Read the ports of a process from whole lines only

Whoever starts processes reads their logs while they write, and took the ports of a line of which a part had come; any test that starts processes could fail so. Only what ends with a newline is read now. The test failed before.

--- a/scaffolding/processes.py
+++ b/scaffolding/processes.py
@@ -39,7 +39,8 @@
         log = self.directory / f"{name}.log"
         async with asyncio.timeout(30):
             while True:
-                found = _LISTENING.findall(log.read_bytes())
+                whole_lines, _, _ = log.read_bytes().rpartition(b"\n")
+                found = _LISTENING.findall(whole_lines)
                 if self.running[name].returncode is not None:
                     raise ChildProcessError(f"{name} ended: {log.read_text()[-2000:]}")
                 if found:
--- a/scaffolding/tests/test_processes.py
+++ b/scaffolding/tests/test_processes.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import aiohttp
 
@@ -15,7 +16,7 @@
 from scaffolding.caller import Caller, Told
 from scaffolding.demo import put_settings
 from scaffolding.demo_trace import Deployment, ServiceLine
-from scaffolding.processes import FleetProcesses, fleet_processes
+from scaffolding.processes import FleetProcesses, Processes, fleet_processes
 
 _ZONES = ("zone-a", "zone-b", "zone-c")
 _LINE = ServiceLine("shop", 3, 4, 0.01, 2, 1.0, False)
@@ -24,6 +25,24 @@
 _BODY = b"one board"
 
 
+class PortsTest(EgretrailTestCase):
+    def test_a_line_that_is_not_whole_yet_names_no_ports(self) -> None:
+        """A demo failed for a port that its upstreams' line had not named yet."""
+
+        async def run() -> dict[str, int]:
+            directory = Path(tempfile.mkdtemp())
+            log = directory / "upstreams.log"
+            log.write_text("listening port0=7001 port1=70")
+            running = {"upstreams": mock.Mock(returncode=None)}
+            reading = asyncio.create_task(Processes(directory, running).ports("upstreams"))
+            await asyncio.sleep(0.1)
+            self.assertFalse(reading.done())
+            log.write_text("listening port0=7001 port1=7002\n")
+            return await reading
+
+        self.assertEqual({"port0": 7001, "port1": 7002}, self.run_real(run()))
+
+
 class Shop:
     """A fleet of three instances before three upstreams, and one caller."""
 
