--- a/scaffolding/tests/test_processes.py
+++ b/scaffolding/tests/test_processes.py
@@ -33,7 +33,7 @@
             directory = Path(tempfile.mkdtemp())
             log = directory / "upstreams.log"
             log.write_text("listening port0=7001 port1=70")
-            running = {"upstreams": mock.Mock(returncode=None)}
+            running: dict[str, Any] = {"upstreams": mock.Mock(returncode=None)}
             reading = asyncio.create_task(Processes(directory, running).ports("upstreams"))
             await asyncio.sleep(0.1)
             self.assertFalse(reading.done())
