Serve requests with an API key for the client account that holds it

Cause: no source read accounts or keys. Keys went on to upstreams, upstreams were told no account, and keys that no configuration held were served: all requests of a deployment with accounts broke a promise.

Change: the configuration names accounts by digests of their keys; they travel between instances in the parts of the configuration, so an ended key moves one part. A request whose key nobody holds gets 401, from an instance that knows its configuration to be the newest only, else 503 (as with 404). Keys and clients' own account fields are passed on never, on public routes neither; faults in a configuration name no value.

--- a/scaffolding/platform/backend.py
+++ b/scaffolding/platform/backend.py
@@ -58,6 +58,8 @@
     runs: Counter[str] = field(default_factory=Counter)
     #: Targets and bodies that arrived, by client attempt.
     seen: dict[str, tuple[str, str, bytes]] = field(default_factory=dict)
+    #: The header fields that arrived, by client attempt; names in lower case.
+    headers: dict[str, dict[str, str]] = field(default_factory=dict)
     #: Milliseconds that it was told are left, by client attempt.
     told_ms: dict[str, int] = field(default_factory=dict)
     #: When requests arrived, by the loop's clock, and their client attempts.
@@ -125,6 +127,7 @@
         body = await reader.readexactly(int(fields.get("content-length", "0")))
         attempt = fields.get("x-egretrail-attempt-id", "")
         self.seen[attempt] = (method, target, body)
+        self.headers[attempt] = fields
         self.arrivals.append((asyncio.get_running_loop().time(), attempt))
         self.told_ms[attempt] = int(fields.get("x-egretrail-request-deadline", "0"))
         if fields.get("x-egretrail-expected-instance", self.id) != self.id:
--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -77,7 +77,16 @@
     return order_route(name, prefix, service, maxAttempts=1)
 
 
-def config(version: int, routes: Sequence[dict[str, object]]) -> dict[str, object]:
+def account(name: str, *keys: str, **fields: object) -> dict[str, object]:
+    """Return a client account as operators write it."""
+    return {"name": name, "apiKeys": list(keys), "priority": 0, **fields}
+
+
+def config(
+    version: int,
+    routes: Sequence[dict[str, object]],
+    accounts: Sequence[dict[str, object]] | None = None,
+) -> dict[str, object]:
     """Return a configuration as operators write it."""
     names = {str(r["service"]) for r in routes if "service" in r}
     for row in routes:
@@ -99,6 +108,7 @@
         "routes": list(routes),
         "services": services,
         "limits": limits,
+        **({} if accounts is None else {"tenants": list(accounts)}),
     }
 
 
--- a/src/egretrail/cluster/_config_parts.py
+++ b/src/egretrail/cluster/_config_parts.py
@@ -8,8 +8,15 @@
 
 import xxhash
 
-from egretrail.cluster._config_rows import pack_head, pack_part, unpack_head, unpack_part
-from egretrail.traffic import FleetConfig, Route, Service
+from egretrail.cluster._config_rows import (
+    ConfigHead,
+    PartContents,
+    pack_head,
+    pack_part,
+    unpack_head,
+    unpack_part,
+)
+from egretrail.traffic import ClientAccount, FleetConfig, Route, Service
 
 T = TypeVar("T")
 
@@ -18,7 +25,7 @@
 PART_COUNT = 256
 #: Parts that are worked on between two turns of the event loop, some milliseconds at 4,000 routes.
 _SLICE_PARTS = 16
-#: Routes that are sorted into parts between two turns.
+#: Routes or accounts that are sorted into parts between two turns.
 _SLICE_ROUTES = 500
 #: Configurations whose digests are remembered, 2 KB each, for those that have one of them.
 _REMEMBERED = 32
@@ -26,28 +33,25 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigPart:
-    """The services and routes whose keys fall into one part."""
+    """The services, routes and accounts whose keys fall into one part."""
 
     #: Their bytes as they are told.
     packed: bytes
     #: The digest of the bytes.
     digest: int
-    #: The services, by name.
-    services: tuple[Service, ...]
-    #: The routes, by host and prefix.
-    routes: tuple[Route, ...]
+    #: What it holds.
+    contents: PartContents
 
     @classmethod
-    def of(cls, services: tuple[Service, ...], routes: tuple[Route, ...]) -> "ConfigPart":
-        """Pack services and routes that are in order."""
-        packed = pack_part(services, routes)
-        return cls(packed, part_digest(packed), services, routes)
+    def of(cls, contents: PartContents) -> "ConfigPart":
+        """Pack contents that are in order."""
+        packed = pack_part(contents)
+        return cls(packed, part_digest(packed), contents)
 
     @classmethod
     def read(cls, packed: bytes) -> "ConfigPart":
         """Unpack what a peer told; raises one of ``MALFORMED`` for other bytes."""
-        services, routes = unpack_part(packed)
-        return cls(packed, part_digest(packed), services, routes)
+        return cls(packed, part_digest(packed), unpack_part(packed))
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,10 +70,16 @@
     @classmethod
     def of(cls, head: bytes, parts: Sequence[ConfigPart]) -> "PartedConfig":
         """Join parts; raises one of ``MALFORMED`` for a head that is none."""
-        version, limits = unpack_head(head)
-        services = {one.name: one for part in parts for one in part.services}
-        routes = [route for part in parts for route in part.routes]
-        config = FleetConfig(version, routes, services, limits)
+        unpacked = unpack_head(head)
+        contents = [part.contents for part in parts]
+        accounts = [account for one in contents for account in one.accounts]
+        config = FleetConfig(
+            version=unpacked.version,
+            routes=[route for one in contents for route in one.routes],
+            services={service.name: service for one in contents for service in one.services},
+            limits=unpacked.limits,
+            accounts=accounts if unpacked.has_accounts else None,
+        )
         digest = config_digest(head, [part.digest for part in parts])
         return cls(config, head, tuple(parts), digest)
 
@@ -90,7 +100,7 @@
     @property
     def version(self) -> int:
         """The version that it is of; raises one of ``MALFORMED`` for a head that is none."""
-        return unpack_head(self.head)[0]
+        return unpack_head(self.head).version
 
 
 def part_digest(packed: bytes) -> int:
@@ -103,7 +113,7 @@
     return xxhash.xxh3_64_intdigest(head + array("Q", digests).tobytes())
 
 
-EMPTY_PART = ConfigPart.of((), ())
+EMPTY_PART = ConfigPart.of(PartContents())
 _NO_DIGESTS = array("Q", [EMPTY_PART.digest] * PART_COUNT)
 
 
@@ -117,20 +127,26 @@
     """
     services: list[list[Service]] = [[] for _ in range(PART_COUNT)]
     routes: list[list[Route]] = [[] for _ in range(PART_COUNT)]
+    accounts: list[list[ClientAccount]] = [[] for _ in range(PART_COUNT)]
     for service in config.services.values():
         services[_number(service.name)].append(service)
     for position, route in enumerate(config.routes):
         routes[_number(f"{route.host} {route.prefix}")].append(route)
         if position % _SLICE_ROUTES == _SLICE_ROUTES - 1:
             yield
+    for position, account in enumerate(config.accounts or ()):
+        accounts[_number(f"account {account.name}")].append(account)
+        if position % _SLICE_ROUTES == _SLICE_ROUTES - 1:
+            yield
     parts = []
     for number in range(PART_COUNT):
         if number % _SLICE_PARTS == _SLICE_PARTS - 1:
             yield
         kept = before.parts[number] if before is not None else EMPTY_PART
-        parts.append(_part(services[number], routes[number], kept))
+        parts.append(_part(services[number], routes[number], accounts[number], kept))
     yield
-    return PartedConfig.of(pack_head(config.version, config.limits), parts)
+    head = ConfigHead(config.version, config.limits, config.accounts is not None)
+    return PartedConfig.of(pack_head(head), parts)
 
 
 def at_once(work: Generator[None, None, T]) -> T:
@@ -233,12 +249,18 @@
     return digests
 
 
-def _part(services: list[Service], routes: list[Route], kept: ConfigPart) -> ConfigPart:
-    in_order = tuple(sorted(services, key=lambda one: one.name))
-    routes_in_order = tuple(sorted(routes, key=lambda one: (one.host, one.prefix)))
-    if in_order == kept.services and routes_in_order == kept.routes:
-        return kept
-    return ConfigPart.of(in_order, routes_in_order)
+def _part(
+    services: list[Service],
+    routes: list[Route],
+    accounts: list[ClientAccount],
+    kept: ConfigPart,
+) -> ConfigPart:
+    contents = PartContents(
+        tuple(sorted(services, key=lambda one: one.name)),
+        tuple(sorted(routes, key=lambda one: (one.host, one.prefix))),
+        tuple(sorted(accounts, key=lambda one: one.name)),
+    )
+    return kept if contents == kept.contents else ConfigPart.of(contents)
 
 
 def _number(key: str) -> int:
--- a/src/egretrail/cluster/_fetch_codec.py
+++ b/src/egretrail/cluster/_fetch_codec.py
@@ -14,7 +14,7 @@
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
 #: Raised when the form changes; messages of another version are refused.
-_VERSION = 5
+_VERSION = 6
 #: Parts of a reply are packed to this size before compression, so that a reply takes a weak link
 #: a few milliseconds and one after the other goes to many that ask.
 _PARTS_REPLY_BYTES = 65_536
--- a/src/egretrail/cluster/tests/test_config_parts.py
+++ b/src/egretrail/cluster/tests/test_config_parts.py
@@ -26,6 +26,7 @@
 from egretrail.cluster._config_parts import PART_COUNT
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import (
+    ClientAccount,
     ClientLimits,
     FleetConfig,
     Route,
@@ -49,9 +50,15 @@
     )
 
 
+_ACCOUNTS = [
+    ClientAccount(f"account-{n}", (bytes([n]) * 16,), n % 3 or None, n * 1.5, 10.0)
+    for n in range(40)
+]
+
+
 def _config(version: int, routes: Sequence[Route], *services: str) -> FleetConfig:
     table = {name: Service(name, "/health", 300) for name in services or ("s", "t")}
-    return FleetConfig(version, routes, table, ClientLimits())
+    return FleetConfig(version, routes, table, ClientLimits(), _ACCOUNTS)
 
 
 _BASE = _config(1, [_route(n) for n in range(2_000)])
@@ -59,7 +66,8 @@
 
 def _contents(config: FleetConfig) -> tuple[object, ...]:
     routes = {(route.host, route.prefix): route for route in config.routes}
-    return config.version, routes, dict(config.services), config.limits
+    accounts = {account.name: account for account in config.accounts or ()}
+    return config.version, routes, dict(config.services), config.limits, accounts
 
 
 def _fetch(
@@ -88,7 +96,13 @@
                 {"services": {**_BASE.services, "u": Service("u", "/h", 1)}},
                 1,
             ),
-            "all is removed": ([], {"services": {}}, PART_COUNT),
+            "a key is taken away": (
+                _BASE.routes,
+                {"accounts": [replace(_ACCOUNTS[0], key_digests=()), *_ACCOUNTS[1:]]},
+                1,
+            ),
+            "keys are asked for no more": (_BASE.routes, {"accounts": None}, 38),
+            "all is removed": ([], {"services": {}, "accounts": []}, PART_COUNT),
         }
     )
     def test_what_changed_is_told(
--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -18,6 +18,7 @@
     TIMEOUT = "timeout"
     REFUSED = "refused"
     NO_ROUTE = "no_route"
+    NO_ACCOUNT = "no_account"
     CLIENT_LEFT = "client_left"
 
 
@@ -47,8 +48,8 @@
     ),
     "crashes_upstreams": "three upstreams were lost while they ran it",
     "config_behind": (
-        "no route of the configuration in force takes it, and the instance cannot know whether a"
-        " newer one does"
+        "no route of the configuration in force takes it, or no account holds its key, and the"
+        " instance cannot know whether a newer one does"
     ),
     "starting": "the instance did not know the configuration yet",
     "stopping": "the instance was about to stop",
@@ -64,6 +65,8 @@
         fields = last["no_route"].fields
         text = "no route of configuration {config_version} takes {path} on {host}"
         return Cause(Kind.NO_ROUTE, text.format_map(_Known(fields)))
+    if "key_refused" in last:
+        return _without_account(last["key_refused"])
     if "answered" in last:
         return _answered(story, last["answered"])
     if story.events:
@@ -77,6 +80,14 @@
     return Cause(Kind.REFUSED, f"refused without having run: {text}")
 
 
+def _without_account(line: LogLine) -> Cause:
+    if line.fields.get("reason") == "missing":
+        text = "it carries no API key, or more than one, and route {route} needs one"
+    else:
+        text = "no account of configuration {config_version} holds its API key"
+    return Cause(Kind.NO_ACCOUNT, text.format_map(_Known(line.fields)))
+
+
 def _answered(story: Story, line: LogLine) -> Cause:
     outcome = line.fields.get("outcome", "")
     failures = [event for event in story.events if event.event == "attempt_failed"]
--- a/src/egretrail/diagnosis/tests/test_diagnosis.py
+++ b/src/egretrail/diagnosis/tests/test_diagnosis.py
@@ -86,6 +86,20 @@
                 Kind.REFUSED,
                 "about to stop",
             ),
+            "a key of nobody": (
+                [
+                    "time=1 instance=n1 event=key_refused id=a1 route=r reason=unknown config_version=7"
+                ],
+                Kind.NO_ACCOUNT,
+                "no account of configuration 7 holds its API key",
+            ),
+            "no key": (
+                [
+                    "time=1 instance=n1 event=key_refused id=a1 route=r reason=missing config_version=7"
+                ],
+                Kind.NO_ACCOUNT,
+                "route r needs one",
+            ),
             "no route": (
                 ["time=1 instance=n1 event=no_route id=a1 host=h path=/x/ config_version=7"],
                 Kind.NO_ROUTE,
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -61,10 +61,11 @@
         started_s = self._loop.time()
         left_s = work.end_s - started_s - _RETURN_S
         request = work.request
+        account = work.account.name if work.account is not None else None
         data = encode_request(
             request.method,
             request.target,
-            self._contract.upstream_headers(request, upstream.name, left_s),
+            self._contract.upstream_headers(request, upstream.name, left_s, account),
             request.body,
         )
         expected_s = self._expected_s(work.service, upstream)
--- a/src/egretrail/gateway/_config_state.py
+++ b/src/egretrail/gateway/_config_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from egretrail.cluster import KnownOutlines, PartedConfig
-from egretrail.traffic import FleetConfig, RouteTable
+from egretrail.traffic import AccountTable, FleetConfig, RouteTable
 
 #: Hubs name their version several times a second. After this silence an instance is cut off, and
 #: what it knows may be old.
@@ -22,6 +22,8 @@
         self.parted: PartedConfig | None = None
         #: Its routes.
         self.routes: RouteTable | None = None
+        #: Its client accounts; None where requests need no API key.
+        self.accounts: AccountTable | None = None
         #: What the last configurations consisted of, for instances that still have them.
         self.outlines = KnownOutlines()
         #: Whether the last reading of the configuration from the store succeeded.
@@ -78,6 +80,8 @@
             return False
         self.parted = parted
         self.routes = RouteTable(parted.config)
+        accounts = parted.config.accounts
+        self.accounts = None if accounts is None else AccountTable(accounts)
         self.outlines.remember(parted)
         if parted.config.version >= self._newest_version:
             self._newest_version, self._newest_s = parted.config.version, self._clock()
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -13,7 +13,7 @@
 from egretrail.gateway._view import FleetView
 from egretrail.gateway._work import UNSENT, AttemptResult, Fate, Work
 from egretrail.http1 import Answer, Request
-from egretrail.traffic import choose_service
+from egretrail.traffic import Route, choose_service
 
 #: The time of a client that does not say how long it waits.
 _DEFAULT_WAIT_S = 30.0
@@ -100,6 +100,11 @@
             )
             self._metrics.answered("none", "no_route", 0.0)
             return Answer(404)
+        account = None
+        if view.configs.accounts is not None and not route.is_public:
+            account = view.configs.accounts.find(terms.api_key) if terms.api_key else None
+            if account is None:
+                return self._without_account(terms, route)
         service = choose_service(route, self._rng)
         now_s = self._loop.time()
         view.repeats.routed(service, now_s)
@@ -109,7 +114,26 @@
             return self._contract.not_run(_CRASHING_RETRY_S)
         wait_s = terms.wait_s if terms.wait_s is not None else _DEFAULT_WAIT_S
         end_s = request.received_s + min(wait_s, route.timeout_s)
-        return Work(request, terms, route, service, digest, end_s)
+        return Work(request, terms, route, service, account, digest, end_s)
+
+    def _without_account(self, terms: CallerTerms, route: Route) -> Answer:
+        """Answer a request whose API key no account holds, and which therefore never runs.
+
+        401 is final to callers: an instance that may lack the newest version must not give it.
+        """
+        view = self._view
+        if not view.knows_config_is_current:
+            self._refused(terms, route.name, "config_behind", _CONFIG_RETRY_S)
+            return self._contract.not_run(_CONFIG_RETRY_S)
+        self._log.event(
+            "key_refused",
+            id=terms.attempt_id,
+            route=route.name,
+            reason="unknown" if terms.api_key else "missing",
+            config_version=view.config_version,
+        )
+        self._metrics.answered(route.name, "key_refused", 0.0)
+        return Answer(401)
 
     async def _run(self, work: Work) -> tuple[Answer, str]:
         running: dict[asyncio.Task[AttemptResult], Choice] = {}
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -3,7 +3,7 @@
 import abc
 import enum
 from collections.abc import Generator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from result import Result
 
@@ -130,6 +130,8 @@
     host: str
     #: How long the client waits from the request's arrival; None where it does not say.
     wait_s: float | None
+    #: Its API key; None where it carries none, or more than one.
+    api_key: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,9 +164,12 @@
 
     @abc.abstractmethod
     def upstream_headers(
-        self, request: Request, upstream_name: str, left_s: float
+        self, request: Request, upstream_name: str, left_s: float, account: str | None = None
     ) -> list[tuple[bytes, bytes]]:
-        """Return the fields of the request as it is sent to an upstream."""
+        """Return the fields of the request as it is sent to an upstream.
+
+        They have the name of its client account, or none, and never an API key.
+        """
 
     @abc.abstractmethod
     def belongs(self, answer: ReceivedAnswer, attempt_id: str) -> bool:
@@ -193,6 +198,10 @@
     def not_run(self, retry_after_s: float, *, close: bool = False) -> Answer:
         """Return the answer that promises that a request has not run and never will."""
 
+    @abc.abstractmethod
+    def over_quota(self, retry_after_s: float) -> Answer:
+        """Return the answer to a request that its quota has no room for; it never runs."""
+
     @abc.abstractmethod
     def directory_answer(self, addresses: Sequence[str], ttl_s: float) -> Answer:
         """Return the answer to a client that asks which addresses to use."""
--- a/src/egretrail/gateway/_work.py
+++ b/src/egretrail/gateway/_work.py
@@ -6,7 +6,7 @@
 from egretrail.dispatch import RequestDigest
 from egretrail.gateway._interfaces import CallerTerms
 from egretrail.http1 import ReceivedAnswer, Request
-from egretrail.traffic import Route, RouteKind
+from egretrail.traffic import ClientAccount, Route, RouteKind
 
 
 class Fate(enum.Enum):
@@ -52,6 +52,8 @@
     route: Route
     #: The service that takes it.
     service: str
+    #: The client account that it counts for; None where requests need no API key.
+    account: ClientAccount | None
     #: By which it is known when it is sent again.
     digest: RequestDigest
     #: When the answer is due, by the loop's clock.
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -4,7 +4,7 @@
 import json
 import os
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from unittest import mock
 
@@ -22,13 +22,21 @@
 from egretrail.http1 import ClientConnection, Request
 from egretrail.platform import PlatformContract, PlatformLayout
 from egretrail.platform.tests.requests import client_request
-from egretrail.testing import EgretrailTestCase
+from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import UpstreamRecord, UpstreamState
 from scaffolding.platform import Behaviour, StandInBackend
-from scaffolding.platform.fleet import HOST, config, order_route, route, single_attempt_route
+from scaffolding.platform.fleet import (
+    HOST,
+    account,
+    config,
+    order_route,
+    route,
+    single_attempt_route,
+)
 
 _ROUTES = [
     route("read", "/read/", "s", timeout="1500ms"),
+    route("open", "/open/", "s", public=True),
     order_route("order", "/order/", "s", timeout="1500ms"),
     single_attempt_route("once", "/once/", "s"),
 ]
@@ -41,13 +49,13 @@
 
 
 class ExecutorTest(EgretrailTestCase):
-    def _play(self, act: Act) -> None:
+    def _play(self, act: Act, accounts: Sequence[dict[str, object]] | None = None) -> None:
         async def run() -> None:
             loop = asyncio.get_running_loop()
             log = EventLog("test", descriptor=_null())
             rng = random.Random(1)
             view = FleetView(gateway_settings(), 1, loop.time, log, rng)
-            document = json.dumps(config(1, _ROUTES)).encode()
+            document = json.dumps(config(1, _ROUTES, accounts)).encode()
             decoded = PlatformLayout().decode_config(document)
             assert isinstance(decoded, Ok)
             view.take_config(at_once(part_config(decoded.ok_value)), "test")
@@ -105,6 +113,34 @@
 
         self._play(act)
 
+    @cases(
+        {
+            "its key": (b"k1", b"/read/1", 200, "acme"),
+            "no key": (None, b"/read/1", 401, None),
+            "an unknown key": (b"k9", b"/read/1", 401, None),
+            "an unknown key on a public route": (b"k9", b"/open/1", 200, None),
+            "no key on a public route": (None, b"/open/1", 200, None),
+        }
+    )
+    def test_requests_need_the_key_of_an_account(
+        self, case: tuple[bytes | None, bytes, int, str | None]
+    ) -> None:
+        api_key, target, expected, name = case
+
+        async def act(executor: Executor, view: FleetView, backend: StandInBackend) -> None:
+            request = client_request(HOST, b"GET", target, api_key=api_key)
+            if expected == 401:
+                # Only who knows that there is no newer version may give a final answer.
+                self.assertEqual(503, (await executor.serve(request)).status)
+                view.configs.reaches_store = True
+            self.assertEqual(expected, (await executor.serve(request)).status)
+            self.assertEqual([expected == 200], [bool(backend.headers)])
+            for headers in backend.headers.values():
+                self.assertEqual(name, headers.get("x-egretrail-tenant"))
+                self.assertNotIn("api-key", headers)
+
+        self._play(act, [account("acme", "k1", "k2")])
+
     def test_a_request_is_not_sent_to_an_upstream_that_began_to_leave_while_it_connected(
         self,
     ) -> None:
--- a/src/egretrail/http1/_messages.py
+++ b/src/egretrail/http1/_messages.py
@@ -24,9 +24,11 @@
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
--- a/src/egretrail/platform/_contract.py
+++ b/src/egretrail/platform/_contract.py
@@ -26,11 +26,17 @@
 _LOAD = b"x-egretrail-backend-load"
 #: Requests a second that the upstream takes from all instances together, a decimal number.
 _LIMIT = b"server-limit"
+#: The API key, and nothing besides: no scheme stands before it.
+_API_KEY = b"api-key"
+#: The name of the client account, for upstreams; clients have no say in it.
+_ACCOUNT = b"x-egretrail-tenant"
+#: Longer keys are nobody's and are not hashed.
+_API_KEY_BYTES_MAX = 512
 #: Its presence says that the request was not run, whatever its value.
 _NOT_EXECUTED = b"x-egretrail-not-executed"
 
 #: Set by a gateway anew, or for the gateway alone.
-_OWN_REQUEST_FIELDS = frozenset({_DEADLINE, _EXPECTED_INSTANCE, b"expect"})
+_OWN_REQUEST_FIELDS = frozenset({_DEADLINE, _EXPECTED_INSTANCE, _API_KEY, _ACCOUNT, b"expect"})
 _OWN_ANSWER_FIELDS = frozenset({_LOAD, b"content-length"})
 
 #: Statuses that promise to the client that the request has not run and never will.
@@ -53,10 +59,11 @@
             attempt_id=_text(request.value(_ATTEMPT_ID)),
             host=_text(request.value(b"host")),
             wait_s=wait_s,
+            api_key=_api_key(request),
         )
 
     def upstream_headers(
-        self, request: Request, upstream_name: str, left_s: float
+        self, request: Request, upstream_name: str, left_s: float, account: str | None = None
     ) -> list[tuple[bytes, bytes]]:
         """Return the fields of the request as it is sent to an upstream."""
         fields = [
@@ -66,6 +73,8 @@
         ]
         fields.append((_DEADLINE, b"%d" % max(int(left_s * 1000), 1)))
         fields.append((_EXPECTED_INSTANCE, upstream_name.encode()))
+        if account is not None:
+            fields.append((_ACCOUNT, account.encode()))
         return fields
 
     def belongs(self, answer: ReceivedAnswer, attempt_id: str) -> bool:
@@ -138,6 +147,10 @@
         """Return the answer that promises that a request has not run and never will."""
         return Answer(503, headers=[(b"Retry-After", b"%.2f" % retry_after_s)], close=close)
 
+    def over_quota(self, retry_after_s: float) -> Answer:
+        """Return the answer to a request that its quota has no room for; it never runs."""
+        return Answer(429, headers=[(b"Retry-After", b"%.2f" % retry_after_s)])
+
     def directory_answer(self, addresses: Sequence[str], ttl_s: float) -> Answer:
         """Return the answer to a client that asks which addresses to use."""
         # ``ttl`` is how long the client keeps the answer, with its unit.
@@ -158,5 +171,14 @@
         return zones[0]
 
 
+def _api_key(request: Request) -> bytes | None:
+    """Return the one API key of a request; two fields would leave it open whose request it is."""
+    stated = [value for name, value in request.headers if name.lower() == _API_KEY]
+    if len(stated) != 1:
+        return None
+    key = stated[0].strip(b" \t")
+    return key if 0 < len(key) <= _API_KEY_BYTES_MAX else None
+
+
 def _text(value: bytes | None) -> str:
     return "" if value is None else value.decode("latin-1").strip()
--- a/src/egretrail/platform/_fields.py
+++ b/src/egretrail/platform/_fields.py
@@ -80,6 +80,10 @@
             self._fault(name, str(error))
             return 0.0
 
+    def flag(self, name: str) -> bool:
+        """Return a boolean; a missing one is False."""
+        return bool(self._typed(name, bool, False, False))
+
     def rows(self, name: str) -> Sequence[Any]:
         """Return a list."""
         return list(self._typed(name, list, [], None))
@@ -102,8 +106,10 @@
         value = self._table.get(name)
         if value is None and default is not None:
             return default
-        if not isinstance(value, kind) or isinstance(value, bool):
-            self._fault(name, "missing" if value is None else f"wrong type: {value!r}")
+        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+            # The value itself may be a secret.
+            stated = type(value).__name__
+            self._fault(name, "missing" if value is None else f"wrong type: {stated}")
             return empty
         return value
 
--- a/src/egretrail/platform/_layout.py
+++ b/src/egretrail/platform/_layout.py
@@ -10,6 +10,7 @@
 from egretrail.platform._fields import Fields, decode_json
 from egretrail.store import Entry
 from egretrail.traffic import (
+    ClientAccount,
     ClientLimits,
     FleetConfig,
     Route,
@@ -18,9 +19,10 @@
     UpstreamRecord,
     UpstreamState,
     WeightedService,
+    key_digest,
 )
 
-#: Routes that are read between two turns of the event loop, some milliseconds of work.
+#: Routes or accounts that are read between two turns of the event loop, some milliseconds of work.
 _SLICE_ROUTES = 100
 #: Any other kind is handled as one that must not be repeated.
 _KINDS = {
@@ -127,7 +129,55 @@
     except ValueError:
         faults.append("config.version: not hexadecimal")
         version = 0
-    return FleetConfig(version, routes, services, _limits(fields.table("limits")))
+    accounts = None
+    if fields.has("tenants"):
+        accounts = yield from _accounts(fields, faults)
+    return FleetConfig(version, routes, services, _limits(fields.table("limits")), accounts)
+
+
+def _accounts(fields: Fields, faults: list[str]) -> Generator[None, None, list[ClientAccount]]:
+    accounts: list[ClientAccount] = []
+    holders: dict[bytes, str] = {}
+    for row in fields.rows("tenants"):
+        account = _account(Fields(row, "account", faults), faults)
+        # A key in two accounts would make the order of the list decide whose it is.
+        faults += [
+            f"account {account.name}: a key of {holders[digest]} too"
+            for digest in account.key_digests
+            if holders.setdefault(digest, account.name) != account.name
+        ]
+        accounts.append(account)
+        if len(accounts) % _SLICE_ROUTES == 0:
+            yield
+    if len({account.name for account in accounts}) < len(accounts):
+        faults.append("config.tenants: two accounts of one name")
+    return accounts
+
+
+def _account(fields: Fields, faults: list[str]) -> ClientAccount:
+    name = fields.text("name")
+    if not _is_field_value(name):
+        faults.append(f"account {name!r}: no name for a header field")
+    keys = fields.rows("apiKeys")
+    usable = [key for key in keys if isinstance(key, str) and _is_field_value(key)]
+    if len(usable) < len(keys):
+        # The key itself must not reach a log.
+        faults.append(f"account {name}: a key that no header field can hold")
+    rate_per_s = fields.number("ratePerS", 0.0)
+    burst = fields.number("burst", 0.0)
+    fields.check("ratePerS", rate_per_s >= 0, "below 0")
+    fields.check("burst", burst >= 0, "below 0")
+    return ClientAccount(
+        name=name,
+        key_digests=tuple(dict.fromkeys(key_digest(key.encode()) for key in usable)),
+        priority=fields.whole("priority", 0) if fields.has("priority") else None,
+        rate_per_s=rate_per_s,
+        burst=burst,
+    )
+
+
+def _is_field_value(text: str) -> bool:
+    return bool(text) and text.isascii() and text.isprintable() and text == text.strip()
 
 
 def _service(fields: Fields) -> Service:
@@ -156,6 +206,7 @@
         priority=fields.whole("priority", 0),
         max_attempts=max(fields.whole("maxAttempts", 1), 1),
         parts=_parts(fields, name, faults),
+        is_public=fields.flag("public"),
     )
 
 
--- a/src/egretrail/platform/tests/requests.py
+++ b/src/egretrail/platform/tests/requests.py
@@ -5,11 +5,15 @@
 from egretrail.http1 import Request
 
 
-def client_request(host: str, method: bytes, target: bytes, attempt: str = "a1") -> Request:
+def client_request(
+    host: str, method: bytes, target: bytes, attempt: str = "a1", *, api_key: bytes | None = None
+) -> Request:
     """Return a client attempt that waits two seconds."""
     headers = [
         (b"Host", host.encode()),
         (b"X-Egretrail-Attempt-Id", attempt.encode()),
         (b"X-Egretrail-Request-Deadline", b"2000"),
     ]
+    if api_key is not None:
+        headers.append((b"Api-Key", api_key))
     return Request(method, target, headers, b"", asyncio.get_running_loop().time())
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -16,7 +16,7 @@
 from egretrail.platform import NodeFile, PlatformContract, PlatformLayout, read_node_file
 from egretrail.store import Entry
 from egretrail.testing import EgretrailTestCase, cases
-from egretrail.traffic import RouteKind, UpstreamState
+from egretrail.traffic import AccountTable, RouteKind, UpstreamState
 
 _CONTRACT = PlatformContract()
 _SEAL = (b"X-Egretrail-Response-Seal", b"1a")
@@ -113,6 +113,36 @@
             _CONTRACT.upstream_headers(request, "i-1", 2.5),
         )
 
+    def test_upstreams_learn_the_account_from_the_gateway_and_never_the_key(self) -> None:
+        request = self._request(
+            (b"Host", b"shop"),
+            (b"Api-Key", b"secret"),
+            (b"API-KEY", b"secret"),
+            (b"X-Egretrail-Tenant", b"forged"),
+            (b"x-egretrail-TENANT", b"forged"),
+        )
+        own = [(b"x-egretrail-request-deadline", b"1000"), (b"x-egretrail-expected-instance", b"i")]
+        named = [(b"Host", b"shop"), *own, (b"x-egretrail-tenant", b"acme")]
+        self.assertEqual(named, _CONTRACT.upstream_headers(request, "i", 1.0, "acme"))
+        self.assertEqual(named[:-1], _CONTRACT.upstream_headers(request, "i", 1.0))
+
+    @cases(
+        {
+            "one": ([(b"Api-Key", b" k1 ")], b"k1"),
+            "none": ([], None),
+            "empty": ([(b"Api-Key", b"")], None),
+            "twice": ([(b"Api-Key", b"k1"), (b"api-key", b"k1")], None),
+            "overlong": ([(b"Api-Key", b"k" * 513)], None),
+        }
+    )
+    def test_the_key_of_a_request(
+        self, case: tuple[list[tuple[bytes, bytes]], bytes | None]
+    ) -> None:
+        headers, expected = case
+        terms = _CONTRACT.caller_terms(self._request(*headers))
+        self.assertEqual(expected, terms.api_key)
+        self.assertNotIn("k1", repr(terms))
+
     @cases({"stated": (b"1500", 1.5), "not a number": (b"soon", None), "none": (None, None)})
     def test_how_long_the_client_waits(self, case: tuple[bytes | None, float | None]) -> None:
         stated, expected = case
@@ -233,6 +263,41 @@
         assert isinstance(decoded, Err)
         self.assertGreaterEqual(len(decoded.err_value.faults), least)
 
+    def test_accounts(self) -> None:
+        rows = [
+            {"name": "a", "apiKeys": ["k1", "k2"], "priority": 0, "ratePerS": 89, "burst": 5},
+            {"name": "b", "apiKeys": []},
+        ]
+        document = json.dumps({**_document(public=True), "tenants": rows}).encode()
+        decoded = PlatformLayout().decode_config(document)
+        assert isinstance(decoded, Ok)
+        self.assertTrue(decoded.ok_value.routes[0].is_public)
+        first, second = decoded.ok_value.accounts or ()
+        self.assertEqual((0, 89.0, 5.0), (first.priority, first.rate_per_s, first.burst))
+        self.assertEqual((None, False), (second.priority, second.is_limited))
+        table = AccountTable([first, second])
+        found = [table.find(key) for key in (b"k1", b"k2", b"k3", b"")]
+        self.assertEqual([first, first, None, None], found)
+
+    @cases(
+        {
+            "a key that is no text": {"apiKeys": ["kept-secret", 7]},
+            "a key beyond header fields": {"apiKeys": ["kept-secret\n"]},
+            "keys that are no list": {"apiKeys": "kept-secret"},
+            "a name beyond header fields": {"name": "a\r\nb"},
+            "a rate below 0": {"ratePerS": -1},
+            "no account": None,
+            "a key of two accounts": {"name": "other", "apiKeys": ["k"]},
+        }
+    )
+    def test_faults_of_accounts_are_told_without_keys(self, row: dict[str, Any] | None) -> None:
+        broken = None if row is None else {"name": "a", "apiKeys": ["kept-secret"], **row}
+        rows = [{"name": "first", "apiKeys": ["k"]}, broken]
+        document = json.dumps({**_document(), "tenants": rows}).encode()
+        decoded = PlatformLayout().decode_config(document)
+        assert isinstance(decoded, Err)
+        self.assertNotIn("kept-secret", str(decoded.err_value))
+
     def test_an_upstream(self) -> None:
         decoded = _upstream(state="draining", warmupLeft="1500ms")
         assert isinstance(decoded, Ok)
--- a/src/egretrail/traffic/__init__.py
+++ b/src/egretrail/traffic/__init__.py
@@ -1,5 +1,6 @@
 """What a gateway instance serves: routes, services, limits for clients, and upstreams."""
 
+from egretrail.traffic._accounts import AccountTable, ClientAccount, key_digest
 from egretrail.traffic._config import (
     ClientLimits,
     FleetConfig,
@@ -17,6 +18,8 @@
 )
 
 __all__ = [
+    "AccountTable",
+    "ClientAccount",
     "ClientLimits",
     "FleetConfig",
     "Route",
@@ -28,5 +31,6 @@
     "UpstreamTable",
     "WeightedService",
     "choose_service",
+    "key_digest",
     "upstream_key",
 ]
--- a/src/egretrail/traffic/_config.py
+++ b/src/egretrail/traffic/_config.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from egretrail.traffic._accounts import ClientAccount
+
 
 class RouteKind(enum.Enum):
     """Whether the requests of a route may run more than once."""
@@ -45,6 +47,8 @@
     max_attempts: int
     #: The services that take its requests; never empty.
     parts: Sequence[WeightedService]
+    #: Whether its requests need no API key.
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,3 +89,5 @@
     services: Mapping[str, Service]
     #: The limits for clients.
     limits: ClientLimits
+    #: All client accounts; None where requests need no API key.
+    accounts: Sequence[ClientAccount] | None = None
