Refuse keys while an instance cannot know that they have not ended

Cause: an instance that hears of nothing serves by its last configuration for as long as it lives, and so serves keys long after their end. Where revocation is strict that may last five seconds, on any instance.

Change: each instance keeps the moment up to which its configuration was proved to be the newest one. A reader of the store proves it by a watch that ends at once, each second, in place of every other liveness read; hubs and instances hear of its age, and count from when they sent the message that the teller names as the last one it heard. Time on the way, in buffers and in a suspended machine makes a proof older, never newer. Keys are refused 0.25 s before the bound, at once, with Retry-After, by instances whose proof is too old, which leave their own directory answers too; public routes and fleets without accounts are served as before.

Readers make 1 call a second more.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -12,6 +12,7 @@
     at_once,
     part_config,
 )
+from egretrail.cluster._config_proof import ConfigProof, SectionEcho, SendTimes
 from egretrail.cluster._datagrams import (
     BeatsDatagram,
     Datagram,
@@ -44,7 +45,7 @@
 from egretrail.cluster._hub import URGENT_OUTCOMES, Hub, HubState
 from egretrail.cluster._instance import Instance, InstanceState, short_incarnation
 from egretrail.cluster._malformed import MalformedMessage
-from egretrail.cluster._membership import BEAT_INTERVAL_S, Membership
+from egretrail.cluster._membership import BEAT_INTERVAL_S, Membership, address_part
 from egretrail.cluster._news import OwnNews
 from egretrail.cluster._section import (
     ChangedRows,
@@ -64,6 +65,7 @@
     "BeatsDatagram",
     "ChangedRows",
     "ConfigOutline",
+    "ConfigProof",
     "Datagram",
     "DropReport",
     "Finding",
@@ -90,10 +92,13 @@
     "RosterSlice",
     "Scope",
     "Section",
+    "SectionEcho",
     "SectionsDatagram",
+    "SendTimes",
     "UpstreamsQuestion",
     "UpstreamsReply",
     "ZoneShare",
+    "address_part",
     "at_once",
     "decode_datagram",
     "decode_outline",
--- a/src/egretrail/cluster/_beat.py
+++ b/src/egretrail/cluster/_beat.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from egretrail.cluster._config_proof import SectionEcho
 from egretrail.cluster._instance import Instance, InstanceState, short_incarnation
 from egretrail.dispatch import Outcome, RepeatCounts, RequestDigest
 
@@ -101,6 +102,10 @@
     told_repeats: Mapping[str, RepeatCounts] = field(default_factory=dict)
     #: Limits that upstreams named or gave up in the last seconds.
     limits: Sequence[LimitReport] = ()
+    #: How old its proof is that its configuration is the newest one; None where it tells of none.
+    config_proof_age_s: float | None = None
+    #: The last section of its hub that it heard, where it tells of a proof.
+    heard: SectionEcho | None = None
 
     def instance(self) -> Instance:
         """Return what is listed of the beat's origin."""
--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -15,18 +15,22 @@
 from egretrail.cluster._section import Section
 from egretrail.cluster._section_codec import (
     address_number,
+    decode_echo,
     decode_instances,
     decode_key,
     decode_limits,
+    decode_proof_age,
     decode_section,
+    encode_echo,
     encode_instances,
     encode_limits,
+    encode_proof_age,
     encode_section,
 )
 from egretrail.dispatch import Outcome, RepeatCounts, RequestDigest
 
 #: Raised when the form changes; datagrams of another version are dropped.
-_VERSION = 5
+_VERSION = 6
 #: Datagrams stay below the usual packet size, so that the loss of one packet loses one datagram.
 DATAGRAM_BYTES_MAX = 1_300
 #: What a compressed datagram may hold at most; the rest of a longer one is not unpacked.
@@ -212,6 +216,8 @@
         [[drop.upstream_id, drop.revision] for drop in beat.dropped],
         _counts_row(beat.told_repeats),
         encode_limits(beat.limits),
+        encode_proof_age(beat.config_proof_age_s),
+        None if beat.heard is None else encode_echo(beat.heard),
     ]
 
 
@@ -269,5 +275,7 @@
         routine=[_finding(entry, origin) for entry in row[14]],
         dropped=[DropReport(str(name), int(revision)) for name, revision in row[15]],
         told_repeats=_counts(row[16]),
-        limits=decode_limits(row[17]) if len(row) > 17 else (),
+        limits=decode_limits(row[17]),
+        config_proof_age_s=decode_proof_age(row[18]),
+        heard=None if row[19] is None else decode_echo(row[19]),
     )
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -1,9 +1,10 @@
 """Sums up a zone: what its instances beat to the hub becomes the sections that all hear."""
 
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from egretrail.cluster._beat import Beat, Finding
+from egretrail.cluster._config_proof import SectionEcho
 from egretrail.cluster._finding_log import FindingLog
 from egretrail.cluster._hub_reports import HubReports
 from egretrail.cluster._instance import Instance
@@ -56,6 +57,10 @@
     config_version: int
     #: The store's revision up to which it knows the upstreams; 0 for none.
     upstreams_revision: int
+    #: How old its proof is that this configuration is the newest one; None to tell of none.
+    config_proof_age_s: float | None = field(default=None, compare=False)
+    #: The last sections that it heard of the other zones' hubs.
+    heard: Sequence[SectionEcho] = field(default=(), compare=False)
 
 
 @dataclass(slots=True)
@@ -191,10 +196,13 @@
         )
         yield from self._roster_sections(Scope.ZONE, state, now_s)
 
-    def urgent_sections(self, scope: Scope, state: HubState, now_s: float) -> Iterator[Section]:
-        """Yield what must not wait for the next sums."""
+    def urgent_sections(
+        self, scope: Scope, state: HubState, now_s: float, *, with_proof: bool = False
+    ) -> Iterator[Section]:
+        """Yield what must not wait for the next sums; ``with_proof`` tells of the proof anew."""
         news = self._news(scope, now_s)
-        if any(news.values()) or self._told(state) != self._told_states.get(scope):
+        is_changed = self._told(state) != self._told_states.get(scope)
+        if any(news.values()) or is_changed or with_proof:
             yield self._section(scope, state, **news)
         yield from self._roster_sections(scope, state, now_s)
 
@@ -362,6 +370,8 @@
             upstreams_revision=state.upstreams_revision,
             store_readers=self.store_readers(),
             instances=len(self._members),
+            config_proof_age_s=state.config_proof_age_s,
+            heard=state.heard if scope is Scope.ACROSS else (),
             **parts,  # type: ignore[arg-type]
         )
 
--- a/src/egretrail/cluster/_section.py
+++ b/src/egretrail/cluster/_section.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from egretrail.cluster._beat import DropReport, Finding, LimitReport, LossReport
+from egretrail.cluster._config_proof import SectionEcho
 from egretrail.cluster._instance import Instance
 from egretrail.dispatch import RepeatCounts
 
@@ -121,3 +122,7 @@
     limits: Sequence[LimitReport] = ()
     #: Who lives in the zone.
     roster: RosterSlice | None = None
+    #: How old the hub's proof is that its configuration is the newest one; None for no proof.
+    config_proof_age_s: float | None = None
+    #: The last sections that were heard of the other zones' hubs; only between zones.
+    heard: Sequence[SectionEcho] = ()
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from egretrail.cluster._beat import DropReport, Finding, LimitReport, LossReport
+from egretrail.cluster._config_proof import SectionEcho
 from egretrail.cluster._instance import Instance, InstanceState
 from egretrail.cluster._section import (
     ChangedRows,
@@ -101,6 +102,8 @@
             {name: [one.requests, one.repeats] for name, one in section.repeats.items()},
             _roster_fields(section.roster),
             encode_limits(section.limits),
+            encode_proof_age(section.config_proof_age_s),
+            [encode_echo(echo) for echo in section.heard],
         ]
     )
     return packed
@@ -130,10 +133,33 @@
         dropped=[DropReport(str(name), int(revision)) for name, revision in row[16]],
         repeats={str(name): RepeatCounts(int(a), int(b)) for name, (a, b) in row[17].items()},
         roster=_roster(row[18], zone),
-        limits=decode_limits(row[19]) if len(row) > 19 else (),
+        limits=decode_limits(row[19]),
+        config_proof_age_s=decode_proof_age(row[20]),
+        heard=[decode_echo(echo) for echo in row[21]],
     )
 
 
+def encode_proof_age(age_s: float | None) -> int | None:
+    """Return the age of a proof in milliseconds, rounded up: it may look older, never younger."""
+    return None if age_s is None or math.isinf(age_s) else math.ceil(age_s * 1000)
+
+
+def decode_proof_age(value: Any) -> float | None:
+    """Return the age of a proof; a number that is none raises one of ``MALFORMED``."""
+    return None if value is None else _age_s(value)
+
+
+def encode_echo(echo: SectionEcho) -> list[int]:
+    """Return the row of an echo."""
+    return [address_number(echo.hub), echo.incarnation, echo.sequence]
+
+
+def decode_echo(row: Sequence[Any]) -> SectionEcho:
+    """Return the echo of a row; other values raise one of ``MALFORMED``."""
+    hub, incarnation, sequence = row
+    return SectionEcho(_address(int(hub)), int(incarnation), int(sequence))
+
+
 def encode_limits(limits: Iterable[LimitReport]) -> list[list[Any]]:
     """Return the rows of limits: upstream, requests a second or None, age in milliseconds."""
     return [[one.upstream_key, one.limit_per_s, round(one.age_s * 1000)] for one in limits]
--- a/src/egretrail/cluster/_zone_share.py
+++ b/src/egretrail/cluster/_zone_share.py
@@ -80,6 +80,11 @@
         """When the newest beat was sent that is in the sums; None for none."""
         return None if self._acknowledged is None else self._acknowledged.sent_s
 
+    @property
+    def acknowledged_sequence(self) -> int | None:
+        """The number of the newest beat that is in the sums; None for none."""
+        return None if self._acknowledged is None else self._acknowledged.sequence
+
     def loads(self, section: Section) -> Mapping[int, int]:
         """Take the loads of a section; return what the others have under way where it changed."""
         touched: set[int] = set()
--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -51,6 +51,10 @@
         "no route of the configuration in force takes it, or no account holds its key, and the"
         " instance cannot know whether a newer one does"
     ),
+    "key_unproved": (
+        "the instance had not heard for {proof_age_s} s that its keys are still in force, longer than"
+        " an ended key may be taken"
+    ),
     "starting": "the instance did not know the configuration yet",
     "stopping": "the instance was about to stop",
 }
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -28,6 +28,11 @@
 _START_WAIT_S = 0.6
 #: When an instance that knows no configuration expects to know it.
 _STARTING_RETRY_S = 0.3
+#: An instance that has just started waits so long for the proof that its keys are in force.
+_PROOF_PATIENCE_S = 2.0
+#: When an instance that has lost the proof expects to have it again, or callers to have gone to
+#: another one.
+_UNPROVED_RETRY_S = 0.5
 #: When an instance that has heard of a newer configuration expects to have it.
 _CONFIG_RETRY_S = 0.25
 #: A request that crashes upstreams is refused for good; it is told to stay away for long.
@@ -54,6 +59,7 @@
         self._metrics = metrics
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self._started_s = self._loop.time()
 
     async def serve(self, request: Request) -> Answer:
         """Return the final answer to a request; cancelled when the client leaves."""
@@ -77,11 +83,19 @@
         Load: callers keep the address of an instance that was killed and come back at once. After
         many restarts at the same time each of their requests would be refused.
         """
-        if self._view.serving.is_set():
+        view = self._view
+        if view.serving.is_set() and not self._awaits_proof():
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_START_WAIT_S):
-                await self._view.serving.wait()
+                await view.serving.wait()
+                if self._awaits_proof():
+                    await view.proved.wait()
+
+    def _awaits_proof(self) -> bool:
+        view = self._view
+        is_new = self._loop.time() - self._started_s < _PROOF_PATIENCE_S
+        return view.needs_proof and is_new and not view.proved.is_set()
 
     def _admit(self, request: Request, terms: CallerTerms) -> Work | Answer:
         view = self._view
@@ -105,6 +119,16 @@
             account = view.configs.accounts.find(terms.api_key) if terms.api_key else None
             if account is None:
                 return self._without_account(terms, route)
+            if not view.takes_keys:
+                self._refused(
+                    terms,
+                    route.name,
+                    "key_unproved",
+                    _UNPROVED_RETRY_S,
+                    account=account.name,
+                    proof_age_s=view.proof.age_s,
+                )
+                return self._contract.not_run(_UNPROVED_RETRY_S)
         service = choose_service(route, self._rng)
         now_s = self._loop.time()
         view.repeats.routed(service, now_s)
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -4,7 +4,16 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
-from egretrail.cluster import Beat, Hub, HubState, Scope, Section, encode_sections
+from egretrail.cluster import (
+    Beat,
+    Hub,
+    HubState,
+    Scope,
+    Section,
+    SectionEcho,
+    SendTimes,
+    encode_sections,
+)
 from egretrail.gateway._interfaces import StartSettings
 from egretrail.gateway._timer import Timer
 from egretrail.gateway._view import FleetView
@@ -29,6 +38,8 @@
 _ACROSS_INTERVAL_MIN_S, _ACROSS_INTERVAL_MAX_S = 0.2, 1.5
 #: What was told once is told again after this time, in case that the datagram was lost.
 _ACROSS_AGAIN_S = 0.1
+#: Hubs tell each other how old the proof of their configuration is at least this often.
+_PROOF_INTERVAL_S = 0.4
 #: Timers come a little early.
 _CLOCK_STEP_S = 0.005
 #: A hub that was not heard for this long is looked for among its zone's instances.
@@ -53,6 +64,10 @@
         self._settings = settings
         self._view = view
         self._clock = loop.time
+        self._incarnation = incarnation
+        #: When sections were sent, by the clock of the configuration's proof.
+        self._sent = {scope: SendTimes() for scope in Scope}
+        self._proof_told_s = float("-inf")
         self._send = send
         self._take = take
         self._bytes_across = bytes_across
@@ -76,6 +91,23 @@
         """Take a beat of the own zone."""
         if self._hub.hear(beat, self._clock(), direct=direct):
             self._hurry()
+        if beat.heard is not None:
+            asked_s = self._asked_s(Scope.ZONE, [beat.heard])
+            self._view.take_proof(beat.config_version, beat.config_proof_age_s, asked_s)
+
+    def hear_proof(self, section: Section) -> None:
+        """Take the proof of another zone's hub, which names the last section it heard from here."""
+        asked_s = self._asked_s(Scope.ACROSS, section.heard)
+        self._view.take_proof(section.config_version, section.config_proof_age_s, asked_s)
+
+    def _asked_s(self, scope: Scope, heard: Sequence[SectionEcho]) -> float | None:
+        """Return when the section was sent that others say they heard of this hub last."""
+        own = [
+            echo.sequence
+            for echo in heard
+            if echo.hub == self._settings.ip and echo.incarnation == self._incarnation
+        ]
+        return self._sent[scope].time_of(own[0]) if own else None
 
     def has_news(self) -> None:
         """Tell soon what this instance itself found."""
@@ -122,7 +154,18 @@
         return min(max(in_proportion_s, _URGENT_INTERVAL_MIN_S), interval_s)
 
     def _state(self) -> HubState:
-        return HubState(self._view.config_version, self._view.upstreams.revision)
+        view = self._view
+        return HubState(
+            view.config_version,
+            view.upstreams.revision,
+            config_proof_age_s=view.told_proof_age_s(),
+            heard=view.zones.echoes() if view.needs_proof else (),
+        )
+
+    def _note_sent(self, scope: Scope, sections: Sequence[Section]) -> None:
+        now_s = self._view.proof.clock()
+        for section in sections:
+            self._sent[scope].sent(section.sequence, now_s)
 
     def _tell_zone(self) -> None:
         now_s = self._zone_told_s = self._clock()
@@ -135,6 +178,7 @@
             sections = list(self._hub.zone_sections(self._state(), now_s))
         else:
             sections = list(self._hub.urgent_sections(Scope.ZONE, self._state(), now_s))
+        self._note_sent(Scope.ZONE, sections)
         passed_on, self._passed_on = self._passed_on, []
         receivers = self._hub.receivers()
         for data in encode_sections(sections, passed_on, across=False):
@@ -151,13 +195,26 @@
             self._across_sums_due_s = now_s + self._across_interval_s()
             sections = list(self._hub.across_sections(self._state(), now_s))
         else:
-            sections = list(self._hub.urgent_sections(Scope.ACROSS, self._state(), now_s))
+            is_due = now_s - self._proof_told_s >= _PROOF_INTERVAL_S - _CLOCK_STEP_S
+            sections = list(
+                self._hub.urgent_sections(
+                    Scope.ACROSS,
+                    self._state(),
+                    now_s,
+                    with_proof=self._view.needs_proof and is_due,
+                )
+            )
+        if sections:
+            self._proof_told_s = now_s
+        self._note_sent(Scope.ACROSS, sections)
         targets = [target for zone in self._other_zones() for target in self._hubs(zone, now_s)]
         for data in encode_sections(sections, across=True):
             for target in targets:
                 self._bytes_across["sections"] += len(data)
                 self._send(data, target)
         self._across_timer.at(self._across_sums_due_s)
+        if self._view.needs_proof:
+            self._across_timer.at(now_s + _PROOF_INTERVAL_S)
         if self._hub.repeats_findings():
             self._across_timer.at(now_s + _ACROSS_AGAIN_S)
 
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -60,6 +60,9 @@
     repeat_window_s: float
     #: Repeats that a service may have in a window beyond the ratio.
     repeat_slack: float
+    #: Requests with an API key that has ended are refused after this time at the latest, also by an
+    #: instance that hears of nothing; None where such an instance serves on.
+    revocation_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -322,7 +322,9 @@
             return
         for section, encoded in zip(datagram.sections, datagram.encoded, strict=True):
             hub_before = self._view.zones.hub(section.availability_zone)
-            if self._take(section):
+            news = self._take(section)
+            self._hub.hear_proof(section)
+            if news:
                 self._hub.pass_on([encoded], urgent=is_urgent(section))
             if hub_before != section.hub:
                 self._hub.tell_roster()
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -82,7 +82,7 @@
         self._settings_watch = SettingsWatch(platform.settings_file, settings, loop.time())
         self.log = EventLog(settings.name)
         self._metrics = GatewayMetrics()
-        self._view = FleetView(settings, incarnation, loop.time, self.log, rng)
+        self._view = FleetView(settings, incarnation, loop.time, self.log, rng, _elapsed_s)
         self._pool = UpstreamPool()
         self._view.on_upstreams = self._pool.keep_only
         self._store = platform.open_store(settings)
@@ -196,6 +196,7 @@
             "state_fetched_bytes_total": float(self._peers.state.streams.fetched_bytes),
             "state_fetches_failed_total": float(self._peers.state.streams.fetches_failed),
             "store_contact": float(self._view.store_contact),
+            "config_proof_age_seconds": self._view.proof.age_s,
             "upstream_connections_opened_total": float(self._pool.opened),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
         }
@@ -213,7 +214,8 @@
             Candidate(f"{one.address}:{port}", one.availability_zone, one.state)
             for one in self._view.membership.instances()
         ]
-        own_state = InstanceState.READY if self._view.ready else InstanceState.STARTING
+        serves = self._view.ready and self._view.takes_keys
+        own_state = InstanceState.READY if serves else InstanceState.STARTING
         own_zone = self._settings.availability_zone
         return [*candidates, Candidate(self._settings.traffic_address, own_zone, own_state)]
 
@@ -282,6 +284,11 @@
         self._pool.close()
 
 
+def _elapsed_s() -> float:
+    """Return the time since the machine's start, with the time in which it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _bodies_bytes(settings: GatewaySettings) -> int:
     return int(settings.memory_mb * _BODIES_SHARE * 1024 * 1024)
 
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -7,6 +7,7 @@
 from egretrail.cluster import (
     URGENT_OUTCOMES,
     Beat,
+    ConfigProof,
     DropReport,
     Finding,
     Instance,
@@ -15,7 +16,9 @@
     Membership,
     OwnNews,
     PartedConfig,
+    Scope,
     Section,
+    SendTimes,
     short_incarnation,
 )
 from egretrail.dispatch import (
@@ -51,6 +54,8 @@
 
 #: Whoever hears this part of the largest fleet that it has known is not cut off with its zone.
 _FLEET_SHARE = 0.5
+#: Keys are refused this long before the proof of the configuration is as old as it may be.
+_REVOCATION_MARGIN_S = 0.25
 
 
 class FleetView:
@@ -63,7 +68,9 @@
         clock: Callable[[], float],
         log: EventLog,
         rng: random.Random,
+        elapsed_clock: Callable[[], float] | None = None,
     ) -> None:
+        """``elapsed_clock`` counts the time in which the machine is suspended too."""
         self._settings = settings
         #: Rises with each start of the process.
         self.incarnation = incarnation
@@ -74,6 +81,9 @@
         self._most_alive = 1
         #: The configuration in force.
         self.configs = ConfigState(clock)
+        #: Up to when this configuration is known to be the newest one.
+        self.proof = ConfigProof(elapsed_clock or clock)
+        self._beat_times = SendTimes()
         #: The listed upstreams.
         self.upstreams = UpstreamTable()
         self._awaited = AwaitedUpstreams()
@@ -121,6 +131,8 @@
         self.leaving = False
         #: Set once callers can be served.
         self.serving = asyncio.Event()
+        #: Set once keys can be taken.
+        self.proved = asyncio.Event()
         #: Called when other instances should hear of something; True where it is urgent.
         self.on_news: Callable[[bool], None] = lambda urgent: None
         #: Called with the upstreams that are listed after each change.
@@ -161,6 +173,37 @@
         hears_fleet = self.others_reach_store() or self.known_share() > _FLEET_SHARE
         return self.configs.is_current(hears_fleet=hears_fleet)
 
+    @property
+    def needs_proof(self) -> bool:
+        """Whether keys are taken only while the configuration is proved to be the newest one."""
+        return self._settings.revocation_s is not None and self.configs.accounts is not None
+
+    @property
+    def takes_keys(self) -> bool:
+        """Whether a key of the configuration in force cannot have ended long ago."""
+        limit_s = self._settings.revocation_s
+        if limit_s is None or self.configs.accounts is None:
+            return True
+        return self.proof.age_s < limit_s - _REVOCATION_MARGIN_S
+
+    def told_proof_age_s(self) -> float | None:
+        """Return the age of the proof for others; None where none is needed."""
+        return self.proof.age_s if self.needs_proof else None
+
+    def take_proof(self, config_version: int, age_s: float | None, asked_s: float | None) -> None:
+        """Take the proof that another instance had of a version, in reply to what was sent to it.
+
+        ``asked_s`` is when that was sent, by the proof's clock; None where it is not known.
+        """
+        if age_s is not None and asked_s is not None and config_version <= self.config_version:
+            self.prove_config(asked_s - age_s)
+
+    def prove_config(self, at_s: float) -> None:
+        """Take that no configuration newer than the one in force existed at a moment."""
+        self.proof.proved(at_s)
+        if not self.proved.is_set() and self.takes_keys:
+            self.proved.set()
+
     def set_store_contact(self, contact: bool) -> None:
         """Take whether the store answers this instance; others read it where it answers nobody."""
         if contact != self.store_contact:
@@ -240,6 +283,10 @@
             self.zones.take(section, self._evidence.ids, now_s)
             self._most_alive = max(self._most_alive, self.zones.instances(now_s))
             self._take_roster(section, now_s)
+            if section.scope is Scope.ZONE:
+                beat = self.zones.acknowledged_sequence()
+                asked_s = None if beat is None else self._beat_times.time_of(beat)
+                self.take_proof(section.config_version, section.config_proof_age_s, asked_s)
         elif section.roster is not None:
             # One of them may be before the hub that is followed.
             for instance in section.roster.instances:
@@ -272,6 +319,8 @@
         now_s = self._clock()
         self._news.forget_old(now_s)
         self._sequence += 1
+        self._beat_times.sent(self._sequence, self.proof.clock())
+        tells_proof = self.needs_proof and self.store_contact
         beat = Beat(
             origin=self._settings.ip,
             availability_zone=self._settings.availability_zone,
@@ -291,6 +340,8 @@
             routine=self._news.take_successes(),
             repeats=dict(self.repeats.own_counts()),
             told_repeats=self.zones.told_repeats(now_s),
+            config_proof_age_s=self.proof.age_s if tells_proof else None,
+            heard=self.zones.own_echo() if tells_proof else None,
         )
         self.zones.sent(beat, now_s)
         return beat
--- a/src/egretrail/gateway/_zones.py
+++ b/src/egretrail/gateway/_zones.py
@@ -3,7 +3,16 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from egretrail.cluster import Beat, RosterSlice, Scope, Section, ZoneShare, replace_part
+from egretrail.cluster import (
+    Beat,
+    RosterSlice,
+    Scope,
+    Section,
+    SectionEcho,
+    ZoneShare,
+    address_part,
+    replace_part,
+)
 from egretrail.dispatch import FleetLoad, RepeatBudget, RepeatCounts
 
 #: A zone whose hub told nothing for this long has no loads that are worth anything: most of that
@@ -128,6 +137,10 @@
 
     def find_place(self, roster: RosterSlice, own_address: str) -> None:
         """Look up this instance's place in the acknowledgements of its hub."""
+        if address_part(own_address, roster.of) != roster.number:
+            return
+        # The place of an instance that is not listed any more will be another one's.
+        self._place = None
         for instance, place in zip(roster.instances, roster.places, strict=True):
             if instance.address == own_address:
                 self._place = place
@@ -136,6 +149,23 @@
         """Return when the newest beat was sent that the followed hub has; None for none."""
         return self._share.acknowledged_s
 
+    def acknowledged_sequence(self) -> int | None:
+        """Return the number of the newest beat that the followed hub has; None for none."""
+        return self._share.acknowledged_sequence
+
+    def echoes(self) -> Sequence[SectionEcho]:
+        """Return the last sections that were heard of the other zones' hubs."""
+        return [
+            echo
+            for name, zone in self._zones.items()
+            if name != self._own_zone and (echo := self._echo(zone.hub, Scope.ACROSS)) is not None
+        ]
+
+    def own_echo(self) -> SectionEcho | None:
+        """Return the last section that was heard of the own zone's hub."""
+        zone = self._zones.get(self._own_zone)
+        return None if zone is None else self._echo(zone.hub, Scope.ZONE)
+
     def hub(self, availability_zone: str) -> str | None:
         """Return the hub of a zone that was heard last; None for a silent zone."""
         zone = self._zones.get(availability_zone)
@@ -182,6 +212,10 @@
             if self._fresh(name, zone, now_s)
         )
 
+    def _echo(self, hub: str, scope: Scope) -> SectionEcho | None:
+        heard = self._heard.get((hub, scope))
+        return None if heard is None else SectionEcho(hub, heard.incarnation, heard.sequence)
+
     def _fresh(self, name: str, zone: _Zone, now_s: float) -> bool:
         limit_s = _OWN_ZONE_SILENCE_S if name == self._own_zone else _ZONE_SILENCE_S
         return now_s - zone.heard_s <= limit_s
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -141,6 +141,22 @@
 
         self._play(act, [account("acme", "k1", "k2")])
 
+    def test_keys_are_refused_while_they_may_have_ended_unheard(self) -> None:
+        async def act(executor: Executor, view: FleetView, backend: StandInBackend) -> None:
+            view.take_settings(replace(gateway_settings(), revocation_s=5.0))
+            keyed = client_request(HOST, b"GET", b"/read/1", api_key=b"k1")
+            now_s = asyncio.get_running_loop().time()
+            view.prove_config(now_s - 4.9)
+            answer = await executor.serve(keyed)
+            self.assertEqual(503, answer.status)
+            self.assertLess(float(dict(answer.headers)[b"Retry-After"]), 1.0)
+            public = client_request(HOST, b"GET", b"/open/1", api_key=b"k1")
+            self.assertEqual(200, (await executor.serve(public)).status)
+            view.prove_config(asyncio.get_running_loop().time() - 4.0)
+            self.assertEqual(200, (await executor.serve(keyed)).status)
+
+        self._play(act, [account("acme", "k1")])
+
     def test_a_request_is_not_sent_to_an_upstream_that_began_to_leave_while_it_connected(
         self,
     ) -> None:
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, replace
+from typing import cast
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -23,7 +24,7 @@
 from egretrail.testing import EgretrailTestCase, FakeStore, cases
 from egretrail.traffic import ClientLimits, FleetConfig
 from scaffolding.platform import StandInBackend
-from scaffolding.platform.fleet import config, route
+from scaffolding.platform.fleet import account, config, route
 
 _ROUTES = [route("read", "/read/", "s")]
 _ENTRY = {**StandInBackend("s", "zone-a").record(), "address": "10.0.0.1:1"}
@@ -391,6 +392,61 @@
         self._play(act)
 
 
+class ProofTest(EgretrailTestCase):
+    """Up to when a reader knows that its configuration is the newest one."""
+
+    def _play(self, act: Act) -> None:
+        async def keyed(stage: _Stage) -> None:
+            stage.view.take_settings(replace(gateway_settings(), revocation_s=5.0))
+            stage.configure(config(2, _ROUTES, [account("acme", "k1")]))
+            await asyncio.sleep(3.0)
+            await act(stage)
+
+        StoreSyncTest._play(cast("StoreSyncTest", self), keyed)
+
+    def test_it_is_never_much_older_than_a_second_and_costs_a_call_each(self) -> None:
+        async def act(stage: _Stage) -> None:
+            before = stage.store.calls.copy()
+            for _ in range(100):
+                await asyncio.sleep(0.1)
+                self.assertLess(stage.view.proof.age_s, 1.2)
+            made = stage.store.calls - before
+            del made["stale snapshot"]
+            self.assertLess(sum(made.values()), 10 + 2 * 2 + 2)
+
+        self._play(act)
+
+    def test_a_silent_store_proves_nothing(self) -> None:
+        async def act(stage: _Stage) -> None:
+            stage.store.out = True
+            await asyncio.sleep(5.0)
+            self.assertFalse(stage.view.takes_keys)
+            stage.store.out = False
+            await asyncio.sleep(2.0)
+            self.assertTrue(stage.view.takes_keys)
+
+        self._play(act)
+
+    @cases(
+        {
+            "older than the one in force": config(1, _ROUTES, [account("acme", "k1")]),
+            "one that cannot be read": {"version": "00000009"},
+        }
+    )
+    def test_a_stored_configuration_that_is_not_the_one_in_force_proves_nothing(
+        self, document: Mapping[str, object]
+    ) -> None:
+        async def act(stage: _Stage) -> None:
+            stage.configure(document)
+            await asyncio.sleep(6.0)
+            self.assertFalse(stage.view.takes_keys)
+            stage.configure(config(10, _ROUTES, [account("acme", "k1")]))
+            await asyncio.sleep(1.5)
+            self.assertTrue(stage.view.takes_keys)
+
+        self._play(act)
+
+
 class VersionsTest(EgretrailTestCase):
     @given(st.lists(st.tuples(st.integers(0, 40), st.booleans()), max_size=30))
     @settings(max_examples=60, deadline=None, database=None)
--- a/src/egretrail/platform/_node_file.py
+++ b/src/egretrail/platform/_node_file.py
@@ -75,6 +75,7 @@
         repeat_ratio=bounds.number("retryBudgetRatio", 0.1),
         repeat_window_s=bounds.time_s("budgetWindow", "10s"),
         repeat_slack=bounds.number("budgetSlack", 0.0),
+        revocation_s=bounds.time_s("revoke") if bounds.flag("strictRevoke") else None,
     )
     network.check("seeds", all(_is_ip(seed) for seed in settings.seeds), "not all are IP:PORT")
     store = file.table("platform").table("platform")
@@ -84,6 +85,8 @@
     limits.check("cpuShare", is_capacity, "times cores is not above 0 and finite")
     bounds.check("budgetWindow", settings.repeat_window_s > 0, "not above 0")
     bounds.check("retryBudgetRatio", settings.repeat_ratio >= 0, "below 0")
+    is_revocable = settings.revocation_s is None or settings.revocation_s > 0
+    bounds.check("revoke", is_revocable, "not above 0")
     bounds.check("budgetSlack", settings.repeat_slack >= 0, "below 0")
     return settings
 
