Keep the quotas of client accounts over the whole fleet

Cause: nothing limited an account; a hot one sent 776 requests in five seconds where 706 are allowed.

Change: every instance keeps the common token bucket of each account with a quota, from its own counts at once and from the sums of the zones, which hubs tell within and between zones while accounts ask. With tokens for half a second of demand everything is taken. Below that an instance takes the share rate / demand of its own requests, corrected by the bucket, so that instances that hear of the same tokens do not all take them, and the spread over instances does not matter. Who hears a part of the fleet has that part of the quota, and goes on with the demand it heard of last until the silence tells how large its part is. 429 with a spread Retry-After.

--- a/src/egretrail/cluster/_beat.py
+++ b/src/egretrail/cluster/_beat.py
@@ -6,7 +6,7 @@
 
 from egretrail.cluster._config_proof import SectionEcho
 from egretrail.cluster._instance import Instance, InstanceState, short_incarnation
-from egretrail.dispatch import Outcome, RepeatCounts, RequestDigest
+from egretrail.dispatch import AccountReport, Outcome, RepeatCounts, RequestDigest
 
 
 class Finding(NamedTuple):
@@ -106,6 +106,8 @@
     config_proof_age_s: float | None = None
     #: The last section of its hub that it heard, where it tells of a proof.
     heard: SectionEcho | None = None
+    #: What it counted of accounts with a quota that asked lately, by key.
+    accounts: Mapping[int, AccountReport] = field(default_factory=dict)
 
     def instance(self) -> Instance:
         """Return what is listed of the beat's origin."""
--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -15,12 +15,14 @@
 from egretrail.cluster._section import Section
 from egretrail.cluster._section_codec import (
     address_number,
+    decode_accounts,
     decode_echo,
     decode_instances,
     decode_key,
     decode_limits,
     decode_proof_age,
     decode_section,
+    encode_accounts,
     encode_echo,
     encode_instances,
     encode_limits,
@@ -218,6 +220,7 @@
         encode_limits(beat.limits),
         encode_proof_age(beat.config_proof_age_s),
         None if beat.heard is None else encode_echo(beat.heard),
+        encode_accounts(beat.accounts),
     ]
 
 
@@ -278,4 +281,5 @@
         limits=decode_limits(row[17]),
         config_proof_age_s=decode_proof_age(row[18]),
         heard=None if row[19] is None else decode_echo(row[19]),
+        accounts=decode_accounts(row[20]),
     )
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -17,7 +17,14 @@
     Scope,
     Section,
 )
-from egretrail.dispatch import Outcome, RepeatCounts
+from egretrail.dispatch import (
+    AccountCounts,
+    AccountReport,
+    CountedAccount,
+    Outcome,
+    RepeatCounts,
+    news_of,
+)
 
 #: Outcomes that other instances act upon at once.
 URGENT_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.OVERDUE})
@@ -35,6 +42,10 @@
 #: refusals of an overload come by the thousand and say the same.
 _REFUSAL_INTERVAL_S = 0.25
 _REFUSALS_MAX = 64
+#: Accounts are told of at most this often, and so many in a section, 12 bytes each; the next ones
+#: tell others.
+_ACCOUNTS_INTERVAL_S = 0.14
+_ACCOUNTS_MAX = 80
 #: The list of the zone is told at once when it changes, and again after so long for each row, so
 #: that the bytes stay the same; bounded so that a small list heals fast and a large one at all.
 _ROSTER_ROW_S = {Scope.ZONE: 0.04, Scope.ACROSS: 0.07}
@@ -77,6 +88,8 @@
     direct: bool
     #: The number of the next finding that is news.
     next_finding: int
+    #: What it counted of accounts, by key.
+    accounts: dict[int, AccountCounts] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -119,6 +132,9 @@
         self._findings = {scope: FindingLog() for scope in Scope}
         self._reports = HubReports()
         self._repeats: dict[str, RepeatCounts] = {}
+        self._accounts: dict[int, CountedAccount] = {}
+        self._accounts_told_s = {scope: float("-inf") for scope in Scope}
+        self._accounts_turn = 0
         self._roster_tellings = dict.fromkeys(Scope, _ROSTER_TELLINGS)
         self._roster_told_s = {scope: float("-inf") for scope in Scope}
         self._free_places: list[tuple[int, float]] = []
@@ -140,6 +156,7 @@
         member.beat = beat
         member.heard_s = now_s
         member.direct = direct
+        self._count_accounts(member, beat, now_s)
         return self._take_news(member, beat, now_s) or urgent
 
     def expire(self, now_s: float) -> Sequence[Instance]:
@@ -192,18 +209,23 @@
             loads=self._loads_part(self._part, _LOAD_PARTS),
             refusals=self._take_refusals(Scope.ZONE),
             repeats=dict(self._repeats),
+            accounts=self._accounts_told(Scope.ZONE, now_s),
             **self._news(Scope.ZONE, now_s),
         )
         yield from self._roster_sections(Scope.ZONE, state, now_s)
 
     def urgent_sections(
-        self, scope: Scope, state: HubState, now_s: float, *, with_proof: bool = False
+        self, scope: Scope, state: HubState, now_s: float, *, with_accounts: bool = False
     ) -> Iterator[Section]:
-        """Yield what must not wait for the next sums; ``with_proof`` tells of the proof anew."""
+        """Yield what must not wait for the next sums.
+
+        ``with_accounts`` tells what was counted of accounts too, and the age of the proof anew.
+        """
         news = self._news(scope, now_s)
         is_changed = self._told(state) != self._told_states.get(scope)
-        if any(news.values()) or is_changed or with_proof:
-            yield self._section(scope, state, **news)
+        if any(news.values()) or is_changed or with_accounts:
+            accounts = self._accounts_told(scope, now_s) if with_accounts else {}
+            yield self._section(scope, state, accounts=accounts, **news)
         yield from self._roster_sections(scope, state, now_s)
 
     def across_sections(self, state: HubState, now_s: float) -> Iterator[Section]:
@@ -215,6 +237,7 @@
             loads=self._loads_part(0, parts),
             refusals=self._take_refusals(Scope.ACROSS),
             repeats=dict(self._repeats),
+            accounts=self._accounts_told(Scope.ACROSS, now_s),
             **self._news(Scope.ACROSS, now_s),
         )
         for part in range(1, parts):
@@ -236,6 +259,7 @@
         """Take a member's next beat; return whether the zone should hear of it at once."""
         if beat.incarnation != member.beat.incarnation:
             member.next_finding = beat.first_finding
+            member.accounts.clear()
         else:
             self._count_repeats(member.beat.repeats, beat.repeats)
         self._replace_loads(member.beat.loads, beat.loads)
@@ -280,6 +304,26 @@
                 total.repeats + max(counts.repeats - known.repeats, 0),
             )
 
+    def _count_accounts(self, member: _Member, beat: Beat, now_s: float) -> None:
+        """Add what a member counted of accounts since its last beat."""
+        for key, report in beat.accounts.items():
+            before = member.accounts.get(key)
+            new = news_of(report, before)
+            member.accounts[key] = report.total if before is None else before.plus(new)
+            if new != AccountCounts():
+                self._accounts.setdefault(key, CountedAccount()).add(new, now_s)
+
+    def _accounts_told(self, scope: Scope, now_s: float) -> Mapping[int, AccountReport]:
+        if now_s - self._accounts_told_s[scope] < _ACCOUNTS_INTERVAL_S:
+            return {}
+        self._accounts_told_s[scope] = now_s
+        told = [key for key, counted in self._accounts.items() if counted.is_told(now_s)]
+        if len(told) > _ACCOUNTS_MAX:
+            first = self._accounts_turn % len(told)
+            self._accounts_turn += _ACCOUNTS_MAX
+            told = [*told[first:], *told[:first]][:_ACCOUNTS_MAX]
+        return {key: self._accounts[key].report(now_s) for key in told}
+
     def _replace_loads(self, old: Mapping[int, int], new: Mapping[int, int]) -> None:
         for key in old.keys() | new.keys():
             change = new.get(key, 0) - old.get(key, 0)
--- a/src/egretrail/cluster/_section.py
+++ b/src/egretrail/cluster/_section.py
@@ -12,7 +12,7 @@
 from egretrail.cluster._beat import DropReport, Finding, LimitReport, LossReport
 from egretrail.cluster._config_proof import SectionEcho
 from egretrail.cluster._instance import Instance
-from egretrail.dispatch import RepeatCounts
+from egretrail.dispatch import AccountReport, RepeatCounts
 
 
 class Scope(enum.IntEnum):
@@ -126,3 +126,5 @@
     config_proof_age_s: float | None = None
     #: The last sections that were heard of the other zones' hubs; only between zones.
     heard: Sequence[SectionEcho] = ()
+    #: What the zone counted of accounts with a quota that asked lately, by key.
+    accounts: Mapping[int, AccountReport] = field(default_factory=dict)
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -2,7 +2,7 @@
 
 import math
 import struct
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from functools import lru_cache
 from ipaddress import IPv4Address
 from typing import Any
@@ -20,12 +20,20 @@
     Scope,
     Section,
 )
-from egretrail.dispatch import Outcome, RepeatCounts, RequestDigest
+from egretrail.dispatch import (
+    AccountCounts,
+    AccountReport,
+    Outcome,
+    RepeatCounts,
+    RequestDigest,
+)
 
 #: An instance: place, address, incarnation, state, capacity.
 _INSTANCE = struct.Struct("<HIIBB")
 #: A finding: upstream, outcome, duration in milliseconds, observer.
 _FINDING = struct.Struct("<IBHI")
+#: An account: key, all requests that came and were sent, those of the last moments.
+_ACCOUNT = struct.Struct("<IHHHH")
 #: Capacities are told in steps of this part of a core; the largest that can be told has 12.7.
 _CAPACITY_STEP = 0.05
 _BYTE_MAX, _SHORT_MAX, _WORD_MAX = 0xFF, 0xFFFF, 0xFFFF_FFFF
@@ -104,6 +112,7 @@
             encode_limits(section.limits),
             encode_proof_age(section.config_proof_age_s),
             [encode_echo(echo) for echo in section.heard],
+            encode_accounts(section.accounts),
         ]
     )
     return packed
@@ -136,9 +145,32 @@
         limits=decode_limits(row[19]),
         config_proof_age_s=decode_proof_age(row[20]),
         heard=[decode_echo(echo) for echo in row[21]],
+        accounts=decode_accounts(row[22]),
+    )
+
+
+def encode_accounts(reports: Mapping[int, AccountReport]) -> bytes:
+    """Return the rows of what was counted of accounts."""
+    return b"".join(
+        _ACCOUNT.pack(
+            key,
+            one.total.asked,
+            one.total.sent,
+            min(one.recent.asked, _SHORT_MAX),
+            min(one.recent.sent, _SHORT_MAX),
+        )
+        for key, one in reports.items()
     )
 
 
+def decode_accounts(data: bytes) -> Mapping[int, AccountReport]:
+    """Return what was counted of accounts; bytes that are no rows raise one of ``MALFORMED``."""
+    return {
+        key: AccountReport(AccountCounts(asked, sent), AccountCounts(recent_asked, recent_sent))
+        for key, asked, sent, recent_asked, recent_sent in _ACCOUNT.iter_unpack(data)
+    }
+
+
 def encode_proof_age(age_s: float | None) -> int | None:
     """Return the age of a proof in milliseconds, rounded up: it may look older, never younger."""
     return None if age_s is None or math.isinf(age_s) else math.ceil(age_s * 1000)
--- a/src/egretrail/cluster/_zone_share.py
+++ b/src/egretrail/cluster/_zone_share.py
@@ -6,7 +6,7 @@
 
 from egretrail.cluster._beat import Beat
 from egretrail.cluster._section import LoadSlice, Section
-from egretrail.dispatch import RepeatCounts
+from egretrail.dispatch import AccountReport, RepeatCounts
 
 #: Beats that are remembered until they are acknowledged; at most 50 are sent a second.
 _BEATS_MAX = 100
@@ -27,6 +27,8 @@
     loads: Mapping[int, int]
     #: The counts that it told.
     repeats: Mapping[str, RepeatCounts]
+    #: What it told of accounts.
+    accounts: Mapping[int, AccountReport]
 
 
 @dataclass(slots=True)
@@ -47,7 +49,7 @@
 
     def sent(self, beat: Beat, now_s: float) -> None:
         """Remember a beat."""
-        self._sent.append(_Sent(beat.sequence, now_s, beat.loads, beat.repeats))
+        self._sent.append(_Sent(beat.sequence, now_s, beat.loads, beat.repeats, beat.accounts))
 
     def told_repeats(self, now_s: float) -> Mapping[str, RepeatCounts]:
         """Return this instance's counts that the zone has, or all where that is long ago.
@@ -85,6 +87,11 @@
         """The number of the newest beat that is in the sums; None for none."""
         return None if self._acknowledged is None else self._acknowledged.sequence
 
+    @property
+    def acknowledged_accounts(self) -> Mapping[int, AccountReport]:
+        """What this instance counted of accounts that is in the sums."""
+        return {} if self._acknowledged is None else self._acknowledged.accounts
+
     def loads(self, section: Section) -> Mapping[int, int]:
         """Take the loads of a section; return what the others have under way where it changed."""
         touched: set[int] = set()
--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -52,8 +52,12 @@
         " instance cannot know whether a newer one does"
     ),
     "key_unproved": (
-        "the instance had not heard for {proof_age_s} s that its keys are still in force, longer than"
-        " an ended key may be taken"
+        "the instance had not heard for {proof_age_s} s that its keys are still in force, longer"
+        " than an ended key may be taken"
+    ),
+    "over_quota": (
+        "account {account} had {tokens} tokens left of its quota and sent {demand_per_s} requests a"
+        " second"
     ),
     "starting": "the instance did not know the configuration yet",
     "stopping": "the instance was about to stop",
--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -10,6 +10,16 @@
 from egretrail.dispatch._load import FleetLoad
 from egretrail.dispatch._observation import Observation, Outcome
 from egretrail.dispatch._placement import Choice, Placement, PlacementQuery, Refusal, RefusalReason
+from egretrail.dispatch._quotas import (
+    COUNT_MODULUS,
+    AccountCounts,
+    AccountQuotas,
+    AccountReport,
+    CountedAccount,
+    OverQuota,
+    account_key,
+    news_of,
+)
 from egretrail.dispatch._repeats import RepeatBudget, RepeatCounts
 from egretrail.dispatch._shares import SlotShares
 from egretrail.dispatch._sizes import AnswerSizes
@@ -17,15 +27,21 @@
 from egretrail.dispatch._trials import TrialPace
 
 __all__ = [
+    "COUNT_MODULUS",
     "FIRST_PAUSE_S",
+    "AccountCounts",
+    "AccountQuotas",
+    "AccountReport",
     "AnswerSizes",
     "Choice",
+    "CountedAccount",
     "CrashingRequests",
     "DoubtRecord",
     "FleetLoad",
     "LimitPlace",
     "Observation",
     "Outcome",
+    "OverQuota",
     "Placement",
     "PlacementQuery",
     "Refusal",
@@ -40,5 +56,7 @@
     "SuspicionBook",
     "TrialPace",
     "UpstreamLimits",
+    "account_key",
+    "news_of",
     "request_digest",
 ]
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -129,6 +129,18 @@
                     proof_age_s=view.proof.age_s,
                 )
                 return self._contract.not_run(_UNPROVED_RETRY_S)
+            over = view.admit_to_quota(account)
+            if over is not None:
+                self._refused(
+                    terms,
+                    route.name,
+                    "over_quota",
+                    over.retry_after_s,
+                    account=account.name,
+                    tokens=over.tokens,
+                    demand_per_s=over.demand_per_s,
+                )
+                return self._contract.over_quota(over.retry_after_s)
         service = choose_service(route, self._rng)
         now_s = self._loop.time()
         view.repeats.routed(service, now_s)
@@ -230,6 +242,9 @@
             return choice
         if work.sends > 0:
             self._view.repeats.repeated(work.service, now_s)
+        if work.account is not None and not work.is_charged:
+            work.is_charged = True
+            self._view.quotas.sent(work.account, now_s)
         work.tried.append(choice.upstream.id)
         work.sends += 1
         self._log.event(
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -38,8 +38,9 @@
 _ACROSS_INTERVAL_MIN_S, _ACROSS_INTERVAL_MAX_S = 0.2, 1.5
 #: What was told once is told again after this time, in case that the datagram was lost.
 _ACROSS_AGAIN_S = 0.1
-#: Hubs tell each other how old the proof of their configuration is at least this often.
-_PROOF_INTERVAL_S = 0.4
+#: While there are accounts, hubs tell each other what they counted of them, and how old the proof
+#: of their configuration is, at least this often.
+_ACCOUNTS_INTERVAL_S = 0.25
 #: Timers come a little early.
 _CLOCK_STEP_S = 0.005
 #: A hub that was not heard for this long is looked for among its zone's instances.
@@ -67,7 +68,7 @@
         self._incarnation = incarnation
         #: When sections were sent, by the clock of the configuration's proof.
         self._sent = {scope: SendTimes() for scope in Scope}
-        self._proof_told_s = float("-inf")
+        self._accounts_told_s = float("-inf")
         self._send = send
         self._take = take
         self._bytes_across = bytes_across
@@ -191,21 +192,22 @@
     def _tell_across(self) -> None:
         now_s = self._across_told_s = self._clock()
         self._hub.hear(self._view.own_beat(), now_s, direct=True)
+        is_due = True
         if now_s >= self._across_sums_due_s - _CLOCK_STEP_S:
             self._across_sums_due_s = now_s + self._across_interval_s()
             sections = list(self._hub.across_sections(self._state(), now_s))
         else:
-            is_due = now_s - self._proof_told_s >= _PROOF_INTERVAL_S - _CLOCK_STEP_S
+            is_due = now_s - self._accounts_told_s >= _ACCOUNTS_INTERVAL_S - _CLOCK_STEP_S
             sections = list(
                 self._hub.urgent_sections(
                     Scope.ACROSS,
                     self._state(),
                     now_s,
-                    with_proof=self._view.needs_proof and is_due,
+                    with_accounts=self._view.has_accounts and is_due,
                 )
             )
-        if sections:
-            self._proof_told_s = now_s
+        if is_due:
+            self._accounts_told_s = now_s
         self._note_sent(Scope.ACROSS, sections)
         targets = [target for zone in self._other_zones() for target in self._hubs(zone, now_s)]
         for data in encode_sections(sections, across=True):
@@ -213,8 +215,8 @@
                 self._bytes_across["sections"] += len(data)
                 self._send(data, target)
         self._across_timer.at(self._across_sums_due_s)
-        if self._view.needs_proof:
-            self._across_timer.at(now_s + _PROOF_INTERVAL_S)
+        if self._view.has_accounts:
+            self._across_timer.at(self._accounts_told_s + _ACCOUNTS_INTERVAL_S)
         if self._hub.repeats_findings():
             self._across_timer.at(now_s + _ACROSS_AGAIN_S)
 
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -22,6 +22,7 @@
     short_incarnation,
 )
 from egretrail.dispatch import (
+    AccountQuotas,
     AnswerSizes,
     CrashingRequests,
     DoubtRecord,
@@ -29,6 +30,7 @@
     LimitPlace,
     Observation,
     Outcome,
+    OverQuota,
     Placement,
     RepeatBudget,
     RequestDigest,
@@ -46,6 +48,7 @@
 from egretrail.gateway._named_limits import NamedLimits, limit_place
 from egretrail.gateway._zones import ZoneSums
 from egretrail.traffic import (
+    ClientAccount,
     FleetConfig,
     UpstreamRecord,
     UpstreamTable,
@@ -103,6 +106,8 @@
         self.repeats = RepeatBudget(
             settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack
         )
+        #: What is left of accounts' quotas.
+        self.quotas = AccountQuotas(rng)
         own_zone = settings.availability_zone
         #: The share of the zone's slots that this instance prefers.
         self.shares = SlotShares(lambda task: self.membership.rank_for(task, own_zone))
@@ -124,7 +129,7 @@
             self.upstreams, self.load, self.durations, self.suspicion, self.placement, log
         )
         #: What the hubs of the zones tell.
-        self.zones = ZoneSums(settings.availability_zone, self.load, self.repeats)
+        self.zones = ZoneSums(settings.availability_zone, self.load, self.repeats, self.quotas)
         #: Whether the store answered this instance lately.
         self.store_contact = False
         #: Whether the instance was told to stop.
@@ -173,6 +178,11 @@
         hears_fleet = self.others_reach_store() or self.known_share() > _FLEET_SHARE
         return self.configs.is_current(hears_fleet=hears_fleet)
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether requests need the key of a client account."""
+        return self.configs.accounts is not None
+
     @property
     def needs_proof(self) -> bool:
         """Whether keys are taken only while the configuration is proved to be the newest one."""
@@ -230,6 +240,7 @@
         before, behind_s = self.config_version, self.configs.behind_s
         if not self.configs.take(parted):
             return False
+        self.quotas.set_accounts(parted.config.accounts or (), self._clock())
         self._log.event(
             "config_in_force",
             version=parted.config.version,
@@ -342,6 +353,7 @@
             told_repeats=self.zones.told_repeats(now_s),
             config_proof_age_s=self.proof.age_s if tells_proof else None,
             heard=self.zones.own_echo() if tells_proof else None,
+            accounts=self.quotas.own_reports(now_s),
         )
         self.zones.sent(beat, now_s)
         return beat
@@ -408,6 +420,15 @@
             return False
         return self.repeats.permits(service, now_s, self.known_share())
 
+    def admit_to_quota(self, account: ClientAccount) -> OverQuota | None:
+        """Count a request of an account; return why its quota has no room for it, or None."""
+        now_s = self._clock()
+        over = self.quotas.admit(
+            account, now_s, self.known_share(), hears_all=self.zones.hears_all(now_s)
+        )
+        self.on_news(False)
+        return over
+
     def others_reach_store(self) -> bool:
         """Return whether another instance is in contact with the store."""
         readers = self.zones.store_readers(self._clock())
--- a/src/egretrail/gateway/_work.py
+++ b/src/egretrail/gateway/_work.py
@@ -62,6 +62,8 @@
     tried: list[str] = field(default_factory=list)
     #: To how many of them nothing could be sent.
     unreachable: int = 0
+    #: Whether it was counted against its account's quota.
+    is_charged: bool = False
     #: How many of them it was sent to.
     sends: int = 0
     #: Whether the time for a second copy has passed.
--- a/src/egretrail/gateway/_zones.py
+++ b/src/egretrail/gateway/_zones.py
@@ -13,7 +13,7 @@
     address_part,
     replace_part,
 )
-from egretrail.dispatch import FleetLoad, RepeatBudget, RepeatCounts
+from egretrail.dispatch import AccountQuotas, FleetLoad, RepeatBudget, RepeatCounts
 
 #: A zone whose hub told nothing for this long has no loads that are worth anything: most of that
 #: work has ended. The hub of the own zone tells ten times a second, the others twice.
@@ -23,6 +23,8 @@
 #: does, and is three times as long.
 _LATE_INSTANCE_S = 0.0065
 _LATE_MIN_S, _LATE_MAX_S = 0.1, 0.35
+#: Other zones whose counts of accounts are overdue: hubs tell them four times a second.
+_ZONE_LATE_S = 0.8
 #: A hub that was not heard for this long may begin anew with a lower number: a clock was set back.
 _FORGOTTEN_S = 4.0
 #: Sections that may come in another order than they were sent: those of half a second.
@@ -89,10 +91,13 @@
     What an instance keeps grows with zones and upstreams; of other instances it holds no count.
     """
 
-    def __init__(self, own_zone: str, load: FleetLoad, repeats: RepeatBudget) -> None:
+    def __init__(
+        self, own_zone: str, load: FleetLoad, repeats: RepeatBudget, quotas: AccountQuotas
+    ) -> None:
         self._own_zone = own_zone
         self._load = load
         self._repeats = repeats
+        self._quotas = quotas
         self._share = ZoneShare()
         self._place: int | None = None
         self._zones: dict[str, _Zone] = {}
@@ -132,6 +137,7 @@
             touched = replace_part(zone.sums, section.loads)
             counts = {ids[key]: zone.sums.get(key, 0) for key in touched if key in ids}
             self._load.changed(section.availability_zone, counts, now_s)
+        self._quotas.told(zone.lifetime, section.accounts, now_s)
         self._tell_repeats(zone, section.repeats, now_s)
         zone.heard_counts = True
 
@@ -180,7 +186,9 @@
         """Drop and return the zones that were silent for too long."""
         silent = [name for name, zone in self._zones.items() if not self._fresh(name, zone, now_s)]
         for name in silent:
-            self._repeats.forget(self._zones.pop(name).lifetime)
+            lifetime = self._zones.pop(name).lifetime
+            self._repeats.forget(lifetime)
+            self._quotas.forget(lifetime)
             self._load.forget(name)
             if name == self._own_zone:
                 self._start_anew()
@@ -204,6 +212,12 @@
         late_s = min(max(zone.instances * _LATE_INSTANCE_S, _LATE_MIN_S), _LATE_MAX_S)
         return late_s < now_s - zone.heard_s <= _OWN_ZONE_SILENCE_S
 
+    def hears_all(self, now_s: float) -> bool:
+        """Return whether all zones that are known tell what they should."""
+        if self._own_zone not in self._zones or self.is_late(now_s):
+            return False
+        return all(now_s - zone.heard_s <= _ZONE_LATE_S for zone in self._zones.values())
+
     def store_readers(self, now_s: float) -> int:
         """Return how many instances are in contact with the store, this one included."""
         return sum(
@@ -227,6 +241,7 @@
         if zone is None or zone.lifetime != lifetime:
             if zone is not None:
                 self._repeats.forget(zone.lifetime)
+                self._quotas.forget(zone.lifetime)
             if name == self._own_zone:
                 self._start_anew()
             sums = zone.sums if zone is not None else {}
@@ -247,6 +262,9 @@
     ) -> None:
         own_before = set(self._share.own_keys())
         self._share.take(section, self._place)
+        if section.accounts:
+            self._quotas.acknowledged(self._share.acknowledged_accounts)
+            self._quotas.told(zone.lifetime, section.accounts, now_s)
         touched = own_before | set(self._share.own_keys())
         counts = {**self._share.of_others(touched), **self._share.loads(section)}
         told = {ids[key]: count for key, count in counts.items() if key in ids}
--- a/src/egretrail/gateway/tests/test_settings_change.py
+++ b/src/egretrail/gateway/tests/test_settings_change.py
@@ -33,6 +33,7 @@
     "repeat_ratio": (0.5, True),
     "repeat_window_s": (9.0, True),
     "repeat_slack": (9.0, True),
+    "revocation_s": (9.0, True),
 }
 
 
