Take the constant part of the repeat budget as used by an instance that has just started

Cause: an instance knows of no repeats from before its start, and took the whole constant allowance as free.

Change: the constant allowance counts as used for one window after the start; the share of the requests, which are counted since the start as well, is used as before. What callers lose: repeats beyond a fifth of the requests for ten seconds at instances that have just started.

--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -45,12 +45,15 @@
     spell of refusals that outlasts the budget finds some of it left in each second.
     """
 
-    def __init__(self, ratio: float, window_s: float, slack: float) -> None:
+    def __init__(
+        self, ratio: float, window_s: float, slack: float, started_s: float = float("-inf")
+    ) -> None:
+        """``started_s`` is when this instance began to hear of repeats."""
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
-        #: Until then the constant allowance counts as used.
-        self._slack_used_until_s = float("-inf")
+        #: Until then the constant allowance counts as used: repeats before the start are not known.
+        self._slack_used_until_s = started_s + window_s
         self._requests: dict[str, SlidingSum] = {}
         self._repeats: dict[str, SlidingSum] = {}
         self._recent: dict[str, SlidingSum] = {}
--- a/src/egretrail/dispatch/tests/test_repeats.py
+++ b/src/egretrail/dispatch/tests/test_repeats.py
@@ -1,14 +1,29 @@
 """The fleet's repeats stay within its budget, also when all instances repeat at once."""
 
 import random
+from collections.abc import Mapping
 
-from egretrail.dispatch import CrashingRequests, FleetLoad, RepeatBudget, request_digest
+from egretrail.dispatch import (
+    CrashingRequests,
+    FleetLoad,
+    RepeatBudget,
+    RepeatCounts,
+    request_digest,
+)
 from egretrail.testing import EgretrailTestCase, cases
 
 _SERVICE = "orders"
 _RATIO, _WINDOW_S, _SLACK = 0.2, 10.0, 60.0
 
 
+def _tell_all(fleet: Mapping[int, RepeatBudget], now_s: float) -> None:
+    for origin, budget in fleet.items():
+        told = budget.own_counts().get(_SERVICE, RepeatCounts())
+        for other in fleet.values():
+            if other is not budget:
+                other.told(str(origin), _SERVICE, told, now_s)
+
+
 class FleetBudgetTest(EgretrailTestCase):
     @cases(
         {
@@ -49,6 +64,35 @@
             self.assertLessEqual(len(window), _RATIO * len(asked) + _SLACK)
         self.assertGreater(len(repeats), 0.02 * len(requests))
 
+    def test_instances_that_start_one_after_the_other_do_not_pass_the_budget(self) -> None:
+        """Each knew of no repeats before its start, and took a whole constant allowance anew."""
+        slack, rng = 190.0, random.Random(3)
+        fleet = {number: RepeatBudget(_RATIO, _WINDOW_S, slack) for number in range(40)}
+        requests: list[float] = []
+        repeats: list[float] = []
+        told_s, started_s = 0.0, 12.0
+        for step in range(600 * 24):
+            now_s = step / 600
+            name = rng.choice(list(fleet))
+            fleet[name].routed(_SERVICE, now_s)
+            requests.append(now_s)
+            for _ in range(2):
+                if fleet[name].permits(_SERVICE, now_s, 1.0):
+                    fleet[name].repeated(_SERVICE, now_s)
+                    repeats.append(now_s)
+            if now_s - told_s >= 0.25:
+                told_s = now_s
+                _tell_all(fleet, now_s)
+            if now_s - started_s >= 0.08:
+                started_s = now_s
+                del fleet[min(fleet)]
+                newcomer = RepeatBudget(_RATIO, _WINDOW_S, slack, started_s=now_s)
+                fleet[max(fleet) + 1] = newcomer
+        for begin in range(15):
+            window = [t for t in repeats if begin <= t < begin + _WINDOW_S]
+            asked = [t for t in requests if begin <= t < begin + _WINDOW_S]
+            self.assertLessEqual(len(window), _RATIO * len(asked) + slack)
+
     def test_the_use_is_told_by_service(self) -> None:
         budget = RepeatBudget(_RATIO, _WINDOW_S, _SLACK)
         for _ in range(100):
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -104,7 +104,7 @@
         self.crashers = CrashingRequests()
         #: What is left for repeats.
         self.repeats = RepeatBudget(
-            settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack
+            settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack, clock()
         )
         #: What is left of accounts' quotas.
         self.quotas = AccountQuotas(rng)
