Keep what is known when the store comes back from an older copy

Cause: revisions go back and are given out again. All words of the new counter looked older than what was known and were dropped until it had caught up: no drain, no removal was seen for seconds or minutes; what the copy lists of upstreams that had gone was taken as alive; a condition on an old revision could meet another change.

Change: a revision is the store's era and its number in one integer, made in the adapter, so that every comparison and every message between instances keeps its order. In a new era watches begin anew; entries that the copy lacks are kept for as long as after a lapse; upstreams that had vanished come back with a word of their own only, those that had drained never; a configuration that is older than the one in force stays out and proves nothing, nor does anything in the first two seconds; the list of instances is written again; a write with a condition from an earlier era is refused without a call. The stand-in of the store learns to come back from a copy.

--- a/scaffolding/platform/store.py
+++ b/scaffolding/platform/store.py
@@ -30,6 +30,16 @@
     created: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """All keys of a store at one moment."""
+
+    #: The items by key.
+    items: dict[str, _Item]
+    #: The revision of the last change.
+    revision: int
+
+
 @dataclass(slots=True)
 class StandInStore:
     """Keys with one revision counter, watches and a history that can be forgotten."""
@@ -42,6 +52,8 @@
     calls: Counter[str] = field(default_factory=Counter)
     #: The revision of the last change.
     revision: int = 10
+    #: Rises with each return from a copy.
+    era: int = 0
     _items: dict[str, _Item] = field(default_factory=dict)
     _events: list[dict[str, Any]] = field(default_factory=list)
     _forgotten: int = 0
@@ -63,6 +75,17 @@
             self._events.append(event)
             self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all keys, to come back from later."""
+        return StoreCopy(dict(self._items), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what came since is gone, and its revisions are given anew."""
+        self._items = dict(copy.items)
+        self.revision = copy.revision
+        self.era += 1
+        self.forget_history()
+
     def forget_history(self) -> None:
         """Discard the history: watches after an earlier revision get 410."""
         self._forgotten = self.revision
@@ -85,6 +108,11 @@
     @web.middleware
     async def _behave(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.calls[request.path] += 1
+        response = await self._answer(request, handler)
+        response.headers["Store-Era"] = str(self.era)
+        return response
+
+    async def _answer(self, request: web.Request, handler: Any) -> web.StreamResponse:
         mode = self.modes.get(request.host.partition(":")[0], self.mode)
         if mode is StoreMode.BUSY:
             return web.Response(status=503)
--- a/scaffolding/tests/test_platform_store.py
+++ b/scaffolding/tests/test_platform_store.py
@@ -13,7 +13,7 @@
 
 from egretrail.http1 import ClientConnection, open_connection
 from egretrail.platform import PlatformStore
-from egretrail.store import Entry, PlatformFailure, Snapshot
+from egretrail.store import Entry, HistoryLost, PlatformFailure, RevisionConflict, Snapshot
 from egretrail.testing import EgretrailTestCase, cases
 from scaffolding.platform import StandInStore
 
@@ -47,6 +47,50 @@
         self.assertEqual(data, (entries["servers/b"] or "").encode(errors="surrogateescape"))
 
 
+class RestoreTest(EgretrailTestCase):
+    def test_revisions_rise_and_conditions_on_old_ones_fail(self) -> None:
+        store = StandInStore()
+        store.write("x/a", 1)
+        copy = store.copy()
+        store.write("x/b", 2)
+
+        async def act(client: PlatformStore) -> None:
+            before = await client.snapshot("x/")
+            assert isinstance(before, Ok)
+            old = before.ok_value.revision
+            waiting = asyncio.create_task(client.watch("x/", old, 5.0))
+            await asyncio.sleep(0.1)
+            store.restore(copy)
+            self.assertIsInstance((await waiting).err(), HistoryLost)
+            # The same number as that of the lost entry.
+            store.write("x/c", 3)
+            self.assertIsInstance((await client.watch("x/", old, 0.1)).err(), HistoryLost)
+            after = await client.snapshot("x/")
+            assert isinstance(after, Ok)
+            self.assertGreater(after.ok_value.revision, old)
+            self.assertEqual(["x/a", "x/c"], [entry.path for entry in after.ok_value.entries])
+            [_, entry] = after.ok_value.entries
+            calls = store.calls["/api/kv-txn"]
+            lost = before.ok_value.entries[1].revision
+            refused = await client.put("x/c", "4", lost)
+            self.assertIsInstance(refused.err(), RevisionConflict)
+            self.assertEqual(calls, store.calls["/api/kv-txn"])
+            self.assertIsInstance(await client.put("x/c", "4", entry.revision), Ok)
+
+        async def run() -> None:
+            runner = web.AppRunner(store.app())
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            host, port = runner.addresses[0][:2]
+            try:
+                await act(PlatformStore(f"{host}:{port}"))
+            finally:
+                await runner.cleanup()
+
+        self.run_real(run())
+
+
 class CloseTest(EgretrailTestCase):
     def test_a_closed_client_keeps_no_connection(self) -> None:
         async def run() -> None:
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -17,7 +17,7 @@
 from egretrail.gateway._view import FleetView
 from egretrail.identity import rendezvous_order
 from egretrail.store import Entry, HistoryLost, PlatformFailure, Store, StoreUnavailable
-from egretrail.traffic import UpstreamRecord, UpstreamState
+from egretrail.traffic import UpstreamRecord, UpstreamState, revision_era
 
 _Following = asyncio.Task[PlatformFailure | None]
 
@@ -57,6 +57,9 @@
 _LAPSE_AWAY_S = 1.0
 #: This part of a service vanishing at once without a word is a lapse and no release.
 _LAPSE_SHARE = 0.5
+#: What a store that came back from an older copy lacks is written again within this time; until
+#: then it proves nothing of what had been written before.
+_RESTORED_S = 2.2
 #: The list of instances in the store follows the membership at most this often.
 _LISTING_INTERVAL_S = 2.0
 
@@ -103,6 +106,9 @@
         self._config_revision: int | None = None
         #: The version of the configuration that the store had last; 0 for one that is not valid.
         self._stored_version = 0
+        #: The newest era of the store, and from when on it proves what holds; None before any.
+        self._era: int | None = None
+        self._proof_from_s = float("-inf")
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -200,7 +206,10 @@
     async def _read_stale(self) -> PlatformFailure | None:
         path = self._layout.instances_prefix + self._settings.availability_zone
         read = await self._store.snapshot(path, stale=True)
-        return read.err_value if isinstance(read, Err) else None
+        if isinstance(read, Err):
+            return read.err_value
+        self._note_era(read.ok_value.revision)
+        return None
 
     async def _prove_config(self) -> PlatformFailure | None:
         """Ask for changes of the configuration up to now."""
@@ -255,6 +264,7 @@
             return read.err_value
         self._succeeded()
         revision = read.ok_value.revision
+        self._note_era(revision)
         await self._take_proof(read.ok_value.entries, revision, asked_s)
         configs.reaches_store = True
         while self.should_read():
@@ -278,7 +288,8 @@
         """
         await self._take_config(entries)
         self._config_revision = max(self._config_revision or 0, revision)
-        if self._stored_version >= self._view.config_version:
+        is_newest = self._stored_version >= self._view.config_version
+        if is_newest and asked_s >= self._proof_from_s:
             self._view.prove_config(asked_s)
 
     async def _follow_upstreams(self) -> PlatformFailure | None:
@@ -289,7 +300,11 @@
             return read.err_value
         self._succeeded()
         revision = read.ok_value.revision
-        records = {record.name: record for record in self._decode(read.ok_value.entries)}
+        self._note_era(revision)
+        # Those that are alive write their entry again, and a watch tells it.
+        vanished = self._view.upstreams.vanished_before(revision_era(revision))
+        entries = [one for one in read.ok_value.entries if self._name(one) not in vanished]
+        records = {record.name: record for record in self._decode(entries)}
         gone = {record.name for record in self._view.upstreams} - records.keys()
         if revision >= self._view.upstreams.revision:
             self._keep_vanished(gone, records)
@@ -420,6 +435,21 @@
             records.append(record)
         return records
 
+    def _note_era(self, revision: int) -> None:
+        """Read all parts anew where the store has come back from an older copy."""
+        before, era = self._era, revision_era(revision)
+        if before is None and self._view.upstreams.revision > 0:
+            before = revision_era(self._view.upstreams.revision)
+        self._era = era if before is None else max(era, before)
+        if before is None or era <= before:
+            return
+        self._log.event("store_restored", era=era, before=before)
+        self._lapses_until_s = self._loop.time() + _LAPSE_KEEP_S
+        self._proof_from_s = self._view.proof.clock() + _RESTORED_S
+        self._stored_version = 0
+        self._listed = frozenset()
+        self._begin_anew()
+
     def _succeeded(self) -> None:
         now_s = self._loop.time()
         away_s = now_s - self._away_since_s if self._away_since_s is not None else 0.0
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -392,6 +392,93 @@
         self._play(act)
 
 
+class RestoreTest(EgretrailTestCase):
+    """A store that comes back from a copy some seconds old."""
+
+    def _play(self, before: Callable[[_Stage], None], after: Act) -> None:
+        async def act(stage: _Stage) -> None:
+            copy, revision = dict(stage.store.entries), stage.store.revision
+            before(stage)
+            for number in range(5):
+                # The copy's number is far behind what is known.
+                stage.list(f"noise-{number}", "draining")
+            await asyncio.sleep(1.0)
+            stage.store.restore(copy, revision)
+            await asyncio.sleep(1.0)
+            await after(stage)
+
+        StoreSyncTest._play(cast("StoreSyncTest", self), act)
+
+    def test_a_drain_with_a_lower_revision_is_obeyed_at_once(self) -> None:
+        async def after(stage: _Stage) -> None:
+            stage.list("u1", "draining")
+            await asyncio.sleep(0.3)
+            self.assertEqual({"u2", "u3", "u4"}, stage.ready())
+
+        self._play(lambda stage: None, after)
+
+    def test_an_upstream_that_had_drained_does_not_come_back(self) -> None:
+        async def after(stage: _Stage) -> None:
+            self.assertEqual({"u2", "u3", "u4"}, stage.ready())
+            await asyncio.sleep(4.0)
+            self.assertEqual({"u2", "u3", "u4"}, stage.ready())
+
+        self._play(lambda stage: stage.list("u1", "draining"), after)
+
+    def test_an_upstream_that_was_gone_comes_back_with_a_word_of_its_own(self) -> None:
+        async def after(stage: _Stage) -> None:
+            await asyncio.sleep(4.0)
+            self.assertEqual({"u2", "u3", "u4"}, stage.ready())
+            stage.list("u1")
+            await asyncio.sleep(0.3)
+            self.assertEqual({"u1", "u2", "u3", "u4"}, stage.ready())
+
+        self._play(lambda stage: stage.unlist("u1"), after)
+
+    @cases({"it writes again": True, "it is gone": False})
+    def test_an_upstream_that_the_copy_lacks_is_kept_until_it_should_be_back(
+        self, is_back: bool
+    ) -> None:
+        async def after(stage: _Stage) -> None:
+            self.assertIn("u5", stage.ready())
+            if is_back:
+                stage.list("u5")
+            await asyncio.sleep(3.0)
+            self.assertEqual(is_back, "u5" in stage.ready())
+
+        self._play(lambda stage: stage.list("u5"), after)
+
+    def test_a_configuration_that_the_copy_lacks_stays_in_force_and_is_proved_later(self) -> None:
+        def before(stage: _Stage) -> None:
+            stage.view.take_settings(replace(gateway_settings(), revocation_s=5.0))
+            stage.configure(config(2, _ROUTES, [account("acme", "k1")]))
+
+        async def after(stage: _Stage) -> None:
+            self.assertEqual(2, stage.view.config_version)
+            await asyncio.sleep(5.0)
+            self.assertFalse(stage.view.takes_keys)
+            stage.configure(config(3, _ROUTES, [account("acme", "k2")]))
+            await asyncio.sleep(1.5)
+            self.assertEqual(3, stage.view.config_version)
+            self.assertTrue(stage.view.takes_keys)
+
+        self._play(before, after)
+
+    def test_what_still_holds_proves_nothing_until_all_is_written_again(self) -> None:
+        def before(stage: _Stage) -> None:
+            stage.view.take_settings(replace(gateway_settings(), revocation_s=5.0))
+
+        async def after(stage: _Stage) -> None:
+            stage.configure(config(2, _ROUTES, [account("acme", "k1")]))
+            await asyncio.sleep(0.5)
+            # It returned a second and a half ago.
+            self.assertGreater(stage.view.proof.age_s, 1.5)
+            await asyncio.sleep(2.5)
+            self.assertLess(stage.view.proof.age_s, 1.2)
+
+        self._play(before, after)
+
+
 class ProofTest(EgretrailTestCase):
     """Up to when a reader knows that its configuration is the newest one."""
 
--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -5,6 +5,7 @@
 import functools
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -30,9 +31,13 @@
     WatchEvents,
     WriteUnknown,
 )
+from egretrail.traffic import revision_era, revision_number, store_revision
 
 T = TypeVar("T")
 
+#: Rises each time that the store has come back from an older copy; in all its answers.
+_ERA = b"store-era"
+
 #: How long a call waits for its answer to begin, and for each next piece of it: the store answers
 #: in 4 ms and in some 250 ms when it is slow, and a large value takes a slow link seconds.
 _CALL_TIMEOUT_S = 1.0
@@ -46,13 +51,30 @@
 _UNAVAILABLE = frozenset({429, 503})
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """An answer of the store."""
+
+    #: The HTTP status.
+    status: int
+    #: The body.
+    document: Any
+    #: The era of the store; 0 for a store that does not name one.
+    era: int
+
+
 class PlatformStore(Store):
-    """Calls the store over a few kept connections; a connection that fails is not used again."""
+    """Calls the store over a few kept connections; a connection that fails is not used again.
+
+    Revisions that it returns have the era of the store, so that they never go back.
+    """
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._idle: list[ClientConnection] = []
         self._idle_max = _IDLE_MAX
+        #: The newest era that an answer named.
+        self._era = 0
         #: How long a call waits for its answer to begin now.
         self._patience_s = _CALL_TIMEOUT_S
 
@@ -68,12 +90,12 @@
         reply = await self._call("GET", f"/api/kv-key?key={quote(path, safe='')}", call)
         if isinstance(reply, Err):
             return reply
-        status, document = reply.ok_value
-        if status == 404:
+        answer = reply.ok_value
+        if answer.status == 404:
             return Ok(None)
-        if status != 200:
-            return Err(_refused(call, status))
-        return _decoded(call, lambda: _entry(document))
+        if answer.status != 200:
+            return Err(_refused(call, answer.status))
+        return _decoded(call, lambda: _entry(answer.document, answer.era))
 
     async def put(
         self, path: str, value: str, expected_revision: int, lease_id: str | None = None
@@ -101,7 +123,8 @@
         """
         call = f"snapshot {prefix}"
         entries: list[Entry] = []
-        revision: int | None = None
+        first: _Reply | None = None
+        revision = 0
         after = ""
         while True:
             target = f"/api/kv-range?prefix={quote(prefix, safe='')}"
@@ -110,15 +133,18 @@
             reply = await self._call("GET", target, call)
             if isinstance(reply, Err):
                 return reply
-            status, document = reply.ok_value
-            if status != 200:
-                return Err(_refused(call, status))
-            page = _decoded(call, functools.partial(_snapshot, document))
+            answer = reply.ok_value
+            if answer.status != 200:
+                return Err(_refused(call, answer.status))
+            page = _decoded(call, functools.partial(_snapshot, answer.document, answer.era))
             if isinstance(page, Err):
                 return page
+            if first is None:
+                first, revision = answer, page.ok_value.revision
+            if answer.era != first.era:
+                return Err(StoreUnavailable(call, "it came back from a copy between two pages"))
             entries.extend(page.ok_value.entries)
-            revision = page.ok_value.revision if revision is None else revision
-            if not document.get("hasMore") or not page.ok_value.entries:
+            if not answer.document.get("hasMore") or not page.ok_value.entries:
                 return Ok(Snapshot(entries, revision))
             after = page.ok_value.entries[-1].path
 
@@ -128,18 +154,19 @@
         """Wait for changes under a prefix after a revision, for at most ``wait_s``."""
         call = f"watch {prefix}"
         target = (
-            f"/api/kv-watch?prefix={quote(prefix, safe='')}&after={after_revision}"
+            f"/api/kv-watch?prefix={quote(prefix, safe='')}&after={revision_number(after_revision)}"
             f"&waitMs={round(wait_s * 1000)}"
         )
         reply = await self._call("GET", target, call, wait_s=wait_s)
         if isinstance(reply, Err):
             return reply
-        status, document = reply.ok_value
-        if status == 410:
+        answer = reply.ok_value
+        # The number stands for other changes in another era.
+        if answer.status == 410 or answer.era != revision_era(after_revision):
             return Err(HistoryLost(prefix, after_revision))
-        if status != 200:
-            return Err(_refused(call, status))
-        return _decoded(call, lambda: _events(document))
+        if answer.status != 200:
+            return Err(_refused(call, answer.status))
+        return _decoded(call, lambda: _events(answer.document, answer.era))
 
     async def grant_lease(self, ttl_s: float) -> Result[str, PlatformFailure]:
         """Open a lease: paths written under it are deleted when it is not renewed in time."""
@@ -147,36 +174,41 @@
         reply = await self._call("POST", "/api/kv-lease", "lease", body)
         if isinstance(reply, Err):
             return reply
-        status, document = reply.ok_value
-        if status != 200:
-            return Err(_refused("lease", status))
-        return _decoded("lease", lambda: str(int(document["lease"])))
+        answer = reply.ok_value
+        if answer.status != 200:
+            return Err(_refused("lease", answer.status))
+        return _decoded("lease", lambda: str(int(answer.document["lease"])))
 
     async def renew_lease(self, lease_id: str) -> Result[None, PlatformFailure]:
         """Renew a lease for its full time."""
         reply = await self._call("POST", f"/api/kv-keep/{lease_id}", "renew", {})
         if isinstance(reply, Err):
             return reply
-        status, _ = reply.ok_value
+        status = reply.ok_value.status
         return Ok(None) if status == 200 else Err(_refused("renew", status))
 
     async def _write(
         self, path: str, expected_revision: int, change: dict[str, Any]
     ) -> Result[int, PlatformFailure]:
         call = f"write {path}"
-        body = {"expect": [{"key": path, "revision": expected_revision}], **change}
+        if expected_revision and revision_era(expected_revision) != self._era:
+            # Its number may be that of another change by now.
+            return Err(RevisionConflict(path, expected_revision, 0))
+        number = revision_number(expected_revision)
+        body = {"expect": [{"key": path, "revision": number}], **change}
         reply = await self._call("POST", "/api/kv-txn", call, body, written_path=path)
         if isinstance(reply, Err):
             return reply
-        status, document = reply.ok_value
-        if status == 412:
-            held = _decoded(call, lambda: _snapshot({**document, "currentRev": 0}))
+        answer = reply.ok_value
+        if answer.status == 412:
+            document = {**answer.document, "currentRev": 0}
+            held = _decoded(call, lambda: _snapshot(document, answer.era))
             actual = held.ok_value.entries if isinstance(held, Ok) else ()
             revision = actual[0].revision if actual else 0
             return Err(RevisionConflict(path, expected_revision, revision))
-        if status != 200:
-            return Err(_refused(call, status))
-        return _decoded(call, lambda: int(document["revision"]))
+        if answer.status != 200:
+            return Err(_refused(call, answer.status))
+        return _decoded(call, lambda: store_revision(answer.era, int(answer.document["revision"])))
 
     async def _call(
         self,
@@ -187,7 +219,7 @@
         *,
         wait_s: float = 0.0,
         written_path: str | None = None,
-    ) -> Result[tuple[int, Any], PlatformFailure]:
+    ) -> Result[_Reply, PlatformFailure]:
         """Send one call that the store answers after up to ``wait_s``, or later where it is slow.
 
         A write whose reply is lost is unknown, and never sent again here.
@@ -222,7 +254,10 @@
         if answer.status in _UNAVAILABLE:
             return Err(StoreUnavailable(call, f"status {answer.status}"))
         try:
-            return Ok((answer.status, json.loads(answer.body) if answer.body else {}))
+            era = int(answer.value(_ERA) or 0)
+            self._era = max(self._era, era)
+            document = json.loads(answer.body) if answer.body else {}
+            return Ok(_Reply(answer.status, document, era))
         except ValueError as error:
             return Err(StoreUnavailable(call, f"unreadable reply: {error}"))
 
@@ -265,10 +300,9 @@
         return Err(StoreUnavailable(call, f"unreadable reply: {error!r}"))
 
 
-def _entry(row: dict[str, Any]) -> Entry:
-    if row.get("removed"):
-        return Entry(str(row["key"]), None, int(row["revision"]))
-    return Entry(str(row["key"]), _value(row), int(row["revision"]))
+def _entry(row: dict[str, Any], era: int) -> Entry:
+    revision = store_revision(era, int(row["revision"]))
+    return Entry(str(row["key"]), None if row.get("removed") else _value(row), revision)
 
 
 def _value(row: dict[str, Any]) -> str:
@@ -283,11 +317,11 @@
         return ""
 
 
-def _snapshot(document: dict[str, Any]) -> Snapshot:
-    entries = [_entry(row) for row in document["items"]]
-    return Snapshot(entries, int(document["currentRev"]))
+def _snapshot(document: dict[str, Any], era: int) -> Snapshot:
+    entries = [_entry(row, era) for row in document["items"]]
+    return Snapshot(entries, store_revision(era, int(document["currentRev"])))
 
 
-def _events(document: dict[str, Any]) -> WatchEvents:
-    entries = [_entry(row) for row in document["events"]]
-    return WatchEvents(entries, int(document["currentRev"]))
+def _events(document: dict[str, Any], era: int) -> WatchEvents:
+    entries = [_entry(row, era) for row in document["events"]]
+    return WatchEvents(entries, store_revision(era, int(document["currentRev"])))
--- a/src/egretrail/testing/_fake_store.py
+++ b/src/egretrail/testing/_fake_store.py
@@ -2,11 +2,14 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Mapping
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
 from egretrail.store import (
     Entry,
+    HistoryLost,
     PlatformFailure,
     RevisionConflict,
     Snapshot,
@@ -16,6 +19,7 @@
     WatchEvents,
     WriteUnknown,
 )
+from egretrail.traffic import revision_era, revision_number, store_revision
 
 
 class FakeStore(Store):
@@ -79,6 +83,8 @@
         while True:
             if self.out:
                 return Err(StoreUnavailable(f"watch {prefix}", "outage"))
+            if revision_era(after_revision) != revision_era(self.revision):
+                return Err(HistoryLost(prefix, after_revision))
             events = [
                 entry
                 for entry in self.history
@@ -112,6 +118,18 @@
         self._leases[lease_id] = (ttl_s, asyncio.get_running_loop().time() + ttl_s)
         return Ok(None)
 
+    def restore(self, entries: Mapping[str, Entry], revision: int) -> None:
+        """Come back from a copy that was taken at a revision; waiting watches fail."""
+        era = revision_era(self.revision) + 1
+        self.revision = store_revision(era, revision_number(revision))
+        self.entries = {
+            path: replace(one, revision=store_revision(era, revision_number(one.revision)))
+            for path, one in entries.items()
+        }
+        self.history = []
+        self._leases.clear()
+        self._notify()
+
     def set_out(self, out: bool) -> None:
         """Begin or end an outage; waiting watches fail at once."""
         self.out = out
--- a/src/egretrail/traffic/__init__.py
+++ b/src/egretrail/traffic/__init__.py
@@ -9,6 +9,7 @@
     Service,
     WeightedService,
 )
+from egretrail.traffic._revision import revision_era, revision_number, store_revision
 from egretrail.traffic._routing import RouteTable, choose_service
 from egretrail.traffic._upstreams import (
     UpstreamRecord,
@@ -32,5 +33,8 @@
     "WeightedService",
     "choose_service",
     "key_digest",
+    "revision_era",
+    "revision_number",
+    "store_revision",
     "upstream_key",
 ]
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -8,6 +8,8 @@
 
 import xxhash
 
+from egretrail.traffic._revision import revision_era
+
 #: Keys that are remembered, about 150 bytes each; an instance's services have fewer upstreams.
 _KEYS_MAX = 8_192
 
@@ -121,6 +123,17 @@
         record = self.records.get(upstream_id)
         return record is not None and record.state is UpstreamState.READY
 
+    def vanished_before(self, era: int) -> set[str]:
+        """Return names that were last known to be gone in an earlier era of the store.
+
+        A copy of the store from before lists them again, alive or not.
+        """
+        return {
+            name
+            for name, revision in self._absent.items()
+            if revision_era(revision) < era and name not in self._by_name
+        }
+
     def __iter__(self) -> Iterator[UpstreamRecord]:
         """Iterate over all listed upstreams."""
         return iter(self.records.values())
