Tell other zones of repeats as often as of accounts

Cause: sums between zones are told once in 1.4 s at 115 instances before 340 upstreams, and repeats with them: a zone sends 140 a second meanwhile. Change: the sections that tell of accounts four times a second have the counts of repeats too, some 60 bytes.

--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -219,13 +219,17 @@
     ) -> Iterator[Section]:
         """Yield what must not wait for the next sums.
 
-        ``with_accounts`` tells what was counted of accounts too, and the age of the proof anew.
+        ``with_accounts`` tells what was counted of accounts and repeats too, and the age of the
+        proof anew.
         """
         news = self._news(scope, now_s)
         is_changed = self._told(state) != self._told_states.get(scope)
         if any(news.values()) or is_changed or with_accounts:
-            accounts = self._accounts_told(scope, now_s) if with_accounts else {}
-            yield self._section(scope, state, accounts=accounts, **news)
+            counts: dict[str, object] = {}
+            if with_accounts:
+                counts["accounts"] = self._accounts_told(scope, now_s)
+                counts["repeats"] = dict(self._repeats)
+            yield self._section(scope, state, **counts, **news)
         yield from self._roster_sections(scope, state, now_s)
 
     def across_sections(self, state: HubState, now_s: float) -> Iterator[Section]:
