Let what is less urgent wait no longer than what is more urgent may

Cause: a refusal looked at each request's own objective only. Priorities of routes and accounts were read nowhere.

Change: a request waits for no longer than the shortest objective among the more urgent requests of its service lets those wait; free slots are anybody's. An account's priority goes before its route's. There is no constant.

--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -86,6 +86,8 @@
     worth_s: float
     #: Whether the request may run more than once and has attempts left.
     repeatable: bool
+    #: The shortest objective of the service's more urgent requests; None for the most urgent.
+    urgent_objective_s: float | None = None
     #: The usual size of the answers of the request's route; 0 where none was seen.
     answer_bytes: float = 0.0
     #: Whether only room that nobody else needs is to be used, as for a second copy of a request.
@@ -216,6 +218,10 @@
         seconds, and from then on every answer is late while no more of them are given. A queue
         that ends with the objective serves as many, in time, and its callers learn at once that
         they are not among them. A request that is late already may wait as long as it has.
+
+        Load: two kinds of requests share an overloaded service, and the more urgent one has the
+        shorter objective. The other one fills the queue up to its own objective, and the urgent
+        one, for which that is too long, would be refused nearly always.
         """
         in_flight = self.load.in_flight(record.id, now_s)
         if in_flight < record.slots:
@@ -223,6 +229,10 @@
         mean_s = self.durations.upstream_mean_s(query.service, record.id)
         wait_s = (in_flight + 1 - record.slots) / record.slots * mean_s
         late = wait_s + mean_s * _OBJECTIVE_SHARE > query.worth_s > mean_s
+        if query.urgent_objective_s is not None:
+            # Nothing waits for longer than what is more urgent may.
+            urgent_wait_s = query.urgent_objective_s - mean_s * _OBJECTIVE_SHARE
+            late = late or wait_s > max(urgent_wait_s, 0.0)
         if late or wait_s + mean_s * _WORK_SHARE > query.left_s:
             return Refusal(RefusalReason.NO_TIME, _bounded(wait_s), wait_s)
         return None
--- a/src/egretrail/dispatch/tests/test_placement.py
+++ b/src/egretrail/dispatch/tests/test_placement.py
@@ -421,3 +421,48 @@
         # 44 slots of 0.4 s serve 110 of 150 requests a second.
         self.assertGreater(shares["overload"], 0.6)
         self.assertGreater(shares["after"], 0.99)
+
+
+class UrgencyTest(EgretrailTestCase):
+    """A service that gets more work than it has slots for, of two kinds."""
+
+    def _served(self, *, told: bool) -> tuple[float, float]:
+        """Return which parts of the urgent and of the other requests are taken."""
+        placement, rng = _placement(), random.Random(5)
+        ready = [_upstream(f"u{n}", slots=3) for n in range(7)]
+        ends: list[tuple[float, str]] = []
+        asked, taken = [0, 0], [0, 0]
+        now_s = 0.0
+        while now_s < 60.0:
+            now_s += rng.expovariate(150.0)
+            while ends and ends[0][0] <= now_s:
+                placement.load.finished(heapq.heappop(ends)[1])
+            is_other = rng.random() < 0.6
+            query = _query(
+                left_s=2.0,
+                worth_s=1.0 if is_other else 0.65,
+                urgent_objective_s=0.65 if is_other and told else None,
+            )
+            asked[is_other] += 1
+            choice = placement.choose(query, ready, now_s)
+            if isinstance(choice, Choice):
+                taken[is_other] += 1
+                placement.load.started(choice.upstream.id, now_s)
+                waits = placement.load.in_flight(choice.upstream.id, now_s) - 3
+                end_s = now_s + rng.expovariate(1 / 0.3) + max(waits, 0) * 0.1
+                heapq.heappush(ends, (end_s, choice.upstream.id))
+        return taken[0] / asked[0], taken[1] / asked[1]
+
+    def test_what_is_less_urgent_does_not_fill_the_queue_that_is_too_long_for_urgent_work(
+        self,
+    ) -> None:
+        urgent_before, other_before = self._served(told=False)
+        urgent, other = self._served(told=True)
+        self.assertLess(urgent_before, other_before / 2)
+        self.assertGreater(urgent, 0.9 * other)
+        self.assertGreater(other, other_before / 3)
+
+    def test_a_free_slot_is_anybodys(self) -> None:
+        placement = _placement()
+        query = _query(worth_s=1.0, urgent_objective_s=0.1)
+        self.assertIsInstance(placement.choose(query, [_upstream("u")], 0.0), Choice)
--- a/src/egretrail/gateway/_config_state.py
+++ b/src/egretrail/gateway/_config_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from egretrail.cluster import KnownOutlines, PartedConfig
-from egretrail.traffic import AccountTable, FleetConfig, RouteTable
+from egretrail.traffic import AccountTable, FleetConfig, RouteTable, UrgencyTable
 
 #: Hubs name their version several times a second. After this silence an instance is cut off, and
 #: what it knows may be old.
@@ -22,6 +22,8 @@
         self.parted: PartedConfig | None = None
         #: Its routes.
         self.routes: RouteTable | None = None
+        #: Which of its requests are more urgent.
+        self.urgency: UrgencyTable | None = None
         #: Its client accounts; None where requests need no API key.
         self.accounts: AccountTable | None = None
         #: What the last configurations consisted of, for instances that still have them.
@@ -80,6 +82,7 @@
             return False
         self.parted = parted
         self.routes = RouteTable(parted.config)
+        self.urgency = UrgencyTable(parted.config)
         accounts = parted.config.accounts
         self.accounts = None if accounts is None else AccountTable(accounts)
         self.outlines.remember(parted)
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -13,7 +13,7 @@
 from egretrail.gateway._view import FleetView
 from egretrail.gateway._work import UNSENT, AttemptResult, Fate, Work
 from egretrail.http1 import Answer, Request
-from egretrail.traffic import Route, choose_service
+from egretrail.traffic import Route, choose_service, request_priority
 
 #: The time of a client that does not say how long it waits.
 _DEFAULT_WAIT_S = 30.0
@@ -231,6 +231,7 @@
             left_s=work.end_s - now_s,
             worth_s=work.request.received_s + work.route.objective_s - now_s,
             repeatable=work.repeatable and work.sends + 1 < work.route.max_attempts,
+            urgent_objective_s=self._urgent_objective_s(work),
             answer_bytes=self._view.sizes.mean_bytes(work.route.name),
             spare_only=spare_only,
             excluded=work.tried,
@@ -269,6 +270,13 @@
         running[task] = choice
         return None
 
+    def _urgent_objective_s(self, work: Work) -> float | None:
+        urgency = self._view.configs.urgency
+        if urgency is None:
+            return None
+        priority = request_priority(work.route, work.account)
+        return urgency.shortest_objective_s(work.service, priority)
+
     def _may_send_again(self, work: Work, result: AttemptResult) -> bool:
         if result.fate in UNSENT:
             return work.unreachable <= _UNREACHABLE_MAX
--- a/src/egretrail/traffic/__init__.py
+++ b/src/egretrail/traffic/__init__.py
@@ -17,6 +17,7 @@
     UpstreamTable,
     upstream_key,
 )
+from egretrail.traffic._urgency import UrgencyTable, request_priority
 
 __all__ = [
     "AccountTable",
@@ -30,9 +31,11 @@
     "UpstreamRecord",
     "UpstreamState",
     "UpstreamTable",
+    "UrgencyTable",
     "WeightedService",
     "choose_service",
     "key_digest",
+    "request_priority",
     "revision_era",
     "revision_number",
     "store_revision",
--- /dev/null
+++ b/src/egretrail/traffic/_urgency.py
@@ -0,0 +1,37 @@
+"""Which requests go first where services are shared."""
+
+from collections.abc import Iterable
+
+from egretrail.traffic._accounts import ClientAccount
+from egretrail.traffic._config import FleetConfig, Route
+
+
+def request_priority(route: Route, account: ClientAccount | None) -> int:
+    """Return the priority of a request: its account's where that has one. 0 is the most urgent."""
+    if account is None or account.priority is None:
+        return route.priority
+    return account.priority
+
+
+class UrgencyTable:
+    """The shortest objectives of a configuration's requests, by service and priority."""
+
+    def __init__(self, config: FleetConfig) -> None:
+        self._objectives_s: dict[str, dict[int, float]] = {}
+        for route in config.routes:
+            for part in route.parts:
+                shortest_s = self._objectives_s.setdefault(part.service, {})
+                for priority in _priorities(route, config.accounts):
+                    known_s = shortest_s.get(priority, route.objective_s)
+                    shortest_s[priority] = min(known_s, route.objective_s)
+
+    def shortest_objective_s(self, service: str, priority: int) -> float | None:
+        """Return the shortest objective of a service's more urgent requests; None without any."""
+        shortest_s = self._objectives_s.get(service, {})
+        return min((one for rank, one in shortest_s.items() if rank < priority), default=None)
+
+
+def _priorities(route: Route, accounts: Iterable[ClientAccount] | None) -> set[int]:
+    if accounts is None or route.is_public:
+        return {route.priority}
+    return {request_priority(route, account) for account in accounts}
--- a/src/egretrail/traffic/tests/test_traffic.py
+++ b/src/egretrail/traffic/tests/test_traffic.py
@@ -16,6 +16,7 @@
 
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import (
+    ClientAccount,
     ClientLimits,
     FleetConfig,
     Route,
@@ -24,8 +25,10 @@
     UpstreamRecord,
     UpstreamState,
     UpstreamTable,
+    UrgencyTable,
     WeightedService,
     choose_service,
+    request_priority,
 )
 
 
@@ -65,6 +68,25 @@
         self.assertEqual(expected, route.name if route is not None else None)
 
 
+class UrgencyTableTest(EgretrailTestCase):
+    def test_the_shortest_objective_of_what_is_more_urgent(self) -> None:
+        urgent = replace(_route("u", "/u/"), priority=0, objective_s=0.5)
+        usual = replace(_route("v", "/v/"), priority=2, objective_s=0.2)
+        table = UrgencyTable(FleetConfig(1, [urgent, usual], {}, ClientLimits()))
+        found = [table.shortest_objective_s("s0", priority) for priority in (0, 1, 2, 3)]
+        self.assertEqual([None, 0.5, 0.5, 0.2], found)
+        self.assertIsNone(table.shortest_objective_s("other", 3))
+
+    def test_the_priority_of_an_account_goes_first(self) -> None:
+        route = replace(_route("u", "/u/"), priority=0, objective_s=0.5)
+        accounts = [ClientAccount("a", (), 1, 0.0, 0.0), ClientAccount("b", (), None, 0.0, 0.0)]
+        self.assertEqual([1, 0, 0], [request_priority(route, one) for one in [*accounts, None]])
+        config = FleetConfig(1, [route], {}, ClientLimits(), accounts[:1])
+        self.assertIsNone(UrgencyTable(config).shortest_objective_s("s0", 1))
+        public = replace(config, routes=[replace(route, is_public=True)])
+        self.assertEqual(0.5, UrgencyTable(public).shortest_objective_s("s0", 1))
+
+
 class SplitTest(EgretrailTestCase):
     @cases({"even": (1.0, 1.0), "one in ten": (90.0, 10.0), "three": (5.0, 3.0, 2.0)})
     def test_shares_follow_the_weights(self, weights: tuple[float, ...]) -> None:
