Count quotas in the sliding window in which they are promised

Change: what the fleet has sent in the window of the settings is counted against rate x window + burst and half of the tolerance that the settings name; the other half covers what is not told yet. Near the limit each instance takes what leaves the window over the demand. Instances that vanish are taken as using their part from then on, and one that hears little of the fleet keeps to its own part. A window of which nothing is known is taken as evenly full. Retry-After grows with the share that is refused.

--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -56,7 +56,7 @@
         " than an ended key may be taken"
     ),
     "over_quota": (
-        "account {account} had {tokens} tokens left of its quota and sent {demand_per_s} requests a"
+        "the quota of account {account} had room for {room} requests, and it sent {demand_per_s} a"
         " second"
     ),
     "starting": "the instance did not know the configuration yet",
--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -17,6 +17,7 @@
     AccountReport,
     CountedAccount,
     OverQuota,
+    QuotaTerms,
     account_key,
     news_of,
 )
@@ -44,6 +45,7 @@
     "OverQuota",
     "Placement",
     "PlacementQuery",
+    "QuotaTerms",
     "Refusal",
     "RefusalReason",
     "RepeatBudget",
--- a/src/egretrail/dispatch/_quotas.py
+++ b/src/egretrail/dispatch/_quotas.py
@@ -2,11 +2,11 @@
 
 Load: one account sends many times its usual rate, from clients spread over all instances or all at
 one of them. Each instance sees a few of its requests and hears of the others' some tenths of a
-second late. Were each to take requests while the account's common bucket seems to have tokens, all
-would take some in the same moment, and none for seconds afterwards. So all instances keep the same
-bucket from what all have told, and once it is nearly empty each takes a share of its own requests:
-the rate of the quota over the rate at which the fleet is asked, a little more or less as the bucket
-is above or below empty. That share does not depend on how the requests are spread.
+second late. Were each to take requests while the common window seems to have room, all would take
+some in the same moment, and none for seconds afterwards. So all instances keep the same window from
+what all have told, and once it is nearly full each takes a share of its own requests: what leaves
+the window over the rate at which the fleet is asked, a little more or less as the window has room
+or is overfull. That share does not depend on how the requests are spread.
 """
 
 import random
@@ -20,21 +20,30 @@
 
 #: Requests of the last moments of this length are the rate at which an account asks.
 _DEMAND_S = 1.0
+#: The same where a sudden rise must be seen at once; it is rather overrated.
+_RISE_S = 0.25
 #: What other instances take is known after this time at the latest; with more tokens than are
 #: asked for meanwhile nobody needs to be refused.
 _TOLD_AFTER_S = 0.5
-#: The bucket is brought back to empty over this time.
+#: Who hears less than this part of the fleet keeps to its own part of each quota.
+_MINORITY = 0.3
+#: What leaves the window within this time makes room for as much.
+_LEAVING_S = 0.25
+#: The window is brought to its limit over this time.
 _SETTLE_S = 1.0
-#: Debts beyond so many seconds of the quota's rate are forgiven.
-_DEBT_MAX_S = 3.0
+#: This part of what a window may have beyond the quota is used; the rest covers requests that are
+#: taken and not yet told.
+_TOLERANCE_USED = 0.5
 #: An instance that hears a part of the fleet only has this multiple of that part of each quota:
 #: instances that are gone are not told apart from those that are cut off and serve on.
-_KNOWN_SHARE_FACTOR = 1.08
+_KNOWN_SHARE_FACTOR = 1.04
 #: Counts of accounts are told for this long after their last change, in case that one is lost.
 _TOLD_FOR_S = 1.0
 #: Counts are told modulo this.
 COUNT_MODULUS = 1 << 16
-_RETRY_MIN_S, _RETRY_MAX_S = 0.1, 2.0
+_RETRY_MIN_S = 0.1
+#: A window of which nothing is known is filled in steps of this time.
+_FILL_STEP_S = 0.25
 
 
 def account_key(name: str) -> int:
@@ -118,33 +127,51 @@
     return report.recent if before is None else report.total.since(before)
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaTerms:
+    """In which time quotas hold, and how far they may be passed."""
+
+    #: The sliding window in which requests are counted.
+    window_s: float = 5.0
+    #: The part of a quota that a window may have beyond it.
+    over: float = 0.0
+    #: Requests that a window may have beyond that.
+    slack: float = 0.0
+
+    def limit(self, account: ClientAccount) -> float:
+        """Return how many requests of an account are taken in a window."""
+        quota = account.rate_per_s * self.window_s + account.burst
+        return quota + (quota * self.over + self.slack) * _TOLERANCE_USED
+
+
 @dataclass(frozen=True, slots=True)
 class OverQuota:
     """A request that its account's quota has no room for."""
 
-    #: When there is room again.
+    #: When there may be room again.
     retry_after_s: float
-    #: The requests that the account may send at once now; below 0 for a debt.
-    tokens: float
+    #: The requests that the window has room for now; below 0 where it is overfull.
+    room: float
     #: The requests a second that the fleet is asked for.
     demand_per_s: float
 
 
 @dataclass(slots=True)
-class _Bucket:
-    """The common bucket of one account, as this instance knows it."""
-
-    rate_per_s: float
-    burst: float
-    #: Without what this instance has sent and the others have not told back.
-    tokens: float
-    refilled_s: float
+class _Window:
+    """The common window of one account, as this instance knows it."""
+
+    account: ClientAccount
+    #: What others tell that was sent, this instance's requests included.
+    sent: SlidingSum
+    #: What this instance sent in the window.
+    own_sent: SlidingSum
     #: All requests of this instance, and those of them that are in what the others tell.
     own: CountedAccount = field(default_factory=CountedAccount)
     acknowledged: AccountCounts = AccountCounts()
     #: Requests that the fleet was asked for.
     asked: SlidingSum = field(default_factory=lambda: SlidingSum(_DEMAND_S))
-    #: The demand while the own zone was last heard.
+    asked_now: SlidingSum = field(default_factory=lambda: SlidingSum(_RISE_S))
+    #: The demand while all zones were last heard.
     heard_demand_per_s: float = 0.0
     #: The part of a request that this instance may take beyond those that it took.
     credit: float = 0.0
@@ -153,38 +180,53 @@
         """Return this instance's requests that the others have not told back."""
         return self.own.total.since(self.acknowledged)
 
-    def refill(self, now_s: float, share: float) -> float:
-        """Return the tokens left, when this instance has a share of the quota."""
-        pending = self.pending().sent
-        self.tokens += (now_s - self.refilled_s) * self.rate_per_s * share
-        self.refilled_s = now_s
-        self.tokens = min(self.tokens, self.burst * share + pending)
-        self.tokens = max(self.tokens, pending - _DEBT_MAX_S * self.rate_per_s)
-        return self.tokens - pending
+    def used(self, now_s: float) -> int:
+        """Return the requests in the window."""
+        pending = min(self.pending().sent, self.own_sent.total(now_s))
+        return self.sent.total(now_s) + pending
+
+
+@dataclass(frozen=True, slots=True)
+class _Unheard:
+    """The use of quotas by instances that are not heard."""
+
+    #: Which part of a window they may have used.
+    part: float
+    #: How fast that part grows.
+    growth_per_s: float
 
 
 class AccountQuotas:
     """Admits requests of accounts with a quota."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, terms: QuotaTerms, rng: random.Random) -> None:
+        self._terms = terms
         self._rng = rng
-        self._buckets: dict[int, _Bucket] = {}
+        self._windows: dict[int, _Window] = {}
+        #: The part of the fleet that was not heard, by time: microseconds of the whole fleet.
+        self._unheard_us = SlidingSum(terms.window_s)
+        self._shared_s = float("inf")
         #: The last counts that others told, by teller and account.
         self._told: dict[str, dict[int, AccountCounts]] = {}
 
+    def set_terms(self, terms: QuotaTerms) -> None:
+        """Change the window and what it may have beyond the quota."""
+        self._terms = terms
+        self._unheard_us.set_window(terms.window_s)
+        for window in self._windows.values():
+            window.sent.set_window(terms.window_s)
+            window.own_sent.set_window(terms.window_s)
+
     def set_accounts(self, accounts: Iterable[ClientAccount], now_s: float) -> None:
-        """Take the accounts of a configuration; those with a quota keep what they had left."""
-        before, self._buckets = self._buckets, {}
+        """Take the accounts of a configuration; those with a quota keep what they have used."""
+        before, self._windows = self._windows, {}
         for account in accounts:
             if not account.is_limited:
                 continue
             key = account_key(account.name)
-            bucket = before.get(key)
-            if bucket is None:
-                # An instance that has just started does not know what is left.
-                bucket = _Bucket(0.0, 0.0, 0.0, now_s, credit=self._rng.random())
-            bucket.rate_per_s, bucket.burst = account.rate_per_s, account.burst
-            self._buckets[key] = bucket
+            window = before.get(key) or self._new_window(account, now_s)
+            window.account = account
+            self._windows[key] = window
 
     def admit(
         self, account: ClientAccount, now_s: float, known_share: float, *, hears_all: bool
@@ -194,47 +236,60 @@
         ``known_share`` is the part of the fleet that is heard, and ``hears_all`` False while a
         zone that is counted in it tells nothing.
         """
-        bucket = self._buckets.get(account_key(account.name))
-        if bucket is None:
+        window = self._windows.get(account_key(account.name))
+        if window is None:
             return None
-        bucket.own.add(AccountCounts(asked=1), now_s)
+        window.own.add(AccountCounts(asked=1), now_s)
         share = min(known_share * _KNOWN_SHARE_FACTOR, 1.0)
-        tokens = bucket.refill(now_s, share)
-        demand_per_s = self._demand(bucket, now_s, share, hears_all=hears_all)
-        if tokens >= demand_per_s * _TOLD_AFTER_S:
+        limit = self._terms.limit(account)
+        unheard = self._unheard(share, now_s)
+        room = limit * (1.0 - unheard.part) - window.used(now_s)
+        demand_per_s = self._demand(window, now_s, share, hears_all=hears_all)
+        rising_per_s = max(window.asked_now.total(now_s) / _RISE_S, demand_per_s)
+        is_calm = hears_all and share >= _MINORITY
+        if is_calm and room >= rising_per_s * _TOLD_AFTER_S:
             return None
-        rate_per_s = bucket.rate_per_s * share
-        taken = (rate_per_s + tokens / _SETTLE_S) / max(demand_per_s, 1.0)
-        bucket.credit = min(bucket.credit + max(taken, 0.0), 2.0)
-        if bucket.credit >= 1.0:
-            bucket.credit -= 1.0
+        leaving_per_s = window.sent.leaving(now_s, _LEAVING_S) / _LEAVING_S
+        leaving_per_s -= limit * unheard.growth_per_s
+        if share < _MINORITY:
+            # Who is cut off knows of nobody's window but its own.
+            room = min(room, limit * share - window.own_sent.total(now_s))
+            leaving_per_s = window.own_sent.leaving(now_s, _LEAVING_S) / _LEAVING_S
+        takes_per_s = leaving_per_s + room / _SETTLE_S
+        if not hears_all:
+            # What the others take meanwhile is not in the window.
+            takes_per_s = min(takes_per_s, limit * share / self._terms.window_s)
+        taken = takes_per_s / max(demand_per_s, 1.0)
+        window.credit = min(window.credit + max(taken, 0.0), 2.0)
+        if window.credit >= 1.0:
+            window.credit -= 1.0
             return None
         # Callers that are refused at the same time come back one after the other.
-        wait_s = max(1.0 - tokens, 1.0) / rate_per_s * (0.5 + self._rng.random())
-        wait_s = min(max(wait_s, _RETRY_MIN_S), _RETRY_MAX_S)
-        return OverQuota(wait_s, tokens, demand_per_s)
+        wait_s = (1.0 - max(taken, 0.0)) * _SETTLE_S * (0.5 + self._rng.random())
+        return OverQuota(max(wait_s, _RETRY_MIN_S), room, demand_per_s)
 
     def sent(self, account: ClientAccount, now_s: float) -> None:
         """Count a request that is sent to an upstream for the first time."""
-        bucket = self._buckets.get(account_key(account.name))
-        if bucket is not None:
-            bucket.own.add(AccountCounts(sent=1), now_s)
+        window = self._windows.get(account_key(account.name))
+        if window is not None:
+            window.own.add(AccountCounts(sent=1), now_s)
+            window.own_sent.add(1, now_s)
 
     def own_reports(self, now_s: float) -> Mapping[int, AccountReport]:
         """Return this instance's counts that changed lately, for the others."""
         return {
-            key: bucket.own.report(now_s)
-            for key, bucket in self._buckets.items()
-            if bucket.own.is_told(now_s)
+            key: window.own.report(now_s)
+            for key, window in self._windows.items()
+            if window.own.is_told(now_s)
         }
 
     def acknowledged(self, reports: Mapping[int, AccountReport]) -> None:
         """Take which counts of this instance are in what its zone tells."""
         for key, report in reports.items():
-            bucket = self._buckets.get(key)
-            if bucket is not None:
-                new = report.total.since(bucket.acknowledged)
-                bucket.acknowledged = bucket.acknowledged.plus(new)
+            window = self._windows.get(key)
+            if window is not None:
+                new = report.total.since(window.acknowledged)
+                window.acknowledged = window.acknowledged.plus(new)
 
     def told(self, teller: str, reports: Mapping[int, AccountReport], now_s: float) -> None:
         """Take the sums of a zone, by the lifetime of its hub; what changed since is new."""
@@ -243,25 +298,56 @@
             before = held.get(key)
             new = news_of(report, before)
             held[key] = report.total if before is None else before.plus(new)
-            bucket = self._buckets.get(key)
-            if bucket is not None:
-                bucket.tokens -= new.sent
-                bucket.asked.add(new.asked, now_s)
+            window = self._windows.get(key)
+            if window is not None:
+                window.sent.add(new.sent, now_s)
+                window.asked.add(new.asked, now_s)
+                window.asked_now.add(new.asked, now_s)
 
     def forget(self, teller: str) -> None:
         """Drop a hub that is gone."""
         self._told.pop(teller, None)
 
-    def _demand(self, bucket: _Bucket, now_s: float, share: float, *, hears_all: bool) -> float:
+    def _unheard(self, share: float, now_s: float) -> _Unheard:
+        """Return which part of a window those may have used that were not heard in it.
+
+        Instances that vanish are taken as cut off and as using their part of each quota from then
+        on. What they had told before stays counted, so no account loses room at once.
+        """
+        window_s = self._terms.window_s
+        passed_s = max(min(now_s - self._shared_s, window_s), 0.0)
+        self._shared_s = now_s
+        self._unheard_us.add(int((1.0 - share) * passed_s * 1e6), now_s)
+        part = self._unheard_us.total(now_s) / 1e6 / window_s
+        ending_per_s = self._unheard_us.leaving(now_s, _LEAVING_S) / 1e6 / _LEAVING_S
+        return _Unheard(min(part, 1.0), (1.0 - share - ending_per_s) / window_s)
+
+    def _demand(self, window: _Window, now_s: float, share: float, *, hears_all: bool) -> float:
         """Return at which rate the part of the fleet is asked that shares a part of the quota.
 
         An instance that is cut off sees its own requests only. Until the silence tells it how large
         its part is, it goes on with the demand that it heard of last.
         """
-        asked = bucket.asked.total(now_s)
-        asked += min(bucket.pending().asked, bucket.own.asked(now_s))
+        asked = window.asked.total(now_s)
+        asked += min(window.pending().asked, window.own.asked(now_s))
         demand_per_s = asked / _DEMAND_S
         if hears_all:
-            bucket.heard_demand_per_s = demand_per_s
+            window.heard_demand_per_s = demand_per_s
             return demand_per_s
-        return max(demand_per_s, bucket.heard_demand_per_s * share)
+        return max(demand_per_s, window.heard_demand_per_s * share)
+
+    def _new_window(self, account: ClientAccount, now_s: float) -> _Window:
+        """Return the window of an account of whose last requests nothing is known.
+
+        It is taken as evenly full: the fleet may have restarted right after a burst.
+        """
+        window_s = self._terms.window_s
+        window = _Window(
+            account, SlidingSum(window_s), SlidingSum(window_s), credit=self._rng.random()
+        )
+        limit, filled, steps = int(self._terms.limit(account)), 0, int(window_s / _FILL_STEP_S)
+        for step in range(steps):
+            due = limit * (step + 1) // steps
+            window.sent.add(due - filled, now_s - window_s + step * _FILL_STEP_S)
+            filled = due
+        return window
--- a/src/egretrail/dispatch/_window.py
+++ b/src/egretrail/dispatch/_window.py
@@ -29,6 +29,17 @@
             self._buckets.append((start_s, count))
         self._sum += count
 
+    def leaving(self, now_s: float, within_s: float) -> int:
+        """Return how much of the sum leaves the window within a time."""
+        until_s = now_s - self._window_s - _BUCKET_S + within_s
+        self.total(now_s)
+        left = 0
+        for start_s, count in self._buckets:
+            if start_s > until_s:
+                break
+            left += count
+        return left
+
     def total(self, now_s: float) -> int:
         """Return what was added within the window."""
         while self._buckets and self._buckets[0][0] <= now_s - self._window_s - _BUCKET_S:
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -137,7 +137,7 @@
                     "over_quota",
                     over.retry_after_s,
                     account=account.name,
-                    tokens=over.tokens,
+                    room=over.room,
                     demand_per_s=over.demand_per_s,
                 )
                 return self._contract.over_quota(over.retry_after_s)
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from egretrail.cluster import at_once
+from egretrail.dispatch import QuotaTerms
 from egretrail.http1 import Answer, ReceivedAnswer, Request
 from egretrail.store import Entry
 from egretrail.traffic import FleetConfig, UpstreamRecord
@@ -63,6 +64,8 @@
     #: Requests with an API key that has ended are refused after this time at the latest, also by an
     #: instance that hears of nothing; None where such an instance serves on.
     revocation_s: float | None = None
+    #: In which time the quotas of client accounts hold, and how far they may be passed.
+    quota_terms: QuotaTerms = field(default_factory=QuotaTerms)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -107,7 +107,7 @@
             settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack, clock()
         )
         #: What is left of accounts' quotas.
-        self.quotas = AccountQuotas(rng)
+        self.quotas = AccountQuotas(settings.quota_terms, rng)
         own_zone = settings.availability_zone
         #: The share of the zone's slots that this instance prefers.
         self.shares = SlotShares(lambda task: self.membership.rank_for(task, own_zone))
@@ -150,6 +150,7 @@
         self.repeats.set_bounds(
             settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack, self._clock()
         )
+        self.quotas.set_terms(settings.quota_terms)
         self.on_news(False)
 
     @property
--- a/src/egretrail/gateway/tests/fleet.py
+++ b/src/egretrail/gateway/tests/fleet.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
+from egretrail.dispatch import QuotaTerms
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.network import SimulatedLinks, SimulatedNetwork
@@ -42,6 +43,7 @@
             gateway_settings(address, zone),
             capacity=self.capacities.get(address, 1.0),
             revocation_s=self.revocation_s,
+            quota_terms=QuotaTerms(5.0, 0.1, 20.0),
         )
         view = FleetView(settings, self._next_incarnation(address), loop.time, log, rng)
         view.take_upstreams(
--- a/src/egretrail/gateway/tests/test_settings_change.py
+++ b/src/egretrail/gateway/tests/test_settings_change.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from egretrail.dispatch import QuotaTerms
 from egretrail.gateway import GatewaySettings, InvalidDocument, SettingsFile
 from egretrail.gateway._settings_change import settings_change
 from egretrail.gateway._settings_file import SettingsWatch
@@ -34,6 +35,7 @@
     "repeat_window_s": (9.0, True),
     "repeat_slack": (9.0, True),
     "revocation_s": (9.0, True),
+    "quota_terms": (QuotaTerms(9.0), True),
 }
 
 
--- a/src/egretrail/platform/_node_file.py
+++ b/src/egretrail/platform/_node_file.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from egretrail.dispatch import QuotaTerms
 from egretrail.gateway import GatewaySettings, InvalidDocument, SettingsFile
 from egretrail.platform._fields import Fields
 
@@ -75,6 +76,11 @@
         repeat_ratio=bounds.number("retryBudgetRatio", 0.1),
         repeat_window_s=bounds.time_s("budgetWindow", "10s"),
         repeat_slack=bounds.number("budgetSlack", 0.0),
+        quota_terms=QuotaTerms(
+            window_s=bounds.time_s("quotaWindow", "5s"),
+            over=bounds.number("quotaOver", 0.0),
+            slack=bounds.number("quotaSlack", 0.0),
+        ),
         revocation_s=bounds.time_s("revoke") if bounds.flag("strictRevoke") else None,
     )
     network.check("seeds", all(_is_ip(seed) for seed in settings.seeds), "not all are IP:PORT")
@@ -86,6 +92,10 @@
     bounds.check("budgetWindow", settings.repeat_window_s > 0, "not above 0")
     bounds.check("retryBudgetRatio", settings.repeat_ratio >= 0, "below 0")
     is_revocable = settings.revocation_s is None or settings.revocation_s > 0
+    quota = settings.quota_terms
+    bounds.check("quotaWindow", quota.window_s > 0, "not above 0")
+    bounds.check("quotaOver", quota.over >= 0, "below 0")
+    bounds.check("quotaSlack", quota.slack >= 0, "below 0")
     bounds.check("revoke", is_revocable, "not above 0")
     bounds.check("budgetSlack", settings.repeat_slack >= 0, "below 0")
     return settings
