--- a/src/egretrail/dispatch/_quotas.py
+++ b/src/egretrail/dispatch/_quotas.py
@@ -20,10 +20,10 @@
 
 #: Requests of the last moments of this length are the rate at which an account asks.
 _DEMAND_S = 1.0
-#: The same where a sudden rise must be seen at once; it is rather overrated.
+#: The same where a sudden rise must be seen at once; this rather overrates it.
 _RISE_S = 0.25
-#: What other instances take is known after this time at the latest; with more tokens than are
-#: asked for meanwhile nobody needs to be refused.
+#: What other instances take is known after this time at the latest; with room for all that is asked
+#: for meanwhile nobody needs to be refused.
 _TOLD_AFTER_S = 0.5
 #: Who hears less than this part of the fleet keeps to its own part of each quota.
 _MINORITY = 0.3
@@ -41,6 +41,8 @@
 _TOLD_FOR_S = 1.0
 #: Counts are told modulo this.
 COUNT_MODULUS = 1 << 16
+#: An instance takes at most so many requests at once beyond the part that it is to take.
+_CREDIT_MAX = 2.0
 _RETRY_MIN_S = 0.1
 #: A window of which nothing is known is filled in steps of this time.
 _FILL_STEP_S = 0.25
@@ -160,7 +162,6 @@
 class _Window:
     """The common window of one account, as this instance knows it."""
 
-    account: ClientAccount
     #: What others tell that was sent, this instance's requests included.
     sent: SlidingSum
     #: What this instance sent in the window.
@@ -180,6 +181,14 @@
         """Return this instance's requests that the others have not told back."""
         return self.own.total.since(self.acknowledged)
 
+    def takes_one(self, part: float) -> bool:
+        """Return whether a request is among the part of this instance's requests to be taken."""
+        self.credit = min(self.credit + part, _CREDIT_MAX)
+        if self.credit < 1.0:
+            return False
+        self.credit -= 1.0
+        return True
+
     def used(self, now_s: float) -> int:
         """Return the requests in the window."""
         pending = min(self.pending().sent, self.own_sent.total(now_s))
@@ -187,12 +196,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Unheard:
-    """The use of quotas by instances that are not heard."""
+class _Room:
+    """What a window has room for."""
 
-    #: Which part of a window they may have used.
-    part: float
-    #: How fast that part grows.
+    #: The requests that may be taken now; below 0 where it is overfull.
+    requests: float
+    #: How fast that grows with the requests that leave the window.
     growth_per_s: float
 
 
@@ -224,9 +233,7 @@
             if not account.is_limited:
                 continue
             key = account_key(account.name)
-            window = before.get(key) or self._new_window(account, now_s)
-            window.account = account
-            self._windows[key] = window
+            self._windows[key] = before.get(key) or self._new_window(account, now_s)
 
     def admit(
         self, account: ClientAccount, now_s: float, known_share: float, *, hears_all: bool
@@ -241,32 +248,24 @@
             return None
         window.own.add(AccountCounts(asked=1), now_s)
         share = min(known_share * _KNOWN_SHARE_FACTOR, 1.0)
-        limit = self._terms.limit(account)
-        unheard = self._unheard(share, now_s)
-        room = limit * (1.0 - unheard.part) - window.used(now_s)
+        self._count_unheard(share, now_s)
+        room = self._room(window, self._terms.limit(account), share, now_s)
         demand_per_s = self._demand(window, now_s, share, hears_all=hears_all)
         rising_per_s = max(window.asked_now.total(now_s) / _RISE_S, demand_per_s)
         is_calm = hears_all and share >= _MINORITY
-        if is_calm and room >= rising_per_s * _TOLD_AFTER_S:
+        if is_calm and room.requests >= rising_per_s * _TOLD_AFTER_S:
             return None
-        leaving_per_s = window.sent.leaving(now_s, _LEAVING_S) / _LEAVING_S
-        leaving_per_s -= limit * unheard.growth_per_s
-        if share < _MINORITY:
-            # Who is cut off knows of nobody's window but its own.
-            room = min(room, limit * share - window.own_sent.total(now_s))
-            leaving_per_s = window.own_sent.leaving(now_s, _LEAVING_S) / _LEAVING_S
-        takes_per_s = leaving_per_s + room / _SETTLE_S
+        takes_per_s = room.growth_per_s + room.requests / _SETTLE_S
         if not hears_all:
             # What the others take meanwhile is not in the window.
-            takes_per_s = min(takes_per_s, limit * share / self._terms.window_s)
-        taken = takes_per_s / max(demand_per_s, 1.0)
-        window.credit = min(window.credit + max(taken, 0.0), 2.0)
-        if window.credit >= 1.0:
-            window.credit -= 1.0
+            limit_per_s = self._terms.limit(account) * share / self._terms.window_s
+            takes_per_s = min(takes_per_s, limit_per_s)
+        taken = max(takes_per_s, 0.0) / max(demand_per_s, 1.0)
+        if window.takes_one(taken):
             return None
         # Callers that are refused at the same time come back one after the other.
-        wait_s = (1.0 - max(taken, 0.0)) * _SETTLE_S * (0.5 + self._rng.random())
-        return OverQuota(max(wait_s, _RETRY_MIN_S), room, demand_per_s)
+        wait_s = (1.0 - taken) * _SETTLE_S * (0.5 + self._rng.random())
+        return OverQuota(max(wait_s, _RETRY_MIN_S), room.requests, demand_per_s)
 
     def sent(self, account: ClientAccount, now_s: float) -> None:
         """Count a request that is sent to an upstream for the first time."""
@@ -308,19 +307,30 @@
         """Drop a hub that is gone."""
         self._told.pop(teller, None)
 
-    def _unheard(self, share: float, now_s: float) -> _Unheard:
-        """Return which part of a window those may have used that were not heard in it.
+    def _room(self, window: _Window, limit: float, share: float, now_s: float) -> _Room:
+        """Return what a window has room for, for an instance that hears a share of the fleet.
 
         Instances that vanish are taken as cut off and as using their part of each quota from then
         on. What they had told before stays counted, so no account loses room at once.
         """
+        if share < _MINORITY:
+            # Who is cut off knows of nobody's requests but its own.
+            own = window.own_sent
+            leaving_per_s = own.leaving(now_s, _LEAVING_S) / _LEAVING_S
+            return _Room(limit * share - own.total(now_s), leaving_per_s)
         window_s = self._terms.window_s
-        passed_s = max(min(now_s - self._shared_s, window_s), 0.0)
+        unheard = self._unheard_us.total(now_s) / 1e6 / window_s
+        ending = self._unheard_us.leaving(now_s, _LEAVING_S) / 1e6 / _LEAVING_S
+        leaving_per_s = window.sent.leaving(now_s, _LEAVING_S) / _LEAVING_S
+        return _Room(
+            limit * (1.0 - min(unheard, 1.0)) - window.used(now_s),
+            leaving_per_s - limit * (1.0 - share - ending) / window_s,
+        )
+
+    def _count_unheard(self, share: float, now_s: float) -> None:
+        passed_s = max(min(now_s - self._shared_s, self._terms.window_s), 0.0)
         self._shared_s = now_s
         self._unheard_us.add(int((1.0 - share) * passed_s * 1e6), now_s)
-        part = self._unheard_us.total(now_s) / 1e6 / window_s
-        ending_per_s = self._unheard_us.leaving(now_s, _LEAVING_S) / 1e6 / _LEAVING_S
-        return _Unheard(min(part, 1.0), (1.0 - share - ending_per_s) / window_s)
 
     def _demand(self, window: _Window, now_s: float, share: float, *, hears_all: bool) -> float:
         """Return at which rate the part of the fleet is asked that shares a part of the quota.
@@ -342,9 +352,7 @@
         It is taken as evenly full: the fleet may have restarted right after a burst.
         """
         window_s = self._terms.window_s
-        window = _Window(
-            account, SlidingSum(window_s), SlidingSum(window_s), credit=self._rng.random()
-        )
+        window = _Window(SlidingSum(window_s), SlidingSum(window_s), credit=self._rng.random())
         limit, filled, steps = int(self._terms.limit(account)), 0, int(window_s / _FILL_STEP_S)
         for step in range(steps):
             due = limit * (step + 1) // steps
