--- a/scaffolding/tests/test_platform_store.py
+++ b/scaffolding/tests/test_platform_store.py
@@ -18,18 +18,25 @@
 from scaffolding.platform import StandInStore
 
 
+@contextlib.asynccontextmanager
+async def _served(store: StandInStore) -> AsyncIterator[PlatformStore]:
+    """Serve a store over HTTP, for one client."""
+    runner = web.AppRunner(store.app())
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    try:
+        yield PlatformStore(f"{host}:{port}")
+    finally:
+        await runner.cleanup()
+
+
 class SnapshotTest(EgretrailTestCase):
     def _read(self, store: StandInStore) -> Snapshot:
         async def run() -> Snapshot:
-            runner = web.AppRunner(store.app())
-            await runner.setup()
-            site = web.TCPSite(runner, "127.0.0.1", 0)
-            await site.start()
-            host, port = runner.addresses[0][:2]
-            try:
-                read = await PlatformStore(f"{host}:{port}").snapshot("servers/")
-            finally:
-                await runner.cleanup()
+            async with _served(store) as client:
+                read = await client.snapshot("servers/")
             assert isinstance(read, Ok)
             return read.ok_value
 
@@ -78,15 +85,8 @@
             self.assertIsInstance(await client.put("x/c", "4", entry.revision), Ok)
 
         async def run() -> None:
-            runner = web.AppRunner(store.app())
-            await runner.setup()
-            site = web.TCPSite(runner, "127.0.0.1", 0)
-            await site.start()
-            host, port = runner.addresses[0][:2]
-            try:
-                await act(PlatformStore(f"{host}:{port}"))
-            finally:
-                await runner.cleanup()
+            async with _served(store) as client:
+                await act(client)
 
         self.run_real(run())
 
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -1,8 +1,6 @@
 """Keeps configuration and upstreams in step with the store, on the few instances that read it."""
 
 import asyncio
-import ipaddress
-import json
 import random
 from collections.abc import Callable, Coroutine, Sequence, Set
 from typing import Any
@@ -10,6 +8,7 @@
 from result import Err
 
 from egretrail.cluster import part_config
+from egretrail.gateway._instance_listing import InstanceListing
 from egretrail.gateway._interfaces import StartSettings, StoreLayout
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
@@ -60,8 +59,6 @@
 #: What a store that came back from an older copy lacks is written again within this time; until
 #: then it proves nothing of what had been written before.
 _RESTORED_S = 2.2
-#: The list of instances in the store follows the membership at most this often.
-_LISTING_INTERVAL_S = 2.0
 
 
 class StoreSync:
@@ -98,7 +95,7 @@
         self._lapses_until_s = float("-inf")
         #: Entries that count as lapsed: until when they are kept, and their last revision.
         self._vanished: dict[str, tuple[float, int]] = {}
-        self._listed: frozenset[str] = frozenset()
+        self._listing = InstanceListing(settings, view, store, layout, peers, log)
         #: What follows a part of the store now.
         self._following: set[_Following] = set()
         self._liveness_timeout_s = _LIVENESS_TIMEOUT_S
@@ -117,7 +114,7 @@
             tasks.create_task(self._keep("config", self._follow_config))
             tasks.create_task(self._keep("upstreams", self._follow_upstreams))
             tasks.create_task(self._check_liveness())
-            tasks.create_task(self._keep_listing())
+            tasks.create_task(self._listing.run())
             tasks.create_task(self._drop_vanished())
 
     def use_store(self, store: Store) -> None:
@@ -127,7 +124,7 @@
         seconds from all who hear them from here.
         """
         self._store = store
-        self._listed = frozenset()
+        self._listing.use_store(store)
         self._begin_anew()
 
     def _begin_anew(self) -> None:
@@ -447,7 +444,7 @@
         self._lapses_until_s = self._loop.time() + _LAPSE_KEEP_S
         self._proof_from_s = self._view.proof.clock() + _RESTORED_S
         self._stored_version = 0
-        self._listed = frozenset()
+        self._listing.write_again()
         self._begin_anew()
 
     def _succeeded(self) -> None:
@@ -473,60 +470,3 @@
 
     def _peer_reaches_store(self) -> bool:
         return self._view.others_reach_store()
-
-    async def _keep_listing(self) -> None:
-        """List the zone's instances in the store, for those that start and know no peer."""
-        if self._view.membership.size() == 1:
-            await self._read_listing()
-        while True:
-            await asyncio.sleep(_LISTING_INTERVAL_S)
-            membership = self._view.membership
-            if membership.own_rank() != 0 or not self._view.store_contact or self._view.leaving:
-                continue
-            others = membership.zone_instances(self._settings.availability_zone)
-            alive = frozenset([self._settings.ip, *(one.address for one in others)])
-            if not alive <= self._listed:
-                await self._write_listing(alive)
-
-    async def _read_listing(self) -> None:
-        read = await self._store.snapshot(self._layout.instances_prefix, stale=True)
-        if isinstance(read, Err):
-            self._log.event("listing_unread", cause=read.err_value)
-            return
-        addresses: list[str] = []
-        for entry in read.ok_value.entries:
-            addresses += _listing(entry.value)[:3]
-        self._peers.add_seeds(addresses)
-
-    async def _write_listing(self, alive: frozenset[str]) -> None:
-        path = self._layout.instances_prefix + self._settings.availability_zone
-        read = await self._store.get(path)
-        if isinstance(read, Err):
-            self._log.event("listing_unread", cause=read.err_value)
-            return
-        entry = read.ok_value
-        held = frozenset(_listing(entry.value)) if entry is not None else frozenset()
-        if not alive <= held:
-            revision = entry.revision if entry is not None else 0
-            written = await self._store.put(path, json.dumps(sorted(alive)), revision)
-            if isinstance(written, Err):
-                # Another relay wrote, or the reply was lost: the next round reads what is there.
-                self._log.event("listing_unwritten", cause=written.err_value)
-                return
-            held = alive
-        self._listed = held
-
-
-def _listing(value: str | None) -> list[str]:
-    try:
-        addresses = json.loads(value or "[]")
-    except (ValueError, RecursionError):
-        return []
-    return [one for one in addresses if _is_ip(one)] if isinstance(addresses, list) else []
-
-
-def _is_ip(value: object) -> bool:
-    try:
-        return isinstance(value, str) and bool(ipaddress.ip_address(value))
-    except ValueError:
-        return False
