Let readers of the store that stand in for others stop one after the other

Cause: instances that take over from readers whom the store turns away hear of each other, and each stops as soon as another one is in contact. A change ends all their watches in the same moment, so all stop at once and nobody reads until all have noticed.

Change: who stands in reads on for three to six seconds, of its own length each. Test: fails before. Cost: some watches more after each outage of the readers.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -49,6 +49,8 @@
 #: Without any peer in contact with the store, further instances of a zone try in turns this long.
 _TURN_S = 3.0
 _TURNS = 4
+#: Who has taken over from readers goes on for this time at least, and for up to twice as long.
+_STAND_IN_S = 3.0
 #: Upstreams whose entries lapsed while the store was away list themselves again within two seconds
 #: of its return; those that vanish right after it are kept for that time.
 _LAPSE_KEEP_S = 2.2
@@ -99,6 +101,8 @@
         #: What follows a part of the store now.
         self._following: set[_Following] = set()
         self._liveness_timeout_s = _LIVENESS_TIMEOUT_S
+        #: Until when this instance reads in place of others although they read too.
+        self._stands_in_until_s = float("-inf")
         #: The revision up to which the configuration was read; None where it has to be read anew.
         self._config_revision: int | None = None
         #: The version of the configuration that the store had last; 0 for one that is not valid.
@@ -148,9 +152,14 @@
             return True
         if not self._view.ready:
             return rank == 0 or self._loop.time() - self._started_s > self._patience_s
+        now_s = self._loop.time()
         if self._peer_reaches_store():
-            return False
-        return rank == 0 or rank == 1 + int(self._loop.time() / _TURN_S) % _TURNS
+            # All that took over hear of each other. If they stopped at once, nobody would read.
+            return self._view.store_contact and now_s < self._stands_in_until_s
+        takes_turn = rank == 0 or rank == 1 + int(now_s / _TURN_S) % _TURNS
+        if takes_turn and now_s >= self._stands_in_until_s:
+            self._stands_in_until_s = now_s + _STAND_IN_S * (1.0 + self._rng.random())
+        return takes_turn
 
     def _zone_reads(self) -> bool:
         """Return whether the own zone is one of those that read."""
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -1,6 +1,7 @@
 """What the reader of a zone makes of the store's outages, lapses and versions."""
 
 import asyncio
+import itertools
 import json
 import os
 import random
@@ -575,6 +576,35 @@
     def test_a_hub_reads(self, case: tuple[int, int, bool]) -> None:
         position, readers, expected = case
 
+        async def act(sync: StoreSync, view: FleetView, tell: Callable[[int], None]) -> None:
+            tell(readers)
+            self.assertIs(expected, sync.should_read())
+
+        self._play(position, act)
+
+    def test_who_reads_in_place_of_others_does_not_stop_as_soon_as_another_does(self) -> None:
+        """All that had taken over heard of each other and stopped at once; nobody read."""
+
+        async def act(sync: StoreSync, view: FleetView, tell: Callable[[int], None]) -> None:
+            tell(0)
+            self.assertTrue(sync.should_read())
+            view.set_store_contact(True)
+            tell(2)
+            self.assertTrue(sync.should_read())
+            await asyncio.sleep(1.5)
+            tell(2)
+            self.assertTrue(sync.should_read())
+            await asyncio.sleep(6.0)
+            tell(2)
+            self.assertFalse(sync.should_read())
+
+        self._play(2, act)
+
+    def _play(
+        self,
+        position: int,
+        act: Callable[[StoreSync, FleetView, Callable[[int], None]], Awaitable[None]],
+    ) -> None:
         async def run() -> None:
             loop = asyncio.get_running_loop()
             log = EventLog("test", descriptor=os.open(os.devnull, os.O_WRONLY))
@@ -585,14 +615,19 @@
             view.take_upstreams([], 5, "test")
             peers = PeerLinks(own, view, log, random.Random(1))
             sync = StoreSync(own, view, FakeStore(), layout, peers, log, random.Random(1))
-            for number, zone in enumerate(zones):
-                if zone != own.availability_zone:
-                    hub = f"10.0.{number}.1"
-                    view.membership.introduce(
-                        Instance(hub, zone, 1, InstanceState.READY, 1.0), loop.time()
-                    )
-                    told = Section(Scope.ACROSS, zone, hub, 1, 1, 1, 5, readers, 1)
-                    view.take_section(told, followed=True)
-            self.assertIs(expected, sync.should_read())
+            sequences = itertools.count(1)
+
+            def tell(readers: int) -> None:
+                sequence = next(sequences)
+                for number, zone in enumerate(zones):
+                    if zone != own.availability_zone:
+                        hub = f"10.0.{number}.1"
+                        view.membership.introduce(
+                            Instance(hub, zone, 1, InstanceState.READY, 1.0), loop.time()
+                        )
+                        told = Section(Scope.ACROSS, zone, hub, 1, sequence, 1, 5, readers, 1)
+                        view.take_section(told, followed=True)
+
+            await act(sync, view, tell)
 
         self.run_paused(run())
