Spread a quota over its window once a burst has had its part

Change: while a window has room for half of its limit a burst is taken whole; below that the limit's rate, as long as there is room for what is not told yet, and near the limit what leaves.

--- a/src/egretrail/dispatch/_quotas.py
+++ b/src/egretrail/dispatch/_quotas.py
@@ -27,6 +27,9 @@
 _TOLD_AFTER_S = 0.5
 #: Who hears less than this part of the fleet keeps to its own part of each quota.
 _MINORITY = 0.3
+#: While a window has room for this part of its limit, a burst is taken whole. With less, the limit
+#: is spread over the window: what is taken faster now is refused later.
+_BURST_SHARE = 0.5
 #: What leaves the window within this time makes room for as much.
 _LEAVING_S = 0.25
 #: The window is brought to its limit over this time.
@@ -251,15 +254,19 @@
         self._count_unheard(share, now_s)
         room = self._room(window, self._terms.limit(account), share, now_s)
         demand_per_s = self._demand(window, now_s, share, hears_all=hears_all)
-        rising_per_s = max(window.asked_now.total(now_s) / _RISE_S, demand_per_s)
+        limit = self._terms.limit(account)
+        limit_per_s = limit / self._terms.window_s
         is_calm = hears_all and share >= _MINORITY
-        if is_calm and room.requests >= rising_per_s * _TOLD_AFTER_S:
-            return None
+        if is_calm and room.requests >= limit * _BURST_SHARE:
+            rising_per_s = max(window.asked_now.total(now_s) / _RISE_S, demand_per_s)
+            if room.requests >= rising_per_s * _TOLD_AFTER_S:
+                return None
         takes_per_s = room.growth_per_s + room.requests / _SETTLE_S
+        if is_calm and room.requests >= limit_per_s * _TOLD_AFTER_S:
+            takes_per_s = max(room.growth_per_s, limit_per_s)
         if not hears_all:
             # What the others take meanwhile is not in the window.
-            limit_per_s = self._terms.limit(account) * share / self._terms.window_s
-            takes_per_s = min(takes_per_s, limit_per_s)
+            takes_per_s = min(takes_per_s, limit_per_s * share)
         taken = max(takes_per_s, 0.0) / max(demand_per_s, 1.0)
         if window.takes_one(taken):
             return None
