Try the store at more instances in a short time where it turns readers away

Ruled out: readers that stand in and stop at once (nobody stood in).

Change: turns of half a second, over eight instances a zone; and whoever is in contact reads on after its turn while nobody else is. Cost: some tens of calls in an outage of the whole store. The test fails before.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -46,9 +46,10 @@
 _START_PATIENCE_S = 0.8
 #: How often an instance looks whether it has to read the store.
 _LOOK_S = 0.1
-#: Without any peer in contact with the store, further instances of a zone try in turns this long.
-_TURN_S = 3.0
-_TURNS = 4
+#: Without any peer in contact with the store, further instances of a zone try in turns this long:
+#: a store may turn away the hubs and some of those, and a change is due within seconds.
+_TURN_S = 0.5
+_TURNS = 8
 #: Who has taken over from readers goes on for this time at least, and for up to twice as long.
 _STAND_IN_S = 3.0
 #: Upstreams whose entries lapsed while the store was away list themselves again within two seconds
@@ -157,9 +158,11 @@
             # All that took over hear of each other. If they stopped at once, nobody would read.
             return self._view.store_contact and now_s < self._stands_in_until_s
         takes_turn = rank == 0 or rank == 1 + int(now_s / _TURN_S) % _TURNS
-        if takes_turn and now_s >= self._stands_in_until_s:
+        if not takes_turn and not self._view.store_contact:
+            return False
+        if now_s >= self._stands_in_until_s:
             self._stands_in_until_s = now_s + _STAND_IN_S * (1.0 + self._rng.random())
-        return takes_turn
+        return True
 
     def _zone_reads(self) -> bool:
         """Return whether the own zone is one of those that read."""
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -8,12 +8,21 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, replace
 from typing import cast
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Err, Result
 
-from egretrail.cluster import Instance, InstanceState, Scope, Section, at_once, part_config
+from egretrail.cluster import (
+    Instance,
+    InstanceState,
+    Membership,
+    Scope,
+    Section,
+    at_once,
+    part_config,
+)
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._store_sync import StoreSync
@@ -600,6 +609,21 @@
 
         self._play(2, act)
 
+    def test_turns_pass_over_several_instances_before_a_change_is_due(self) -> None:
+        """The store turned away three hubs and who came after them, whose turn lasted too long."""
+
+        async def act(sync: StoreSync, view: FleetView, tell: Callable[[int], None]) -> None:
+            took_turns: set[int] = set()
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                tell(0)
+                for rank in range(1, 20):
+                    with mock.patch.object(Membership, "own_rank", return_value=rank):
+                        took_turns |= {rank} if sync.should_read() else set()
+            self.assertGreaterEqual(len(took_turns), 4)
+
+        self._play(2, act)
+
     def _play(
         self,
         position: int,
