Give an instance that has just started its own part of the repeat budget

Change: for one window after its start an instance counts its own requests and repeats only, against its part of the constant allowance, half of which it uses; it knows nobody else's from before.

--- a/src/egretrail/dispatch/_repeats.py
+++ b/src/egretrail/dispatch/_repeats.py
@@ -9,6 +9,9 @@
 #: and not yet told: repeats of a service that come within a fifth of a second of each other. With
 #: 0.85, the sum of twenty instances that hear each other each half second passes the budget.
 _USED_SHARE = 0.75
+#: The share of its part of the constant allowance that an instance uses in the first window after
+#: its start. The rest covers instances that start more than once in a window.
+_START_SHARE = 0.5
 #: Repeats within this time are at most the even part of the budget times the factor: a spell of
 #: refusals outlasts a budget that is spent freely, and then every refusal is final for seconds.
 _PACE_S = 2.0
@@ -52,12 +55,15 @@
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
-        #: Until then the constant allowance counts as used: repeats before the start are not known.
-        self._slack_used_until_s = started_s + window_s
+        #: Until then the constant allowance counts as used.
+        self._slack_used_until_s = float("-inf")
+        self._started_s = started_s
         self._requests: dict[str, SlidingSum] = {}
         self._repeats: dict[str, SlidingSum] = {}
         self._recent: dict[str, SlidingSum] = {}
         self._own: dict[str, RepeatCounts] = {}
+        self._own_requests: dict[str, SlidingSum] = {}
+        self._own_repeats: dict[str, SlidingSum] = {}
         self._told: dict[tuple[str, str], RepeatCounts] = {}
 
     def set_bounds(self, ratio: float, window_s: float, slack: float, now_s: float) -> None:
@@ -69,7 +75,7 @@
         if window_s > self._window_s:
             self._slack_used_until_s = now_s + window_s
         self._ratio, self._window_s, self._slack = ratio, window_s, slack
-        for table in (self._requests, self._repeats):
+        for table in (self._requests, self._repeats, self._own_requests, self._own_repeats):
             for window in table.values():
                 window.set_window(window_s)
 
@@ -77,19 +83,35 @@
         """Count a request of a client."""
         own = self._own.get(service, RepeatCounts())
         self._own[service] = RepeatCounts(own.requests + 1, own.repeats)
+        self._count(self._own_requests, service, 1, now_s)
         self._count(self._requests, service, 1, now_s)
 
-    def permits(self, service: str, now_s: float, known_share: float) -> bool:
+    def permits(
+        self, service: str, now_s: float, known_share: float, own_part: float = 1.0
+    ) -> bool:
         """Return whether one more repeat is within the budget.
 
-        ``known_share`` is the part of the fleet whose counts arrive here, this instance included.
+        ``known_share`` is the part of the fleet whose counts arrive here, this instance included;
+        ``own_part`` is the part that this instance is of the fleet.
         """
+        if now_s < self._started_s + self._window_s:
+            return self._is_within_own_part(service, now_s, own_part)
         allowed = self._allowed(service, now_s, known_share)
         paced = allowed * min(_PACE_FACTOR * _PACE_S / self._window_s, 1.0)
         used = self._total(self._repeats, service, now_s)
         recent = self._total(self._recent, service, now_s)
         return used + 1 <= allowed and recent + 1 <= max(paced, 1.0)
 
+    def _is_within_own_part(self, service: str, now_s: float, own_part: float) -> bool:
+        """Return whether this instance has a repeat left of its own part of the budget.
+
+        Load: a third of the instances is restarted one after the other. Those that have just
+        started know of no repeats from before, and would take the whole constant allowance anew.
+        """
+        requests = self._total(self._own_requests, service, now_s)
+        allowed = _USED_SHARE * self._ratio * requests + _START_SHARE * self._slack * own_part
+        return self._total(self._own_repeats, service, now_s) + 1 <= allowed
+
     def uses(self, now_s: float, known_share: float) -> Mapping[str, RepeatUse]:
         """Return the use of each service's budget, for those on call."""
         return {
@@ -104,6 +126,7 @@
         """Count a repeat that is being sent."""
         own = self._own.get(service, RepeatCounts())
         self._own[service] = RepeatCounts(own.requests, own.repeats + 1)
+        self._count(self._own_repeats, service, 1, now_s)
         self._count_repeats(service, 1, now_s)
 
     def own_counts(self) -> Mapping[str, RepeatCounts]:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -419,7 +419,8 @@
         now_s = self._clock()
         if self.zones.is_late(now_s):
             return False
-        return self.repeats.permits(service, now_s, self.known_share())
+        own_part = 1.0 / max(self.zones.instances(now_s), self.membership.size())
+        return self.repeats.permits(service, now_s, self.known_share(), own_part)
 
     def admit_to_quota(self, account: ClientAccount) -> OverQuota | None:
         """Count a request of an account; return why its quota has no room for it, or None."""
