Log what upstreams say of themselves in their answers

Cause: events told nothing of answers that say that their upstream leaves or wants no requests, so that the hypotheses of the incident could not be told apart by logs. Change: the platform's contract reads both headers from the head of each answer (also of one that is never completed or belongs to another attempt); events upstream_draining, upstream_backoff and notice_ignored; gauge upstreams_backing_off. No decision uses them.

--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -4,6 +4,7 @@
 instances are passed in as values.
 """
 
+from egretrail.dispatch._backoff import BackoffTable
 from egretrail.dispatch._crashing_requests import CrashingRequests, RequestDigest, request_digest
 from egretrail.dispatch._durations import ServiceDurations
 from egretrail.dispatch._limits import AdvertisedLimit, AdvertisedLimits, LimitPosition
@@ -41,6 +42,7 @@
     "AccountReport",
     "AdvertisedLimit",
     "AdvertisedLimits",
+    "BackoffTable",
     "Choice",
     "CrashingRequests",
     "FleetLoad",
--- a/src/egretrail/gateway/__init__.py
+++ b/src/egretrail/gateway/__init__.py
@@ -8,11 +8,13 @@
     GatewaySettings,
     InvalidDocument,
     InvalidLimit,
+    InvalidNotice,
     ReportedLoad,
     RequestContract,
     RequestMetadata,
     ResponseKind,
     StoreLayout,
+    UpstreamNotices,
 )
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._process import Platform, run_gateway, settings_path
@@ -23,6 +25,7 @@
     "GatewaySettings",
     "InvalidDocument",
     "InvalidLimit",
+    "InvalidNotice",
     "Platform",
     "ReportedLoad",
     "RequestContract",
@@ -30,6 +33,7 @@
     "ResponseKind",
     "SettingsFile",
     "StoreLayout",
+    "UpstreamNotices",
     "run_gateway",
     "settings_path",
 ]
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -85,6 +85,9 @@
                 lambda response: self._contract.belongs_to_attempt(
                     response, pending.metadata.attempt_id
                 ),
+                on_head=lambda head: self._view.notices.record(
+                    upstream_id, head.status, self._contract.notices(head)
+                ),
                 without_body=request.method == b"HEAD",
             )
         except ExchangeFailed as error:
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -162,6 +162,31 @@
         return f"not a number of requests per second: {self.value!r}"
 
 
+@dataclass(frozen=True, slots=True)
+class InvalidNotice:
+    """A header with which an upstream describes itself and whose value is not defined."""
+
+    #: The header's name.
+    header: str
+    #: The header's value.
+    value: str
+
+    def __str__(self) -> str:
+        return f"{self.header} has no defined meaning with the value {self.value!r}"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamNotices:
+    """What the head of a response says about its upstream, independent of the request."""
+
+    #: Whether the upstream is draining.
+    is_draining: bool = False
+    #: How long the upstream wants no request from this instance; None if it does not say.
+    backoff_s: float | None = None
+    #: Headers that were ignored.
+    invalid: Sequence[InvalidNotice] = ()
+
+
 class RequestContract(abc.ABC):
     """The HTTP headers and statuses between clients, gateways and upstreams."""
 
@@ -198,6 +223,10 @@
         together. None means that no limit is advertised; an earlier one has then ended.
         """
 
+    @abc.abstractmethod
+    def notices(self, head: ReceivedResponse) -> UpstreamNotices:
+        """Return what the head of a response says about the upstream that sent it."""
+
     @abc.abstractmethod
     def forwarded_response(self, received: ReceivedResponse) -> Response:
         """Return an upstream's response in the form for the client, with the same meaning."""
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -193,6 +193,7 @@
             "members": float(self._view.membership.size()),
             "upstreams": float(len(self._view.upstreams.records)),
             "upstreams_limited": float(self._view.limit_exchange.limits.count()),
+            "upstreams_backing_off": float(self._view.backoffs.count(self._loop.time())),
             "config_version": float(self._view.config_version),
             "config_behind_seconds": self._view.configs.behind_s,
             "state_fetched_bytes_total": float(self._peers.state_exchange.streams.fetched_bytes),
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -23,6 +23,7 @@
 )
 from egretrail.dispatch import (
     AccountQuotas,
+    BackoffTable,
     CrashingRequests,
     FleetLoad,
     FleetRetryBudget,
@@ -46,6 +47,7 @@
 from egretrail.gateway._limit_exchange import LimitExchange, limit_position
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._outcome_recorder import OutcomeRecorder
+from egretrail.gateway._upstream_notices import NoticeRecorder
 from egretrail.gateway._zone_aggregates import ZoneAggregates
 from egretrail.traffic import (
     ClientAccount,
@@ -116,6 +118,10 @@
         self.membership.on_change = self.shares.invalidate
         #: Rate limits that upstreams have advertised.
         self.limit_exchange = LimitExchange(settings.ip, self._limit_position, self._reports, log)
+        #: Upstreams that asked this instance to back off.
+        self.backoffs = BackoffTable()
+        #: Records what upstreams say of themselves in their responses.
+        self.notices = NoticeRecorder(self.upstreams, self.backoffs, clock, log)
         #: Chooses upstreams.
         self.placement = Placement(
             settings.availability_zone,
--- a/src/egretrail/http1/__init__.py
+++ b/src/egretrail/http1/__init__.py
@@ -22,6 +22,7 @@
     encode_request,
     end_to_end_headers,
     header_value,
+    header_values,
 )
 from egretrail.http1._server import BodyBudget, Handler, ServerConnection, ServerLimits
 
@@ -42,5 +43,6 @@
     "encode_request",
     "end_to_end_headers",
     "header_value",
+    "header_values",
     "open_connection",
 ]
--- a/src/egretrail/http1/_client.py
+++ b/src/egretrail/http1/_client.py
@@ -70,6 +70,11 @@
 
 
 ResponsePredicate = Callable[[ReceivedResponse], bool]
+HeadCallback = Callable[[ReceivedResponse], None]
+
+
+def _ignore_head(head: ReceivedResponse) -> None:
+    """Do nothing with the head of a response."""
 
 
 class ClientConnection(asyncio.Protocol):
@@ -85,6 +90,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._response: asyncio.Future[ReceivedResponse] | None = None
         self._accepts: ResponsePredicate | None = None
+        self._on_head: HeadCallback = _ignore_head
         self._without_body = False
         self._reset_message()
         #: Whether another exchange may use this connection.
@@ -99,18 +105,26 @@
         self.on_response_bytes: Callable[[], None] = lambda: None
 
     async def exchange(
-        self, data: bytes, accepts: ResponsePredicate | None = None, *, without_body: bool = False
+        self,
+        data: bytes,
+        accepts: ResponsePredicate | None = None,
+        *,
+        on_head: HeadCallback = _ignore_head,
+        without_body: bool = False,
     ) -> ReceivedResponse:
         """Send an encoded request and return its response.
 
         ``accepts`` decides whether a response belongs to this request; None accepts all.
-        ``without_body`` is set for HEAD, whose responses end with their head. Raises ExchangeBroken
-        or MalformedResponse. Cancellation closes the connection.
+        ``on_head`` is called with the head of each response, with an empty body: also of one that
+        is not accepted or never completed. ``without_body`` is set for HEAD, whose responses end
+        with their head. Raises ExchangeBroken or MalformedResponse. Cancellation closes the
+        connection.
         """
         if self._transport is None or not self.is_reusable:
             raise ExchangeBroken("closed before it was used", response_started=False)
         self.exchange_count += 1
         self._accepts = accepts
+        self._on_head = on_head
         self._without_body = without_body
         self._response = self._loop.create_future()
         self._transport.write(data)
@@ -141,8 +155,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; called by the event loop."""
-        if self._response is None or self._response.done():
-            # No exchange is active, so these bytes belong to no request.
+        if not self._is_active():
+            # These bytes belong to no request.
             self.abort()
             return
         self.on_response_bytes()
@@ -194,6 +208,8 @@
         if not self._parser.should_keep_alive():
             self.is_reusable = False
         self._read_idle_timeout()
+        if self._status >= 200 and self._is_active():
+            self._on_head(ReceivedResponse(self._status, self._reason, self._headers, b""))
         if self._without_body and self._status >= 200:
             self._complete()
 
@@ -209,6 +225,10 @@
         if self._status >= 200 and not self._without_body:
             self._complete()
 
+    def _is_active(self) -> bool:
+        """Return whether a response is awaited."""
+        return self._response is not None and not self._response.done()
+
     def _reset_message(self) -> None:
         self._response_started = False
         self._head_complete = False
--- a/src/egretrail/http1/_messages.py
+++ b/src/egretrail/http1/_messages.py
@@ -45,6 +45,11 @@
     return None
 
 
+def header_values(headers: Headers, name: bytes) -> list[bytes]:
+    """Return the values of all fields with a name, given in lower case, in the order sent."""
+    return [value for field_name, value in headers if field_name.lower() == name]
+
+
 def end_to_end_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Return the fields that are passed on: neither of one connection nor named in Connection."""
     dropped = set(HOP_BY_HOP_FIELDS)
--- a/src/egretrail/http1/tests/test_http1.py
+++ b/src/egretrail/http1/tests/test_http1.py
@@ -9,6 +9,7 @@
     ExchangeFailed,
     Handler,
     MalformedResponse,
+    ReceivedResponse,
     Request,
     Response,
     ServerConnection,
@@ -226,7 +227,11 @@
 
 class ClientTest(EgretrailTestCase):
     def _exchange_with_server(
-        self, response_bytes: bytes, *, close: bool = False
+        self,
+        response_bytes: bytes,
+        *,
+        close: bool = False,
+        on_head: Callable[[ReceivedResponse], None] = lambda head: None,
     ) -> tuple[bytes | ExchangeFailed, bool]:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
@@ -245,7 +250,9 @@
             try:
                 async with asyncio.timeout(5):
                     response = await connection.exchange(
-                        _GET, lambda response: response.header(b"id") in (None, b"mine")
+                        _GET,
+                        lambda response: response.header(b"id") in (None, b"mine"),
+                        on_head=on_head,
                     )
                 outcome = response.body
             except ExchangeFailed as error:
@@ -299,6 +306,24 @@
         self.assertIsInstance(failure, kind)
         self.assertFalse(reusable_after)
 
+    @cases(
+        {
+            "complete": (_OK, [b"mine"]),
+            "interim response first": (b"HTTP/1.1 100 Continue\r\n\r\n" + _OK, [b"mine"]),
+            "a response of another request first": (_OTHER + _OK, [b"other", b"mine"]),
+            "a response of another request behind": (_OK + _OTHER, [b"mine"]),
+            "cut short": (_OK[:-1], [b"mine"]),
+            "cut in its head": (_OK[:20], []),
+        }
+    )
+    def test_heads_are_reported_before_their_response_is_complete(
+        self, case: tuple[bytes, list[bytes]]
+    ) -> None:
+        response_bytes, expected = case
+        heads: list[ReceivedResponse] = []
+        self._exchange_with_server(response_bytes, close=True, on_head=heads.append)
+        self.assertEqual(expected, [head.header(b"id") for head in heads])
+
 
 class HeadersTest(EgretrailTestCase):
     @cases(
--- a/src/egretrail/platform/_contract.py
+++ b/src/egretrail/platform/_contract.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 from collections.abc import Sequence
 from urllib.parse import parse_qs
 
@@ -9,12 +10,21 @@
 
 from egretrail.gateway import (
     InvalidLimit,
+    InvalidNotice,
     ReportedLoad,
     RequestContract,
     RequestMetadata,
     ResponseKind,
+    UpstreamNotices,
+)
+from egretrail.http1 import (
+    ReceivedResponse,
+    Request,
+    Response,
+    end_to_end_headers,
+    header_value,
+    header_values,
 )
-from egretrail.http1 import ReceivedResponse, Request, Response, end_to_end_headers, header_value
 
 _ATTEMPT_ID = b"x-egretrail-attempt-id"
 #: The remaining time in milliseconds, counted from the arrival of the message; not a point in time.
@@ -26,6 +36,12 @@
 _BACKEND_LOAD = b"x-egretrail-backend-load"
 #: Requests per second, a decimal number, that the upstream accepts from all instances together.
 _RATE_LIMIT = b"server-limit"
+#: ``1`` in each response of an upstream that is draining.
+_DRAINING = b"server-leaving"
+_DRAINING_VALUE = b"1"
+#: In a 503 of an upstream: seconds, a decimal number without sign or exponent.
+_RETRY_AFTER = b"retry-after"
+_SECONDS = re.compile(rb"[0-9]+(\.[0-9]+)?")
 #: The value is the bare API key, without an authentication scheme.
 _API_KEY = b"api-key"
 #: The name of the client account, sent to upstreams; a value sent by a client is discarded.
@@ -132,6 +148,27 @@
             return Err(InvalidLimit(_decode_header(stated)))
         return Ok(limit_per_s)
 
+    def notices(self, head: ReceivedResponse) -> UpstreamNotices:
+        """Return what the head of a response says about the upstream that sent it.
+
+        A repeated header counts with its strongest value.
+        """
+        if head.status == 421:
+            # Another upstream at the same address sent this response.
+            return UpstreamNotices()
+        draining = _list_values(head, _DRAINING)
+        invalid = [
+            _invalid_notice(_DRAINING, value) for value in draining if value != _DRAINING_VALUE
+        ]
+        backoffs_s: list[float] = []
+        for value in _list_values(head, _RETRY_AFTER) if head.status == 503 else ():
+            backoff_s = float(value) if _SECONDS.fullmatch(value) else math.inf
+            if backoff_s < math.inf:
+                backoffs_s.append(backoff_s)
+            else:
+                invalid.append(_invalid_notice(_RETRY_AFTER, value))
+        return UpstreamNotices(_DRAINING_VALUE in draining, max(backoffs_s, default=None), invalid)
+
     def forwarded_response(self, received: ReceivedResponse) -> Response:
         """Return an upstream's response as it is passed to the client.
 
@@ -192,5 +229,15 @@
     return key if 0 < len(key) <= _API_KEY_BYTES_MAX else None
 
 
+def _list_values(head: ReceivedResponse, name: bytes) -> list[bytes]:
+    """Return the values of a header that is repeated or contains a comma-separated list."""
+    fields = header_values(head.headers, name)
+    return [value.strip(b" \t") for field in fields for value in field.split(b",")]
+
+
+def _invalid_notice(name: bytes, value: bytes) -> InvalidNotice:
+    return InvalidNotice(name.decode(), _decode_header(value))
+
+
 def _decode_header(value: bytes | None) -> str:
     return "" if value is None else value.decode("latin-1").strip()
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -87,6 +87,71 @@
         named = _CONTRACT.advertised_limit(_response(200, _SEAL, (b"Server-Limit", stated)))
         self.assertIsInstance(named, Err)
 
+    @cases(
+        {
+            "draining": (200, ["Server-Leaving: 1"], (True, None, 0)),
+            "draining in any case and with space": (500, ["server-leaving:  1 "], (True, None, 0)),
+            "draining, stated twice": (200, ["Server-Leaving: 1"] * 2, (True, None, 0)),
+            "draining beside a full queue": (
+                503,
+                ["Server-Leaving: 1", "Retry-After: 3"],
+                (True, 3.0, 0),
+            ),
+            "draining beside another value": (200, ["Server-Leaving: 0, 1"], (True, None, 1)),
+            "empty": (200, ["Server-Leaving:"], (False, None, 1)),
+            "zero": (200, ["Server-Leaving: 0"], (False, None, 1)),
+            "negative": (200, ["Server-Leaving: -1"], (False, None, 1)),
+            "fraction": (200, ["Server-Leaving: 1.0"], (False, None, 1)),
+            "text": (200, ["Server-Leaving: true"], (False, None, 1)),
+            "another upstream's": (421, ["Server-Leaving: 1", "Retry-After: 3"], (False, None, 0)),
+            "none": (200, [], (False, None, 0)),
+        }
+    )
+    def test_notice_of_draining(
+        self, case: tuple[int, list[str], tuple[bool, float | None, int]]
+    ) -> None:
+        self._assert_notices(*case)
+
+    @cases(
+        {
+            "seconds": (503, ["Retry-After: 3"], (False, 3.0, 0)),
+            "fraction": (503, ["Retry-After: 0.25"], (False, 0.25, 0)),
+            "zero": (503, ["Retry-After: 0"], (False, 0.0, 0)),
+            "huge": (503, ["Retry-After: 86400000"], (False, 86_400_000.0, 0)),
+            "stated twice": (503, ["Retry-After: 1", "Retry-After: 3"], (False, 3.0, 0)),
+            "list": (503, ["Retry-After: 3, 1"], (False, 3.0, 0)),
+            "beside an invalid one": (503, ["Retry-After: x", "Retry-After: 2"], (False, 2.0, 1)),
+            "empty": (503, ["Retry-After:"], (False, None, 1)),
+            "negative": (503, ["Retry-After: -3"], (False, None, 1)),
+            "with a sign": (503, ["Retry-After: +3"], (False, None, 1)),
+            "exponent": (503, ["Retry-After: 3e0"], (False, None, 1)),
+            "not a number": (503, ["Retry-After: nan"], (False, None, 1)),
+            "infinite": (503, ["Retry-After: inf"], (False, None, 1)),
+            "beyond all numbers": (503, ["Retry-After: " + "9" * 400], (False, None, 1)),
+            "with a unit": (503, ["Retry-After: 3s"], (False, None, 1)),
+            "date": (503, ["Retry-After: Thu, 03 Dec 2026 16:00:00 GMT"], (False, None, 2)),
+            "digits that are not ASCII": (503, ["Retry-After: \u0663"], (False, None, 1)),
+            "beside 200": (200, ["Retry-After: 3"], (False, None, 0)),
+            "beside 429": (429, ["Retry-After: 3"], (False, None, 0)),
+            "beside 500": (500, ["Retry-After: 3"], (False, None, 0)),
+            "beside 504": (504, ["Retry-After: x"], (False, None, 0)),
+        }
+    )
+    def test_notice_of_backoff(
+        self, case: tuple[int, list[str], tuple[bool, float | None, int]]
+    ) -> None:
+        self._assert_notices(*case)
+
+    def _assert_notices(
+        self, status: int, rows: list[str], expected: tuple[bool, float | None, int]
+    ) -> None:
+        fields = [row.partition(":") for row in rows]
+        headers = [(name.encode(), value.strip().encode()) for name, _, value in fields]
+        for marks in ([], [_NOT_EXECUTED], [_SEAL]):
+            notices = _CONTRACT.notices(_response(status, *headers, *marks))
+            stated = (notices.is_draining, notices.backoff_s, len(notices.invalid))
+            self.assertEqual(expected, stated)
+
     @cases({"own": (b"a1", True), "another's": (b"a2", False), "none": (None, True)})
     def test_response_belongs_to_attempt(self, case: tuple[bytes | None, bool]) -> None:
         stated, expected = case
