--- a/scaffolding/platform/backend.py
+++ b/scaffolding/platform/backend.py
@@ -68,6 +68,14 @@
     cancelled: list[str] = field(default_factory=list)
     #: The rate limit, in requests per second for all callers together, that responses state.
     limit_per_s: float | None = None
+    #: Whether responses state that the backend is draining.
+    draining: bool = False
+    #: The value of Retry-After in responses with status 503; None leaves it out.
+    retry_after: str | None = None
+    #: Times by the event loop's clock and client attempts of the responses that stated draining.
+    draining_stated: list[tuple[float, str]] = field(default_factory=list)
+    #: The same of responses that stated Retry-After.
+    retry_after_stated: list[tuple[float, str]] = field(default_factory=list)
     #: The address that it listens on, ``IP:PORT``.
     address: str = ""
     _running: int = 0
@@ -177,7 +185,7 @@
                 writer.transport.abort()
                 return False
             case Behaviour.TRUNCATING:
-                message = _encode_response(200, body, attempt, _SEAL_HEADER)
+                message = self._encode_response(200, body, attempt, _SEAL_HEADER)
                 writer.write(message[:-3])
                 return False
             case Behaviour.EXTRA_RESPONSE:
@@ -205,9 +213,21 @@
         attempt: str,
         fields: dict[str, str],
     ) -> None:
+        writer.write(self._encode_response(status, body, attempt, fields))
+
+    def _encode_response(
+        self, status: int, body: bytes, attempt: str, fields: dict[str, str]
+    ) -> bytes:
+        now_s = asyncio.get_running_loop().time()
         if self.limit_per_s is not None:
             fields = {**fields, "Server-Limit": f"{self.limit_per_s:g}"}
-        writer.write(_encode_response(status, body, attempt, fields))
+        if self.draining:
+            fields = {**fields, "Server-Leaving": "1"}
+            self.draining_stated.append((now_s, attempt))
+        if self.retry_after is not None and status == 503:
+            fields = {**fields, "Retry-After": self.retry_after}
+            self.retry_after_stated.append((now_s, attempt))
+        return _encode_response(status, body, attempt, fields)
 
 
 _SEAL_HEADER = {"X-Egretrail-Response-Seal": "1a.2b"}
--- a/src/egretrail/gateway/tests/test_executor.py
+++ b/src/egretrail/gateway/tests/test_executor.py
@@ -1,88 +1,33 @@
 """Responses and counts of the request executor when requests are refused, fail or are cancelled."""
 
 import asyncio
-import json
-import os
 import random
-from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from unittest import mock
 
-from result import Ok
-
-from egretrail.cluster import run_to_completion, split_config
 from egretrail.gateway._executor import RequestExecutor
 from egretrail.gateway._log import EventLog
-from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._peer_streams import StateOffer
 from egretrail.gateway._pool import UpstreamConnectionPool
 from egretrail.gateway._state_exchange import StateExchange
 from egretrail.gateway._view import FleetView
+from egretrail.gateway.tests.executor import ExecutorTestCase, make_request, open_devnull
 from egretrail.gateway.tests.settings import gateway_settings
-from egretrail.http1 import ClientConnection, Request
-from egretrail.platform import PlatformContract, PlatformLayout
+from egretrail.http1 import ClientConnection
 from egretrail.platform.tests.requests import client_request, forwarded_account, has_api_key
-from egretrail.testing import EgretrailTestCase, cases
+from egretrail.testing import cases
 from egretrail.traffic import UpstreamRecord, UpstreamState
 from scaffolding.platform import Behaviour, StandInBackend
-from scaffolding.platform.fleet import (
-    HOST,
-    account,
-    at_most_once_route,
-    config,
-    route,
-    single_attempt_route,
-)
-
-_ROUTES = [
-    route("read", "/read/", "s", timeout="1500ms"),
-    route("open", "/open/", "s", public=True),
-    at_most_once_route("order", "/order/", "s", timeout="1500ms"),
-    single_attempt_route("once", "/once/", "s"),
-]
-
-Scenario = Callable[[RequestExecutor, FleetView, StandInBackend], Awaitable[None]]
-
-
-def _request(method: bytes, target: bytes) -> Request:
-    return client_request(HOST, method, target)
+from scaffolding.platform.fleet import HOST, account
 
 
-class ExecutorTest(EgretrailTestCase):
-    def _run_with_backend(
-        self, scenario: Scenario, accounts: Sequence[dict[str, object]] | None = None
-    ) -> None:
-        async def run() -> None:
-            loop = asyncio.get_running_loop()
-            log = EventLog("test", descriptor=_open_devnull())
-            rng = random.Random(1)
-            view = FleetView(gateway_settings(), 1, loop.time, log, rng)
-            document = json.dumps(config(1, _ROUTES, accounts)).encode()
-            decoded = PlatformLayout().decode_config(document)
-            assert isinstance(decoded, Ok)
-            view.apply_config(run_to_completion(split_config(decoded.ok_value)), "test")
-            backend = StandInBackend("s", "zone-a", work_s=0.05)
-            await backend.start()
-            record = UpstreamRecord(
-                backend.id, "s", backend.address, "zone-a", 4, UpstreamState.READY
-            )
-            view.replace_upstreams([record], 5, "test")
-            executor = RequestExecutor(
-                view, PlatformContract(), UpstreamConnectionPool(), log, GatewayMetrics(), rng
-            )
-            try:
-                await scenario(executor, view, backend)
-            finally:
-                await backend.stop()
-
-        self.run_real(run())
-
+class ExecutorTest(ExecutorTestCase):
     def test_a_request_whose_client_disconnects_at_once_is_not_counted_as_running(self) -> None:
         async def scenario(
             executor: RequestExecutor, view: FleetView, backend: StandInBackend
         ) -> None:
             for steps in range(6):
-                task = asyncio.create_task(executor.serve(_request(b"GET", b"/read/1")))
+                task = asyncio.create_task(executor.serve(make_request(b"GET", b"/read/1")))
                 for _ in range(steps):
                     await asyncio.sleep(0)
                 task.cancel()
@@ -90,7 +35,7 @@
                 await asyncio.sleep(0)
             self.assertEqual({}, view.load.own_counts())
 
-        self._run_with_backend(scenario)
+        self.run_with_backend(scenario)
 
     def test_an_unknown_route_is_not_final_while_a_newer_configuration_may_exist(
         self,
@@ -105,19 +50,19 @@
             executor: RequestExecutor, view: FleetView, backend: StandInBackend
         ) -> None:
             # Without contact to the store or peers the instance may have missed a newer version.
-            self.assertEqual(503, (await executor.serve(_request(b"GET", b"/new/1"))).status)
+            self.assertEqual(503, (await executor.serve(make_request(b"GET", b"/new/1"))).status)
             view.configs.reaches_store = True
-            self.assertEqual(404, (await executor.serve(_request(b"GET", b"/new/1"))).status)
-            log = EventLog("test", descriptor=_open_devnull())
+            self.assertEqual(404, (await executor.serve(make_request(b"GET", b"/new/1"))).status)
+            log = EventLog("test", descriptor=open_devnull())
             exchange = StateExchange(gateway_settings(), view, log, random.Random(1))
             exchange.fetch_if_newer(StateOffer("127.0.0.2", "zone-a", 2, 0))
-            response = await executor.serve(_request(b"GET", b"/new/1"))
+            response = await executor.serve(make_request(b"GET", b"/new/1"))
             self.assertEqual(503, response.status)
             self.assertLess(float(dict(response.headers)[b"Retry-After"]), 1.0)
             # Requests to routes of the older version are still served.
-            self.assertEqual(200, (await executor.serve(_request(b"GET", b"/read/1"))).status)
+            self.assertEqual(200, (await executor.serve(make_request(b"GET", b"/read/1"))).status)
 
-        self._run_with_backend(scenario)
+        self.run_with_backend(scenario)
 
     @cases(
         {
@@ -147,7 +92,7 @@
                 self.assertEqual(name, forwarded_account(headers))
                 self.assertFalse(has_api_key(headers))
 
-        self._run_with_backend(scenario, [account("acme", "k1", "k2")])
+        self.run_with_backend(scenario, [account("acme", "k1", "k2")])
 
     def test_api_keys_are_refused_while_a_revocation_may_have_been_missed(self) -> None:
         async def scenario(
@@ -165,7 +110,7 @@
             view.confirm_config_current(asyncio.get_running_loop().time() - 4.0)
             self.assertEqual(200, (await executor.serve(keyed)).status)
 
-        self._run_with_backend(scenario, [account("acme", "k1")])
+        self.run_with_backend(scenario, [account("acme", "k1")])
 
     def test_a_request_is_not_sent_to_an_upstream_that_started_draining_while_connecting(
         self,
@@ -187,11 +132,11 @@
                 return connection
 
             with mock.patch.object(UpstreamConnectionPool, "acquire", acquire_late):
-                response = await executor.serve(_request(b"POST", b"/order/1"))
+                response = await executor.serve(make_request(b"POST", b"/order/1"))
             self.assertEqual(503, response.status)
             self.assertEqual(0, sum(backend.runs.values()))
 
-        self._run_with_backend(scenario)
+        self.run_with_backend(scenario)
 
     def test_a_hanging_request_gets_a_response_at_its_routes_timeout(self) -> None:
         async def scenario(
@@ -200,14 +145,14 @@
             backend.behaviour = Behaviour.HANGING
             loop = asyncio.get_running_loop()
             start_s = loop.time()
-            response = await executor.serve(_request(b"POST", b"/order/1"))
+            response = await executor.serve(make_request(b"POST", b"/order/1"))
             self.assertEqual(504, response.status)
             self.assertGreaterEqual(loop.time() - start_s, 1.4)
             while view.load.own_counts():
                 await asyncio.sleep(0)
             self.assertEqual({}, view.load.own_counts())
 
-        self._run_with_backend(scenario)
+        self.run_with_backend(scenario)
 
     def test_a_request_refused_by_all_upstreams_gets_the_typical_duration_as_retry_after(
         self,
@@ -216,12 +161,12 @@
             executor: RequestExecutor, view: FleetView, backend: StandInBackend
         ) -> None:
             backend.behaviour = Behaviour.SHEDDING
-            response = await executor.serve(_request(b"POST", b"/once/1"))
+            response = await executor.serve(make_request(b"POST", b"/once/1"))
             self.assertEqual(503, response.status)
             # The typical duration that is assumed before any was measured.
             self.assertEqual([(b"Retry-After", b"0.30")], list(response.headers))
 
-        self._run_with_backend(scenario)
+        self.run_with_backend(scenario)
 
     def test_a_request_that_crashes_upstreams_is_refused_after_the_third_crash(self) -> None:
         async def scenario(
@@ -236,11 +181,7 @@
                 )
                 backend.id = name
                 view.replace_upstreams([record], 6 + number, "test")
-                statuses.append((await executor.serve(_request(b"POST", b"/order/1"))).status)
+                statuses.append((await executor.serve(make_request(b"POST", b"/order/1"))).status)
             self.assertEqual([502, 502, 502, 503, 503, 503], statuses)
 
-        self._run_with_backend(scenario)
-
-
-def _open_devnull() -> int:
-    return os.open(os.devnull, os.O_WRONLY)
+        self.run_with_backend(scenario)
