A response that states draining ends its upstream's work at once

Callers saw: none of them a failure; requests ran at an upstream that was leaving, later than it had agreed to take them. Cause: whether an upstream leaves was learned from the store's list, and from another lifetime's answer at its address. Class: a word that reaches one instance directly is not kept, since all knowledge is expected from the shared list. Change: a response of any kind that states draining marks the lifetime, from its head on, whether the list has it now or not; no list makes it ready again. Another lifetime of the same name gets work at once. mark_draining used to forget what it was told of a lifetime that is not listed at that moment; the model of lifetimes agreed with that, and now demands that such a lifetime is never ready again.

--- a/src/egretrail/gateway/_upstream_notices.py
+++ b/src/egretrail/gateway/_upstream_notices.py
@@ -27,7 +27,7 @@
         """Record the notices in the head of a response with a status."""
         for invalid in notices.invalid:
             self._log.event("notice_ignored", upstream=upstream_id, status=status, cause=invalid)
-        if notices.is_draining and self._upstreams.is_ready(upstream_id):
+        if notices.is_draining and self._upstreams.mark_draining(upstream_id):
             self._log.event("upstream_draining", upstream=upstream_id, status=status)
         if notices.backoff_s:
             self._backoffs.record(upstream_id, notices.backoff_s, self._clock())
--- a/src/egretrail/gateway/tests/test_upstream_notices.py
+++ b/src/egretrail/gateway/tests/test_upstream_notices.py
@@ -111,6 +111,23 @@
 
         self.run_with_backends(1, scenario)
 
+    def test_an_upstream_that_starts_again_under_its_name_gets_requests_at_once(self) -> None:
+        async def scenario(
+            executor: RequestExecutor, view: FleetView, backends: Sequence[StandInBackend]
+        ) -> None:
+            [backend] = backends
+            backend.draining = True
+            await executor.serve(make_request(*_ONCE))
+            backend.draining = False
+            for started_ms, status in ((0, 503), (1_000, 200), (2_000, 200)):
+                revision = view.upstreams.revision + 1
+                record = listed_record(backend, revision=revision, started_ms=started_ms)
+                view.replace_upstreams([record], revision, "test")
+                responses = await _send_series(executor)
+                self.assertEqual([status] * 6, [response.status for response in responses])
+
+        self.run_with_backends(1, scenario)
+
 
 class BackingOffUpstreamTest(ExecutorTestCase):
     """Guards against requests to an upstream that refused one and stated Retry-After.
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -202,16 +202,21 @@
         names = dict.fromkeys(change.name for change in self._changes if change.revision > revision)
         return {name: self._by_name.get(name) for name in names}
 
-    def mark_draining(self, upstream_id: str) -> None:
-        """Stop sending requests to an upstream whose address responds for another lifetime.
+    def mark_draining(self, upstream_id: str) -> bool:
+        """Record that a lifetime accepts no more work; return False if that was known.
 
-        If the store is slow, this response arrives before the updated list.
+        A response shows this before the list does: it states draining, or comes from another
+        lifetime at the address. The lifetime need not be listed now. Its entry may vanish for a
+        moment, and the store lists it as ready until it accepts the upstream's own report.
         """
+        if upstream_id in self._drained:
+            return False
+        self._remember_drained(upstream_id)
         record = self.records.get(upstream_id)
-        if record is not None and record.state is UpstreamState.READY:
-            self._remember_drained(upstream_id)
+        if record is not None:
             self._by_name[record.name] = self._with_known_state(record)
             self._rebuild_indexes()
+        return True
 
     def _apply_later_lifetimes(self, changes: Mapping[str, UpstreamRecord | None]) -> None:
         later = []
--- a/src/egretrail/traffic/tests/test_traffic.py
+++ b/src/egretrail/traffic/tests/test_traffic.py
@@ -184,9 +184,9 @@
         table = UpstreamTable()
         old, new = _record("u", started_ms=5), _record("u", started_ms=9)
         table.apply_changes({"u": old}, 1)
-        table.mark_draining(old.id)
+        self.assertTrue(table.mark_draining(old.id))
         table.apply_changes({"u": new}, 2)
-        table.mark_draining(old.id)
+        self.assertFalse(table.mark_draining(old.id))
         self.assertEqual([new.id], [record.id for record in table.ready("s")])
 
 
@@ -235,10 +235,10 @@
             self.table.replace(records, revision)
 
     @rule(name=st.sampled_from("uv"), started_ms=st.integers(1, 4))
-    def respond_for_another(self, name: str, started_ms: int) -> None:
+    def respond_that_it_ended(self, name: str, started_ms: int) -> None:
+        # A response may arrive after the lifetime's entry vanished, and the entry may return.
         upstream_id = _record(name, started_ms=started_ms).id
-        if upstream_id in self.table.records:
-            self.ended.add(upstream_id)
+        self.ended.add(upstream_id)
         self.table.mark_draining(upstream_id)
 
     @invariant()
