No request goes to an upstream before the end of its Retry-After

Callers saw: a repeat more for each request that went to an upstream which had said that it would turn it away. Cause: a refusal raised the upstream's cost for 0.25 to 2 s, whatever time it stated. An upstream that runs nothing has no other cost, so it came first again as soon as that had passed, and before while the others were full. Class: what an upstream asks of one instance is weighed as evidence about its load, where it binds. Placement passes over such upstreams for all requests, repeats, hedges and trials alike; a request that was chosen before the answer is not sent. While all upstreams of a service back off, requests are refused at once, and Retry-After is when the first backoff ends (reason backing_off).

--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -46,6 +46,10 @@
         "every upstream of service {service} had named a limit, of which this instance had no token"
         " left"
     ),
+    "backing_off": (
+        "every upstream of service {service} had asked this instance to send no requests for a time"
+        " that was not over"
+    ),
     "crashes_upstreams": "three upstreams were lost while they ran it",
     "config_behind": (
         "no route of the configuration in force takes it, or no account holds its key, and the"
--- a/src/egretrail/dispatch/_backoff.py
+++ b/src/egretrail/dispatch/_backoff.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+from egretrail.traffic import UpstreamRecord
+
 #: Upstreams that are remembered, about 100 bytes each.
 _UPSTREAMS_MAX = 20_000
 
@@ -33,9 +35,18 @@
         """Return for how much longer an upstream wants no requests; 0 if it takes them."""
         return max(self._until_s.get(upstream_id, now_s) - now_s, 0.0)
 
-    def shortest_remaining_s(self, upstream_ids: Sequence[str], now_s: float) -> float:
+    def accepting(
+        self, records: Sequence[UpstreamRecord], now_s: float
+    ) -> Sequence[UpstreamRecord]:
+        """Return the upstreams that take requests from this instance now."""
+        self._discard_expired(now_s)
+        if not self._until_s:
+            return records
+        return [record for record in records if record.id not in self._until_s]
+
+    def shortest_remaining_s(self, records: Sequence[UpstreamRecord], now_s: float) -> float:
         """Return when the first of some upstreams takes requests again; 0 if one does now."""
-        return min((self.remaining_s(name, now_s) for name in upstream_ids), default=0.0)
+        return min((self.remaining_s(record.id, now_s) for record in records), default=0.0)
 
     def count(self, now_s: float) -> int:
         """Return the number of upstreams that want no requests now."""
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
+from egretrail.dispatch._backoff import BackoffTable
 from egretrail.dispatch._durations import ServiceDurations
 from egretrail.dispatch._limits import AdvertisedLimits, LimitPosition
 from egretrail.dispatch._load import FleetLoad
@@ -72,6 +73,8 @@
     NO_TIME = "no_time"
     #: Every upstream advertised a limit, of which this instance has no token left.
     LIMITED = "limited"
+    #: Every upstream has asked this instance to back off.
+    BACKING_OFF = "backing_off"
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +145,8 @@
     warmup_until_s: dict[str, float] = field(default_factory=dict)
     #: The limits that upstreams advertised.
     limits: AdvertisedLimits = field(default_factory=lambda: AdvertisedLimits(_sole_position))
+    #: Upstreams that asked this instance to back off.
+    backoffs: BackoffTable = field(default_factory=BackoffTable)
     #: Whether a slot of an upstream is this instance's share.
     has_slot_share: Callable[[UpstreamRecord], bool] = lambda record: True
     #: Breaks ties, so that instances with equal views choose different upstreams.
@@ -156,10 +161,21 @@
         waiting. A suspect whose pause has passed gets exactly one request, from an instance of its
         own zone if there is one. Otherwise the whole fleet would send to the suspect at the end of
         its pause, and each of those requests would fail.
+
+        An upstream that asked this instance to back off gets no request of any kind. If all of them
+        did, the request is refused at once rather than held: the client's retry is likely to reach
+        an instance that may send it.
         """
-        candidates = [record for record in ready if record.id not in query.excluded]
+        accepting = self.backoffs.accepting(ready, now_s)
+        if ready and not accepting:
+            return Refusal(
+                RefusalReason.BACKING_OFF, self.retry_after_s(query.service, ready, now_s)
+            )
+        candidates = [record for record in accepting if record.id not in query.excluded]
         if not candidates:
-            return Refusal(RefusalReason.NO_UPSTREAM, self.retry_after_s(query.service))
+            return Refusal(
+                RefusalReason.NO_UPSTREAM, self.retry_after_s(query.service, ready, now_s)
+            )
         within_limits = [
             record
             for record in candidates
@@ -168,7 +184,8 @@
         if not within_limits:
             # Clients retry a few times only, each time at another instance: spread them over time.
             retry_after_s = max(
-                self.limits.retry_after_s(candidates, now_s), self.retry_after_s(query.service)
+                self.limits.retry_after_s(candidates, now_s),
+                self.retry_after_s(query.service, ready, now_s),
             )
             return Refusal(RefusalReason.LIMITED, retry_after_s)
         suspects: list[UpstreamRecord] = []
@@ -200,7 +217,9 @@
             if trial is not None:
                 return Choice(trial, 0, True, len(candidates))
         if best is None or (query.spare_only and best_cost >= _SPARE_COST_MAX):
-            return Refusal(RefusalReason.ALL_SUSPECT, self.retry_after_s(query.service))
+            return Refusal(
+                RefusalReason.ALL_SUSPECT, self.retry_after_s(query.service, ready, now_s)
+            )
         chosen = best
         refusal = self._late_refusal(query, best, now_s)
         if refusal is not None:
@@ -284,9 +303,13 @@
         bytes_cost = min(query.response_bytes / _BYTES_PER_COST_UNIT, _BYTES_COST_MAX)
         return _CROSS_ZONE_COST + bytes_cost
 
-    def retry_after_s(self, service: str) -> float:
-        """Return when to retry at a service without free capacity: one typical duration."""
-        return _clamp_retry_after(self.durations.mean_s(service))
+    def retry_after_s(self, service: str, ready: Sequence[UpstreamRecord], now_s: float) -> float:
+        """Return when to retry at a service that does not take a request now.
+
+        This is one typical duration, but no sooner than the first upstream takes requests again.
+        """
+        first_end_s = self.backoffs.shortest_remaining_s(ready, now_s)
+        return max(_clamp_retry_after(self.durations.mean_s(service)), first_end_s)
 
 
 def _sole_position(_: UpstreamRecord) -> LimitPosition:
--- a/src/egretrail/dispatch/tests/test_backoff.py
+++ b/src/egretrail/dispatch/tests/test_backoff.py
@@ -2,6 +2,7 @@
 
 from egretrail.dispatch import BackoffTable
 from egretrail.testing import EgretrailTestCase, cases
+from egretrail.traffic import UpstreamRecord, UpstreamState
 
 
 class BackoffTableTest(EgretrailTestCase):
@@ -28,9 +29,15 @@
         table = BackoffTable()
         table.record("a", 3.0, 0.0)
         table.record("b", 1.0, 0.0)
-        self.assertEqual(0.5, table.shortest_remaining_s(["a", "b"], 0.5))
-        self.assertEqual(0.0, table.shortest_remaining_s(["a", "b", "c"], 0.5))
+        records = [
+            UpstreamRecord(name, "s", "10.0.0.1:80", "a", 4, UpstreamState.READY) for name in "abc"
+        ]
+        self.assertEqual(0.5, table.shortest_remaining_s(records[:2], 0.5))
+        self.assertEqual(0.0, table.shortest_remaining_s(records, 0.5))
         self.assertEqual(0.0, table.shortest_remaining_s([], 0.5))
+        for now_s, accepting in ((0.5, "c"), (1.0, "bc"), (3.0, "abc")):
+            names = [record.name for record in table.accepting(records, now_s)]
+            self.assertEqual(list(accepting), names)
 
     def test_expired_backoffs_are_not_kept(self) -> None:
         table = BackoffTable()
--- a/src/egretrail/dispatch/tests/test_placement.py
+++ b/src/egretrail/dispatch/tests/test_placement.py
@@ -49,6 +49,59 @@
     placement.suspicion.record_outcome(Observation(name, Outcome.FAILED, 0.003), "b", 0.3, now_s)
 
 
+class BackoffTest(EgretrailTestCase):
+    """Guards against requests to an upstream that refused one and stated when to come back."""
+
+    @cases(
+        {
+            "any request": {},
+            "idempotent": {"is_retryable": True},
+            "hedged": {"spare_only": True},
+            "with an open connection": {"connected": ["backing off"]},
+        }
+    )
+    def test_an_upstream_that_backs_off_is_never_chosen(self, changes: dict[str, object]) -> None:
+        records = [_upstream("backing off"), _upstream("other", "b")]
+        for is_suspect in (False, True):
+            placement = _placement()
+            if is_suspect:
+                _fail(placement, "backing off", 0.0)
+            placement.backoffs.record("backing off", 60.0, 0.0)
+            for now_s in (0.1, 1.0, 6.0, 30.0, 59.9):
+                choice = placement.choose(_query(**changes), records, now_s)
+                assert isinstance(choice, Choice)
+                self.assertEqual("other", choice.upstream.id)
+
+    @cases(
+        {
+            "all upstreams": ({"a": 3.0, "b": 2.0}, [], RefusalReason.BACKING_OFF, 2.0),
+            "all, of which one was tried": (
+                {"a": 3.0, "b": 2.0},
+                ["b"],
+                RefusalReason.BACKING_OFF,
+                2.0,
+            ),
+            "all but one, which was tried": ({"a": 3.0}, ["b"], RefusalReason.NO_UPSTREAM, 0.3),
+            "all for a very short time": (
+                {"a": 0.01, "b": 0.01},
+                [],
+                RefusalReason.BACKING_OFF,
+                0.3,
+            ),
+        }
+    )
+    def test_a_refused_request_may_return_when_the_first_backoff_ends(
+        self, case: tuple[dict[str, float], list[str], RefusalReason, float]
+    ) -> None:
+        backoffs_s, excluded, reason, retry_after_s = case
+        placement = _placement()
+        for name, backoff_s in backoffs_s.items():
+            placement.backoffs.record(name, backoff_s, 0.0)
+        records = [_upstream("a"), _upstream("b")]
+        refusal = placement.choose(_query(excluded=excluded), records, 0.0)
+        self.assertEqual(Refusal(reason, retry_after_s), refusal)
+
+
 class PreferenceTest(EgretrailTestCase):
     @cases(
         {
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -55,11 +55,10 @@
         except ConnectFailed as error:
             self._record_outcome(upstream_id, Outcome.UNREACHABLE, started_s)
             return AttemptResult(Disposition.UNREACHABLE, cause=str(error))
-        if not self._view.upstreams.is_ready(upstream_id):
+        unsent = self._unsent_disposition(upstream_id)
+        if unsent is not None:
             self._pool.release(upstream_id, connection)
-            return AttemptResult(
-                Disposition.DRAINING, cause="upstream is draining; nothing was sent"
-            )
+            return AttemptResult(unsent, cause="the upstream takes no requests; nothing was sent")
         started_s = self._loop.time()
         remaining_s = pending.deadline_s - started_s - _RESPONSE_TRANSIT_S
         request = pending.request
@@ -101,6 +100,14 @@
         self._count_cross_zone_bytes(upstream, "answers", len(received.body))
         return self._interpret(pending, upstream_id, received, started_s)
 
+    def _unsent_disposition(self, upstream_id: str) -> Disposition | None:
+        """Return why a request must not be sent to its upstream any more; None if it may be."""
+        if not self._view.upstreams.is_ready(upstream_id):
+            return Disposition.DRAINING
+        if self._view.backoffs.remaining_s(upstream_id, self._loop.time()):
+            return Disposition.BACKING_OFF
+        return None
+
     def _interpret(
         self,
         pending: PendingRequest,
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -336,7 +336,8 @@
         """Return the final response to a request that was not served, and its logged outcome."""
         if not pending.may_have_run and not has_running_attempts:
             # Upstreams that refused have capacity again when some of their requests have ended.
-            pause_s = self._view.placement.retry_after_s(pending.service)
+            ready = self._view.upstreams.ready(pending.service)
+            pause_s = self._view.placement.retry_after_s(pending.service, ready, self._loop.time())
             retry_after_s = refusal.retry_after_s if refusal is not None else pause_s
             self._record_refusal(
                 pending.metadata,
--- a/src/egretrail/gateway/_pending_request.py
+++ b/src/egretrail/gateway/_pending_request.py
@@ -20,12 +20,14 @@
     UNREACHABLE = "unreachable"
     #: The upstream started to drain while the connection was opened; nothing was sent.
     DRAINING = "leaving"
+    #: The upstream asked for a backoff while the connection was opened; nothing was sent.
+    BACKING_OFF = "backing_off"
     #: The request ran, or may have run, without a valid response.
     FAILED = "failed"
 
 
 #: Dispositions of attempts that sent nothing.
-UNSENT = frozenset({Disposition.UNREACHABLE, Disposition.DRAINING})
+UNSENT = frozenset({Disposition.UNREACHABLE, Disposition.DRAINING, Disposition.BACKING_OFF})
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -132,6 +132,7 @@
                 self.load, self.suspicion, self._trial_rank, self.retry_budget.request_rate
             ),
             limits=self.limit_exchange.limits,
+            backoffs=self.backoffs,
             has_slot_share=self.shares.has_share,
             rng=rng,
         )
--- a/src/egretrail/gateway/tests/test_upstream_notices.py
+++ b/src/egretrail/gateway/tests/test_upstream_notices.py
@@ -158,13 +158,13 @@
             view.replace_upstreams(
                 [listed_record(one) for one in backends], FIRST_REVISION + 2, "test"
             )
-            refused_s = asyncio.get_running_loop().time()
-            while asyncio.get_running_loop().time() < refused_s + 0.5:
+            full.behaviour = Behaviour.HEALTHY
+            [(refused_s, _)] = full.retry_after_stated
+            while asyncio.get_running_loop().time() < refused_s + 0.8:
                 await _send_series(executor, 3)
-                self.assertEqual(1, len(full.arrivals))
+            early = [at_s for at_s, _ in full.arrivals if refused_s < at_s < refused_s + 0.6]
+            self.assertEqual([], early)
             # Afterwards it takes part again.
-            full.behaviour = Behaviour.HEALTHY
-            await asyncio.sleep(refused_s + 0.6 - asyncio.get_running_loop().time())
             await asyncio.gather(*(executor.serve(make_request(*_READ)) for _ in range(12)))
             self.assertGreater(len(full.arrivals), 1)
 
