The soak states draining and Retry-After, and checks what follows

Change: a leaving backend of the soak says so in all its answers, a faulty one may state Retry-After in its refusals, at times with a value of no meaning. Two guarantees: no process sends a backend a request whose client sent it 2 s after that process had passed on that the backend leaves (only the process' end excuses it); at most two requests reach a backend from a process between half a second after a refusal and the end of its Retry-After (a frozen gateway, the backend's faulty link and a delay of this machine excuse it).

--- a/scaffolding/platform/backend.py
+++ b/scaffolding/platform/backend.py
@@ -74,8 +74,9 @@
     retry_after: str | None = None
     #: Times by the event loop's clock and client attempts of the responses that stated draining.
     draining_stated: list[tuple[float, str]] = field(default_factory=list)
-    #: The same of responses that stated Retry-After.
-    retry_after_stated: list[tuple[float, str]] = field(default_factory=list)
+    #: Time, client attempt and backoff in seconds of the responses that stated Retry-After with a
+    #: valid value.
+    backoffs_stated: list[tuple[float, str, float]] = field(default_factory=list)
     #: The address that it listens on, ``IP:PORT``.
     address: str = ""
     _running: int = 0
@@ -226,7 +227,8 @@
             self.draining_stated.append((now_s, attempt))
         if self.retry_after is not None and status == 503:
             fields = {**fields, "Retry-After": self.retry_after}
-            self.retry_after_stated.append((now_s, attempt))
+            with contextlib.suppress(ValueError):
+                self.backoffs_stated.append((now_s, attempt, float(self.retry_after)))
         return _encode_response(status, body, attempt, fields)
 
 
--- a/scaffolding/soak/_fault_driver.py
+++ b/scaffolding/soak/_fault_driver.py
@@ -49,6 +49,8 @@
     Behaviour.MALFORMED,
     Behaviour.UNSEALED,
 )
+#: Values of Retry-After in refusals; None leaves it out, and the last ones have no meaning.
+_RETRY_AFTER_VALUES = ("1", "2.5", "4", None, "", "-1", "soon")
 _LINK_FAULTS = (
     LinkFault.DELAYED,
     LinkFault.RESET,
@@ -74,7 +76,7 @@
         #: All backends that were started.
         self.all_backends: list[StandInBackend] = []
         #: Time spans in which a fault or a delay of the machine was active.
-        self.disturbances = DisturbanceLog()
+        self.disturbances = checker.disturbances
         #: Time spans of planned gateway stops and reloads.
         self.stops = DisturbanceLog()
         #: Draining backends, each with the time of its draining entry and the bound in seconds.
@@ -106,7 +108,7 @@
         for link in [*self._fleet.store_links, *self._links.values()]:
             link.fault = LinkFault.NONE
         for backend in self._fleet.backends:
-            backend.behaviour = Behaviour.HEALTHY
+            backend.behaviour, backend.retry_after = Behaviour.HEALTHY, None
         for number in range(len(self._fleet.store_links)):
             if not self._fleet.is_running(number):
                 await self._restart(number)
@@ -236,8 +238,9 @@
         backend = rng.choice(self._fleet.backends)
         self._record_disturbance(backend.id, fault.duration_s)
         backend.behaviour = rng.choice(_BACKEND_FAULTS)
+        backend.retry_after = rng.choice(_RETRY_AFTER_VALUES)
         await asyncio.sleep(fault.duration_s)
-        backend.behaviour = Behaviour.HEALTHY
+        backend.behaviour, backend.retry_after = Behaviour.HEALTHY, None
 
     async def _drain(self, fault: Fault, rng: random.Random) -> None:
         backend = rng.choice(self._fleet.backends)
@@ -245,6 +248,7 @@
             return
         self._fleet.backends.remove(backend)
         await self._add_backend(backend.service, backend.zone)
+        backend.draining = True
         record = {**backend.store_entry("draining"), "address": self._links[backend.id].address}
         self._fleet.store.write(f"servers/{backend.id}", record)
         drained_s = asyncio.get_running_loop().time()
@@ -281,6 +285,7 @@
     async def _fault_backend_link(self, fault: Fault, rng: random.Random) -> None:
         backend = rng.choice(self._fleet.backends)
         self._record_disturbance(backend.id, fault.duration_s)
+        self._record_disturbance(f"link-{backend.id}", fault.duration_s)
         link = self._links[backend.id]
         link.fault = rng.choice(_LINK_FAULTS)
         await asyncio.sleep(fault.duration_s)
--- a/scaffolding/soak/_guarantees.py
+++ b/scaffolding/soak/_guarantees.py
@@ -4,7 +4,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from scaffolding.platform import AttemptResult, StandInBackend
+from scaffolding.platform import StandInBackend
+from scaffolding.soak._disturbances import DisturbanceLog
+from scaffolding.soak._notices import requests_after_stated_draining, requests_during_backoff
+from scaffolding.soak._sent_attempt import SentAttempt
 
 #: Statuses that guarantee that a request was not executed and never will be.
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -12,26 +15,6 @@
 _RATIO, _SLACK, _WINDOW_S = 0.2, 60, 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class SentAttempt:
-    """One client attempt and its result."""
-
-    #: Send time by the event loop's clock.
-    at_s: float
-    #: The gateway that it was sent to.
-    gateway: int
-    #: The number of that gateway's process, counted from the first one.
-    process_number: int
-    #: Whether the request must run at most once.
-    is_at_most_once: bool
-    #: The service that all configurations route it to; empty if they differ.
-    service: str
-    #: Method and target.
-    request_line: str
-    #: What the client received.
-    result: AttemptResult
-
-
 @dataclass(slots=True)
 class GuaranteeChecker:
     """Collects observations of a run and finds violated guarantees."""
@@ -44,6 +27,8 @@
     cut_at_shutdown: list[str] = field(default_factory=list)
     #: Requests that reached a draining backend after the time bound.
     late_to_draining: list[str] = field(default_factory=list)
+    #: When faults were active.
+    disturbances: DisturbanceLog = field(default_factory=DisturbanceLog)
 
     def violations(self, backends: Sequence[StandInBackend]) -> list[str]:
         """Return a description of each violated guarantee."""
@@ -61,6 +46,8 @@
             )
         found += self._configuration_violations(backends_by_attempt)
         found += self._retry_budget_violations(backends)
+        found += requests_after_stated_draining(self.sent, backends)
+        found += requests_during_backoff(self.sent, backends, self.disturbances)
         return found
 
     def _attempt_violations(
--- a/scaffolding/soak/_run.py
+++ b/scaffolding/soak/_run.py
@@ -10,8 +10,9 @@
 from scaffolding.platform.fleet import HOST, at_most_once_route, config, route
 from scaffolding.soak._client import KeepAliveClient
 from scaffolding.soak._fault_driver import FaultDriver
-from scaffolding.soak._guarantees import GuaranteeChecker, SentAttempt
+from scaffolding.soak._guarantees import GuaranteeChecker
 from scaffolding.soak._plan import plan
+from scaffolding.soak._sent_attempt import SentAttempt
 
 #: How long clients wait for a response.
 _WAIT_S = 3.0
--- a/scaffolding/soak/tests/test_soak.py
+++ b/scaffolding/soak/tests/test_soak.py
@@ -8,7 +8,7 @@
 from scaffolding.platform import AttemptResult, GatewayFleet, LinkFault, LinkProxy, StandInBackend
 from scaffolding.soak import GuaranteeChecker, SoakRun, plan
 from scaffolding.soak._disturbances import DisturbanceLog
-from scaffolding.soak._guarantees import SentAttempt
+from scaffolding.soak._sent_attempt import SentAttempt
 
 _LIMIT_S = 180.0
 #: Seeds that once violated a guarantee, with the plan's length in seconds, by what was violated and
@@ -95,6 +95,71 @@
         self.assertIn("got another answer", violations[0])
 
 
+class NoticesTest(EgretrailTestCase):
+    """Client attempts ``a0``, ``a1`` and so on, sent at the given times; all reach one backend."""
+
+    def _violations(
+        self,
+        sent: Sequence[tuple[float, int, int]],
+        backend: StandInBackend,
+        disturbances: DisturbanceLog | None = None,
+    ) -> list[str]:
+        attempts = [
+            SentAttempt(
+                at_s,
+                gateway,
+                process_number,
+                False,
+                "orders",
+                "GET /x/1",
+                AttemptResult(f"a{number}", 200, f"{backend.id} GET /x/1".encode(), None),
+            )
+            for number, (at_s, gateway, process_number) in enumerate(sent)
+        ]
+        for one in attempts:
+            backend.runs[one.result.attempt] += 1
+            backend.arrivals.append((one.at_s + 0.01, one.result.attempt))
+        checker = GuaranteeChecker(attempts, disturbances=disturbances or DisturbanceLog())
+        return checker.violations([backend])
+
+    @cases(
+        {
+            "within the bound": ([(0.0, 0, 1), (1.9, 0, 1)], 0),
+            "after the bound": ([(0.0, 0, 1), (2.2, 0, 1), (2.3, 0, 1)], 2),
+            "another gateway": ([(0.0, 0, 1), (2.2, 1, 1)], 0),
+            "a gateway that started again": ([(0.0, 0, 1), (2.2, 0, 2)], 0),
+        }
+    )
+    def test_requests_after_stated_draining(
+        self, case: tuple[Sequence[tuple[float, int, int]], int]
+    ) -> None:
+        sent, expected = case
+        backend = StandInBackend("orders", "z")
+        backend.draining_stated = [(0.05, "a0")]
+        found = [one for one in self._violations(sent, backend) if "stated draining" in one]
+        self.assertEqual(expected, len(found))
+
+    @cases(
+        {
+            "two after the grace": ([0.0, 0.1, 0.4, 0.6, 0.7], "", 0),
+            "three after the grace": ([0.0, 0.6, 0.7, 0.8], "", 1),
+            "after its end": ([0.0, 3.1, 3.2, 3.3], "", 0),
+            "a frozen gateway": ([0.0, 0.6, 0.7, 0.8], "gateway-0", 0),
+            "another frozen gateway": ([0.0, 0.6, 0.7, 0.8], "gateway-1", 1),
+            "a cut link": ([0.0, 0.6, 0.7, 0.8], "link-i-x", 0),
+        }
+    )
+    def test_requests_during_backoff(self, case: tuple[Sequence[float], str, int]) -> None:
+        times_s, disturbed, expected = case
+        backend = StandInBackend("orders", "z", id="i-x")
+        backend.backoffs_stated = [(0.02, "a0", 3.0)]
+        disturbances = DisturbanceLog()
+        disturbances.add_span(disturbed, 0.0, 1.0)
+        sent = [(at_s, 0, 1) for at_s in times_s]
+        found = self._violations(sent, backend, disturbances)
+        self.assertEqual(expected, len([one for one in found if "of backoff" in one]))
+
+
 class PlanTest(EgretrailTestCase):
     def test_a_seed_gives_the_same_plan_and_another_seed_another(self) -> None:
         self.assertEqual(plan(3, 30.0), plan(3, 30.0))
--- a/scaffolding/tests/test_gateway_notices.py
+++ b/scaffolding/tests/test_gateway_notices.py
@@ -89,8 +89,8 @@
                 backend.behaviour, backend.retry_after = Behaviour.SHEDDING, f"{_BACKOFF_S:g}"
             await traffic.run_for(_BACKOFF_S + 1.0)
             for backend in backends:
-                self.assertNotEqual([], backend.retry_after_stated)
-                for stated_s, attempt in backend.retry_after_stated:
+                self.assertNotEqual([], backend.backoffs_stated)
+                for stated_s, attempt, _ in backend.backoffs_stated:
                     number = traffic.orders[attempt][0]
                     begin_s, end_s = stated_s + _BACKOFF_GRACE_S, stated_s + _BACKOFF_S
                     count = sum(
--- a/src/egretrail/gateway/tests/test_upstream_notices.py
+++ b/src/egretrail/gateway/tests/test_upstream_notices.py
@@ -159,7 +159,7 @@
                 [listed_record(one) for one in backends], FIRST_REVISION + 2, "test"
             )
             full.behaviour = Behaviour.HEALTHY
-            [(refused_s, _)] = full.retry_after_stated
+            [(refused_s, _, _)] = full.backoffs_stated
             while asyncio.get_running_loop().time() < refused_s + 0.8:
                 await _send_series(executor, 3)
             early = [at_s for at_s, _ in full.arrivals if refused_s < at_s < refused_s + 0.6]
