The limit that an upstream stated outlasts a gap in the list

Callers saw: nothing that is known of; found by looking for the cause of the incident elsewhere. Cause: the limits that upstreams state were dropped with their entries. When an entry vanished and came back, every instance could send at once, until answers stated the limit again. Class: a word that was heard directly is dropped since the shared list lacks its upstream.

--- a/src/egretrail/dispatch/_limits.py
+++ b/src/egretrail/dispatch/_limits.py
@@ -186,10 +186,14 @@
         fleet_wait_s = 1.0 / limits_per_s if limits_per_s > 0 else _RETRY_MIN_S
         return min(max(min(waits_s, default=fleet_wait_s), _RETRY_MIN_S), _RETRY_MAX_S)
 
-    def keep_only(self, upstream_ids: Iterable[str]) -> None:
-        """Remove upstreams that are no longer listed."""
+    def keep_only(self, upstream_ids: Iterable[str], now_s: float) -> None:
+        """Remove upstreams that are not listed, once their limits have expired.
+
+        An entry may vanish for a moment; the upstream's limit holds when it returns.
+        """
         for upstream_id in self._limits.keys() - set(upstream_ids):
-            del self._limits[upstream_id]
+            if now_s - self._limits[upstream_id].advertised.advertised_s > _EXPIRY_S:
+                del self._limits[upstream_id]
 
     def _record(self, advertised: AdvertisedLimit, now_s: float) -> _LimitState:
         limit = self._limits.get(advertised.upstream_id)
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -540,7 +540,7 @@
         self.shares.invalidate()
         self.load.keep_only(listed)
         self.suspicion.keep_only(listed)
-        self.limit_exchange.limits.keep_only(listed)
+        self.limit_exchange.limits.keep_only(listed, self._clock())
         self._update_serving()
         self.on_upstreams_changed(listed)
         self.on_update(True)
