The soak lets a whole service refuse, and backends leave before the store says so

Change: a fault by which all backends of a service refuse, each with a Retry-After of its own; a leaving backend's report reaches the store at once or 4 s late. Measured: the tests of the soak pass; whether it finds the faults now follows.

--- a/scaffolding/soak/_fault_driver.py
+++ b/scaffolding/soak/_fault_driver.py
@@ -24,6 +24,8 @@
 #: A draining backend may get new requests for this long after the store has accepted its draining
 #: entry, plus an allowance for delays of the machine.
 _DRAIN_S, _MACHINE_S = 2.0, 1.0
+#: Delays of a draining backend's report to the store.
+_REPORT_DELAYS_S = (0.0, 4.0)
 #: A draining backend runs for this long beyond the bound, so that late requests are observed.
 _LINGER_S = 3.0
 #: Delay between the crash of a backend and the removal of its entry.
@@ -130,6 +132,7 @@
             FaultKind.GATEWAY_RELOADED: self._reload,
             FaultKind.ALL_KILLED: self._kill_all,
             FaultKind.BACKEND_FAULTY: self._set_backend_fault,
+            FaultKind.SERVICE_REFUSES: self._refuse_at_service,
             FaultKind.BACKEND_DRAINS: self._drain,
             FaultKind.BACKEND_CRASHES: self._crash,
             FaultKind.BACKEND_REPLACED: self._replace,
@@ -242,6 +245,17 @@
         await asyncio.sleep(fault.duration_s)
         backend.behaviour, backend.retry_after = Behaviour.HEALTHY, None
 
+    async def _refuse_at_service(self, fault: Fault, rng: random.Random) -> None:
+        service = rng.choice(list(_SERVICES))
+        backends = [one for one in self._fleet.backends if one.service == service]
+        for backend in backends:
+            self._record_disturbance(backend.id, fault.duration_s)
+            backend.behaviour = Behaviour.SHEDDING
+            backend.retry_after = rng.choice(_RETRY_AFTER_VALUES)
+        await asyncio.sleep(fault.duration_s)
+        for backend in backends:
+            backend.behaviour, backend.retry_after = Behaviour.HEALTHY, None
+
     async def _drain(self, fault: Fault, rng: random.Random) -> None:
         backend = rng.choice(self._fleet.backends)
         if self._is_last_of_service(backend):
@@ -249,6 +263,8 @@
         self._fleet.backends.remove(backend)
         await self._add_backend(backend.service, backend.zone)
         backend.draining = True
+        # The store may accept the backend's report later than clients get responses that state it.
+        await asyncio.sleep(rng.choice(_REPORT_DELAYS_S))
         record = {**backend.store_entry("draining"), "address": self._links[backend.id].address}
         self._fleet.store.write(f"servers/{backend.id}", record)
         drained_s = asyncio.get_running_loop().time()
--- a/scaffolding/soak/_plan.py
+++ b/scaffolding/soak/_plan.py
@@ -15,6 +15,7 @@
     GATEWAY_RELOADED = "gateway_reloaded"
     ALL_KILLED = "all_killed"
     BACKEND_FAULTY = "backend_faulty"
+    SERVICE_REFUSES = "service_refuses"
     BACKEND_DRAINS = "backend_leaves"
     BACKEND_CRASHES = "backend_crashes"
     BACKEND_REPLACED = "backend_replaced"
@@ -35,6 +36,7 @@
     FaultKind.GATEWAY_RELOADED: 1,
     FaultKind.ALL_KILLED: 1,
     FaultKind.BACKEND_FAULTY: 6,
+    FaultKind.SERVICE_REFUSES: 1,
     FaultKind.BACKEND_DRAINS: 3,
     FaultKind.BACKEND_CRASHES: 2,
     FaultKind.BACKEND_REPLACED: 2,
