The soak does not take a standstill of its machine for a request cut at a stop

Trace: all six gateways wrote no line between 458.25 and 461.3 s or later, at the same time; the stopping gateway then found its clients gone (client_left, 0.5 s past the requests' deadlines) and ended as planned. The machine stood still, and the clients' own limits ended the requests. Change: delays of this machine, which are recorded and excuse late requests to leaving backends already, excuse requests that ended without an answer as well.

--- a/scaffolding/soak/_run.py
+++ b/scaffolding/soak/_run.py
@@ -155,10 +155,12 @@
             name = f"gateway-{one.gateway}"
             end_s = one.at_s + _WAIT_S
             stopping = self._driver.stops.overlaps(name, one.at_s, one.at_s + 1.0)
-            if (
-                one.result.status
-                or not stopping
-                or active_faults.overlaps(name, one.at_s - 1.0, end_s)
+            if one.result.status or not stopping:
+                continue
+            # While this machine stands still, the client's own time limit ends the request.
+            if any(
+                active_faults.overlaps(subject, one.at_s - 1.0, end_s)
+                for subject in (name, "machine")
             ):
                 continue
             for backend in self._driver.all_backends:
