Parse times of notices in a function of their own

Cause: an invalid value was expressed as infinity within the loop over the values, which a reader has to work out. Change: _parse_seconds returns None for it; a docstring says "the time until". Measured: the tests of the adapter, of backoffs and of notices pass.

--- a/src/egretrail/dispatch/_backoff.py
+++ b/src/egretrail/dispatch/_backoff.py
@@ -45,7 +45,7 @@
         return [record for record in records if record.id not in self._until_s]
 
     def shortest_remaining_s(self, records: Sequence[UpstreamRecord], now_s: float) -> float:
-        """Return when the first of some upstreams takes requests again; 0 if one does now."""
+        """Return the time until the first of some upstreams takes requests; 0 if one does now."""
         return min((self.remaining_s(record.id, now_s) for record in records), default=0.0)
 
     def count(self, now_s: float) -> int:
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -104,7 +104,7 @@
         """Return why a request must not be sent to its upstream any more; None if it may be."""
         if not self._view.upstreams.is_ready(upstream_id):
             return Disposition.DRAINING
-        if self._view.backoffs.remaining_s(upstream_id, self._loop.time()):
+        if self._view.backoffs.remaining_s(upstream_id, self._loop.time()) > 0:
             return Disposition.BACKING_OFF
         return None
 
--- a/src/egretrail/platform/_contract.py
+++ b/src/egretrail/platform/_contract.py
@@ -162,11 +162,11 @@
         ]
         backoffs_s: list[float] = []
         for value in _list_values(head, _RETRY_AFTER) if head.status == 503 else ():
-            backoff_s = float(value) if _SECONDS.fullmatch(value) else math.inf
-            if backoff_s < math.inf:
-                backoffs_s.append(backoff_s)
-            else:
+            backoff_s = _parse_seconds(value)
+            if backoff_s is None:
                 invalid.append(_invalid_notice(_RETRY_AFTER, value))
+            else:
+                backoffs_s.append(backoff_s)
         return UpstreamNotices(_DRAINING_VALUE in draining, max(backoffs_s, default=None), invalid)
 
     def forwarded_response(self, received: ReceivedResponse) -> Response:
@@ -235,6 +235,12 @@
     return [value.strip(b" \t") for field in fields for value in field.split(b",")]
 
 
+def _parse_seconds(value: bytes) -> float | None:
+    """Return a finite time from decimal digits; None for anything else."""
+    seconds = float(value) if _SECONDS.fullmatch(value) else math.inf
+    return seconds if seconds < math.inf else None
+
+
 def _invalid_notice(name: bytes, value: bytes) -> InvalidNotice:
     return InvalidNotice(name.decode(), _decode_header(value))
 
