Tests of notices: one table of requests, and why the other upstream is far

Cause: a table of cases repeated one value, and a reader would wonder at the other zone. Change: the table of kinds serves both tests; a comment at the zone. Measured: all 21 tests of the file pass.

--- a/src/egretrail/gateway/tests/test_upstream_notices.py
+++ b/src/egretrail/gateway/tests/test_upstream_notices.py
@@ -51,6 +51,7 @@
             executor: RequestExecutor, view: FleetView, backends: Sequence[StandInBackend]
         ) -> None:
             leaving = backends[0]
+            # The other one is chosen only if this one takes no requests.
             backends[1].zone = "zone-b"
             view.replace_upstreams([listed_record(leaving)], FIRST_REVISION + 1, "test")
             leaving.draining, leaving.behaviour = True, behaviour
@@ -135,25 +136,18 @@
     A refusal only raised the cost of the upstream for up to two seconds, whatever time it stated.
     """
 
-    @cases(
-        {
-            "refused": (Behaviour.SHEDDING, _ONCE),
-            "refused an idempotent request": (Behaviour.SHEDDING, _READ),
-            "refused a request that must run at most once": (Behaviour.SHEDDING, _ORDER),
-        }
-    )
+    @cases(_KINDS)
     def test_no_request_follows_a_refusal_before_its_retry_after(
-        self, case: tuple[Behaviour, tuple[bytes, bytes]]
+        self, kind: tuple[bytes, bytes]
     ) -> None:
-        behaviour, kind = case
-
         async def scenario(
             executor: RequestExecutor, view: FleetView, backends: Sequence[StandInBackend]
         ) -> None:
             full = backends[0]
+            # The other one is chosen only if this one takes no requests.
             backends[1].zone = "zone-b"
             view.replace_upstreams([listed_record(full)], FIRST_REVISION + 1, "test")
-            full.retry_after, full.behaviour = "0.6", behaviour
+            full.retry_after, full.behaviour = "0.6", Behaviour.SHEDDING
             await executor.serve(make_request(*kind))
             view.replace_upstreams(
                 [listed_record(one) for one in backends], FIRST_REVISION + 2, "test"
