--- a/scaffolding/tests/test_gateway_notices.py
+++ b/scaffolding/tests/test_gateway_notices.py
@@ -25,8 +25,6 @@
         self._harness = harness
         #: Gateway, send time and completion time by client attempt.
         self.orders: dict[str, tuple[int, float, float]] = {}
-        #: Statuses and times from sending to the response.
-        self.responses: list[tuple[int, float]] = []
 
     async def run_for(self, duration_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -40,7 +38,6 @@
             sent_s = loop.time()
             result = await self._harness.send_order(number)
             self.orders[result.attempt] = (number, sent_s, loop.time())
-            self.responses.append((result.status, loop.time() - sent_s))
             await asyncio.sleep(0.05)
 
 
