Log the counts of the fleet by which a retry was permitted

No log line told what an instance believed of the fleet's requests and retries when it permitted a retry, so a budget that is exceeded because counts are lost and one that is exceeded because counts are added twice looked alike. The event `attempt` of a retry has fleet_requests, fleet_retries and retries_allowed.

--- a/src/egretrail/dispatch/_retry_budget.py
+++ b/src/egretrail/dispatch/_retry_budget.py
@@ -38,6 +38,8 @@
     retries: int
     #: How many retries the window may have now.
     allowed: float
+    #: Requests of the whole fleet in the window.
+    requests: int
 
 
 class FleetRetryBudget:
@@ -118,13 +120,17 @@
     def usage(self, now_s: float, known_share: float) -> Mapping[str, RetryBudgetUsage]:
         """Return the usage of each service's budget, for operators."""
         return {
-            service: RetryBudgetUsage(
-                self._total(self._retries, service, now_s),
-                self._allowed(service, now_s, known_share),
-            )
-            for service in self._requests
+            service: self.service_usage(service, now_s, known_share) for service in self._requests
         }
 
+    def service_usage(self, service: str, now_s: float, known_share: float) -> RetryBudgetUsage:
+        """Return the usage of one service's budget."""
+        return RetryBudgetUsage(
+            self._total(self._retries, service, now_s),
+            self._allowed(service, now_s, known_share),
+            self._total(self._requests, service, now_s),
+        )
+
     def record_retry(self, service: str, now_s: float) -> None:
         """Count a retry that is being sent."""
         own = self._own.get(service, RetryCounts())
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Mapping
 
 from egretrail.dispatch import Choice, PlacementQuery, Refusal, request_digest
 from egretrail.gateway._attempts import AttemptRunner
@@ -283,6 +284,7 @@
             trial=choice.is_trial,
             left_s=query.remaining_s,
             upstreams_revision=self._view.upstreams.revision,
+            **self._budget_fields(pending),
         )
         self._view.record_request_start(choice.upstream.id, trial=choice.is_trial)
         task = self._loop.create_task(self._attempt_runner.run(pending, choice.upstream))
@@ -291,6 +293,19 @@
         running[task] = choice
         return None
 
+    def _budget_fields(self, pending: PendingRequest) -> Mapping[str, object]:
+        """Return the log fields that show on which counts of the fleet a retry was permitted."""
+        if pending.send_count < 2:
+            return {}
+        usage = self._view.retry_budget.service_usage(
+            pending.service, self._loop.time(), self._view.known_share()
+        )
+        return {
+            "fleet_requests": usage.requests,
+            "fleet_retries": usage.retries,
+            "retries_allowed": usage.allowed,
+        }
+
     def _urgent_objective_s(self, pending: PendingRequest) -> float | None:
         urgency = self._view.configs.urgency
         if urgency is None:
