Count what a hub has told once, however its zone's hubs change

Cause: an instance took the first counts of a hub that it began to follow as a baseline, but only if they came with the hub's first section. Rosters and urgent sections have none. The next section's counts, all that the hub had counted since it became the hub, were then added as made just now. Two hubs that alternate added theirs again at each change, and requests made long ago permitted a fifth of themselves as retries. Counts that a hub had told its own zone only were lost with it, and a new hub that knows few members, or a zone whose hub is silent, left each instance to spend what it took for the fleet's.

Fix: counts are kept by the lifetime of a hub and only grow; sections may arrive late, twice or after those of another hub. A section also tells what of its counts lies within the window, which is all that a receiver adds that does not know the lifetime, and the most that it ever adds. A hub repeats the counts of the zone's earlier hubs to other zones for three seconds. Until the hub acknowledges a heartbeat the zone's counts wait in place of being dropped. While a zone is silent, or most instances are not counted yet, each instance also keeps to its own share of the budget, and its pace: these add up to the budget without anything being heard. A new instance obeys both its share and the counts that it has received.

The account counts of a hub are kept by lifetime as well, so that hubs that alternate no longer add their last second again at each change.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -49,6 +49,7 @@
 )
 from egretrail.cluster._hub import URGENT_OUTCOMES, Hub, HubState
 from egretrail.cluster._hub_election import HUB_TIMEOUT_S, HubElection
+from egretrail.cluster._hub_terms import HubTerm, HubTerms
 from egretrail.cluster._instance import Instance, InstanceState, short_incarnation
 from egretrail.cluster._malformed import MalformedMessage
 from egretrail.cluster._membership import HEARTBEAT_INTERVAL_S, Membership, roster_slice_index
@@ -83,6 +84,8 @@
     "Hub",
     "HubElection",
     "HubState",
+    "HubTerm",
+    "HubTerms",
     "Instance",
     "InstanceState",
     "Introduction",
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -6,6 +6,7 @@
 from egretrail.cluster._config_freshness import SectionEcho
 from egretrail.cluster._heartbeat import Heartbeat, OutcomeReport
 from egretrail.cluster._hub_reports import HubReports
+from egretrail.cluster._hub_terms import HubTerm, HubTerms
 from egretrail.cluster._instance import Instance
 from egretrail.cluster._membership import roster_slice_index
 from egretrail.cluster._outcome_log import OutcomeLog
@@ -22,6 +23,7 @@
     AccountCounts,
     AccountReport,
     Outcome,
+    RetryCounter,
     RetryCounts,
     new_counts,
 )
@@ -116,8 +118,15 @@
     """
 
     def __init__(
-        self, address: str, availability_zone: str, incarnation: int, now_s: float
+        self,
+        address: str,
+        availability_zone: str,
+        incarnation: int,
+        now_s: float,
+        retry_window_s: float = 10.0,
+        terms: HubTerms | None = None,
     ) -> None:
+        """``retry_window_s`` is the window of the retry budget; ``terms`` are earlier hubs'."""
         self._address = address
         self._zone = availability_zone
         self._incarnation = incarnation
@@ -135,7 +144,9 @@
         self._pending_refusals: dict[Scope, dict[int, None]] = {scope: {} for scope in Scope}
         self._outcome_logs = {scope: OutcomeLog() for scope in Scope}
         self._reports = HubReports()
-        self._retries: dict[str, RetryCounts] = {}
+        self._retry_window_s = retry_window_s
+        self._terms = HubTerms() if terms is None else terms
+        self._retries: dict[str, RetryCounter] = {}
         self._accounts: dict[int, AccountCounter] = {}
         self._accounts_sent_s = {scope: float("-inf") for scope in Scope}
         self._accounts_offset = 0
@@ -153,12 +164,12 @@
             )
             self._members[heartbeat.origin] = member
             self._replace_loads({}, heartbeat.loads)
-            self._add_retries(heartbeat.known_retries, heartbeat.retries)
+            self._add_retries(heartbeat.known_retries, heartbeat.retries, now_s)
             urgent = self._mark_roster_changed()
         elif not _is_newer(heartbeat, member.heartbeat):
             return False
         else:
-            urgent = self._apply_heartbeat(member, heartbeat)
+            urgent = self._apply_heartbeat(member, heartbeat, now_s)
         member.heartbeat = heartbeat
         member.received_s = now_s
         member.is_direct = direct
@@ -218,8 +229,8 @@
             changed=self._drain_changed(),
             loads=self._make_load_slice(self._load_slice_index, _LOAD_SLICES),
             refusals=self._drain_refusals(Scope.ZONE),
-            retries=dict(self._retries),
             accounts=self._accounts_to_send(Scope.ZONE, now_s),
+            **self._retry_fields(Scope.ZONE, now_s),
             **self._report_fields(Scope.ZONE, now_s),
         )
         yield from self._roster_sections(Scope.ZONE, state, now_s)
@@ -238,7 +249,7 @@
             counts: dict[str, object] = {}
             if with_accounts:
                 counts["accounts"] = self._accounts_to_send(scope, now_s)
-                counts["retries"] = dict(self._retries)
+                counts.update(self._retry_fields(scope, now_s))
             yield self._section(scope, state, **counts, **report_fields)
         yield from self._roster_sections(scope, state, now_s)
 
@@ -250,8 +261,8 @@
             state,
             loads=self._make_load_slice(0, slices),
             refusals=self._drain_refusals(Scope.CROSS_ZONE),
-            retries=dict(self._retries),
             accounts=self._accounts_to_send(Scope.CROSS_ZONE, now_s),
+            **self._retry_fields(Scope.CROSS_ZONE, now_s),
             **self._report_fields(Scope.CROSS_ZONE, now_s),
         )
         for index in range(1, slices):
@@ -269,13 +280,32 @@
             "limits": self._reports.current_limits(now_s),
         }
 
-    def _apply_heartbeat(self, member: _Member, heartbeat: Heartbeat) -> bool:
+    def set_retry_window(self, window_s: float) -> None:
+        """Change the window of the retry budget."""
+        self._retry_window_s = window_s
+        for counter in self._retries.values():
+            counter.set_window(window_s)
+
+    def _retry_fields(self, scope: Scope, now_s: float) -> Mapping[str, object]:
+        """Return the fields of a section that count requests and retries."""
+        terms: Sequence[HubTerm] = ()
+        if scope is Scope.CROSS_ZONE:
+            terms = self._terms.others(self._address, self._incarnation, now_s)
+        return {
+            "earlier_terms": terms,
+            "retries": {name: counter.total for name, counter in self._retries.items()},
+            "recent_retries": {
+                name: counter.recent(now_s) for name, counter in self._retries.items()
+            },
+        }
+
+    def _apply_heartbeat(self, member: _Member, heartbeat: Heartbeat, now_s: float) -> bool:
         """Apply a member's next heartbeat; return whether the zone needs the update at once."""
         if heartbeat.incarnation != member.heartbeat.incarnation:
             member.next_outcome = heartbeat.first_outcome
             member.accounts.clear()
         else:
-            self._add_retries(member.heartbeat.retries, heartbeat.retries)
+            self._add_retries(member.heartbeat.retries, heartbeat.retries, now_s)
         self._replace_loads(member.heartbeat.loads, heartbeat.loads)
         if heartbeat.instance() != member.heartbeat.instance():
             return self._mark_roster_changed()
@@ -309,16 +339,14 @@
         return False
 
     def _add_retries(
-        self, before: Mapping[str, RetryCounts], now: Mapping[str, RetryCounts]
+        self, before: Mapping[str, RetryCounts], now: Mapping[str, RetryCounts], now_s: float
     ) -> None:
         """Add a member's requests and retries since the counts that the zone already has."""
         for service, counts in now.items():
-            known = before.get(service, RetryCounts())
-            total = self._retries.get(service, RetryCounts())
-            self._retries[service] = RetryCounts(
-                total.requests + max(counts.requests - known.requests, 0),
-                total.retries + max(counts.retries - known.retries, 0),
-            )
+            counter = self._retries.get(service)
+            if counter is None:
+                counter = self._retries[service] = RetryCounter(self._retry_window_s)
+            counter.add(counts.since(before.get(service, RetryCounts())), now_s)
 
     def _add_accounts(self, member: _Member, heartbeat: Heartbeat, now_s: float) -> None:
         """Add a member's request counts of accounts since its previous heartbeat."""
--- a/src/egretrail/cluster/_section.py
+++ b/src/egretrail/cluster/_section.py
@@ -12,6 +12,7 @@
 
 from egretrail.cluster._config_freshness import SectionEcho
 from egretrail.cluster._heartbeat import DropReport, LimitReport, LossReport, OutcomeReport
+from egretrail.cluster._hub_terms import HubTerm
 from egretrail.cluster._instance import Instance
 from egretrail.dispatch import AccountReport, RetryCounts
 
@@ -123,6 +124,10 @@
     dropped: Sequence[DropReport] = ()
     #: Requests and retries of the zone by service, since the hub started to count.
     retries: Mapping[str, RetryCounts] = field(default_factory=dict)
+    #: The part of ``retries`` that was counted within the window of the retry budget.
+    recent_retries: Mapping[str, RetryCounts] = field(default_factory=dict)
+    #: Retry counts of the zone's earlier hubs; only between zones.
+    earlier_terms: Sequence[HubTerm] = ()
     #: Limits that upstreams advertised or withdrew in the last seconds.
     limits: Sequence[LimitReport] = ()
     #: A slice of the zone's living instances.
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -11,6 +11,7 @@
 
 from egretrail.cluster._config_freshness import SectionEcho
 from egretrail.cluster._heartbeat import DropReport, LimitReport, LossReport, OutcomeReport
+from egretrail.cluster._hub_terms import HubTerm
 from egretrail.cluster._instance import Instance, InstanceState
 from egretrail.cluster._section import (
     ChangedRows,
@@ -108,12 +109,14 @@
             _encode_outcomes(section.outcomes),
             [[loss.digest, loss.upstream_key] for loss in section.losses],
             [[drop.upstream_id, drop.revision] for drop in section.dropped],
-            {name: [counts.requests, counts.retries] for name, counts in section.retries.items()},
+            _encode_retries(section.retries),
             _encode_roster(section.roster),
             encode_limits(section.limits),
             encode_freshness_age(section.config_freshness_age_s),
             [encode_echo(echo) for echo in section.received_sections],
             encode_accounts(section.accounts),
+            _encode_retries(section.recent_retries),
+            [_encode_term(term) for term in section.earlier_terms],
         ]
     )
     return packed
@@ -141,12 +144,39 @@
         outcomes=_decode_outcomes(row[14]),
         losses=[LossReport(RequestDigest(int(digest)), int(key)) for digest, key in row[15]],
         dropped=[DropReport(str(name), int(revision)) for name, revision in row[16]],
-        retries={str(name): RetryCounts(int(a), int(b)) for name, (a, b) in row[17].items()},
+        retries=_decode_retries(row[17]),
         roster=_decode_roster(row[18], zone),
         limits=decode_limits(row[19]),
         config_freshness_age_s=decode_freshness_age(row[20]),
         received_sections=[decode_echo(echo) for echo in row[21]],
         accounts=decode_accounts(row[22]),
+        # Earlier versions of the program do not send these.
+        recent_retries=_decode_retries(row[23]) if len(row) > 23 else {},
+        earlier_terms=[_decode_term(term) for term in row[24]] if len(row) > 24 else (),
+    )
+
+
+def _encode_retries(counts: Mapping[str, RetryCounts]) -> dict[str, list[int]]:
+    return {name: [one.requests, one.retries] for name, one in counts.items()}
+
+
+def _decode_retries(row: Mapping[Any, Sequence[Any]]) -> dict[str, RetryCounts]:
+    return {str(name): RetryCounts(int(a), int(b)) for name, (a, b) in row.items()}
+
+
+def _encode_term(term: HubTerm) -> list[Any]:
+    return [
+        address_number(term.hub),
+        term.incarnation,
+        _encode_retries(term.retries),
+        _encode_retries(term.recent_retries),
+    ]
+
+
+def _decode_term(row: Sequence[Any]) -> HubTerm:
+    hub, incarnation, retries, recent = row
+    return HubTerm(
+        _address(int(hub)), int(incarnation), _decode_retries(retries), _decode_retries(recent)
     )
 
 
--- a/src/egretrail/cluster/_zone_peers.py
+++ b/src/egretrail/cluster/_zone_peers.py
@@ -6,13 +6,15 @@
 
 from egretrail.cluster._heartbeat import Heartbeat
 from egretrail.cluster._section import LoadSlice, Section
-from egretrail.dispatch import AccountReport, RetryCounts
+from egretrail.dispatch import AccountReport, NewRetryCounts, RetryCounts, new_retry_counts
 
 #: Maximum heartbeats that are remembered until they are acknowledged; at most 50 are sent a second.
 _HEARTBEATS_MAX = 100
 #: A new hub receives the counts since the last acknowledged heartbeat if that was sent within this
 #: time. Older counts are not relevant for the period of the hub's aggregates.
 _COUNTS_VALID_S = 2.0
+#: Maximum hub lifetimes whose totals are remembered, for a hub that is followed again.
+_HUBS_MAX = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,10 @@
     _acknowledged: _SentHeartbeat | None = None
     #: The last heartbeat that any hub acknowledged.
     _last_acknowledged: _SentHeartbeat | None = None
-    _totals: Mapping[str, RetryCounts] = field(default_factory=dict)
+    #: The last totals of each hub lifetime by service.
+    _totals: dict[tuple[str, int], Mapping[str, RetryCounts]] = field(default_factory=dict)
+    #: The part of this instance's counts that was subtracted from totals.
+    _subtracted: Mapping[str, RetryCounts] = field(default_factory=dict)
     _peer_counts: dict[str, RetryCounts] = field(default_factory=dict)
 
     def record_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
@@ -73,20 +78,19 @@
         """Discard the aggregates of a hub: they are not comparable to those of another hub."""
         self._loads.clear()
         self._acknowledged = None
-        self._totals = {}
-        self._peer_counts = {}
 
-    def apply_acknowledgement(self, section: Section, ack_index: int | None) -> None:
-        """Apply the acknowledgement and the retry counts of a section.
+    def apply_acknowledgement(
+        self, section: Section, ack_index: int | None
+    ) -> Mapping[str, NewRetryCounts]:
+        """Apply the acknowledgement of a section; return the peers' new retry counts by service.
 
         ``ack_index`` is the index of this instance in the acknowledgements; None when unknown.
         """
         if not section.acknowledged:
-            return
-        previous = self._acknowledged
+            return {}
         if ack_index is not None and ack_index < len(section.acknowledged):
             self._acknowledge(section.acknowledged[ack_index])
-        self._add_retries(section.retries, previous)
+        return self._add_retries(section)
 
     @property
     def acknowledged_s(self) -> float | None:
@@ -125,7 +129,7 @@
         return {key: self._peer_load(key) for key in keys}
 
     def peer_retries(self) -> Mapping[str, RetryCounts]:
-        """Return the requests and retries of the peers since the first section of this hub."""
+        """Return the requests and retries of the peers that were counted here."""
         return self._peer_counts
 
     def _acknowledge(self, low_byte: int) -> None:
@@ -147,26 +151,35 @@
         else:
             self._loads.pop(key, None)
 
-    def _add_retries(
-        self, totals: Mapping[str, RetryCounts], previous: _SentHeartbeat | None
-    ) -> None:
-        """Add the zone's counts since the previous section, less this instance's own counts."""
-        if not totals and not self._totals:
-            return
-        now = self._acknowledged
-        # Without two acknowledgements, this instance's own share of the difference is unknown.
-        is_attributable = previous is not None and now is not None
-        for service, total in totals.items():
-            last = self._totals.get(service, RetryCounts())
-            own = _own_difference(service, previous, now)
-            peer_counts = self._peer_counts.get(service, RetryCounts())
-            if is_attributable:
-                peer_counts = RetryCounts(
-                    peer_counts.requests + max(total.requests - last.requests - own.requests, 0),
-                    peer_counts.retries + max(total.retries - last.retries - own.retries, 0),
-                )
-            self._peer_counts[service] = peer_counts
-        self._totals = totals
+    def _add_retries(self, section: Section) -> Mapping[str, NewRetryCounts]:
+        """Add the zone's counts since the last section, less this instance's own counts.
+
+        Until the hub acknowledges a heartbeat, the part of this instance is unknown. The counts
+        then wait for the next section, since the totals include them.
+        """
+        if self._acknowledged is None or not section.retries:
+            return {}
+        lifetime = (section.hub, section.incarnation)
+        totals = self._totals.pop(lifetime, {})
+        own, subtracted = self._acknowledged.retries, self._subtracted
+        new: dict[str, NewRetryCounts] = {}
+        for service, total in section.retries.items():
+            before = totals.get(service)
+            added = new_retry_counts(total, before, section.recent_retries.get(service))
+            own_part = own.get(service, RetryCounts()).since(subtracted.get(service, RetryCounts()))
+            peers_part = NewRetryCounts(added.counts.since(own_part), added.is_past)
+            new[service] = peers_part
+            known = self._peer_counts.get(service, RetryCounts())
+            self._peer_counts[service] = known.plus(peers_part.counts)
+        self._subtracted = own
+        # Sections may arrive out of order.
+        self._totals[lifetime] = {
+            service: total.higher(totals.get(service, total))
+            for service, total in section.retries.items()
+        }
+        while len(self._totals) > _HUBS_MAX:
+            del self._totals[next(iter(self._totals))]
+        return new
 
 
 def replace_slice(loads: dict[int, int], load_slice: LoadSlice) -> set[int]:
@@ -178,14 +191,3 @@
         del loads[key]
     loads.update(rows)
     return replaced | rows.keys()
-
-
-def _own_difference(
-    service: str, previous: _SentHeartbeat | None, now: _SentHeartbeat | None
-) -> RetryCounts:
-    """Return this instance's counts between two acknowledged heartbeats."""
-    if previous is None or now is None or previous is now:
-        return RetryCounts()
-    old = previous.retries.get(service, RetryCounts())
-    new = now.retries.get(service, RetryCounts())
-    return RetryCounts(new.requests - old.requests, new.retries - old.retries)
--- a/src/egretrail/cluster/tests/test_cluster.py
+++ b/src/egretrail/cluster/tests/test_cluster.py
@@ -17,6 +17,7 @@
     FetchManifest,
     FetchUpstreams,
     HeartbeatsDatagram,
+    HubTerm,
     Instance,
     InstanceState,
     Introduction,
@@ -86,6 +87,13 @@
                 "limits": [LimitReport(7, 1.5, 0.25), LimitReport(2**32 - 1, None, 1.0)],
                 "retries": {"s": RetryCounts(2**33, 1)},
             },
+            "retry counts of earlier hubs": {
+                "recent_retries": {"s": RetryCounts(70, 2)},
+                "earlier_terms": [
+                    HubTerm("10.0.0.9", 2**40, {"s": RetryCounts(9, 1)}, {"s": RetryCounts(7, 0)}),
+                    HubTerm("10.0.0.8", 6, {}, {}),
+                ],
+            },
             "a roster": {
                 "roster": RosterSlice(
                     0, 2, True, [instance("10.0.0.2"), instance("10.0.0.4", capacity=2.15)], [0, 7]
--- a/src/egretrail/cluster/tests/test_zone_peers.py
+++ b/src/egretrail/cluster/tests/test_zone_peers.py
@@ -12,7 +12,7 @@
 from egretrail.cluster import Heartbeat, Hub, HubState, Section, ZonePeers
 from egretrail.cluster.tests.messages import heartbeat
 from egretrail.dispatch import RetryCounts
-from egretrail.testing import EgretrailTestCase
+from egretrail.testing import EgretrailTestCase, cases
 
 _KEYS = [3, 18, 33]
 _OWN, _OTHER = "10.0.0.1", "10.0.0.2"
@@ -32,7 +32,11 @@
     def heartbeat(self, now_s: float) -> Heartbeat:
         self.sequence += 1
         sent_heartbeat = heartbeat(
-            self.address, self.sequence, loads=dict(self.loads), retries={"s": self.counts}
+            self.address,
+            self.sequence,
+            loads=dict(self.loads),
+            retries={"s": self.counts},
+            known_retries=self.zone_peers.known_retries(now_s),
         )
         self.zone_peers.record_heartbeat(sent_heartbeat, now_s)
         return sent_heartbeat
@@ -137,6 +141,30 @@
 
 
 class ZonePeersTest(EgretrailTestCase):
+    @cases({"the same hub is followed again": 1, "two hubs alternate": 2})
+    def test_counts_of_a_hub_are_added_once(self, hub_count: int) -> None:
+        hubs = [Hub(f"10.0.0.{8 + number}", "a", 1, 0.0) for number in range(hub_count)]
+        instances = [_Instance(_OWN), _Instance(_OTHER)]
+        for round_ in range(60):
+            now_s = round_ / 10
+            for one in instances:
+                counts = one.counts
+                one.counts = RetryCounts(counts.requests + 1, counts.retries + 1)
+            if round_ % 20 == 0:
+                for one in instances:
+                    one.zone_peers.reset()
+            hub = hubs[round_ // 20 % hub_count]
+            hub.remove_silent(now_s)
+            for one in instances:
+                hub.record_heartbeat(one.heartbeat(now_s), now_s, direct=True)
+            for section in hub.zone_sections(HubState(1, 1), now_s):
+                for one in instances:
+                    one.apply_section(section)
+        retries_counted = instances[0].zone_peers.peer_retries()["s"].retries
+        retries_made = instances[1].counts.retries
+        self.assertLessEqual(retries_counted, retries_made)
+        self.assertGreater(retries_counted, 0.9 * retries_made)
+
     def test_all_retries_of_peers_are_counted_without_losses(self) -> None:
         rng = random.Random(3)
         hub = Hub("10.0.0.3", "a", 1, 0.0)
--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -23,7 +23,14 @@
     new_counts,
 )
 from egretrail.dispatch._response_sizes import ResponseSizes
-from egretrail.dispatch._retry_budget import FleetRetryBudget, RetryCounts
+from egretrail.dispatch._retry_budget import (
+    FleetRetryBudget,
+    NewRetryCounts,
+    RetryBudgetUsage,
+    RetryCounter,
+    RetryCounts,
+    new_retry_counts,
+)
 from egretrail.dispatch._slot_shares import SlotShares
 from egretrail.dispatch._suspicion import (
     FIRST_PAUSE_S,
@@ -48,6 +55,7 @@
     "FleetLoad",
     "FleetRetryBudget",
     "LimitPosition",
+    "NewRetryCounts",
     "Observation",
     "Outcome",
     "Placement",
@@ -58,6 +66,8 @@
     "RefusalReason",
     "RequestDigest",
     "ResponseSizes",
+    "RetryBudgetUsage",
+    "RetryCounter",
     "RetryCounts",
     "ServiceDurations",
     "SlotShares",
@@ -67,5 +77,6 @@
     "UpstreamHealth",
     "account_key",
     "new_counts",
+    "new_retry_counts",
     "request_digest",
 ]
--- a/src/egretrail/dispatch/_retry_budget.py
+++ b/src/egretrail/dispatch/_retry_budget.py
@@ -29,6 +29,74 @@
     #: Requests sent to upstreams beyond the first try of each.
     retries: int = 0
 
+    def plus(self, other: "RetryCounts") -> "RetryCounts":
+        """Return the sum of two counts."""
+        return RetryCounts(self.requests + other.requests, self.retries + other.retries)
+
+    def since(self, before: "RetryCounts") -> "RetryCounts":
+        """Return the counts added since earlier ones; zero if those are in fact the later ones."""
+        return RetryCounts(
+            max(self.requests - before.requests, 0), max(self.retries - before.retries, 0)
+        )
+
+    def lower(self, other: "RetryCounts") -> "RetryCounts":
+        """Return the lower of each count."""
+        return RetryCounts(min(self.requests, other.requests), min(self.retries, other.retries))
+
+    def higher(self, other: "RetryCounts") -> "RetryCounts":
+        """Return the higher of each count."""
+        return RetryCounts(max(self.requests, other.requests), max(self.retries, other.retries))
+
+
+@dataclass(frozen=True, slots=True)
+class NewRetryCounts:
+    """What a report adds to the counts that its receiver already has."""
+
+    counts: RetryCounts
+    #: Whether they arose over the whole window, instead of since the previous report.
+    is_past: bool
+
+
+def new_retry_counts(
+    total: RetryCounts, before: RetryCounts | None, recent: RetryCounts | None
+) -> NewRetryCounts:
+    """Return what the cumulative counts of a hub's lifetime add to the last known ones.
+
+    ``recent`` are the hub's counts of the last window. Counts of a lifetime whose earlier totals
+    are unknown, or were received long ago, would otherwise count as made just now.
+    """
+    if before is None:
+        return NewRetryCounts(recent or RetryCounts(), is_past=True)
+    new = total.since(before)
+    return NewRetryCounts(new if recent is None else new.lower(recent), is_past=False)
+
+
+class RetryCounter:
+    """Counter of one service's requests and retries, in total and in the window of the budget."""
+
+    __slots__ = ("_requests", "_retries", "total")
+
+    def __init__(self, window_s: float) -> None:
+        #: All requests and retries counted.
+        self.total = RetryCounts()
+        self._requests = SlidingSum(window_s)
+        self._retries = SlidingSum(window_s)
+
+    def set_window(self, window_s: float) -> None:
+        """Change the window."""
+        self._requests.set_window(window_s)
+        self._retries.set_window(window_s)
+
+    def add(self, counts: RetryCounts, now_s: float) -> None:
+        """Add counts; ``now_s`` must not be before that of earlier calls."""
+        self.total = self.total.plus(counts)
+        self._requests.add(counts.requests, now_s)
+        self._retries.add(counts.retries, now_s)
+
+    def recent(self, now_s: float) -> RetryCounts:
+        """Return the counts within the window."""
+        return RetryCounts(self._requests.total(now_s), self._retries.total(now_s))
+
 
 @dataclass(frozen=True, slots=True)
 class RetryBudgetUsage:
@@ -68,8 +136,14 @@
         self._own: dict[str, RetryCounts] = {}
         self._own_requests: dict[str, SlidingSum] = {}
         self._own_retries: dict[str, SlidingSum] = {}
+        self._own_recent_retries: dict[str, SlidingSum] = {}
         self._peer_counts: dict[tuple[str, str], RetryCounts] = {}
 
+    @property
+    def window_s(self) -> float:
+        """The window of the budget, in seconds."""
+        return self._window_s
+
     def set_bounds(self, ratio: float, window_s: float, slack: float, now_s: float) -> None:
         """Change the budget; requests and retries that were counted stay counted.
 
@@ -91,31 +165,66 @@
         self._count(self._requests, service, 1, now_s)
 
     def permits(
-        self, service: str, now_s: float, known_share: float, own_share: float = 1.0
+        self,
+        service: str,
+        now_s: float,
+        known_share: float,
+        own_share: float = 1.0,
+        *,
+        all_zones_reporting: bool = True,
     ) -> bool:
         """Return whether the budget permits one more retry.
 
         ``known_share`` is the part of the fleet whose counts arrive here, including this instance.
-        ``own_share`` is the part of the fleet that this instance is.
+        ``own_share`` is the part of the fleet that this instance is. ``all_zones_reporting`` is
+        False while a zone sends no counts. Its instances may not receive the counts of this one
+        either, so all keep to their own shares then.
         """
-        if now_s < self._started_s + self._window_s:
-            return self._is_within_own_share(service, now_s, own_share)
-        allowed = self._allowed(service, now_s, known_share)
-        paced = allowed * min(_PACING_FACTOR * _PACING_WINDOW_S / self._window_s, 1.0)
-        used_retries = self._total(self._retries, service, now_s)
+        remaining = self.remaining(
+            service, now_s, known_share, own_share, all_zones_reporting=all_zones_reporting
+        )
+        if remaining < 1:
+            return False
+        if not all_zones_reporting:
+            recent_own_retries = self._total(self._own_recent_retries, service, now_s)
+            if recent_own_retries + 1 > self._paced(self._own_allowed(service, now_s, own_share)):
+                return False
         recent_retries = self._total(self._recent_retries, service, now_s)
-        return used_retries + 1 <= allowed and recent_retries + 1 <= max(paced, 1.0)
+        return recent_retries + 1 <= self._paced(self._allowed(service, now_s, known_share))
 
-    def _is_within_own_share(self, service: str, now_s: float, own_share: float) -> bool:
-        """Return whether this instance has a retry left of its own share of the budget.
+    def remaining(
+        self,
+        service: str,
+        now_s: float,
+        known_share: float,
+        own_share: float = 1.0,
+        *,
+        all_zones_reporting: bool = True,
+    ) -> float:
+        """Return how many retries the window has left for this instance, without the pacing."""
+        remaining = self._allowed(service, now_s, known_share)
+        remaining -= self._total(self._retries, service, now_s)
+        is_new = now_s < self._started_s + self._window_s
+        if is_new or not all_zones_reporting:
+            own_remaining = self._own_allowed(service, now_s, own_share)
+            own_remaining -= self._total(self._own_retries, service, now_s)
+            remaining = min(remaining, own_remaining)
+        return remaining
 
-        Guards against a restart of a third of the instances, one after the other. Instances that
-        have just started know no earlier retries, and would use the whole constant allowance
-        again.
+    def _paced(self, allowed: float) -> float:
+        """Return how many retries of a budget the pacing window may have."""
+        part = min(_PACING_FACTOR * _PACING_WINDOW_S / self._window_s, 1.0)
+        return max(allowed * part, 1.0)
+
+    def _own_allowed(self, service: str, now_s: float, own_share: float) -> float:
+        """Return this instance's own share of the budget.
+
+        The shares of all instances add up to the budget, however few of them receive the counts of
+        others. Instances that have just started know no earlier retries, and would use the whole
+        constant allowance again: a third of the fleet may restart, one after the other.
         """
         requests = self._total(self._own_requests, service, now_s)
-        allowed = _USED_SHARE * self._ratio * requests + _START_SHARE * self._slack * own_share
-        return self._total(self._own_retries, service, now_s) + 1 <= allowed
+        return _USED_SHARE * self._ratio * requests + _START_SHARE * self._slack * own_share
 
     def usage(self, now_s: float, known_share: float) -> Mapping[str, RetryBudgetUsage]:
         """Return the usage of each service's budget, for operators."""
@@ -136,6 +245,7 @@
         own = self._own.get(service, RetryCounts())
         self._own[service] = RetryCounts(own.requests, own.retries + 1)
         self._count(self._own_retries, service, 1, now_s)
+        self._own_recent_retries.setdefault(service, SlidingSum(_PACING_WINDOW_S)).add(1, now_s)
         self._count_retries(service, 1, now_s)
 
     def own_counts(self) -> Mapping[str, RetryCounts]:
@@ -143,23 +253,44 @@
         return self._own
 
     def apply_peer_counts(
-        self, origin: str, service: str, counts: RetryCounts, now_s: float
+        self,
+        origin: str,
+        service: str,
+        counts: RetryCounts,
+        now_s: float,
+        recent: RetryCounts | None = None,
     ) -> None:
-        """Apply the counts of a peer's lifetime; the difference to its earlier ones is new."""
+        """Apply the counts of a peer's lifetime; the difference to its earlier ones is new.
+
+        ``recent`` are the peer's counts of the last window. The first counts of a lifetime are
+        ignored without them, since they may be old.
+        """
         before = self._peer_counts.get((origin, service))
-        self._peer_counts[origin, service] = counts
-        if before is None:
-            # Its counts may be old.
+        # Reports may arrive out of order.
+        self._peer_counts[origin, service] = counts if before is None else counts.higher(before)
+        self.add_peer_counts(service, new_retry_counts(counts, before, recent), now_s)
+
+    def add_peer_counts(self, service: str, new: NewRetryCounts, now_s: float) -> None:
+        """Add requests and retries of peers.
+
+        Past requests are spread over the window and leave it in turn. Past retries count as made
+        now, so that they stay counted for at least as long as the budget requires.
+        """
+        if not new.is_past:
+            self._count(self._requests, service, new.counts.requests, now_s)
+            self._count_retries(service, new.counts.retries, now_s)
             return
-        self._count(self._requests, service, max(counts.requests - before.requests, 0), now_s)
-        self._count_retries(service, max(counts.retries - before.retries, 0), now_s)
+        if new.counts.requests:
+            window = self._requests.setdefault(service, SlidingSum(self._window_s))
+            window.add_spread(new.counts.requests, now_s)
+        self._count(self._retries, service, new.counts.retries, now_s)
 
     def request_rate(self, service: str, now_s: float) -> float:
         """Return the fleet's requests per second of a service, averaged over the window."""
         return self._total(self._requests, service, now_s) / self._window_s
 
     def remove_peer(self, origin: str) -> None:
-        """Remove an instance that is gone; its retries stay in the window."""
+        """Remove a peer that is gone; its retries stay in the window."""
         for key in [key for key in self._peer_counts if key[0] == origin]:
             del self._peer_counts[key]
 
--- a/src/egretrail/dispatch/_sliding_window.py
+++ b/src/egretrail/dispatch/_sliding_window.py
@@ -29,6 +29,20 @@
             self._buckets.append((start_s, amount))
         self._sum += amount
 
+    def add_spread(self, amount: int, now_s: float) -> None:
+        """Add an amount that was reached evenly over the window until ``now_s``."""
+        count = max(int(self._window_s / _BUCKET_S), 1)
+        first_s = now_s - now_s % _BUCKET_S - (count - 1) * _BUCKET_S
+        amounts = dict(self._buckets)
+        placed = 0
+        for step in range(count):
+            due = amount * (step + 1) // count
+            start_s = first_s + step * _BUCKET_S
+            amounts[start_s] = amounts.get(start_s, 0) + due - placed
+            placed = due
+        self._buckets = deque(sorted(amounts.items()))
+        self._sum += amount
+
     def expiring(self, now_s: float, within_s: float) -> int:
         """Return how much of the sum leaves the window within a time."""
         until_s = now_s - self._window_s - _BUCKET_S + within_s
--- a/src/egretrail/dispatch/tests/test_retry_budget.py
+++ b/src/egretrail/dispatch/tests/test_retry_budget.py
@@ -7,6 +7,7 @@
     CrashingRequests,
     FleetLoad,
     FleetRetryBudget,
+    NewRetryCounts,
     RetryCounts,
     request_digest,
 )
@@ -149,6 +150,50 @@
             self.assertLessEqual(len(late) + len(early), max(allowed, len(early)))
         self.assertGreater(len([t for t in retries if t > changed_s + window_s]), 0)
 
+    @cases(
+        {
+            "counts of the window": (RetryCounts(40, 8), RetryCounts(40, 8)),
+            "counts of a peer without a window": (None, RetryCounts()),
+        }
+    )
+    def test_the_first_counts_of_a_hub_add_those_of_its_window(
+        self, case: tuple[RetryCounts | None, RetryCounts]
+    ) -> None:
+        recent, expected = case
+        budget = FleetRetryBudget(_RATIO, _WINDOW_S, _SLACK)
+        budget.apply_peer_counts("b~1", _SERVICE, RetryCounts(9_000, 500), 100.0, recent)
+        usage = budget.service_usage(_SERVICE, 100.0, 1.0)
+        self.assertEqual(expected, RetryCounts(usage.requests, usage.retries))
+
+    @cases(
+        {
+            "in order": ([10, 20, 30], 20),
+            "a late report": ([10, 30, 20, 30], 20),
+            "another hub in between": ([10, 20, None, 30], 20),
+            "more than the hub's window": ([10, 5_000], 200),
+        }
+    )
+    def test_counts_of_a_hub_are_added_once(self, case: tuple[list[int | None], int]) -> None:
+        totals, expected = case
+        budget = FleetRetryBudget(_RATIO, _WINDOW_S, _SLACK)
+        for total in totals:
+            if total is None:
+                budget.apply_peer_counts("other~1", _SERVICE, RetryCounts(), 1.0, RetryCounts())
+                continue
+            recent = RetryCounts(200, 200) if total != 10 else RetryCounts()
+            budget.apply_peer_counts("b~1", _SERVICE, RetryCounts(total, 0), 1.0, recent)
+        self.assertEqual(expected, budget.service_usage(_SERVICE, 1.0, 1.0).requests)
+
+    def test_past_requests_leave_the_window_in_turn(self) -> None:
+        budget = FleetRetryBudget(_RATIO, _WINDOW_S, _SLACK)
+        past = RetryCounts(100, 20)
+        budget.add_peer_counts(_SERVICE, NewRetryCounts(past, is_past=True), 50.0)
+        usages = [budget.service_usage(_SERVICE, at_s, 1.0) for at_s in (50.0, 55.0, 59.5, 61.0)]
+        for usage, expected in zip(usages, (100, 50, 5, 0), strict=True):
+            self.assertAlmostEqual(expected, usage.requests, delta=5)
+        # Past retries count as made now.
+        self.assertEqual([20, 20, 20, 0], [usage.retries for usage in usages])
+
     def test_the_first_counts_of_a_peer_are_ignored(self) -> None:
         budget = FleetRetryBudget(_RATIO, _WINDOW_S, _SLACK)
         other = FleetRetryBudget(_RATIO, _WINDOW_S, _SLACK)
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -75,7 +75,14 @@
         self._send = send
         self._apply_own = apply_own
         self._cross_zone_bytes = cross_zone_bytes
-        self._hub = Hub(settings.ip, settings.availability_zone, incarnation, loop.time())
+        self._hub = Hub(
+            settings.ip,
+            settings.availability_zone,
+            incarnation,
+            loop.time(),
+            view.retry_budget.window_s,
+            view.zones.hub_terms,
+        )
         self._zone_timer = Timer(loop, self._send_to_zone)
         self._cross_zone_timer = Timer(loop, self._send_cross_zone)
         self._zone_sent_s = self._cross_zone_sent_s = float("-inf")
@@ -91,6 +98,10 @@
         self._zone_timer.cancel()
         self._cross_zone_timer.cancel()
 
+    def apply_settings(self) -> None:
+        """Apply changed settings of the retry budget."""
+        self._hub.set_retry_window(self._view.retry_budget.window_s)
+
     def apply_heartbeat(self, heartbeat: Heartbeat, *, direct: bool) -> None:
         """Apply a heartbeat of the own zone."""
         if self._hub.record_heartbeat(heartbeat, self._clock(), direct=direct):
@@ -143,6 +154,8 @@
 
     def send_final(self) -> None:
         """Announce that this instance is leaving, so that the next hub takes over at once."""
+        # Complete sections: the next hub continues from their counts.
+        self._zone_due_s = self._cross_zone_due_s = float("-inf")
         self._send_to_zone()
         self._send_cross_zone()
         self.stop()
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -140,6 +140,8 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
         self._settings = settings
+        if self._hub is not None:
+            self._hub.apply_settings()
 
     @property
     def is_hub(self) -> bool:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -60,6 +60,9 @@
 #: An instance that receives reports from more than this share of the largest fleet size that it has
 #: seen is not counted as partitioned from the rest together with its zone.
 _FLEET_SHARE = 0.5
+#: With reports of a smaller share of the living instances, the fleet's retries are unknown: a new
+#: hub has not yet received heartbeats of most instances.
+_COUNTED_SHARE = 0.75
 #: Keys are refused this long before the last confirmation of the configuration reaches its maximum
 #: age.
 _REVOCATION_MARGIN_S = 0.25
@@ -313,6 +316,8 @@
         if known_count is None:
             return False
         source = f"peer {section.hub}"
+        if section.availability_zone == self.own_zone:
+            self.zones.record_hub_term(section, now_s)
         if followed:
             self.zones.apply_section(section, self._outcome_recorder.ids_by_key, now_s)
             self._largest_fleet = max(self._largest_fleet, self.zones.instances(now_s))
@@ -446,8 +451,24 @@
         now_s = self._clock()
         if self.zones.is_late(now_s):
             return False
-        own_part = 1.0 / max(self.zones.instances(now_s), self.membership.size())
-        return self.retry_budget.permits(service, now_s, self.known_share(), own_part)
+        return self.retry_budget.permits(
+            service,
+            now_s,
+            self.known_share(),
+            self._own_share(now_s),
+            all_zones_reporting=self._receives_retry_counts(now_s),
+        )
+
+    def remaining_retries(self, service: str) -> float:
+        """Return how many retries the fleet's retry budget has left, as far as is known here."""
+        now_s = self._clock()
+        return self.retry_budget.remaining(
+            service,
+            now_s,
+            self.known_share(),
+            self._own_share(now_s),
+            all_zones_reporting=self._receives_retry_counts(now_s),
+        )
 
     def admit_to_quota(self, account: ClientAccount) -> QuotaExceeded | None:
         """Count a request of an account; return why the quota refuses it, or None."""
@@ -476,6 +497,16 @@
             self._log.event("doubts_adopted", upstreams=len(records))
             self.suspicion.import_records(records, self._clock())
 
+    def _own_share(self, now_s: float) -> float:
+        """Return the part of the fleet that this instance is."""
+        return 1.0 / max(self.zones.instances(now_s), self.membership.size())
+
+    def _receives_retry_counts(self, now_s: float) -> bool:
+        """Return whether the retries of nearly all living instances are known here."""
+        if self.zones.instances(now_s) < _COUNTED_SHARE * self.membership.size():
+            return False
+        return self.zones.receives_all_retry_counts(now_s, self.retry_budget.window_s)
+
     def _limit_position(self, record: UpstreamRecord) -> LimitPosition:
         return limit_position(
             record,
--- a/src/egretrail/gateway/_zone_aggregates.py
+++ b/src/egretrail/gateway/_zone_aggregates.py
@@ -1,10 +1,12 @@
 """The zones' aggregates as their hubs send them, and how fresh they are."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from egretrail.cluster import (
     Heartbeat,
+    HubTerm,
+    HubTerms,
     RosterSlice,
     Scope,
     Section,
@@ -29,6 +31,12 @@
 #: After this time without a section, a hub may restart with a lower number, since its clock may
 #: have been set back.
 _RESTART_SILENCE_S = 4.0
+#: After this time without a section, a zone's retries are taken as unknown.
+_RETRY_COUNTS_LATE_S = 1.0
+#: How long the counts of a hub's lifetime are remembered after its last section. Two hubs of a zone
+#: may alternate for seconds, and a hub may return after an interruption of the network.
+_RETRY_COUNTS_RETENTION_S = 30.0
+_ACCOUNT_COUNTS_RETENTION_S = 4.0
 #: The number of sections that may arrive out of order: those of half a second.
 _REORDER_WINDOW = 16
 _REORDER_MASK = (1 << _REORDER_WINDOW) - 1
@@ -84,9 +92,6 @@
     store_readers: int
     #: Requests in flight by upstream key; for other zones only.
     loads: dict[int, int]
-    #: Whether retry counts of this hub lifetime have arrived, and the services that they named.
-    has_retry_counts: bool = False
-    services: set[str] = field(default_factory=set)
 
 
 class ZoneAggregates:
@@ -104,9 +109,16 @@
         self._retry_budget = retry_budget
         self._quotas = quotas
         self._zone_peers = ZonePeers()
+        #: Retry counts of the hubs of the own zone.
+        self.hub_terms = HubTerms()
         self._ack_index: int | None = None
         self._zones: dict[str, _Zone] = {}
         self._received: dict[tuple[str, Scope], _ReceivedSections] = {}
+        #: When a section of each hub lifetime last arrived, for the counts that are remembered.
+        self._retry_counts_heard_s: dict[str, float] = {}
+        self._account_counts_heard_s: dict[str, float] = {}
+        #: When a section of each zone last arrived, also of zones that are silent now.
+        self._zones_heard_s: dict[str, float] = {}
 
     def record_sent(self, heartbeat: Heartbeat, now_s: float) -> None:
         """Remember a heartbeat of this instance, which the own zone's aggregates will include."""
@@ -152,8 +164,13 @@
             }
             self._load.update_peer_counts(section.availability_zone, counts, now_s)
         self._quotas.apply_zone_reports(zone.lifetime, section.accounts, now_s)
-        self._record_retries(zone, section.retries, now_s)
-        zone.has_retry_counts = True
+        for term in [*section.earlier_terms, _hub_term(section)]:
+            self._apply_retries(term, now_s)
+
+    def record_hub_term(self, section: Section, now_s: float) -> None:
+        """Record the retry counts of a hub of the own zone, whether it is followed or not."""
+        if section.scope is Scope.ZONE and section.retries:
+            self.hub_terms.record(_hub_term(section), now_s)
 
     def update_ack_index(self, roster: RosterSlice, own_address: str) -> None:
         """Look up this instance's index in its hub's acknowledgements."""
@@ -203,12 +220,16 @@
             name for name, zone in self._zones.items() if not self._is_fresh(name, zone, now_s)
         ]
         for name in silent:
-            lifetime = self._zones.pop(name).lifetime
-            self._retry_budget.remove_peer(lifetime)
-            self._quotas.remove_hub(lifetime)
+            del self._zones[name]
             self._load.remove_peer(name)
             if name == self._own_zone:
                 self._reset_own_zone()
+        for lifetime in _pop_older(self._retry_counts_heard_s, now_s - _RETRY_COUNTS_RETENTION_S):
+            self._retry_budget.remove_peer(lifetime)
+        for lifetime in _pop_older(
+            self._account_counts_heard_s, now_s - _ACCOUNT_COUNTS_RETENTION_S
+        ):
+            self._quotas.remove_hub(lifetime)
         return silent
 
     def instances(self, now_s: float) -> int:
@@ -230,6 +251,19 @@
         late_s = min(max(zone.instances * _LATE_INSTANCE_S, _LATE_MIN_S), _LATE_MAX_S)
         return late_s < now_s - zone.received_s <= _OWN_ZONE_SILENCE_S
 
+    def receives_all_retry_counts(self, now_s: float, window_s: float) -> bool:
+        """Return whether all zones still report that have reported within a window.
+
+        The own zone's counts can't be split into own and peers' counts until its hub acknowledges a
+        heartbeat.
+        """
+        if self._own_zone in self._zones and self._zone_peers.acknowledged_s is None:
+            return False
+        return all(
+            now_s - heard_s <= _RETRY_COUNTS_LATE_S or now_s - heard_s > window_s
+            for heard_s in self._zones_heard_s.values()
+        )
+
     def receives_all_zones(self, now_s: float) -> bool:
         """Return whether the sections of all known zones arrive on time."""
         if self._own_zone not in self._zones or self.is_late(now_s):
@@ -254,18 +288,24 @@
         limit_s = _OWN_ZONE_SILENCE_S if name == self._own_zone else _ZONE_SILENCE_S
         return now_s - zone.received_s <= limit_s
 
+    def _apply_retries(self, term: HubTerm, now_s: float) -> None:
+        lifetime = _lifetime(term.hub, term.incarnation)
+        self._retry_counts_heard_s[lifetime] = now_s
+        for service, total in term.retries.items():
+            recent = term.recent_retries.get(service)
+            self._retry_budget.apply_peer_counts(lifetime, service, total, now_s, recent)
+
     def _update_zone(self, section: Section, now_s: float) -> _Zone:
         name = section.availability_zone
-        lifetime = f"{section.hub}~{section.incarnation}"
+        lifetime = _lifetime(section.hub, section.incarnation)
         zone = self._zones.get(name)
         if zone is None or zone.lifetime != lifetime:
-            if zone is not None:
-                self._retry_budget.remove_peer(zone.lifetime)
-                self._quotas.remove_hub(zone.lifetime)
             if name == self._own_zone:
                 self._reset_own_zone()
             loads = zone.loads if zone is not None else {}
             zone = self._zones[name] = _Zone(section.hub, lifetime, now_s, 0, 0, loads)
+        self._account_counts_heard_s[lifetime] = now_s
+        self._zones_heard_s[name] = now_s
         zone.received_s = now_s
         zone.instances = section.instances
         zone.store_readers = section.store_readers
@@ -281,7 +321,9 @@
         self, section: Section, zone: _Zone, ids_by_key: Mapping[int, str], now_s: float
     ) -> None:
         own_before = set(self._zone_peers.own_upstream_keys())
-        self._zone_peers.apply_acknowledgement(section, self._ack_index)
+        new_retries = self._zone_peers.apply_acknowledgement(section, self._ack_index)
+        for service, new in new_retries.items():
+            self._retry_budget.add_peer_counts(service, new, now_s)
         if section.accounts:
             self._quotas.apply_acknowledgement(self._zone_peers.acknowledged_accounts)
             self._quotas.apply_zone_reports(zone.lifetime, section.accounts, now_s)
@@ -292,14 +334,20 @@
         }
         reported = {ids_by_key[key]: count for key, count in counts.items() if key in ids_by_key}
         self._load.update_peer_counts(self._own_zone, reported, now_s)
-        # Retry counts start at zero with each hub that is followed.
-        zone.has_retry_counts = True
-        self._record_retries(zone, self._zone_peers.peer_retries(), now_s)
-
-    def _record_retries(self, zone: _Zone, totals: Mapping[str, RetryCounts], now_s: float) -> None:
-        for service, total in totals.items():
-            if zone.has_retry_counts and service not in zone.services:
-                # The service was not in the earlier aggregates, so all of its counts are new.
-                self._retry_budget.apply_peer_counts(zone.lifetime, service, RetryCounts(), now_s)
-            zone.services.add(service)
-            self._retry_budget.apply_peer_counts(zone.lifetime, service, total, now_s)
+
+
+def _lifetime(hub: str, incarnation: int) -> str:
+    """Return the name of an instance in the time for which it is the hub."""
+    return f"{hub}~{incarnation}"
+
+
+def _hub_term(section: Section) -> HubTerm:
+    return HubTerm(section.hub, section.incarnation, section.retries, section.recent_retries)
+
+
+def _pop_older(times_s: dict[str, float], before_s: float) -> list[str]:
+    """Remove and return the keys whose time is before a moment."""
+    old = [key for key, at_s in times_s.items() if at_s < before_s]
+    for key in old:
+        del times_s[key]
+    return old
