Log the revisions between which a reader read or watched the upstreams

A list that misses a change could not be traced: which instance read the whole list and which received which changes had no log line.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -319,6 +319,12 @@
         self._record_success()
         revision = read.ok_value.revision
         self._check_era(revision)
+        self._log.event(
+            "upstreams_read",
+            revision=revision,
+            known=self._view.upstreams.revision,
+            entries=len(read.ok_value.entries),
+        )
         # Upstreams that are alive write their entry again, and a watch returns it.
         vanished = self._view.upstreams.absent_since_before(revision_era(revision))
         entries = [one for one in read.ok_value.entries if self._name(one) not in vanished]
@@ -333,6 +339,13 @@
                 return watched.err_value
             self._record_success()
             if watched.ok_value.entries:
+                self._log.event(
+                    "upstreams_watched",
+                    after=revision,
+                    revision=watched.ok_value.revision,
+                    known=self._view.upstreams.revision,
+                    entries=len(watched.ok_value.entries),
+                )
                 self._apply_changes(watched.ok_value.entries, watched.ok_value.revision)
             revision = max(revision, watched.ok_value.revision)
             await self._batch_changes(watched.ok_value.entries)
