A reader that takes over watches from the revision that is known

What callers saw: an upstream that was restarted got no requests until it wrote its entry again.

Cause: an instance that became a reader of the store read the whole list. A complete read shows the last write to each key only, so a late write of the old start hid the new start that was written before it, and the revision of the read made the whole fleet take the list as known.

Fix: a reader that takes over, or whose calls failed, first asks for the changes since the revision that the fleet knows, and reads everything only if the store no longer has them or has been restored. The same held for the configuration: a valid version that an invalid one replaced at once was never read. An instance that has read it before watches from there; one that has never read the store still reads the last write only.

The new test fails on the code before (its case with the history kept).

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine, Sequence, Set
 from typing import Any
 
-from result import Err
+from result import Err, Ok, Result
 
 from egretrail.cluster import split_config
 from egretrail.gateway._instance_listing import InstanceListing
@@ -26,6 +26,8 @@
 _READING_ZONES = 2
 #: The maximum duration of one watch.
 _WATCH_S = 8.0
+#: The duration of the first watch after a known revision: the changes up to now.
+_CATCH_UP_WAIT_S = 0.001
 #: While watches are pending, a stale read at this interval checks that the store still answers, at
 #: a tenth of the cost of a call. A store that has stopped answering the readers of all zones is
 #: then noticed well before the next change is due. The time-out doubles while the store is slow.
@@ -269,33 +271,61 @@
         return None if task.cancelled() else task.result()
 
     async def _follow_config(self) -> PlatformFailure | None:
-        """Read the configuration and follow its changes until a call fails."""
-        # The snapshot returns the store's revision; the entry's own may be older than the kept
-        # history.
+        """Follow the changes of the configuration until a call fails."""
         configs = self._view.configs
         configs.reaches_store = False
+        caught_up = await self._catch_up(
+            self._config_revision or 0, self._watch_config, self._read_config
+        )
+        while isinstance(caught_up, Ok) and self.should_read():
+            configs.reaches_store = True
+            caught_up = await self._watch_config(caught_up.ok_value, _WATCH_S)
+        configs.reaches_store = False
+        return caught_up.err_value if isinstance(caught_up, Err) else None
+
+    async def _catch_up(
+        self,
+        known_revision: int,
+        watch: Callable[[int, float], Coroutine[Any, Any, Result[int, PlatformFailure]]],
+        read: Callable[[], Coroutine[Any, Any, Result[int, PlatformFailure]]],
+    ) -> Result[int, PlatformFailure]:
+        """Learn a part of the store; return the revision up to which it is known then.
+
+        A complete read shows only the last write to each path: a late write of an upstream's
+        earlier lifetime, or an invalid configuration, hides the write before it. So all that has
+        been written since a known revision is watched, as far as the store still has it.
+        """
+        if known_revision:
+            watched = await watch(known_revision, _CATCH_UP_WAIT_S)
+            if isinstance(watched, Ok) or not isinstance(watched.err_value, HistoryLost):
+                return watched
+        return await read()
+
+    async def _read_config(self) -> Result[int, PlatformFailure]:
+        # The snapshot returns the store's revision; the entry's own may be older than the kept
+        # history.
         self._config_revision = None
         sent_s = self._view.config_freshness.clock()
         read = await self._store.snapshot(self._layout.config_path)
         if isinstance(read, Err):
-            return read.err_value
+            return read
         self._record_success()
         revision = read.ok_value.revision
         self._check_era(revision)
         await self._apply_config_answer(read.ok_value.entries, revision, sent_s)
-        configs.reaches_store = True
-        while self.should_read():
-            sent_s = self._view.config_freshness.clock()
-            watched = await self._store.watch(self._layout.config_path, revision, _WATCH_S)
-            if isinstance(watched, Err):
-                configs.reaches_store = False
-                return watched.err_value
-            self._record_success()
-            revision = max(revision, watched.ok_value.revision)
-            await self._apply_config_answer(watched.ok_value.entries, revision, sent_s)
-            await self._batch_changes(watched.ok_value.entries)
-        configs.reaches_store = False
-        return None
+        return Ok(revision)
+
+    async def _watch_config(self, after: int, wait_s: float) -> Result[int, PlatformFailure]:
+        """Apply the changes after a revision; return the one up to which they are known then."""
+        sent_s = self._view.config_freshness.clock()
+        watched = await self._store.watch(self._layout.config_path, after, wait_s)
+        if isinstance(watched, Err):
+            return watched
+        self._record_success()
+        revision = max(after, watched.ok_value.revision)
+        await self._apply_config_answer(watched.ok_value.entries, revision, sent_s)
+        await self._batch_changes(watched.ok_value.entries)
+        return Ok(revision)
 
     async def _apply_config_answer(
         self, entries: Sequence[Entry], revision: int, sent_s: float
@@ -311,11 +341,18 @@
             self._view.confirm_config_current(sent_s)
 
     async def _follow_upstreams(self) -> PlatformFailure | None:
-        """Read the upstreams and follow their changes until a call fails."""
-        prefix = self._layout.upstreams_prefix
-        read = await self._store.snapshot(prefix)
+        """Follow the changes of the upstreams until a call fails."""
+        caught_up = await self._catch_up(
+            self._view.upstreams.revision, self._watch_upstreams, self._read_upstreams
+        )
+        while isinstance(caught_up, Ok) and self.should_read():
+            caught_up = await self._watch_upstreams(caught_up.ok_value, _WATCH_S)
+        return caught_up.err_value if isinstance(caught_up, Err) else None
+
+    async def _read_upstreams(self) -> Result[int, PlatformFailure]:
+        read = await self._store.snapshot(self._layout.upstreams_prefix)
         if isinstance(read, Err):
-            return read.err_value
+            return read
         self._record_success()
         revision = read.ok_value.revision
         self._check_era(revision)
@@ -333,23 +370,26 @@
         if revision >= self._view.upstreams.revision:
             self._retain_vanished(gone, records)
         self._view.replace_upstreams(records.values(), revision, "store")
-        while self.should_read():
-            watched = await self._store.watch(prefix, revision, _WATCH_S)
-            if isinstance(watched, Err):
-                return watched.err_value
-            self._record_success()
-            if watched.ok_value.entries:
-                self._log.event(
-                    "upstreams_watched",
-                    after=revision,
-                    revision=watched.ok_value.revision,
-                    known=self._view.upstreams.revision,
-                    entries=len(watched.ok_value.entries),
-                )
-                self._apply_changes(watched.ok_value.entries, watched.ok_value.revision)
-            revision = max(revision, watched.ok_value.revision)
-            await self._batch_changes(watched.ok_value.entries)
-        return None
+        return Ok(revision)
+
+    async def _watch_upstreams(self, after: int, wait_s: float) -> Result[int, PlatformFailure]:
+        """Apply the changes after a revision; return the one up to which they are known then."""
+        watched = await self._store.watch(self._layout.upstreams_prefix, after, wait_s)
+        if isinstance(watched, Err):
+            return watched
+        self._record_success()
+        changes = watched.ok_value
+        if changes.entries:
+            self._log.event(
+                "upstreams_watched",
+                after=after,
+                revision=changes.revision,
+                known=self._view.upstreams.revision,
+                entries=len(changes.entries),
+            )
+            self._apply_changes(changes.entries, changes.revision)
+        await self._batch_changes(changes.entries)
+        return Ok(max(after, changes.revision))
 
     async def _batch_changes(self, entries: Sequence[Entry]) -> None:
         """Wait after changes, so that the next watch returns several at once."""
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -221,6 +221,34 @@
 
         self._run(act)
 
+    # Guards against a write that a later one to the same path hides from a reader that takes over.
+    @cases({"history is kept": False, "history is gone": True})
+    def test_a_reader_that_takes_over_learns_what_later_writes_replaced(
+        self, history_is_gone: bool
+    ) -> None:
+        async def act(setup: _ReaderSetup) -> None:
+            setup.list("u1", "draining", born=1)
+            await asyncio.sleep(1.0)
+            setup.sync.is_reader = False
+            # Longer than the watch that is pending.
+            await asyncio.sleep(10.0)
+            setup.list("u1", born=2)
+            setup.list("u1", "draining", born=1)
+            setup.configure(config(2, _ROUTES))
+            setup.configure({"version": "00000003", "routes": "none"})
+            if history_is_gone:
+                setup.store.discard_history()
+            setup.sync.is_reader = True
+            await asyncio.sleep(1.0)
+            expected = {"u2", "u3", "u4"} if history_is_gone else {"u1", "u2", "u3", "u4"}
+            self.assertEqual(expected, setup.ready())
+            self.assertEqual(1 if history_is_gone else 2, setup.view.config_version)
+            setup.list("u1", born=2)
+            await asyncio.sleep(1.0)
+            self.assertEqual({"u1", "u2", "u3", "u4"}, setup.ready())
+
+        self._run(act)
+
     def test_changes_in_one_answer_apply_in_order(self) -> None:
         async def act(setup: _ReaderSetup) -> None:
             setup.list("u1")
--- a/src/egretrail/testing/_fake_store.py
+++ b/src/egretrail/testing/_fake_store.py
@@ -29,6 +29,8 @@
         self.revision = 0
         self.entries: dict[str, Entry] = {}
         self.history: list[Entry] = []
+        #: The revision after which ``history`` is complete.
+        self._history_since = 0
         #: Number of calls by kind; a watch that waits counts once.
         self.calls: Counter[str] = Counter()
         #: Number of reads and writes of single paths, by the path's first segment.
@@ -83,7 +85,8 @@
         while True:
             if self.out:
                 return Err(StoreUnavailable(f"watch {prefix}", "outage"))
-            if revision_era(after_revision) != revision_era(self.revision):
+            in_other_era = revision_era(after_revision) != revision_era(self.revision)
+            if in_other_era or after_revision < self._history_since:
                 return Err(HistoryLost(prefix, after_revision))
             events = [
                 entry
@@ -130,6 +133,11 @@
         self._leases.clear()
         self._notify()
 
+    def discard_history(self) -> None:
+        """Discard the changes up to now; only watches of later changes succeed."""
+        self.history = []
+        self._history_since = self.revision
+
     def set_out(self, out: bool) -> None:
         """Begin or end an outage; waiting watches fail at once."""
         self.out = out
