Leave gateways without a first reading out of a burn interval

Found while looking at what the commands say when one gateway is slow. Fix: such a gateway is left out of the interval and named, in the text and in the JSON's list of silent ones. The new test fails on the code before.

--- a/src/egretrail/cli/_gateway_show.py
+++ b/src/egretrail/cli/_gateway_show.py
@@ -49,7 +49,8 @@
         _print_table(readings)
         for difference in differences:
             click.echo(difference)
-        _print_unreachable(results)
+        for failure in _failures(results):
+            click.echo(failure, err=True)
     if len(readings) < len(results):
         sys.exit(ExitCode.UNREACHABLE)
     if differences:
@@ -81,8 +82,13 @@
     gateway answers.
     """
     now, before = asyncio.run(_read_twice(addresses, interval_s))
-    readings = _successful_readings(now)
-    burns = compute_burn_rates(readings, _successful_readings(before), objective)
+    readings, earlier = _successful_readings(now), _successful_readings(before)
+    if interval_s > 0.0:
+        # All counts of a gateway without a first reading would seem to belong to the interval.
+        known = {reading.address for reading in earlier}
+        readings = [reading for reading in readings if reading.address in known]
+    burns = compute_burn_rates(readings, earlier, objective)
+    silent = list(dict.fromkeys([*_failures(before), *_failures(now)]))
     if as_json:
         rows = [
             {
@@ -94,10 +100,11 @@
             }
             for one in burns
         ]
-        click.echo(json.dumps({"objective": objective, "routes": rows}))
+        click.echo(json.dumps({"objective": objective, "routes": rows, "silent": silent}))
     else:
         _print_burns(burns)
-        _print_unreachable(now)
+        for failure in silent:
+            click.echo(failure, err=True)
     if not readings:
         sys.exit(ExitCode.UNREACHABLE)
     if any(one.rate > 1.0 for one in burns):
@@ -121,6 +128,10 @@
     return [one.ok_value for one in results if not isinstance(one, Err)]
 
 
+def _failures(results: _ReadResults) -> list[str]:
+    return [str(one.err_value) for one in results if isinstance(one, Err)]
+
+
 def _differences(readings: Sequence[MetricsReading]) -> list[str]:
     """Describe the values that differ between gateways although they should be equal."""
     found = []
@@ -137,8 +148,11 @@
         {"address": one.address, "values": dict(one.values), "refusals": dict(one.refusals)}
         for one in _successful_readings(results)
     ]
-    silent = [str(one.err_value) for one in results if isinstance(one, Err)]
-    return {"gateways": gateways, "differences": list(differences), "silent": silent}
+    return {
+        "gateways": gateways,
+        "differences": list(differences),
+        "silent": _failures(results),
+    }
 
 
 def _print_table(readings: Sequence[MetricsReading]) -> None:
@@ -158,9 +172,3 @@
     for one in burns:
         causes = " ".join(f"{outcome}:{count}" for outcome, count in sorted(one.unserved.items()))
         click.echo(f"{one.route:24}{one.asked:10}{one.served:10}{one.rate:11.2f}  {causes}")
-
-
-def _print_unreachable(results: _ReadResults) -> None:
-    for one in results:
-        if isinstance(one, Err):
-            click.echo(str(one.err_value), err=True)
--- a/src/egretrail/cli/tests/test_gateway_show.py
+++ b/src/egretrail/cli/tests/test_gateway_show.py
@@ -175,6 +175,18 @@
             result = CliRunner().invoke(main, ["gateway", "burn", server.address])
         self.assertEqual((code, True), (result.exit_code, words in result.output), result.output)
 
+    def test_a_gateway_without_a_first_reading_is_left_out_of_an_interval(self) -> None:
+        text = _text({("r", "served"): 1, ("r", "refused"): 99})
+        late = self.enterContext(_MetricsServer(text, unanswered=2))
+        other = self.enterContext(_MetricsServer(_text({("r", "served"): 5})))
+        arguments = ["gateway", "burn", late.address, other.address, "--interval", "0.1", "--json"]
+        with mock.patch("egretrail.cli._gateway_metrics._TIMEOUT_S", 0.5):
+            result = CliRunner().invoke(main, arguments)
+        self.assertEqual(0, result.exit_code, result.output)
+        document = json.loads(result.output)
+        self.assertEqual([], document["routes"])
+        self.assertIn(late.address, document["silent"][0])
+
     def test_burn_with_no_gateway(self) -> None:
         result = CliRunner().invoke(main, ["gateway", "burn", "127.0.0.1:1"])
         self.assertEqual(3, result.exit_code)
