--- a/scaffolding/tests/test_gateway_processes.py
+++ b/scaffolding/tests/test_gateway_processes.py
@@ -120,6 +120,7 @@
 
         self.run_scenario(scenario)
 
+    # Guards against a reader that takes over and sees only the late write of the old lifetime.
     @cases({"after a drain": True, "after a crash": False})
     def test_a_backend_that_starts_again_under_its_id_gets_work(self, drained: bool) -> None:
         async def scenario(harness: FleetHarness) -> None:
