Let the test of a backoff while connecting reach the check that it guards

With the check of a backoff just before the send removed, every test still passed. The test started its second request only once the first had arrived; by then its refusal had been read, and the second request was refused at placement, before it asked for a connection.

Both requests are now chosen before the first response arrives, and the test also requires that the second got a connection. The status and the one arrival are required as before. With the check removed the test fails.

--- a/src/egretrail/gateway/tests/test_upstream_notices.py
+++ b/src/egretrail/gateway/tests/test_upstream_notices.py
@@ -1,6 +1,7 @@
 """Requests to upstreams that said in a response that they are draining or want no requests."""
 
 import asyncio
+import itertools
 from collections.abc import Sequence
 from unittest import mock
 
@@ -227,23 +228,25 @@
             backend.behaviour, backend.retry_after = Behaviour.SHEDDING, "5"
             acquire = UpstreamConnectionPool.acquire
             first_refused = asyncio.Event()
+            acquired = itertools.count(1)
 
             async def acquire_late(
                 pool: UpstreamConnectionPool, name: str, address: str
             ) -> ClientConnection:
+                is_second = next(acquired) == 2
                 connection = await acquire(pool, name, address)
-                if backend.arrivals:
+                if is_second:
                     await first_refused.wait()
                 return connection
 
             with mock.patch.object(UpstreamConnectionPool, "acquire", acquire_late):
+                # Both are chosen before the first response arrives.
                 first = asyncio.create_task(executor.serve(make_request(*_ONCE)))
-                while not backend.arrivals:
-                    await asyncio.sleep(0)
                 second = asyncio.create_task(executor.serve(make_request(*_ONCE)))
                 await first
                 first_refused.set()
                 self.assertEqual(503, (await second).status)
             self.assertEqual(1, len(backend.arrivals))
+            self.assertEqual(3, next(acquired), "the second request did not get a connection")
 
         self.run_with_backends(1, scenario)
