Let the tests of malformed datagrams reach the checks that they name

The datagrams had version 5 of the wire format and the code has 6, so all but three cases ended at the check of the version and would have passed whatever the decoder did with their fields. They take the version from an encoded datagram now, and fail if the version is what was refused; another version has a test of its own. All cases pass, with three more for fields that were added; the fuzzed fields include these.

--- a/src/egretrail/cluster/tests/test_cluster.py
+++ b/src/egretrail/cluster/tests/test_cluster.py
@@ -167,10 +167,11 @@
 def _section_datagram(position: int, value: object) -> bytes:
     """Return a datagram with one section, one field of which is replaced."""
     [data] = encode_sections([section()], cross_zone=False)
-    [encoded] = msgpack.unpackb(data)[3]
-    row = msgpack.unpackb(encoded)
+    datagram = msgpack.unpackb(data)
+    row = msgpack.unpackb(datagram[3][0])
     row[position] = value
-    return bytes(msgpack.packb([5, 1, 0, [msgpack.packb(row)]]))
+    datagram[3] = [msgpack.packb(row)]
+    return bytes(msgpack.packb(datagram))
 
 
 def _heartbeat_datagram(position: int, value: object) -> bytes:
@@ -180,6 +181,12 @@
     return bytes(msgpack.packb(datagram))
 
 
+def _datagram(kind: int, payload: object, version: int | None = None) -> bytes:
+    """Return a datagram of the current version of the wire format, or of another one."""
+    valid = msgpack.unpackb(encode_heartbeats(HeartbeatsDatagram(0, [])))
+    return bytes(msgpack.packb([valid[0] if version is None else version, kind, 0, payload]))
+
+
 class MalformedMessageTest(EgretrailTestCase):
     @cases(
         {
@@ -200,14 +207,11 @@
     @cases(
         {
             "more than a datagram can hold": zlib.compress(b"\x00" * 10_000_000),
-            "truncated": zlib.compress(msgpack.packb([5, 2, 0, []]))[:-3],
-            "another version": msgpack.packb([4, 0, 0, []]),
-            "an unknown kind": msgpack.packb([5, 9, 0, []]),
-            "a heartbeat with too few fields": msgpack.packb([5, 0, 0, [["10.0.0.1"]]]),
-            "loads that are not a table": msgpack.packb(
-                [5, 0, 0, [["o", "a", 1, 1, 1, 1.0, 1, 1, True, 5]]]
-            ),
-            "an infinite number": msgpack.packb([5, 0, 0, [["o", "a", float("inf")]]]),
+            "truncated": zlib.compress(_datagram(2, []))[:-3],
+            "an unknown kind": _datagram(9, []),
+            "a heartbeat with too few fields": _datagram(0, [["10.0.0.1"]]),
+            "loads that are not a table": _heartbeat_datagram(9, 5),
+            "an infinite number": _heartbeat_datagram(2, float("inf")),
             "a hub that is not an address": _section_datagram(2, -1),
             "more keys than counts": _section_datagram(10, [b"\x00" * 8, b"\x01", b"\x00"]),
             "truncated keys": _section_datagram(10, [b"\x00" * 7, b"\x01", b"\x00"]),
@@ -216,10 +220,22 @@
             "truncated outcomes": _section_datagram(14, b"\x00" * 10),
             "an unknown outcome": _section_datagram(14, b"\x00" * 4 + b"\x63" + b"\x00" * 6),
             "a truncated roster": _section_datagram(18, [0, 1, True, b"\x00" * 11]),
+            "recent retries that are not pairs": _section_datagram(23, {"s": 5}),
+            "an earlier hub with too few fields": _section_datagram(24, [[1, 2, {}]]),
+            "draining upstreams that are no list": _section_datagram(25, 5),
         }
     )
     def test_malformed_datagrams_are_a_typed_error(self, data: bytes) -> None:
-        self.assertIsInstance(decode_datagram(data), Err)
+        decoded = decode_datagram(data)
+        assert isinstance(decoded, Err)
+        self.assertNotIn("unsupported version", decoded.err_value.cause)
+
+    @cases({"an earlier one": -1, "a later one": 1})
+    def test_datagrams_of_another_version_are_a_typed_error(self, difference: int) -> None:
+        current = msgpack.unpackb(_datagram(0, []))[0]
+        decoded = decode_datagram(_datagram(0, [], current + difference))
+        assert isinstance(decoded, Err)
+        self.assertIn("unsupported version", decoded.err_value.cause)
 
     def test_fetch_messages_round_trip(self) -> None:
         record = UpstreamRecord("u", "s", "10.0.0.1:1", "a", 4, UpstreamState.DRAINING, 1.5, 9)
@@ -248,7 +264,7 @@
         self.assertIsInstance(decode_manifest(data), Err)
         self.assertIsInstance(decode_chunks(data), Err)
 
-    @given(st.integers(0, 18), st.binary(max_size=40))
+    @given(st.integers(0, 25), st.binary(max_size=40))
     @settings(max_examples=200, deadline=None, database=None)
     def test_a_field_of_arbitrary_bytes_does_not_raise(self, position: int, value: bytes) -> None:
         self.assertIsInstance(decode_datagram(_section_datagram(position, value)), (Ok, Err))
