Let the readers' hubs alone report draining upstreams to other zones

Every hub that learned of a draining upstream repeated it to all others for half a second, and each of these datagrams was relayed at once to a whole zone: five times what is needed. The hubs that learned it from the store report it to other zones; a hub relays at once what is new to it, and names the upstream in its own sections.

--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -78,8 +78,8 @@
     config_freshness_age_s: float | None = field(default=None, compare=False)
     #: The last sections received from the hubs of other zones.
     received_sections: Sequence[SectionEcho] = field(default=(), compare=False)
-    #: The ids of upstreams that began to drain lately.
-    draining: Sequence[str] = field(default=(), compare=False)
+    #: The ids of upstreams that began to drain lately, by the receivers to which they are reported.
+    draining: Mapping[Scope, Sequence[str]] = field(default_factory=dict, compare=False)
 
 
 @dataclass(slots=True)
@@ -232,7 +232,7 @@
             loads=self._make_load_slice(self._load_slice_index, _LOAD_SLICES),
             refusals=self._drain_refusals(Scope.ZONE),
             accounts=self._accounts_to_send(Scope.ZONE, now_s),
-            draining=state.draining,
+            draining=state.draining.get(Scope.ZONE, ()),
             **self._retry_fields(Scope.ZONE, now_s),
             **self._report_fields(Scope.ZONE, now_s),
         )
@@ -248,12 +248,13 @@
         """
         report_fields = self._report_fields(scope, now_s)
         is_changed = self._state_key(state) != self._sent_states.get(scope)
-        if any(report_fields.values()) or is_changed or with_accounts or state.draining:
+        draining = state.draining.get(scope, ())
+        if any(report_fields.values()) or is_changed or with_accounts or draining:
             counts: dict[str, object] = {}
             if with_accounts:
                 counts["accounts"] = self._accounts_to_send(scope, now_s)
                 counts.update(self._retry_fields(scope, now_s))
-            yield self._section(scope, state, draining=state.draining, **counts, **report_fields)
+            yield self._section(scope, state, draining=draining, **counts, **report_fields)
         yield from self._roster_sections(scope, state, now_s)
 
     def cross_zone_sections(self, state: HubState, now_s: float) -> Iterator[Section]:
@@ -265,7 +266,7 @@
             loads=self._make_load_slice(0, slices),
             refusals=self._drain_refusals(Scope.CROSS_ZONE),
             accounts=self._accounts_to_send(Scope.CROSS_ZONE, now_s),
-            draining=state.draining,
+            draining=state.draining.get(Scope.CROSS_ZONE, ()),
             **self._retry_fields(Scope.CROSS_ZONE, now_s),
             **self._report_fields(Scope.CROSS_ZONE, now_s),
         )
--- a/src/egretrail/dispatch/_retry_budget.py
+++ b/src/egretrail/dispatch/_retry_budget.py
@@ -52,6 +52,7 @@
 class NewRetryCounts:
     """What a report adds to the counts that its receiver already has."""
 
+    #: The added requests and retries.
     counts: RetryCounts
     #: Whether they arose over the whole window, instead of since the previous report.
     is_past: bool
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -185,7 +185,11 @@
             view.upstreams.revision,
             config_freshness_age_s=view.reported_freshness_age_s(),
             received_sections=view.zones.echoes() if view.requires_fresh_config else (),
-            draining=view.recently_draining(),
+            draining={
+                Scope.ZONE: view.recently_draining(),
+                # The other hubs that learn it from this one need not report it to each other.
+                Scope.CROSS_ZONE: view.recently_draining(from_store=True),
+            },
         )
 
     def _record_sent(self, scope: Scope, sections: Sequence[Section]) -> None:
@@ -262,6 +266,4 @@
 
 def is_urgent(section: Section) -> bool:
     """Return whether a section of another zone should be relayed to the own zone at once."""
-    return bool(
-        section.outcomes or section.losses or section.dropped or section.limits or section.draining
-    )
+    return bool(section.outcomes or section.losses or section.dropped or section.limits)
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -333,10 +333,11 @@
             return
         for section, encoded in zip(datagram.sections, datagram.encoded, strict=True):
             hub_before = self._view.zones.hub(section.availability_zone)
+            urgent = is_urgent(section) or self._view.has_new_draining(section)
             is_new = self._apply_other_zone_section(section)
             self._hub.apply_hub_confirmation(section)
             if is_new:
-                self._hub.relay([encoded], urgent=is_urgent(section))
+                self._hub.relay([encoded], urgent=urgent)
             if hub_before != section.hub:
                 self._hub.send_roster()
 
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 
 from egretrail.cluster import (
     URGENT_OUTCOMES,
@@ -61,6 +62,8 @@
 #: An instance that receives reports from more than this share of the largest fleet size that it has
 #: seen is not counted as partitioned from the rest together with its zone.
 _FLEET_SHARE = 0.5
+#: The source of lists and changes of upstreams that were read from the store.
+_STORE_SOURCE = "store"
 #: For how long hubs report an upstream that began to drain, and maximum reports in one section,
 #: about 20 bytes each.
 _DRAINING_SEND_S = 0.5
@@ -73,6 +76,16 @@
 _REVOCATION_MARGIN_S = 0.25
 
 
+@dataclass(frozen=True, slots=True)
+class _DrainingUpstream:
+    """An upstream that began to drain."""
+
+    #: When this instance learned it.
+    at_s: float
+    #: Whether it learned it from the store.
+    from_store: bool
+
+
 class FleetView:
     """The state on which an instance bases all decisions; it changes only through these methods."""
 
@@ -102,8 +115,8 @@
         #: The listed upstreams.
         self.upstreams = UpstreamTable()
         self._awaited = AwaitedUpstreams()
-        #: When upstreams were first known to drain, for those that began lately.
-        self._draining_since_s: dict[str, float] = {}
+        #: Upstreams that began to drain lately, by id.
+        self._draining: dict[str, _DrainingUpstream] = {}
         #: The other instances.
         self.membership = Membership(settings.ip, settings.availability_zone, settings.capacity)
         #: Requests in flight over the whole fleet.
@@ -358,12 +371,25 @@
                 self._outcome_recorder.record_reported_successes(key, duration_s, now_s)
         return True
 
-    def recently_draining(self) -> Sequence[str]:
-        """Return the ids of upstreams that began to drain lately, for other instances."""
-        since_s = self._clock() - _DRAINING_SEND_S
-        for upstream_id in [one for one, at_s in self._draining_since_s.items() if at_s < since_s]:
-            del self._draining_since_s[upstream_id]
-        return list(self._draining_since_s)[:_DRAINING_MAX]
+    def recently_draining(self, *, from_store: bool = False) -> Sequence[str]:
+        """Return the ids of upstreams that began to drain lately, for other instances.
+
+        ``from_store`` leaves out those that this instance did not learn from the store.
+        """
+        until_s = self._clock() - _DRAINING_SEND_S
+        self._draining = {
+            upstream_id: one for upstream_id, one in self._draining.items() if one.at_s >= until_s
+        }
+        ids = [
+            upstream_id
+            for upstream_id, one in self._draining.items()
+            if one.from_store or not from_store
+        ]
+        return ids[:_DRAINING_MAX]
+
+    def has_new_draining(self, section: Section) -> bool:
+        """Return whether a section reports a draining upstream that is not known to drain here."""
+        return not all(map(self.upstreams.is_known_to_drain, section.draining))
 
     def expire(self) -> None:
         """Remove the instances and zones whose messages have stopped."""
@@ -547,7 +573,7 @@
     def _apply_draining(self, upstream_ids: Iterable[str], source: str) -> None:
         for upstream_id in upstream_ids:
             if self.upstreams.mark_draining(upstream_id):
-                self._draining_since_s[upstream_id] = self._clock()
+                self._draining[upstream_id] = _DrainingUpstream(self._clock(), from_store=False)
                 self._log.event("draining_reported", upstream=upstream_id, source=source)
 
     def _state(self) -> InstanceState:
@@ -574,7 +600,8 @@
             old_state = old.state.value if old is not None else "unlisted"
             new_state = new.state.value if new is not None else "unlisted"
             if new is not None and new.state is UpstreamState.DRAINING and old != new and before:
-                self._draining_since_s.setdefault(upstream_id, self._clock())
+                from_store = source == _STORE_SOURCE
+                self._draining[upstream_id] = _DrainingUpstream(self._clock(), from_store)
             if old_state != new_state and before:
                 self._log.event(
                     "upstream_listed",
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -126,6 +126,10 @@
         record = self.records.get(upstream_id)
         return record is not None and record.state is UpstreamState.READY
 
+    def is_known_to_drain(self, upstream_id: str) -> bool:
+        """Return whether a lifetime was seen draining, whether it is listed or not."""
+        return upstream_id in self._drained
+
     def absent_since_before(self, era: int) -> set[str]:
         """Return the names that were last known to be absent in an earlier era of the store.
 
