--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -128,7 +128,11 @@
         retry_window_s: float = 10.0,
         terms: HubTerms | None = None,
     ) -> None:
-        """``retry_window_s`` is the window of the retry budget; ``terms`` are earlier hubs'."""
+        """Start without members.
+
+        ``retry_window_s`` is the window of the retry budget. ``terms`` has the retry counts of the
+        zone's earlier hubs.
+        """
         self._address = address
         self._zone = availability_zone
         self._incarnation = incarnation
--- a/src/egretrail/gateway/_zone_aggregates.py
+++ b/src/egretrail/gateway/_zone_aggregates.py
@@ -34,7 +34,8 @@
 #: After this time without a section, a zone's retries are taken as unknown.
 _RETRY_COUNTS_LATE_S = 1.0
 #: How long the counts of a hub's lifetime are remembered after its last section. Two hubs of a zone
-#: may alternate for seconds, and a hub may return after an interruption of the network.
+#: may alternate for seconds, and a hub may return after an interruption of the network. Account
+#: counts have no bound on what one report adds, so theirs is shorter than the window of quotas.
 _RETRY_COUNTS_RETENTION_S = 30.0
 _ACCOUNT_COUNTS_RETENTION_S = 4.0
 #: The number of sections that may arrive out of order: those of half a second.
--- a/src/egretrail/gateway/tests/test_retry_counts.py
+++ b/src/egretrail/gateway/tests/test_retry_counts.py
@@ -4,8 +4,9 @@
 import bisect
 import random
 import statistics
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from egretrail.gateway.tests.fleet import Fleet
 from egretrail.testing import EgretrailTestCase, cases
@@ -25,7 +26,7 @@
 #: hubs that are gone.
 _KNOWN_PART = 0.8
 
-Trouble = Callable[[Fleet, random.Random], Awaitable[None]]
+Trouble = Callable[[Fleet, random.Random], Coroutine[Any, Any, None]]
 
 
 async def _restart(fleet: Fleet, address: str, *, announced: bool) -> None:
@@ -152,7 +153,7 @@
             begin_s = loop.time()
             work = loop.create_task(_send_requests(fleet, rng, sent, begin_s + _TROUBLE_AT_S))
             await asyncio.sleep(_TROUBLE_AT_S)
-            troubled = loop.create_task(_run_trouble(trouble, fleet, random.Random(seed)))
+            troubled = loop.create_task(trouble(fleet, random.Random(seed)))
             known_parts: list[float] = []
             while loop.time() < begin_s + _END_S:
                 await asyncio.sleep(_SAMPLE_S)
@@ -181,10 +182,6 @@
         return known_parts
 
 
-async def _run_trouble(trouble: Trouble, fleet: Fleet, rng: random.Random) -> None:
-    await trouble(fleet, rng)
-
-
 async def _send_requests(
     fleet: Fleet, rng: random.Random, sent: _Sent, failing_from_s: float
 ) -> None:
