Tell at a refusal which upstreams are suspect, not reached or connected

A refusal with reason all_suspect did not tell whether the fleet had taken the upstreams out of service or this instance did not reach them itself, nor whether it could open any connection: the incident's hypotheses differ in exactly that.

`refused` names listed, suspects, unreached and connects_failed; gauges upstreams_suspect, upstreams_unreached and the counter upstream_connections_failed_total.

--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Mapping
 
-from egretrail.dispatch import Choice, PlacementQuery, Refusal, request_digest
+from egretrail.dispatch import Choice, PlacementQuery, Refusal, UpstreamHealth, request_digest
 from egretrail.gateway._attempts import AttemptRunner
 from egretrail.gateway._interfaces import RequestContract, RequestMetadata
 from egretrail.gateway._log import EventLog
@@ -354,6 +354,7 @@
             ready = self._view.upstreams.ready(pending.service)
             pause_s = self._view.placement.retry_after_s(pending.service, ready, self._loop.time())
             retry_after_s = refusal.retry_after_s if refusal is not None else pause_s
+            by_health = self._view.count_by_health(ready)
             self._record_refusal(
                 pending.metadata,
                 pending.route.name,
@@ -364,6 +365,10 @@
                 wait_s=refusal.wait_s if refusal is not None else 0.0,
                 usual_s=self._view.durations.mean_s(pending.service),
                 left_s=pending.deadline_s - self._loop.time(),
+                listed=len(ready),
+                suspects=by_health[UpstreamHealth.SUSPECT] + by_health[UpstreamHealth.PROBATION],
+                unreached=by_health[UpstreamHealth.UNREACHABLE_FROM_HERE],
+                connects_failed=self._pool.failed_in_a_row,
             )
             return self._contract.not_run_response(retry_after_s), "refused"
         if pending.failure_response is not None:
--- a/src/egretrail/gateway/_pool.py
+++ b/src/egretrail/gateway/_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Collection
 
-from egretrail.http1 import ClientConnection, open_connection
+from egretrail.http1 import ClientConnection, ConnectFailed, open_connection
 
 #: Connecting takes a few milliseconds. After a lost packet it would take a second, in which another
 #: upstream can serve the request.
@@ -23,6 +23,8 @@
         self._idle: dict[str, list[ClientConnection]] = {}
         #: How many connections were opened, for the metrics.
         self.opened_total = 0
+        #: How many connections could not be opened, and how many of them since the last that was.
+        self.failed_total = self.failed_in_a_row = 0
 
     def idle_upstreams(self) -> Collection[str]:
         """Return the ids of the upstreams to which an idle connection is open."""
@@ -42,8 +44,7 @@
             self._idle.pop(upstream_id, None)
         if connection is not None:
             return connection
-        self.opened_total += 1
-        return await open_connection(address, _CONNECT_TIMEOUT_S)
+        return await self._open(address)
 
     def release(self, upstream_id: str, connection: ClientConnection) -> None:
         """Keep a connection whose exchange has ended if it can be reused, else close it."""
@@ -79,6 +80,17 @@
         """Close all idle connections."""
         self.retain_only(set())
 
+    async def _open(self, address: str) -> ClientConnection:
+        self.opened_total += 1
+        try:
+            connection = await open_connection(address, _CONNECT_TIMEOUT_S)
+        except ConnectFailed:
+            self.failed_total += 1
+            self.failed_in_a_row += 1
+            raise
+        self.failed_in_a_row = 0
+        return connection
+
     def _is_usable(self, connection: ClientConnection) -> bool:
         timeout_s = connection.server_idle_timeout_s or _DEFAULT_IDLE_TIMEOUT_S
         idle_s = asyncio.get_running_loop().time() - connection.idle_since_s
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from egretrail.cluster import InstanceState
+from egretrail.dispatch import UpstreamHealth
 from egretrail.gateway._directory import DIRECTORY_TTL_S, Candidate, directory_addresses
 from egretrail.gateway._executor import RequestExecutor
 from egretrail.gateway._interfaces import (
@@ -189,6 +190,7 @@
         return self._platform.contract.directory_response(addresses, ttl_s)
 
     async def _handle_metrics(self, request: Request) -> Response:
+        by_health = self._view.count_by_health(self._view.upstreams.records.values())
         gauges = {
             "members": float(self._view.membership.size()),
             "upstreams": float(len(self._view.upstreams.records)),
@@ -201,6 +203,9 @@
             "store_contact": float(self._view.store_contact),
             "config_proof_age_seconds": self._view.config_freshness.age_s,
             "upstream_connections_opened_total": float(self._pool.opened_total),
+            "upstream_connections_failed_total": float(self._pool.failed_total),
+            "upstreams_suspect": float(by_health[UpstreamHealth.SUSPECT]),
+            "upstreams_unreached": float(by_health[UpstreamHealth.UNREACHABLE_FROM_HERE]),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
         }
         for kind, size_bytes in self._peers.cross_zone_bytes.items():
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
@@ -479,6 +480,11 @@
         self.load.record_finish(upstream_id)
         self.on_update(False)
 
+    def count_by_health(self, records: Iterable[UpstreamRecord]) -> Counter[UpstreamHealth]:
+        """Return how many of some upstreams this instance may use in which way."""
+        now_s = self._clock()
+        return Counter(self.suspicion.health(record.id, now_s) for record in records)
+
     def known_share(self) -> float:
         """Return the share of the fleet that reports here; shared allowances are scaled by it."""
         return min(self.zones.instances(self._clock()) / self._largest_fleet, 1.0)
