Failing tests: clients of gateways that are cut from all backends

Fleets of six gateway processes are cut from all backends, one, a few, half, a zone or all but one at a time: new connections hang or are refused, open ones are reset or carry no bytes, also while a backend of each service fails. The tests ask for 97% of requests served (94% beside failing backends) at the cut gateways from 3 s on, and at the others all the while, and at most one run of each order.

Backends cannot tell gateways apart by their loopback addresses, so the cut is injected where the process opens connections, by a file that names it.

--- a/scaffolding/platform/__init__.py
+++ b/scaffolding/platform/__init__.py
@@ -2,12 +2,14 @@
 
 from scaffolding.platform.backend import Behaviour, StandInBackend
 from scaffolding.platform.client import AttemptResult, GatewayClient
+from scaffolding.platform.cut_gateway import BackendCut
 from scaffolding.platform.fleet import GatewayFleet
 from scaffolding.platform.link import LinkFault, LinkProxy
 from scaffolding.platform.store import StandInStore
 
 __all__ = [
     "AttemptResult",
+    "BackendCut",
     "Behaviour",
     "GatewayClient",
     "GatewayFleet",
--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -10,12 +10,13 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 
 from aiohttp import web
 
 from scaffolding.platform.backend import StandInBackend
+from scaffolding.platform.cut_gateway import BackendCut, control_path
 from scaffolding.platform.link import LinkProxy
 from scaffolding.platform.store import StandInStore
 
@@ -115,7 +116,9 @@
 class GatewayFleet:
     """Gateways ``0 .. count-1``, spread round-robin over the zones, each on its own address."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, *, with_backend_cuts: bool = False) -> None:
+        """Prepare a fleet; ``with_backend_cuts`` lets gateways be cut from all backends."""
+        self._with_backend_cuts = with_backend_cuts
         self.store = StandInStore()
         self.backends: list[StandInBackend] = []
         self._ips = [f"127.{_NETWORK}.{10 + n // 200}.{1 + n % 200}" for n in range(count)]
@@ -198,14 +201,17 @@
         self.start_counts[number] += 1
         path = self.settings_path(number)
         path.write_text(self.settings_text(number))
+        module = (
+            "scaffolding.platform.cut_gateway" if self._with_backend_cuts else "egretrail.start"
+        )
         log = (self._directory / f"node-{number}.log").open("ab")
         environment = {
             "PATH": os.environ.get("PATH", ""),
-            "PYTHONPATH": str(_ROOT / "src"),
+            "PYTHONPATH": os.pathsep.join([str(_ROOT / "src"), str(_ROOT)]),
             "EGRETRAIL_NODE_FILE": str(path),
         }
         self._processes[number] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "egretrail.start", env=environment, stdout=log, stderr=log
+            sys.executable, "-m", module, env=environment, stdout=log, stderr=log
         )
         log.close()
 
@@ -218,6 +224,15 @@
             self.backends.append(backend)
             self.store.write(f"servers/{backend.id}", backend.store_entry())
 
+    def cut_from_backends(self, numbers: Iterable[int], cut: BackendCut) -> None:
+        """Cut gateways from all backends, or restore their paths; lasts over restarts."""
+        for number in numbers:
+            path = control_path(self.settings_path(number))
+            # The gateway must never read a partial name.
+            partial = path.with_suffix(".partial")
+            partial.write_text(cut.value)
+            partial.rename(path)
+
     def is_running(self, number: int) -> bool:
         """Return whether a gateway's process is running."""
         process = self._processes.get(number)
--- a/scaffolding/tests/gateway_harness.py
+++ b/scaffolding/tests/gateway_harness.py
@@ -60,9 +60,16 @@
 class GatewayTest(EgretrailTestCase):
     """Starts a fleet for each test and stops all of its processes afterwards."""
 
-    def run_scenario(self, scenario: Scenario, count: int = 3, backends: int = 3) -> None:
+    def run_scenario(
+        self,
+        scenario: Scenario,
+        count: int = 3,
+        backends: int = 3,
+        *,
+        with_backend_cuts: bool = False,
+    ) -> None:
         async def run() -> None:
-            fleet = GatewayFleet(count)
+            fleet = GatewayFleet(count, with_backend_cuts=with_backend_cuts)
             harness = FleetHarness(fleet)
             try:
                 fleet.store.write("op/config", config(2, ROUTES))
