Withhold failures without a response until some path is known to work

While 19 of 32 instances could not reach any upstream, callers of the others were refused as well: 59 of 320 requests, nearly all of them all_suspect, without an attempt. Each cut instance reported every upstream that it tried as unreachable, two reports with no response in between took it out of service for the whole fleet, and 25 of 26 were out at the median instance. The same holds for broken connections, overdue and silent requests: what an instance sees without any response may be the state of its own paths.

Such a failure is now held at its observer until it has reached some upstream after it: a response for those of open connections, a new connection for those to connect. Where no other request explains it, the instance connects to one upstream, and if that fails to three more of other zones and services where there are any. Reaching none, it is isolated and reports nothing until two upstreams accept its connections. Losses by crashing requests count at their observer at once and are dropped if it was isolated.

--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -10,6 +10,7 @@
 from egretrail.dispatch._limits import AdvertisedLimit, AdvertisedLimits, LimitPosition
 from egretrail.dispatch._load import FleetLoad
 from egretrail.dispatch._observation import Observation, Outcome
+from egretrail.dispatch._path_check import PATH_OUTCOMES, HeldFailure, PathCheck, choose_probes
 from egretrail.dispatch._placement import Choice, Placement, PlacementQuery, Refusal, RefusalReason
 from egretrail.dispatch._quotas import (
     COUNT_MODULUS,
@@ -43,6 +44,7 @@
 __all__ = [
     "COUNT_MODULUS",
     "FIRST_PAUSE_S",
+    "PATH_OUTCOMES",
     "AccountCounter",
     "AccountCounts",
     "AccountQuotas",
@@ -54,10 +56,12 @@
     "CrashingRequests",
     "FleetLoad",
     "FleetRetryBudget",
+    "HeldFailure",
     "LimitPosition",
     "NewRetryCounts",
     "Observation",
     "Outcome",
+    "PathCheck",
     "Placement",
     "PlacementQuery",
     "QuotaExceeded",
@@ -76,6 +80,7 @@
     "TrialScheduler",
     "UpstreamHealth",
     "account_key",
+    "choose_probes",
     "new_counts",
     "new_retry_counts",
     "request_digest",
--- a/src/egretrail/dispatch/_reachability.py
+++ b/src/egretrail/dispatch/_reachability.py
@@ -45,13 +45,28 @@
     def record_failure(self, upstream_id: str, observer: str, now_s: float) -> bool:
         """Record a failure; return whether it shows that no instance reaches the upstream."""
         if observer == self._own_name:
-            self._pause(upstream_id, now_s)
+            self.pause(upstream_id, now_s)
         failures = self._failures.setdefault(upstream_id, {})
         failures[observer] = now_s
         for name in [name for name, at_s in failures.items() if now_s - at_s >= _WINDOW_S]:
             del failures[name]
         return len(failures) >= _QUORUM
 
+    def pause(self, upstream_id: str, now_s: float) -> None:
+        """Avoid an upstream because this instance's own network path to it failed."""
+        before = self._own_pauses.get(upstream_id)
+        if before is not None and before.until_s > now_s:
+            # Another request was in flight when the first one failed.
+            return
+        length_s = FIRST_PATH_PAUSE_S
+        if before is not None:
+            length_s = min(before.length_s * _PAUSE_GROWTH, _PAUSE_MAX_S)
+        self._own_pauses[upstream_id] = _Pause(now_s + length_s, length_s)
+
+    def resume(self) -> None:
+        """End all pauses of this instance's own network paths."""
+        self._own_pauses.clear()
+
     def record_success(self, upstream_id: str, observer: str) -> None:
         """Record a response of an upstream to an instance, which shows that it is reachable."""
         self._failures.pop(upstream_id, None)
@@ -73,13 +88,3 @@
         for table in (self._own_pauses, self._failures):
             for upstream_id in table.keys() - listed:
                 del table[upstream_id]
-
-    def _pause(self, upstream_id: str, now_s: float) -> None:
-        before = self._own_pauses.get(upstream_id)
-        if before is not None and before.until_s > now_s:
-            # Another request was in flight when the first one failed.
-            return
-        length_s = FIRST_PATH_PAUSE_S
-        if before is not None:
-            length_s = min(before.length_s * _PAUSE_GROWTH, _PAUSE_MAX_S)
-        self._own_pauses[upstream_id] = _Pause(now_s + length_s, length_s)
--- a/src/egretrail/dispatch/_suspicion.py
+++ b/src/egretrail/dispatch/_suspicion.py
@@ -121,6 +121,14 @@
                 if self._reachability.record_failure(observation.upstream_id, observer, now_s):
                     self._record_unreachable(observation, now_s)
 
+    def pause_path(self, upstream_id: str, now_s: float) -> None:
+        """Avoid an upstream for a while because this instance's network path to it failed."""
+        self._reachability.pause(upstream_id, now_s)
+
+    def resume_paths(self) -> None:
+        """End all pauses that began because of this instance's own network paths."""
+        self._reachability.resume()
+
     def health(self, upstream_id: str, now_s: float) -> UpstreamHealth:
         """Return how this instance may use an upstream."""
         suspicion = self._suspicions.get(upstream_id)
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -4,12 +4,13 @@
 
 from result import Err
 
-from egretrail.dispatch import Observation, Outcome, RequestDigest
+from egretrail.dispatch import PATH_OUTCOMES, Observation, Outcome, RequestDigest
 from egretrail.gateway._interfaces import RequestContract, ResponseKind
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._pending_request import AttemptResult, Disposition, PendingRequest
 from egretrail.gateway._pool import UpstreamConnectionPool
+from egretrail.gateway._upstream_paths import UpstreamPaths
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import (
     ConnectFailed,
@@ -38,10 +39,12 @@
         pool: UpstreamConnectionPool,
         log: EventLog,
         metrics: GatewayMetrics,
+        paths: UpstreamPaths,
     ) -> None:
         self._view = view
         self._contract = contract
         self._pool = pool
+        self._paths = paths
         self._log = log
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -84,9 +87,7 @@
                 lambda response: self._contract.belongs_to_attempt(
                     response, pending.metadata.attempt_id
                 ),
-                on_head=lambda head: self._view.notices.record(
-                    upstream_id, head.status, self._contract.notices(head)
-                ),
+                on_head=lambda head: self._record_head(upstream_id, head),
                 without_body=request.method == b"HEAD",
             )
         except ExchangeFailed as error:
@@ -100,6 +101,10 @@
         self._count_cross_zone_bytes(upstream, "answers", len(received.body))
         return self._interpret(pending, upstream_id, received, started_s)
 
+    def _record_head(self, upstream_id: str, head: ReceivedResponse) -> None:
+        self._paths.record_contact(upstream_id)
+        self._view.notices.record(upstream_id, head.status, self._contract.notices(head))
+
     def _unsent_disposition(self, upstream_id: str) -> Disposition | None:
         """Return why a request must not be sent to its upstream any more; None if it may be."""
         if not self._view.upstreams.is_ready(upstream_id):
@@ -175,5 +180,9 @@
         digest: RequestDigest | None = None,
     ) -> None:
         duration_s = self._loop.time() - started_s
-        self._view.record_outcome(Observation(upstream_id, outcome, duration_s), digest)
+        observation = Observation(upstream_id, outcome, duration_s)
+        if outcome in PATH_OUTCOMES:
+            self._paths.record_failure(observation, digest)
+        else:
+            self._view.record_outcome(observation, digest)
         self._metrics.count_attempt(outcome.name.lower(), duration_s)
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -12,6 +12,7 @@
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._pending_request import UNSENT, AttemptResult, Disposition, PendingRequest
 from egretrail.gateway._pool import UpstreamConnectionPool
+from egretrail.gateway._upstream_paths import UpstreamPaths
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import Request, Response
 from egretrail.traffic import Route, choose_service, request_priority
@@ -57,7 +58,9 @@
         self._view = view
         self._contract = contract
         self._pool = pool
-        self._attempt_runner = AttemptRunner(view, contract, pool, log, metrics)
+        #: Whether this instance reaches upstreams.
+        self.paths = UpstreamPaths(view, pool, log, rng)
+        self._attempt_runner = AttemptRunner(view, contract, pool, log, metrics, self.paths)
         self._log = log
         self._metrics = metrics
         self._rng = rng
--- a/src/egretrail/gateway/_pool.py
+++ b/src/egretrail/gateway/_pool.py
@@ -1,7 +1,7 @@
 """Keeps idle connections to upstreams for reuse."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from egretrail.http1 import ClientConnection, ConnectFailed, open_connection
 
@@ -25,6 +25,8 @@
         self.opened_total = 0
         #: How many connections could not be opened, and how many of them since the last that was.
         self.failed_total = self.failed_in_a_row = 0
+        #: Called with the id of an upstream to which a connection was opened.
+        self.on_connected: Callable[[str], None] = lambda upstream_id: None
 
     def idle_upstreams(self) -> Collection[str]:
         """Return the ids of the upstreams to which an idle connection is open."""
@@ -44,7 +46,11 @@
             self._idle.pop(upstream_id, None)
         if connection is not None:
             return connection
-        return await self._open(address)
+        return await self._open(upstream_id, address)
+
+    async def connect_idle(self, upstream_id: str, address: str) -> None:
+        """Open a connection and keep it for a later request; raises ConnectFailed."""
+        self.release(upstream_id, await self._open(upstream_id, address))
 
     def release(self, upstream_id: str, connection: ClientConnection) -> None:
         """Keep a connection whose exchange has ended if it can be reused, else close it."""
@@ -80,7 +86,7 @@
         """Close all idle connections."""
         self.retain_only(set())
 
-    async def _open(self, address: str) -> ClientConnection:
+    async def _open(self, upstream_id: str, address: str) -> ClientConnection:
         self.opened_total += 1
         try:
             connection = await open_connection(address, _CONNECT_TIMEOUT_S)
@@ -89,6 +95,7 @@
             self.failed_in_a_row += 1
             raise
         self.failed_in_a_row = 0
+        self.on_connected(upstream_id)
         return connection
 
     def _is_usable(self, connection: ClientConnection) -> bool:
--- /dev/null
+++ b/src/egretrail/gateway/_upstream_paths.py
@@ -0,0 +1,137 @@
+"""Probes whether this instance reaches upstreams, and reports failures that upstreams cause."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from egretrail.dispatch import (
+    Observation,
+    Outcome,
+    PathCheck,
+    RequestDigest,
+    UpstreamHealth,
+    choose_probes,
+)
+from egretrail.gateway._log import EventLog
+from egretrail.gateway._pool import UpstreamConnectionPool
+from egretrail.gateway._view import FleetView
+from egretrail.http1 import ConnectFailed
+from egretrail.traffic import UpstreamRecord
+
+#: After the first probe fails, this many more upstreams are probed at once.
+_FURTHER_PROBES = 3
+#: The shortest time between two series of probes. Most failures are explained by responses to other
+#: requests before that.
+_PROBE_INTERVAL_S = 0.1
+#: An isolated instance probes upstreams at this interval, with a random part.
+_RECOVERY_INTERVAL_S = 0.4
+#: It is no longer isolated when this many upstreams accept a connection in one series.
+_RECOVERED_QUORUM = 2
+
+
+class UpstreamPaths:
+    """Attributes failures without a response, to upstreams or to this instance's own paths.
+
+    Probes open a connection and send nothing. Opened connections are kept for requests.
+    """
+
+    def __init__(
+        self, view: FleetView, pool: UpstreamConnectionPool, log: EventLog, rng: random.Random
+    ) -> None:
+        self._view = view
+        self._pool = pool
+        self._log = log
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._check = PathCheck()
+        self._probing: asyncio.Task[None] | None = None
+        self._probed_s = float("-inf")
+        self._isolated_since_s = 0.0
+        pool.on_connected = lambda upstream_id: self.record_contact(upstream_id, connected=True)
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this instance reaches no upstream, though others may."""
+        return self._check.is_isolated
+
+    def record_contact(self, upstream_id: str, *, connected: bool = False) -> None:
+        """Record a response of an upstream, or a new connection to it."""
+        for failure in self._check.record_contact(
+            upstream_id, self._loop.time(), connected=connected
+        ):
+            self._view.record_outcome(failure.observation, failure.digest)
+
+    def record_failure(self, observation: Observation, digest: RequestDigest | None = None) -> None:
+        """Record a failure without a response, and find out whose it is."""
+        if observation.outcome in (Outcome.UNREACHABLE, Outcome.SILENT):
+            self._view.avoid_path(observation.upstream_id)
+        if digest is not None and not self.is_isolated:
+            self._view.record_own_loss(observation.upstream_id, digest)
+        self._check.hold(observation, digest, self._loop.time())
+        if self._check.has_held_failures and self._probing is None:
+            self._probing = self._loop.create_task(self._probe())
+            self._probing.add_done_callback(self._end_probing)
+
+    def _end_probing(self, task: asyncio.Task[None]) -> None:
+        self._probing = None
+        if not task.cancelled() and task.exception() is not None:
+            self._loop.call_exception_handler(
+                {"message": "probing of upstreams failed", "exception": task.exception()}
+            )
+
+    async def _probe(self) -> None:
+        await asyncio.sleep(max(self._probed_s + _PROBE_INTERVAL_S - self._loop.time(), 0.0))
+        if not self._check.has_held_failures:
+            return
+        self._probed_s = self._loop.time()
+        order = self._choose_probes()
+        unreached = await self._unreached(order[:1])
+        if unreached:
+            further = order[1:]
+            unreached += await self._unreached(further)
+            if len(unreached) > len(further):
+                await self._stay_isolated(unreached)
+
+    async def _stay_isolated(self, unreached: Sequence[UpstreamRecord]) -> None:
+        """Probe until upstreams accept connections again, if this instance is isolated."""
+        own = self._check.record_unreached(record.id for record in unreached)
+        if not self._check.is_isolated:
+            return
+        for failure in own:
+            if failure.digest is not None:
+                self._view.crashing_requests.clear(failure.digest)
+        self._isolated_since_s = self._loop.time()
+        self._log.event(
+            "isolated", unreached=",".join(record.id for record in unreached), withheld=len(own)
+        )
+        while self._check.is_isolated:
+            await asyncio.sleep(_RECOVERY_INTERVAL_S * self._rng.uniform(0.75, 1.25))
+            order = self._choose_probes()
+            reached = len(order) - len(await self._unreached(order))
+            if reached >= min(_RECOVERED_QUORUM, len(order)):
+                self._check.record_recovery()
+        self._view.resume_paths()
+        self._log.event("isolation_ended", isolated_s=self._loop.time() - self._isolated_since_s)
+
+    def _choose_probes(self) -> Sequence[UpstreamRecord]:
+        now_s = self._loop.time()
+        upstreams, suspicion = self._view.upstreams, self._view.suspicion
+        ready = [record for record in upstreams.records.values() if upstreams.is_ready(record.id)]
+        avoided = {
+            record.id
+            for record in ready
+            if suspicion.health(record.id, now_s) is not UpstreamHealth.GOOD
+        }
+        return choose_probes(ready, avoided, 1 + _FURTHER_PROBES, self._rng)
+
+    async def _unreached(self, records: Sequence[UpstreamRecord]) -> list[UpstreamRecord]:
+        """Connect to upstreams and return those to which it failed."""
+        results = await asyncio.gather(*(self._connects(record) for record in records))
+        return [record for record, is_open in zip(records, results, strict=True) if not is_open]
+
+    async def _connects(self, record: UpstreamRecord) -> bool:
+        try:
+            await self._pool.connect_idle(record.id, record.address)
+        except ConnectFailed:
+            return False
+        return True
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -456,10 +456,23 @@
         else:
             self._reports.record_outcome(report, now_s)
         if observation.outcome is Outcome.BROKEN and digest is not None:
-            self.crashing_requests.record_loss(digest, _loss_name(key), now_s)
+            self.record_own_loss(observation.upstream_id, digest)
             self._reports.record_loss(LossReport(digest, key), now_s)
         self.on_update(observation.outcome in URGENT_OUTCOMES)
 
+    def avoid_path(self, upstream_id: str) -> None:
+        """Use an upstream only as a last resort for a while: the path from here to it failed."""
+        self.suspicion.pause_path(upstream_id, self._clock())
+
+    def record_own_loss(self, upstream_id: str, digest: RequestDigest) -> None:
+        """Record a request that was lost with its connection, without a report to the others."""
+        name = _loss_name(upstream_key(upstream_id))
+        self.crashing_requests.record_loss(digest, name, self._clock())
+
+    def resume_paths(self) -> None:
+        """Use all upstreams again that were avoided because the path from here to them failed."""
+        self.suspicion.resume_paths()
+
     def record_advertised_limit(self, upstream_id: str, limit_per_s: float | None) -> None:
         """Record the rate limit in an upstream's answer, and report a change to the others."""
         now_s = self._clock()
