Give tasks that need paths to upstreams to instances that have them

Trials of suspects, slot shares and shares of advertised limits are drawn from all instances. At an isolated one, a trial fails and lengthens the pause of an upstream that works, and slots and limit shares lie idle.

Heartbeats tell that an instance is isolated, each section names the isolated instances of its zone, and they get no rank for such tasks. Both fields come last, so that earlier builds ignore them. A change is sent at once.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -51,9 +51,10 @@
 from egretrail.cluster._hub_election import HUB_TIMEOUT_S, HubElection
 from egretrail.cluster._hub_terms import HubTerm, HubTerms
 from egretrail.cluster._instance import Instance, InstanceState, short_incarnation
-from egretrail.cluster._malformed import MalformedMessage
+from egretrail.cluster._malformed import MALFORMED, MalformedMessage
 from egretrail.cluster._membership import HEARTBEAT_INTERVAL_S, Membership, roster_slice_index
 from egretrail.cluster._outgoing_reports import OutgoingReports
+from egretrail.cluster._relay_choice import choose_relay
 from egretrail.cluster._section import (
     ChangedRows,
     LoadRows,
@@ -67,6 +68,7 @@
 __all__ = [
     "HEARTBEAT_INTERVAL_S",
     "HUB_TIMEOUT_S",
+    "MALFORMED",
     "URGENT_OUTCOMES",
     "ChangedRows",
     "ChunkCollection",
@@ -107,6 +109,7 @@
     "SendTimes",
     "UpstreamsReply",
     "ZonePeers",
+    "choose_relay",
     "decode_chunks",
     "decode_datagram",
     "decode_fetch",
--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -225,6 +225,7 @@
         encode_freshness_age(heartbeat.config_freshness_age_s),
         None if heartbeat.last_section is None else encode_echo(heartbeat.last_section),
         encode_accounts(heartbeat.accounts),
+        heartbeat.is_isolated,
     ]
 
 
@@ -290,4 +291,6 @@
         config_freshness_age_s=decode_freshness_age(row[18]),
         last_section=None if row[19] is None else decode_echo(row[19]),
         accounts=decode_accounts(row[20]),
+        # Earlier versions of the program do not send it.
+        is_isolated=bool(row[21]) if len(row) > 21 else False,
     )
--- a/src/egretrail/cluster/_heartbeat.py
+++ b/src/egretrail/cluster/_heartbeat.py
@@ -109,6 +109,8 @@
     last_section: SectionEcho | None = None
     #: Request counts of recently active client accounts with a quota, by the key of the account.
     accounts: Mapping[int, AccountReport] = field(default_factory=dict)
+    #: Whether the instance reaches no upstream; it serves its clients through other instances.
+    is_isolated: bool = False
 
     def instance(self) -> Instance:
         """Return the roster entry of the heartbeat's origin."""
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -139,9 +139,9 @@
         self._started_s = now_s
         self._members: dict[str, _Member] = {}
         self._sequences = {Scope.ZONE: 0, Scope.CROSS_ZONE: 0}
-        #: For each scope, the state of the hub's instance in its last section, and whether any
-        #: instance of the zone was in contact with the store.
-        self._sent_states: dict[Scope, tuple[HubState, bool]] = {}
+        #: For each scope, the state of the hub's instance in its last section, whether any instance
+        #: of the zone was in contact with the store, and which instances were isolated.
+        self._sent_states: dict[Scope, tuple[HubState, bool, Sequence[str]]] = {}
         self._loads: dict[int, int] = {}
         self._changed: dict[int, None] = {}
         self._load_slice_index = 0
@@ -213,6 +213,12 @@
         """Return the number of members in contact with the store."""
         return sum(member.heartbeat.store_contact for member in self._members.values())
 
+    def isolated(self) -> Sequence[str]:
+        """Return the addresses of the members that reach no upstream."""
+        return [
+            address for address, member in self._members.items() if member.heartbeat.is_isolated
+        ]
+
     def loaded_upstreams(self) -> int:
         """Return the number of upstreams with requests of the zone in flight."""
         return len(self._loads)
@@ -318,7 +324,10 @@
         self._replace_loads(member.heartbeat.loads, heartbeat.loads)
         if heartbeat.instance() != member.heartbeat.instance():
             return self._mark_roster_changed()
-        return heartbeat.store_contact != member.heartbeat.store_contact
+        return (
+            heartbeat.store_contact != member.heartbeat.store_contact
+            or heartbeat.is_isolated != member.heartbeat.is_isolated
+        )
 
     def _record_reports(self, member: _Member, heartbeat: Heartbeat, now_s: float) -> bool:
         urgent = False
@@ -455,8 +464,8 @@
             )
             yield self._section(scope, state, roster=roster)
 
-    def _state_key(self, state: HubState) -> tuple[HubState, bool]:
-        return state, self.store_readers() > 0
+    def _state_key(self, state: HubState) -> tuple[HubState, bool, Sequence[str]]:
+        return state, self.store_readers() > 0, self.isolated()
 
     def _section(self, scope: Scope, state: HubState, **fields: object) -> Section:
         self._sequences[scope] += 1
@@ -471,6 +480,7 @@
             upstreams_revision=state.upstreams_revision,
             store_readers=self.store_readers(),
             instances=len(self._members),
+            isolated=self.isolated(),
             config_freshness_age_s=state.config_freshness_age_s,
             received_sections=state.received_sections if scope is Scope.CROSS_ZONE else (),
             **fields,  # type: ignore[arg-type]
--- a/src/egretrail/cluster/_membership.py
+++ b/src/egretrail/cluster/_membership.py
@@ -59,6 +59,8 @@
         #: The incarnations of removed instances, and when they were removed.
         self._removed: dict[str, tuple[int, float]] = {}
         self._orders: dict[str, Sequence[str]] = {}
+        #: The isolated instances of each zone, as its hub reported them last.
+        self._isolated: dict[str, frozenset[str]] = {}
         #: Called when the instances of the own zone that are not leaving changed.
         self.on_change: Callable[[], None] = lambda: None
         #: The deadline of the listed instances of each zone, which sections of its hub extend.
@@ -115,6 +117,18 @@
         self._is_withdrawn = True
         self._orders.clear()
 
+    def set_isolated(self, availability_zone: str, addresses: Iterable[str]) -> None:
+        """Set the instances of a zone that reach no upstream."""
+        isolated = frozenset(addresses)
+        if isolated != self._isolated.get(availability_zone, frozenset()):
+            self._isolated[availability_zone] = isolated
+            if availability_zone == self._zone:
+                self.on_change()
+
+    def isolated(self) -> frozenset[str]:
+        """Return the addresses of all instances that reach no upstream."""
+        return frozenset().union(*self._isolated.values())
+
     def set_own_capacity(self, capacity: float) -> None:
         """Set the capacity of this instance."""
         if capacity != self._own_capacity:
@@ -176,15 +190,24 @@
         """Return the number of living instances of the own zone, including this one."""
         return len(self.zone_instances(self._zone)) + 1
 
+    def connected_zone_size(self) -> int:
+        """Return the number of living instances of the own zone that reach upstreams.
+
+        It includes this instance, whose position matters only while it reaches them.
+        """
+        isolated = self._isolated.get(self._zone, frozenset()) - {self._own_address}
+        others = self.zone_instances(self._zone)
+        return sum(instance.address not in isolated for instance in others) + 1
+
     def task_rank(self, task: str, availability_zone: str) -> int:
-        """Return this instance's rank for a task of a zone.
+        """Return this instance's rank for a task of a zone that needs network paths to upstreams.
 
-        Instances of other zones rank after the zone's own.
+        Instances of other zones rank after the zone's own. Isolated instances have no rank.
         """
-        members = self._candidates(availability_zone)
+        members = self._connected_candidates(availability_zone)
         if availability_zone == self._zone or not members:
             return self._rank_among(task, members)
-        return len(members) + self._rank_among(task, self._candidates(self._zone))
+        return len(members) + self._rank_among(task, self._connected_candidates(self._zone))
 
     def _rank_among(self, task: str, members: Iterable[str]) -> int:
         own = (-rendezvous_score(task, self._own_address), self._own_address)
@@ -248,6 +271,10 @@
         entry = self._entries.get(address)
         return self._own_capacity if entry is None else entry.instance.capacity
 
+    def _connected_candidates(self, availability_zone: str) -> list[str]:
+        isolated = self._isolated.get(availability_zone, frozenset())
+        return [one for one in self._candidates(availability_zone) if one not in isolated]
+
     def _candidates(self, availability_zone: str) -> list[str]:
         candidates = [
             instance.address
--- a/src/egretrail/cluster/_section.py
+++ b/src/egretrail/cluster/_section.py
@@ -129,6 +129,8 @@
     #: The ids of upstreams that began to drain in the last half second. Instances learn it before
     #: they have fetched the list, which a lost datagram or a stalled stream delays.
     draining: Sequence[str] = ()
+    #: The addresses of the zone's instances that reach no upstream; in every section.
+    isolated: Sequence[str] = ()
     #: Retry counts of the zone's earlier hubs; only between zones.
     earlier_terms: Sequence[HubTerm] = ()
     #: Limits that upstreams advertised or withdrew in the last seconds.
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -118,6 +118,7 @@
             _encode_retries(section.recent_retries),
             [_encode_term(term) for term in section.earlier_terms],
             list(section.draining),
+            [address_number(address) for address in section.isolated],
         ]
     )
     return packed
@@ -155,6 +156,7 @@
         recent_retries=_decode_retries(row[23]) if len(row) > 23 else {},
         earlier_terms=[_decode_term(term) for term in row[24]] if len(row) > 24 else (),
         draining=[str(upstream_id) for upstream_id in row[25]] if len(row) > 25 else (),
+        isolated=[_address(number) for number in row[26]] if len(row) > 26 else (),
     )
 
 
--- a/src/egretrail/gateway/_limit_exchange.py
+++ b/src/egretrail/gateway/_limit_exchange.py
@@ -77,7 +77,7 @@
     responsible = record.availability_zone
     if responsible not in zones:
         responsible = rendezvous_order(f"limit {record.id}", zones)[0]
-    size = membership.zone_size()
+    size = membership.connected_zone_size()
     # An instance that is stopping ranks last, so that another one takes its share.
     rank = size if leaving else membership.task_rank(f"limit {record.id}", own_zone)
     return LimitPosition(responsible == own_zone, rank, size, fleet_size, known_share)
--- a/src/egretrail/gateway/_upstream_paths.py
+++ b/src/egretrail/gateway/_upstream_paths.py
@@ -104,13 +104,14 @@
         self._log.event(
             "isolated", unreached=",".join(record.id for record in unreached), withheld=len(own)
         )
+        self._view.set_isolated(True)
         while self._check.is_isolated:
             await asyncio.sleep(_RECOVERY_INTERVAL_S * self._rng.uniform(0.75, 1.25))
             order = self._choose_probes()
             reached = len(order) - len(await self._unreached(order))
             if reached >= min(_RECOVERED_QUORUM, len(order)):
                 self._check.record_recovery()
-        self._view.resume_paths()
+        self._view.set_isolated(False)
         self._log.event("isolation_ended", isolated_s=self._loop.time() - self._isolated_since_s)
 
     def _choose_probes(self) -> Sequence[UpstreamRecord]:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -169,6 +169,8 @@
         )
         #: Whether this instance's last call to the store was answered.
         self.store_contact = False
+        #: Whether this instance reaches no upstream.
+        self.is_isolated = False
         #: Whether the instance has been told to stop.
         self.leaving = False
         #: Set once a configuration and a list of upstreams are known, so that clients can be
@@ -343,6 +345,7 @@
             self.zones.apply_section(section, self._outcome_recorder.ids_by_key, now_s)
             self._largest_fleet = max(self._largest_fleet, self.zones.instances(now_s))
             self._apply_roster(section, now_s)
+            self.membership.set_isolated(section.availability_zone, section.isolated)
             if section.scope is Scope.ZONE:
                 heartbeat = self.zones.acknowledged_sequence()
                 sent_s = None if heartbeat is None else self._heartbeat_times.time_of(heartbeat)
@@ -429,6 +432,7 @@
             config_freshness_age_s=self.config_freshness.age_s if sends_freshness else None,
             last_section=self.zones.own_echo() if sends_freshness else None,
             accounts=self.quotas.own_reports(now_s),
+            is_isolated=self.is_isolated,
         )
         self.zones.record_sent(heartbeat, now_s)
         return heartbeat
@@ -469,9 +473,13 @@
         name = _loss_name(upstream_key(upstream_id))
         self.crashing_requests.record_loss(digest, name, self._clock())
 
-    def resume_paths(self) -> None:
-        """Use all upstreams again that were avoided because the path from here to them failed."""
-        self.suspicion.resume_paths()
+    def set_isolated(self, isolated: bool) -> None:
+        """Record whether this instance reaches no upstream, and notify the others."""
+        self.is_isolated = isolated
+        if not isolated:
+            # What was avoided because of the paths from here may be used again.
+            self.suspicion.resume_paths()
+        self.on_update(True)
 
     def record_advertised_limit(self, upstream_id: str, limit_per_s: float | None) -> None:
         """Record the rate limit in an upstream's answer, and report a change to the others."""
