Send the requests of isolated instances through instances that reach upstreams

An isolated instance now lets an instance that reaches upstreams choose one and send the attempt, over HTTP/1.1 on a further internal port. It keeps the request: admission, quotas, at most once, retries and their counts stay where the client is, load, limits, evidence and trials are the other instance's. Requests in flight that may be retried are sent again when the isolation is found. What upstreams state in relayed responses binds both. The directory leaves isolated instances out unless most are. With nobody to ask, requests are refused at once (isolated).

--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -50,6 +50,9 @@
         "every upstream of service {service} had asked this instance to send no requests for a time"
         " that was not over"
     ),
+    "isolated": (
+        "neither the instance nor any that it asked could connect to an upstream, of any service"
+    ),
     "crashes_upstreams": "three upstreams were lost while they ran it",
     "config_behind": (
         "no route of the configuration in force takes it, or no account holds its key, and the"
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -75,6 +75,8 @@
     LIMITED = "limited"
     #: Every upstream has asked this instance to back off.
     BACKING_OFF = "backing_off"
+    #: Neither this instance nor any that it reaches can connect to upstreams.
+    ISOLATED = "isolated"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -1,14 +1,23 @@
 """Sends a request to one upstream and interprets the response."""
 
 import asyncio
+from collections.abc import Mapping
+from dataclasses import replace
 
 from result import Err
 
-from egretrail.dispatch import PATH_OUTCOMES, Observation, Outcome, RequestDigest
+from egretrail.dispatch import (
+    PATH_OUTCOMES,
+    Choice,
+    Observation,
+    Outcome,
+    PlacementQuery,
+    RequestDigest,
+)
 from egretrail.gateway._interfaces import RequestContract, ResponseKind
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._metrics import GatewayMetrics
-from egretrail.gateway._pending_request import AttemptResult, Disposition, PendingRequest
+from egretrail.gateway._pending_request import AttemptRequest, AttemptResult, Disposition
 from egretrail.gateway._pool import UpstreamConnectionPool
 from egretrail.gateway._upstream_paths import UpstreamPaths
 from egretrail.gateway._view import FleetView
@@ -29,6 +38,23 @@
 _OVERDUE_MIN_S = 0.8
 
 
+def attempt_fields(
+    choice: Choice, query: PlacementQuery, upstreams_revision: int
+) -> Mapping[str, object]:
+    """Return the log fields of an attempt that show why its upstream was chosen."""
+    return {
+        "service": query.service,
+        "upstream": choice.upstream.id,
+        "zone": choice.upstream.availability_zone,
+        "in_flight": choice.in_flight,
+        "slots": choice.upstream.slots,
+        "considered": choice.candidate_count,
+        "trial": choice.is_trial,
+        "left_s": query.remaining_s,
+        "upstreams_revision": upstreams_revision,
+    }
+
+
 class AttemptRunner:
     """Runs single attempts and records each outcome for this instance and its peers."""
 
@@ -49,8 +75,11 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
 
-    async def run(self, pending: PendingRequest, upstream: UpstreamRecord) -> AttemptResult:
+    async def run(self, attempt: AttemptRequest, upstream: UpstreamRecord) -> AttemptResult:
         """Send a request to an upstream and return the result; cancel to abandon the attempt."""
+        return replace(await self._run(attempt, upstream), upstream_id=upstream.id)
+
+    async def _run(self, attempt: AttemptRequest, upstream: UpstreamRecord) -> AttemptResult:
         upstream_id = upstream.id
         started_s = self._loop.time()
         try:
@@ -63,16 +92,15 @@
             self._pool.release(upstream_id, connection)
             return AttemptResult(unsent, cause="the upstream takes no requests; nothing was sent")
         started_s = self._loop.time()
-        remaining_s = pending.deadline_s - started_s - _RESPONSE_TRANSIT_S
-        request = pending.request
-        account = pending.account.name if pending.account is not None else None
+        remaining_s = attempt.deadline_s - started_s - _RESPONSE_TRANSIT_S
+        request = attempt.request
         data = encode_request(
             request.method,
             request.target,
-            self._contract.upstream_headers(request, upstream.name, remaining_s, account),
+            self._contract.upstream_headers(request, upstream.name, remaining_s, attempt.account),
             request.body,
         )
-        expected_s = self._expected_duration_s(pending.service, upstream)
+        expected_s = self._expected_duration_s(attempt.service, upstream)
         overdue = self._loop.call_later(
             max(expected_s * _OVERDUE_FACTOR, _OVERDUE_MIN_S),
             self._record_outcome,
@@ -84,22 +112,20 @@
         try:
             received = await connection.exchange(
                 data,
-                lambda response: self._contract.belongs_to_attempt(
-                    response, pending.metadata.attempt_id
-                ),
+                lambda response: self._contract.belongs_to_attempt(response, attempt.attempt_id),
                 on_head=lambda head: self._record_head(upstream_id, head),
                 without_body=request.method == b"HEAD",
             )
         except ExchangeFailed as error:
             path_failed = isinstance(error, ExchangeBroken) and error.path_failed
             outcome = Outcome.SILENT if path_failed else Outcome.BROKEN
-            self._record_outcome(upstream_id, outcome, started_s, pending.digest)
+            self._record_outcome(upstream_id, outcome, started_s, attempt.digest)
             return AttemptResult(Disposition.FAILED, cause=str(error))
         finally:
             overdue.cancel()
         self._pool.release(upstream_id, connection)
         self._count_cross_zone_bytes(upstream, "answers", len(received.body))
-        return self._interpret(pending, upstream_id, received, started_s)
+        return self._interpret(attempt, upstream_id, received, started_s)
 
     def _record_head(self, upstream_id: str, head: ReceivedResponse) -> None:
         self._paths.record_contact(upstream_id)
@@ -115,7 +141,7 @@
 
     def _interpret(
         self,
-        pending: PendingRequest,
+        attempt: AttemptRequest,
         upstream_id: str,
         received: ReceivedResponse,
         started_s: float,
@@ -131,7 +157,7 @@
             self._record_advertised_limit(upstream_id, received)
         if response_kind is ResponseKind.SERVED:
             self._record_outcome(upstream_id, Outcome.SUCCESS, started_s)
-            self._view.crashing_requests.clear(pending.digest)
+            self._view.crashing_requests.clear(attempt.digest)
             return AttemptResult(Disposition.SERVED, received)
         if response_kind is ResponseKind.NOT_RUN:
             self._record_outcome(upstream_id, Outcome.SHED, started_s)
--- a/src/egretrail/gateway/_directory.py
+++ b/src/egretrail/gateway/_directory.py
@@ -24,15 +24,20 @@
     availability_zone: str
     #: Its state; only READY instances are returned.
     state: InstanceState
+    #: Whether it reaches no upstream, and serves its clients through other instances.
+    is_isolated: bool = False
 
 
 def directory_addresses(candidates: Sequence[Candidate], client_zone: str) -> Sequence[str]:
     """Return the addresses for a client of a zone: those of its own zone if enough serve there.
 
     Within a zone the network latency is a tenth of that between zones, and no cross-zone traffic
-    arises.
+    arises. Isolated instances are left out while most instances are not isolated: their requests
+    take a further hop. If most are, the others could not accept the connections of all clients.
     """
-    serving = [candidate for candidate in candidates if candidate.state is InstanceState.READY]
+    ready = [candidate for candidate in candidates if candidate.state is InstanceState.READY]
+    connected = [candidate for candidate in ready if not candidate.is_isolated]
+    serving = connected if len(connected) * 2 > len(ready) else ready
     in_zone = [candidate for candidate in serving if candidate.availability_zone == client_zone]
     chosen = in_zone if len(in_zone) >= _ZONE_INSTANCES_MIN else serving
     return sorted(candidate.traffic_address for candidate in chosen)[:_ADDRESSES_MAX]
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -4,14 +4,17 @@
 import contextlib
 import random
 from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any
 
 from egretrail.dispatch import Choice, PlacementQuery, Refusal, UpstreamHealth, request_digest
-from egretrail.gateway._attempts import AttemptRunner
-from egretrail.gateway._interfaces import RequestContract, RequestMetadata
+from egretrail.gateway._attempts import AttemptRunner, attempt_fields
+from egretrail.gateway._interfaces import RequestContract, RequestMetadata, StartupSettings
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._pending_request import UNSENT, AttemptResult, Disposition, PendingRequest
 from egretrail.gateway._pool import UpstreamConnectionPool
+from egretrail.gateway._relay import RelayClient, RelayServer
 from egretrail.gateway._upstream_paths import UpstreamPaths
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import Request, Response
@@ -54,6 +57,7 @@
         log: EventLog,
         metrics: GatewayMetrics,
         rng: random.Random,
+        settings: StartupSettings,
     ) -> None:
         self._view = view
         self._contract = contract
@@ -61,6 +65,10 @@
         #: Whether this instance reaches upstreams.
         self.paths = UpstreamPaths(view, pool, log, rng)
         self._attempt_runner = AttemptRunner(view, contract, pool, log, metrics, self.paths)
+        #: Sends requests through other instances while this one reaches no upstream.
+        self.relay_client = RelayClient(settings, view, log, rng)
+        #: Serves the requests of instances that reach no upstream.
+        self.relay_server = RelayServer(view, self._attempt_runner, pool, log)
         self._log = log
         self._metrics = metrics
         self._rng = rng
@@ -187,21 +195,25 @@
         return Response(401)
 
     async def _run_attempts(self, pending: PendingRequest) -> tuple[Response, str]:
-        running: dict[asyncio.Task[AttemptResult], Choice] = {}
+        running: set[asyncio.Task[AttemptResult]] = set()
         try:
             refusal = self._start_attempt(pending, running)
             while running:
                 await self._wait_for_attempts(pending, running)
                 for task in [task for task in running if task.done()]:
-                    choice = running.pop(task)
+                    running.remove(task)
                     result = task.result()
+                    if result.disposition is not Disposition.REFUSED:
+                        self._charge_account(pending)
                     if result.disposition is Disposition.SERVED and result.received is not None:
                         self._view.response_sizes.record(
                             pending.route.name, len(result.received.body)
                         )
                         return self._contract.forwarded_response(result.received), "served"
-                    self._record_failed_attempt(pending, choice, result)
-                    if self._may_retry_after_failure(pending, result):
+                    self._record_failed_attempt(pending, result)
+                    if result.refusal is not None:
+                        refusal = result.refusal
+                    elif self._may_retry_after_failure(pending, result):
                         refusal = self._start_attempt(pending, running) or refusal
                 if self._loop.time() >= pending.deadline_s:
                     break
@@ -211,16 +223,31 @@
                 task.cancel()
 
     async def _wait_for_attempts(
-        self, pending: PendingRequest, running: dict[asyncio.Task[AttemptResult], Choice]
+        self, pending: PendingRequest, running: set[asyncio.Task[AttemptResult]]
     ) -> None:
-        """Wait until an attempt ends, the deadline passes or the request is due for hedging."""
+        """Wait until an attempt ends, the deadline passes or the request is due for hedging.
+
+        A request that may be retried is also sent through another instance when this one finds that
+        it reaches no upstream: the response to its attempt may never arrive.
+        """
         now_s = self._loop.time()
         remaining_s = pending.deadline_s - now_s
         hedge_s = self._hedge_delay_s(pending) if len(running) == 1 else None
         timeout_s = remaining_s if hedge_s is None else min(remaining_s, hedge_s)
+        isolation = self.paths.isolation
+        may_relay = pending.is_retryable and not isolation.done()
+        awaited: set[asyncio.Future[Any]] = {*running}
+        if may_relay:
+            awaited.add(isolation)
         done, _ = await asyncio.wait(
-            running, timeout=max(timeout_s, 0.0), return_when=asyncio.FIRST_COMPLETED
+            awaited,
+            timeout=max(timeout_s, 0.0),
+            return_when=asyncio.FIRST_COMPLETED,
         )
+        if may_relay and done == {isolation}:
+            if len(running) == 1 and self._may_retry(pending):
+                self._start_attempt(pending, running)
+            return
         if done or hedge_s is None or hedge_s >= remaining_s:
             return
         pending.is_hedge_decided = True
@@ -240,12 +267,14 @@
     def _start_attempt(
         self,
         pending: PendingRequest,
-        running: dict[asyncio.Task[AttemptResult], Choice],
+        running: set[asyncio.Task[AttemptResult]],
         *,
         spare_only: bool = False,
     ) -> Refusal | None:
         """Start an attempt; return the refusal if no upstream can be chosen.
 
+        An isolated instance lets another instance choose, which may refuse later.
+
         With all slots occupied, hedging slow requests would slow down every request. A hedge is
         therefore sent only to an upstream with a free slot (``spare_only``).
         """
@@ -262,40 +291,58 @@
             excluded=pending.tried,
             connected=self._pool.idle_upstreams(),
         )
-        ready = self._view.upstreams.ready(pending.service)
-        choice = self._view.placement.choose(query, ready, now_s)
-        if isinstance(choice, Refusal):
-            return choice
+        choice: Choice | None = None
+        if not self.paths.is_isolated:
+            ready = self._view.upstreams.ready(pending.service)
+            found = self._view.placement.choose(query, ready, now_s)
+            if isinstance(found, Refusal):
+                return found
+            choice = found
         if pending.send_count > 0:
             self._view.retry_budget.record_retry(pending.service, now_s)
-        if pending.account is not None and not pending.is_charged:
-            pending.is_charged = True
-            self._view.quotas.record_send(pending.account, now_s)
-        pending.tried.append(choice.upstream.id)
         pending.send_count += 1
+        if choice is None:
+            running.add(self._loop.create_task(self._run_relayed(pending, query)))
+            return None
+        self._charge_account(pending)
+        upstream_id = choice.upstream.id
+        pending.tried.append(upstream_id)
         self._log.event(
             "attempt",
             id=pending.metadata.attempt_id,
             route=pending.route.name,
-            service=pending.service,
-            upstream=choice.upstream.id,
-            zone=choice.upstream.availability_zone,
             number=pending.send_count,
-            in_flight=choice.in_flight,
-            slots=choice.upstream.slots,
-            considered=choice.candidate_count,
-            trial=choice.is_trial,
-            left_s=query.remaining_s,
-            upstreams_revision=self._view.upstreams.revision,
+            **attempt_fields(choice, query, self._view.upstreams.revision),
             **self._budget_fields(pending),
         )
-        self._view.record_request_start(choice.upstream.id, trial=choice.is_trial)
-        task = self._loop.create_task(self._attempt_runner.run(pending, choice.upstream))
+        self._view.record_request_start(upstream_id, trial=choice.is_trial)
+        task = self._loop.create_task(self._attempt_runner.run(pending.attempt(), choice.upstream))
         # A callback, since a task that is cancelled before its first step runs none of its code.
-        task.add_done_callback(lambda _: self._view.record_request_end(choice.upstream.id))
-        running[task] = choice
+        task.add_done_callback(lambda _: self._view.record_request_end(upstream_id))
+        running.add(task)
         return None
 
+    async def _run_relayed(self, pending: PendingRequest, query: PlacementQuery) -> AttemptResult:
+        """Send a request through another instance, as this one reaches no upstream.
+
+        What upstreams state in responses binds this instance although it did not send the request:
+        the instance that it chooses next may not know it.
+        """
+        excluded = [*query.excluded, *self._view.refusing_upstreams(pending.service)]
+        query = replace(query, excluded=excluded)
+        result = await self.relay_client.run(pending.attempt(), query)
+        received = result.received
+        if received is not None:
+            notices = self._contract.notices(received)
+            self._view.notices.record(result.upstream_id, received.status, notices)
+        return result
+
+    def _charge_account(self, pending: PendingRequest) -> None:
+        """Count a request that is sent against its account's quota, once."""
+        if pending.account is not None and not pending.is_charged:
+            pending.is_charged = True
+            self._view.quotas.record_send(pending.account, self._loop.time())
+
     def _budget_fields(self, pending: PendingRequest) -> Mapping[str, object]:
         """Return the log fields that show on which counts of the fleet a retry was permitted."""
         if pending.send_count < 2:
@@ -328,21 +375,22 @@
             return False
         return self._view.permits_retry(pending.service)
 
-    def _record_failed_attempt(
-        self, pending: PendingRequest, choice: Choice, result: AttemptResult
-    ) -> None:
+    def _record_failed_attempt(self, pending: PendingRequest, result: AttemptResult) -> None:
         pending.last_cause = result.cause
+        if result.upstream_id and result.upstream_id not in pending.tried:
+            pending.tried.append(result.upstream_id)
         if result.disposition is Disposition.FAILED:
             pending.may_have_run = True
             pending.failure_response = result.received or pending.failure_response
         if result.disposition in UNSENT:
             pending.unsent_count += 1
+        if result.disposition in UNSENT or result.disposition is Disposition.REFUSED:
             # Nothing was sent, so this counts neither as an attempt nor as a retry.
             pending.send_count -= 1
         self._log.event(
             "attempt_failed",
             id=pending.metadata.attempt_id,
-            upstream=choice.upstream.id,
+            upstream=result.upstream_id,
             fate=result.disposition.value,
             status=result.received.status if result.received is not None else 0,
             cause=result.cause,
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -38,6 +38,8 @@
     peer_port: int
     #: The port on which metrics are served.
     metrics_port: int
+    #: The port on which the requests of isolated instances are accepted.
+    relay_port: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/gateway/_pending_request.py
+++ b/src/egretrail/gateway/_pending_request.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from egretrail.dispatch import RequestDigest
+from egretrail.dispatch import Refusal, RequestDigest
 from egretrail.gateway._interfaces import RequestMetadata
 from egretrail.http1 import ReceivedResponse, Request
 from egretrail.traffic import ClientAccount, Route, RouteKind
@@ -24,6 +24,8 @@
     BACKING_OFF = "backing_off"
     #: The request ran, or may have run, without a valid response.
     FAILED = "failed"
+    #: The instance through which it was to be sent found no upstream for it; nothing was sent.
+    REFUSED = "refused"
 
 
 #: Dispositions of attempts that sent nothing.
@@ -40,6 +42,28 @@
     received: ReceivedResponse | None = None
     #: What went wrong, for the log.
     cause: str = ""
+    #: The id of the upstream's lifetime; empty if none was chosen.
+    upstream_id: str = ""
+    #: Why another instance found no upstream; None for all other dispositions than REFUSED.
+    refusal: Refusal | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptRequest:
+    """What is sent to an upstream in one attempt, by whichever instance."""
+
+    #: The request as the client sent it.
+    request: Request
+    #: The id of the client's attempt.
+    attempt_id: str
+    #: The service whose upstreams serve the request.
+    service: str
+    #: The name of the client account whose quota it uses; None where requests need no API key.
+    account: str | None
+    #: The digest that identifies the same request when a client sends it again.
+    digest: RequestDigest
+    #: When the response is due, by the event loop's clock.
+    deadline_s: float
 
 
 @dataclass(slots=True)
@@ -77,6 +101,17 @@
     #: What went wrong last, for the log.
     last_cause: str = ""
 
+    def attempt(self) -> AttemptRequest:
+        """Return what is sent to an upstream."""
+        return AttemptRequest(
+            self.request,
+            self.metadata.attempt_id,
+            self.service,
+            self.account.name if self.account is not None else None,
+            self.digest,
+            self.deadline_s,
+        )
+
     @property
     def is_retryable(self) -> bool:
         """Whether the request may run more than once."""
--- a/src/egretrail/gateway/_pool.py
+++ b/src/egretrail/gateway/_pool.py
@@ -19,7 +19,9 @@
 class UpstreamConnectionPool:
     """Idle connections by upstream lifetime (upstream id)."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, keepalive: bool = False) -> None:
+        """Start without connections; ``keepalive`` enables TCP keepalive on all of them."""
+        self._keepalive = keepalive
         self._idle: dict[str, list[ClientConnection]] = {}
         #: How many connections were opened, for the metrics.
         self.opened_total = 0
@@ -89,7 +91,9 @@
     async def _open(self, upstream_id: str, address: str) -> ClientConnection:
         self.opened_total += 1
         try:
-            connection = await open_connection(address, _CONNECT_TIMEOUT_S)
+            connection = await open_connection(
+                address, _CONNECT_TIMEOUT_S, keepalive=self._keepalive
+            )
         except ConnectFailed:
             self.failed_total += 1
             self.failed_in_a_row += 1
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -25,6 +25,7 @@
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._pool import UpstreamConnectionPool
+from egretrail.gateway._relay import RELAY_LIMITS
 from egretrail.gateway._settings_change import compare_settings
 from egretrail.gateway._settings_file import SettingsFile, SettingsFileWatcher
 from egretrail.gateway._store_sync import StoreSync
@@ -94,7 +95,7 @@
             settings, self._view, self._store, platform.layout, self._peers, self.log, rng
         )
         self._executor = RequestExecutor(
-            self._view, platform.contract, self._pool, self.log, self._metrics, rng
+            self._view, platform.contract, self._pool, self.log, self._metrics, rng, settings
         )
 
     async def run(self) -> None:
@@ -111,6 +112,9 @@
         await self._listen(self._settings.directory_address, self._handle_directory)
         metrics_address = f"{self._settings.ip}:{self._settings.metrics_port}"
         await self._listen(metrics_address, self._handle_metrics)
+        relay_address = f"{self._settings.ip}:{self._settings.relay_port}"
+        relay_server = self._executor.relay_server
+        await self._listen(relay_address, relay_server.handle, lambda: RELAY_LIMITS)
         # Objects created so far live as long as the process; scanning them would only cost time.
         gc.collect()
         gc.freeze()
@@ -143,10 +147,14 @@
             self.log.flush()
             os._exit(1)
 
-    async def _listen(self, address: str, handler: Handler) -> None:
+    async def _listen(
+        self, address: str, handler: Handler, limits: Callable[[], ServerLimits] | None = None
+    ) -> None:
         host, _, port = address.rpartition(":")
         server = await self._loop.create_server(
-            lambda: ServerConnection(handler, self._limits, self._connections, self._body_budget),
+            lambda: ServerConnection(
+                handler, limits or self._limits, self._connections, self._body_budget
+            ),
             host,
             int(port),
             backlog=_BACKLOG,
@@ -200,6 +208,8 @@
             "config_behind_seconds": self._view.configs.behind_s,
             "state_fetched_bytes_total": float(self._peers.state_exchange.streams.fetched_bytes),
             "state_fetches_failed_total": float(self._peers.state_exchange.streams.fetches_failed),
+            "isolated": float(self._view.is_isolated),
+            "instances_isolated": float(len(self._view.membership.isolated())),
             "store_contact": float(self._view.store_contact),
             "config_proof_age_seconds": self._view.config_freshness.age_s,
             "upstream_connections_opened_total": float(self._pool.opened_total),
@@ -218,14 +228,23 @@
 
     def _candidates(self) -> list[Candidate]:
         port = self._settings.traffic_address.rpartition(":")[2]
+        isolated = self._view.membership.isolated()
         candidates = [
-            Candidate(f"{instance.address}:{port}", instance.availability_zone, instance.state)
+            Candidate(
+                f"{instance.address}:{port}",
+                instance.availability_zone,
+                instance.state,
+                is_isolated=instance.address in isolated,
+            )
             for instance in self._view.membership.instances()
         ]
         accepts_clients = self._view.ready and self._view.accepts_keys
         own_state = InstanceState.READY if accepts_clients else InstanceState.STARTING
         own_zone = self._settings.availability_zone
-        return [*candidates, Candidate(self._settings.traffic_address, own_zone, own_state)]
+        own = Candidate(
+            self._settings.traffic_address, own_zone, own_state, is_isolated=self._view.is_isolated
+        )
+        return [*candidates, own]
 
     async def _run_housekeeping(self) -> None:
         last_expiry_s = self._loop.time()
@@ -236,6 +255,7 @@
             if self._loop.time() - last_expiry_s >= _POOL_EXPIRY_S:
                 last_expiry_s = self._loop.time()
                 self._pool.close_expired()
+                self._executor.relay_client.close_expired()
 
     def _poll_settings(self) -> None:
         read = self._settings_watcher.poll(self._loop.time())
@@ -296,6 +316,7 @@
             connection.close()
         await asyncio.sleep(_HOUSEKEEPING_S)
         self._pool.close()
+        self._executor.relay_client.close()
 
 
 def _elapsed_s() -> float:
--- /dev/null
+++ b/src/egretrail/gateway/_relay.py
@@ -0,0 +1,167 @@
+"""Sends requests through another instance while this one reaches no upstream, and serves such."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import replace
+
+from result import Err
+
+from egretrail.cluster import Instance, choose_relay
+from egretrail.dispatch import PlacementQuery, Refusal, RefusalReason
+from egretrail.gateway._attempts import AttemptRunner, attempt_fields
+from egretrail.gateway._interfaces import StartupSettings
+from egretrail.gateway._log import EventLog
+from egretrail.gateway._pending_request import AttemptRequest, AttemptResult, Disposition
+from egretrail.gateway._pool import UpstreamConnectionPool
+from egretrail.gateway._relay_codec import (
+    RelayedAttempt,
+    decode_attempt,
+    decode_result,
+    encode_attempt,
+    encode_result,
+)
+from egretrail.gateway._view import FleetView
+from egretrail.http1 import (
+    ConnectFailed,
+    ExchangeFailed,
+    Request,
+    Response,
+    ServerLimits,
+    encode_request,
+)
+
+#: The limits of connections between instances. A body holds a client's request, whose size is
+#: limited where the client sent it, and its headers.
+RELAY_LIMITS = ServerLimits(
+    header_bytes=1_024, body_bytes=64 * 1024 * 1024, header_timeout_s=2.0, idle_timeout_s=10.0
+)
+#: After this many instances that could not take an attempt, it is refused.
+_RELAYS_MAX = 3
+#: Retry-After while no instance reaches an upstream: when the next probes have ended.
+_ISOLATED_RETRY_S = 0.5
+
+
+class RelayClient:
+    """Sends single attempts through instances that reach upstreams.
+
+    This instance keeps the request: it decides on retries and counts them. The other instance
+    chooses the upstream, counts the load and reports the outcome, as for its own clients.
+    """
+
+    def __init__(
+        self, settings: StartupSettings, view: FleetView, log: EventLog, rng: random.Random
+    ) -> None:
+        self._port = settings.relay_port
+        self._zone = settings.availability_zone
+        self._view = view
+        self._log = log
+        self._rng = rng
+        self._pool = UpstreamConnectionPool(keepalive=True)
+        self._in_flight: Counter[str] = Counter()
+
+    async def run(self, attempt: AttemptRequest, query: PlacementQuery) -> AttemptResult:
+        """Run one attempt; cancel to abandon it."""
+        failed: set[str] = set()
+        data = encode_attempt(RelayedAttempt(attempt, query))
+        while len(failed) < _RELAYS_MAX:
+            relay = self._choose(failed)
+            if relay is None:
+                break
+            result = await self._run_through(relay, attempt, data)
+            if result is not None:
+                return result
+            failed.add(relay.address)
+        refusal = Refusal(RefusalReason.ISOLATED, _ISOLATED_RETRY_S)
+        return AttemptResult(Disposition.REFUSED, cause="no upstream reached", refusal=refusal)
+
+    def close_expired(self) -> None:
+        """Close the connections that were idle for too long."""
+        self._pool.close_expired()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.close()
+
+    def _choose(self, failed: set[str]) -> Instance | None:
+        membership = self._view.membership
+        instances = [one for one in membership.instances() if one.address not in failed]
+        return choose_relay(
+            instances, membership.isolated(), self._zone, self._in_flight, self._rng
+        )
+
+    async def _run_through(
+        self, relay: Instance, attempt: AttemptRequest, data: bytes
+    ) -> AttemptResult | None:
+        """Run an attempt through an instance; return None if it did not take the attempt."""
+        address = relay.address
+        self._log.event("relayed", id=attempt.attempt_id, peer=address)
+        self._in_flight[address] += 1
+        try:
+            connection = await self._pool.acquire(address, f"{address}:{self._port}")
+            received = await connection.exchange(encode_request(b"POST", b"/", (), data))
+        except ConnectFailed as error:
+            self._log.event("relay_failed", peer=address, cause=str(error))
+            return None
+        except ExchangeFailed as error:
+            self._log.event("relay_failed", peer=address, cause=str(error))
+            return AttemptResult(Disposition.FAILED, cause=f"lost by instance {address}: {error}")
+        finally:
+            self._in_flight[address] -= 1
+        self._pool.release(address, connection)
+        if received.status == 503:
+            # The instance is isolated itself, or has no memory for the request.
+            return None
+        result = decode_result(received.body)
+        if received.status != 200 or isinstance(result, Err):
+            cause = f"status {received.status}" if received.status != 200 else str(result.err())
+            self._log.event("relay_failed", peer=address, cause=cause)
+            return AttemptResult(Disposition.FAILED, cause=f"lost by instance {address}: {cause}")
+        return result.ok_value
+
+
+class RelayServer:
+    """Sends the attempts of isolated instances to upstreams."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        attempt_runner: AttemptRunner,
+        pool: UpstreamConnectionPool,
+        log: EventLog,
+    ) -> None:
+        self._view = view
+        self._attempt_runner = attempt_runner
+        self._pool = pool
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+
+    async def handle(self, request: Request) -> Response:
+        """Run an attempt and return its result; cancelled when the other instance disconnects."""
+        if self._view.is_isolated:
+            return Response(503)
+        decoded = decode_attempt(request.body, request.received_s)
+        if isinstance(decoded, Err):
+            self._log.event("relay_refused", cause=str(decoded.err_value))
+            return Response(400)
+        return Response(200, encode_result(await self._run(decoded.ok_value)))
+
+    async def _run(self, relayed: RelayedAttempt) -> AttemptResult:
+        attempt, query = relayed.attempt, relayed.query
+        ready = self._view.upstreams.ready(attempt.service)
+        query = replace(query, connected=self._pool.idle_upstreams())
+        choice = self._view.placement.choose(query, ready, self._loop.time())
+        if isinstance(choice, Refusal):
+            return AttemptResult(Disposition.REFUSED, cause=choice.reason.value, refusal=choice)
+        upstream_id = choice.upstream.id
+        self._log.event(
+            "attempt",
+            id=attempt.attempt_id,
+            relayed=True,
+            **attempt_fields(choice, query, self._view.upstreams.revision),
+        )
+        self._view.record_request_start(upstream_id, trial=choice.is_trial)
+        try:
+            return await self._attempt_runner.run(attempt, choice.upstream)
+        finally:
+            self._view.record_request_end(upstream_id)
--- /dev/null
+++ b/src/egretrail/gateway/_relay_codec.py
@@ -0,0 +1,134 @@
+"""Messages between an instance that reaches no upstream and one that sends its requests on."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+from result import Err, Ok, Result
+
+from egretrail.cluster import MALFORMED, MalformedMessage
+from egretrail.dispatch import PlacementQuery, Refusal, RefusalReason, RequestDigest
+from egretrail.gateway._pending_request import AttemptRequest, AttemptResult, Disposition
+from egretrail.http1 import ReceivedResponse, Request
+
+#: Version of both messages; each side rejects others.
+_VERSION = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedAttempt:
+    """One attempt of a request, for the instance that chooses the upstream and sends it."""
+
+    #: The request.
+    attempt: AttemptRequest
+    #: What the choice of the upstream depends on.
+    query: PlacementQuery
+
+
+def encode_attempt(relayed: RelayedAttempt) -> bytes:
+    """Encode an attempt; its times are relative to now."""
+    attempt, query = relayed.attempt, relayed.query
+    request = attempt.request
+    row = [
+        _VERSION,
+        attempt.attempt_id,
+        attempt.service,
+        attempt.account,
+        attempt.digest,
+        request.method,
+        request.target,
+        [[name, value] for name, value in request.headers],
+        request.body,
+        query.remaining_s,
+        query.objective_remaining_s,
+        query.is_retryable,
+        query.urgent_objective_s,
+        query.response_bytes,
+        query.spare_only,
+        list(query.excluded),
+    ]
+    packed: bytes = msgpack.packb(row)
+    return packed
+
+
+def decode_attempt(data: bytes, received_s: float) -> Result[RelayedAttempt, MalformedMessage]:
+    """Decode an attempt whose first byte was received at a time of the event loop's clock."""
+    try:
+        return Ok(_decode_attempt(msgpack.unpackb(data), received_s))
+    except MALFORMED as error:
+        return Err(MalformedMessage(repr(error)))
+
+
+def _decode_attempt(row: list[Any], received_s: float) -> RelayedAttempt:
+    _check_version(row)
+    headers = [(bytes(name), bytes(value)) for name, value in row[7]]
+    request = Request(bytes(row[5]), bytes(row[6]), headers, bytes(row[8]), received_s)
+    query = PlacementQuery(
+        service=str(row[2]),
+        remaining_s=float(row[9]),
+        objective_remaining_s=float(row[10]),
+        is_retryable=bool(row[11]),
+        urgent_objective_s=None if row[12] is None else float(row[12]),
+        response_bytes=float(row[13]),
+        spare_only=bool(row[14]),
+        excluded=[str(upstream_id) for upstream_id in row[15]],
+    )
+    attempt = AttemptRequest(
+        request=request,
+        attempt_id=str(row[1]),
+        service=query.service,
+        account=None if row[3] is None else str(row[3]),
+        digest=RequestDigest(int(row[4])),
+        deadline_s=received_s + query.remaining_s,
+    )
+    return RelayedAttempt(attempt, query)
+
+
+def encode_result(result: AttemptResult) -> bytes:
+    """Encode the result of an attempt."""
+    refusal, received = result.refusal, result.received
+    row = [
+        _VERSION,
+        result.disposition.value,
+        result.cause,
+        result.upstream_id,
+        None if refusal is None else [refusal.reason.value, refusal.retry_after_s, refusal.wait_s],
+        (
+            None
+            if received is None
+            else [
+                received.status,
+                received.reason,
+                [[name, value] for name, value in received.headers],
+                received.body,
+            ]
+        ),
+    ]
+    packed: bytes = msgpack.packb(row)
+    return packed
+
+
+def decode_result(data: bytes) -> Result[AttemptResult, MalformedMessage]:
+    """Decode the result of an attempt."""
+    try:
+        return Ok(_decode_result(msgpack.unpackb(data)))
+    except MALFORMED as error:
+        return Err(MalformedMessage(repr(error)))
+
+
+def _decode_result(row: list[Any]) -> AttemptResult:
+    _check_version(row)
+    refusal = received = None
+    if row[4] is not None:
+        reason, retry_after_s, wait_s = row[4]
+        refusal = Refusal(RefusalReason(reason), float(retry_after_s), float(wait_s))
+    if row[5] is not None:
+        status, reason, headers, body = row[5]
+        fields = [(bytes(name), bytes(value)) for name, value in headers]
+        received = ReceivedResponse(int(status), bytes(reason), fields, bytes(body))
+    return AttemptResult(Disposition(row[1]), received, str(row[2]), str(row[3]), refusal)
+
+
+def _check_version(row: list[Any]) -> None:
+    if row[0] != _VERSION:
+        raise ValueError(f"unsupported version {row[0]!r}")
--- a/src/egretrail/gateway/_upstream_paths.py
+++ b/src/egretrail/gateway/_upstream_paths.py
@@ -47,6 +47,8 @@
         self._probing: asyncio.Task[None] | None = None
         self._probed_s = float("-inf")
         self._isolated_since_s = 0.0
+        #: Done once this instance is isolated; another future after it has recovered.
+        self.isolation: asyncio.Future[None] = self._loop.create_future()
         pool.on_connected = lambda upstream_id: self.record_contact(upstream_id, connected=True)
 
     @property
@@ -69,7 +71,10 @@
             self._view.record_own_loss(observation.upstream_id, digest)
         self._check.hold(observation, digest, self._loop.time())
         if self._check.has_held_failures and self._probing is None:
-            self._probing = self._loop.create_task(self._probe())
+            # The response to another request usually explains why one is overdue.
+            is_overdue = observation.outcome is Outcome.OVERDUE
+            delay_s = _PROBE_INTERVAL_S if is_overdue else 0.0
+            self._probing = self._loop.create_task(self._probe(delay_s))
             self._probing.add_done_callback(self._end_probing)
 
     def _end_probing(self, task: asyncio.Task[None]) -> None:
@@ -79,8 +84,9 @@
                 {"message": "probing of upstreams failed", "exception": task.exception()}
             )
 
-    async def _probe(self) -> None:
-        await asyncio.sleep(max(self._probed_s + _PROBE_INTERVAL_S - self._loop.time(), 0.0))
+    async def _probe(self, delay_s: float) -> None:
+        next_s = self._probed_s + _PROBE_INTERVAL_S
+        await asyncio.sleep(max(next_s - self._loop.time(), delay_s))
         if not self._check.has_held_failures:
             return
         self._probed_s = self._loop.time()
@@ -104,13 +110,17 @@
         self._log.event(
             "isolated", unreached=",".join(record.id for record in unreached), withheld=len(own)
         )
+        # Open connections to upstreams are of no use, or will be reset when they are used.
+        self._pool.retain_only(set())
         self._view.set_isolated(True)
+        self.isolation.set_result(None)
         while self._check.is_isolated:
             await asyncio.sleep(_RECOVERY_INTERVAL_S * self._rng.uniform(0.75, 1.25))
             order = self._choose_probes()
             reached = len(order) - len(await self._unreached(order))
             if reached >= min(_RECOVERED_QUORUM, len(order)):
                 self._check.record_recovery()
+        self.isolation = self._loop.create_future()
         self._view.set_isolated(False)
         self._log.event("isolation_ended", isolated_s=self._loop.time() - self._isolated_since_s)
 
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -501,6 +501,19 @@
         self.load.record_finish(upstream_id)
         self.on_update(False)
 
+    def refusing_upstreams(self, service: str) -> Sequence[str]:
+        """Return the ids of the upstreams of a service that take no requests of this instance."""
+        now_s = self._clock()
+        return [
+            record.id
+            for record in self.upstreams.records.values()
+            if record.service == service
+            and (
+                not self.upstreams.is_ready(record.id)
+                or self.backoffs.remaining_s(record.id, now_s) > 0
+            )
+        ]
+
     def count_by_health(self, records: Iterable[UpstreamRecord]) -> Counter[UpstreamHealth]:
         """Return how many of some upstreams this instance may use in which way."""
         now_s = self._clock()
--- a/src/egretrail/gateway/tests/executor.py
+++ b/src/egretrail/gateway/tests/executor.py
@@ -104,7 +104,13 @@
                 await backend.start()
             view.replace_upstreams([listed_record(one) for one in backends], FIRST_REVISION, "test")
             executor = RequestExecutor(
-                view, PlatformContract(), UpstreamConnectionPool(), log, GatewayMetrics(), rng
+                view,
+                PlatformContract(),
+                UpstreamConnectionPool(),
+                log,
+                GatewayMetrics(),
+                rng,
+                gateway_settings(),
             )
             try:
                 await scenario(executor, view, backends)
--- a/src/egretrail/gateway/tests/settings.py
+++ b/src/egretrail/gateway/tests/settings.py
@@ -14,6 +14,7 @@
         directory_address=f"{ip}:8003",
         peer_port=8004,
         metrics_port=8005,
+        relay_port=8007,
         seeds=[],
         store_address="127.0.0.1:8006",
         memory_mb=300,
--- a/src/egretrail/platform/_node_file.py
+++ b/src/egretrail/platform/_node_file.py
@@ -65,6 +65,7 @@
         directory_address=listen.text("directory"),
         peer_port=peer_port,
         metrics_port=peer_port + 1,
+        relay_port=peer_port + 2,
         # The ports belong to an interface that this program does not serve; only the IPs are used.
         seeds=[str(seed).rpartition(":")[0] for seed in network.rows("seeds")],
         store_address=file.table("platform").table("platform").text("address"),
