Soak: cut gateways from all backends

One gateway, two, half, a zone or all but one lose their paths to all backends, in the four forms of the tests, overlapping with all other faults.

--- a/scaffolding/soak/_fault_driver.py
+++ b/scaffolding/soak/_fault_driver.py
@@ -7,7 +7,14 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 
-from scaffolding.platform import Behaviour, GatewayFleet, LinkFault, LinkProxy, StandInBackend
+from scaffolding.platform import (
+    BackendCut,
+    Behaviour,
+    GatewayFleet,
+    LinkFault,
+    LinkProxy,
+    StandInBackend,
+)
 from scaffolding.platform.fleet import ZONES
 from scaffolding.platform.store import StoreMode
 from scaffolding.soak._disturbances import DisturbanceLog
@@ -60,6 +67,14 @@
     LinkFault.CUT_TO_CLIENT,
     LinkFault.BLACKHOLED,
 )
+_BACKEND_CUTS = (
+    BackendCut.REFUSED,
+    BackendCut.HANGING,
+    BackendCut.RESET,
+    BackendCut.SILENT,
+)
+#: A cut lasts this many times as long as other faults: gateways find it out within a second.
+_CUT_FACTOR = 2.0
 _STORE_MODES = (StoreMode.UNAVAILABLE, StoreMode.UNRESPONSIVE, StoreMode.LOSING_REPLIES)
 
 
@@ -74,6 +89,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._version = 1
         self._active_outages: Counter[str] = Counter()
+        #: Number of cuts in force, by gateway.
+        self._active_cuts: Counter[int] = Counter()
         self._write_config: Callable[[int, str], None] = lambda version, service: None
         #: All backends that were started.
         self.all_backends: list[StandInBackend] = []
@@ -109,6 +126,7 @@
         self._fleet.store.mode_overrides.clear()
         for link in [*self._fleet.store_links, *self._links.values()]:
             link.fault = LinkFault.NONE
+        self._fleet.cut_from_backends(range(len(self._fleet.store_links)), BackendCut.NONE)
         for backend in self._fleet.backends:
             backend.behaviour, backend.retry_after = Behaviour.HEALTHY, None
         for number in range(len(self._fleet.store_links)):
@@ -130,6 +148,7 @@
             FaultKind.GATEWAY_STOPPED: self._stop,
             FaultKind.GATEWAY_PAUSED: self._pause,
             FaultKind.GATEWAY_RELOADED: self._reload,
+            FaultKind.GATEWAYS_CUT: self._cut_from_backends,
             FaultKind.ALL_KILLED: self._kill_all,
             FaultKind.BACKEND_FAULTY: self._set_backend_fault,
             FaultKind.SERVICE_REFUSES: self._refuse_at_service,
@@ -196,6 +215,26 @@
             await asyncio.sleep(fault.duration_s)
             self._fleet.signal_gateway(number, signal.SIGCONT)
 
+    async def _cut_from_backends(self, fault: Fault, rng: random.Random) -> None:
+        """Cut one gateway, a few, half, a zone or all but one from all backends."""
+        cut, numbers = rng.choice(_BACKEND_CUTS), self._gateways_to_cut(rng)
+        duration_s = fault.duration_s * _CUT_FACTOR
+        for number in numbers:
+            self._record_disturbance(f"gateway-{number}", duration_s)
+            self._active_cuts[number] += 1
+        self._fleet.cut_from_backends(numbers, cut)
+        await asyncio.sleep(duration_s)
+        self._active_cuts.subtract(numbers)
+        restored = [number for number in numbers if not self._active_cuts[number]]
+        self._fleet.cut_from_backends(restored, BackendCut.NONE)
+
+    def _gateways_to_cut(self, rng: random.Random) -> Sequence[int]:
+        count = len(self._fleet.store_links)
+        numbers = rng.sample(range(count), count)
+        zone = rng.choice(ZONES)
+        in_zone = [number for number in numbers if self._fleet.zone(number) == zone]
+        return rng.choice([numbers[:1], numbers[:2], numbers[: count // 2], in_zone, numbers[1:]])
+
     async def _reload(self, fault: Fault, rng: random.Random) -> None:
         """Change a gateway's settings file, with no, one or several signals.
 
--- a/scaffolding/soak/_plan.py
+++ b/scaffolding/soak/_plan.py
@@ -13,6 +13,7 @@
     GATEWAY_STOPPED = "gateway_stopped"
     GATEWAY_PAUSED = "gateway_paused"
     GATEWAY_RELOADED = "gateway_reloaded"
+    GATEWAYS_CUT = "gateways_cut"
     ALL_KILLED = "all_killed"
     BACKEND_FAULTY = "backend_faulty"
     SERVICE_REFUSES = "service_refuses"
@@ -34,6 +35,7 @@
     FaultKind.GATEWAY_STOPPED: 4,
     FaultKind.GATEWAY_PAUSED: 3,
     FaultKind.GATEWAY_RELOADED: 1,
+    FaultKind.GATEWAYS_CUT: 4,
     FaultKind.ALL_KILLED: 1,
     FaultKind.BACKEND_FAULTY: 6,
     FaultKind.SERVICE_REFUSES: 1,
--- a/scaffolding/soak/_run.py
+++ b/scaffolding/soak/_run.py
@@ -54,7 +54,7 @@
         self._length_s = length_s
         self._gateways = gateways
         self._clients = clients
-        self._fleet = GatewayFleet(gateways)
+        self._fleet = GatewayFleet(gateways, with_backend_cuts=True)
         self._checker = GuaranteeChecker()
         self._driver = FaultDriver(self._fleet, self._checker)
         self._probe_client = GatewayClient(HOST)
