Probe an upstream to which an open connection went silent before reporting it

Open connections may lose their path for good while new ones work. Each instance took that for an upstream that it could not reach; two such reports with no response in between take it out of service for the whole fleet, and a partition that silences connections does so at many instances at once.

The instance connects to the same upstream: if that works, only the connection was silent, nothing is reported and the upstream may be used at once; else it is reported as unreachable, as any other failure to connect.

--- a/src/egretrail/dispatch/_reachability.py
+++ b/src/egretrail/dispatch/_reachability.py
@@ -63,7 +63,11 @@
             length_s = min(before.length_s * _PAUSE_GROWTH, _PAUSE_MAX_S)
         self._own_pauses[upstream_id] = _Pause(now_s + length_s, length_s)
 
-    def resume(self) -> None:
+    def resume(self, upstream_id: str) -> None:
+        """End the pause of an upstream to which this instance's own network path works."""
+        self._own_pauses.pop(upstream_id, None)
+
+    def resume_all(self) -> None:
         """End all pauses of this instance's own network paths."""
         self._own_pauses.clear()
 
--- a/src/egretrail/dispatch/_suspicion.py
+++ b/src/egretrail/dispatch/_suspicion.py
@@ -125,9 +125,13 @@
         """Avoid an upstream for a while because this instance's network path to it failed."""
         self._reachability.pause(upstream_id, now_s)
 
+    def resume_path(self, upstream_id: str) -> None:
+        """End the pause of one upstream: this instance's network path to it works."""
+        self._reachability.resume(upstream_id)
+
     def resume_paths(self) -> None:
         """End all pauses that began because of this instance's own network paths."""
-        self._reachability.resume()
+        self._reachability.resume_all()
 
     def health(self, upstream_id: str, now_s: float) -> UpstreamHealth:
         """Return how this instance may use an upstream."""
--- a/src/egretrail/gateway/_upstream_paths.py
+++ b/src/egretrail/gateway/_upstream_paths.py
@@ -45,6 +45,8 @@
         self._loop = asyncio.get_running_loop()
         self._check = PathCheck()
         self._probing: asyncio.Task[None] | None = None
+        #: The probes of upstreams to which an open connection went silent, by upstream id.
+        self._reconnecting: dict[str, asyncio.Task[None]] = {}
         self._probed_s = float("-inf")
         self._isolated_since_s = 0.0
         #: Done once this instance is isolated; another future after it has recovered.
@@ -67,6 +69,9 @@
         """Record a failure without a response, and find out whose it is."""
         if observation.outcome in (Outcome.UNREACHABLE, Outcome.SILENT):
             self._view.avoid_path(observation.upstream_id)
+        if observation.outcome is Outcome.SILENT:
+            self._reconnect(observation.upstream_id)
+            return
         if digest is not None and not self.is_isolated:
             self._view.record_own_loss(observation.upstream_id, digest)
         self._check.hold(observation, digest, self._loop.time())
@@ -77,8 +82,34 @@
             self._probing = self._loop.create_task(self._probe(delay_s))
             self._probing.add_done_callback(self._end_probing)
 
+    def _reconnect(self, upstream_id: str) -> None:
+        """Find out whether an upstream or only an open connection to it has gone silent.
+
+        Open connections may lose their path while new ones work. Reported by several instances at
+        once, silent connections would take all upstreams out of service.
+        """
+        if upstream_id not in self._reconnecting and not self.is_isolated:
+            task = self._loop.create_task(self._probe_silent(upstream_id))
+            self._reconnecting[upstream_id] = task
+            task.add_done_callback(lambda _: self._reconnecting.pop(upstream_id))
+            task.add_done_callback(self._report_error)
+
+    async def _probe_silent(self, upstream_id: str) -> None:
+        record = self._view.upstreams.records.get(upstream_id)
+        if record is None:
+            return
+        started_s = self._loop.time()
+        if await self._connects(record):
+            self._view.suspicion.resume_path(upstream_id)
+            return
+        duration_s = self._loop.time() - started_s
+        self.record_failure(Observation(upstream_id, Outcome.UNREACHABLE, duration_s))
+
     def _end_probing(self, task: asyncio.Task[None]) -> None:
         self._probing = None
+        self._report_error(task)
+
+    def _report_error(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
             self._loop.call_exception_handler(
                 {"message": "probing of upstreams failed", "exception": task.exception()}
