Report no load of requests that hang at an isolated instance

A request whose connection lost its path counts as taking a slot until its deadline or the connection's end, at the placement of the whole fleet. The upstream has finished it; its response was lost. With half of a fleet cut, slots that are free count as taken for seconds.

Isolated instances report no requests in flight. What works on open connections is then left out as well, until it ends.

--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -410,6 +410,8 @@
         self._sequence += 1
         self._heartbeat_times.record(self._sequence, self.config_freshness.clock())
         sends_freshness = self.requires_fresh_config and self.store_contact
+        # Requests that hang at an isolated instance take no slots: their responses were lost.
+        loads = {} if self.is_isolated else self.load.own_counts()
         heartbeat = Heartbeat(
             origin=self._settings.ip,
             availability_zone=self._settings.availability_zone,
@@ -420,7 +422,7 @@
             config_version=self.config_version,
             upstreams_revision=self.upstreams.revision,
             store_contact=self.store_contact,
-            loads={upstream_key(name): n for name, n in self.load.own_counts().items()},
+            loads={upstream_key(name): n for name, n in loads.items()},
             first_outcome=self._reports.first_outcome,
             outcomes=self._reports.outcomes(),
             losses=self._reports.losses(),
--- a/src/egretrail/gateway/tests/test_isolation.py
+++ b/src/egretrail/gateway/tests/test_isolation.py
@@ -62,6 +62,39 @@
 
         self.run_paused(run())
 
+    def test_requests_that_hang_at_isolated_instances_take_no_slots(self) -> None:
+        """Guards against slots that count as taken until the requests' deadlines.
+
+        The upstreams have finished these requests; only their responses were lost.
+        """
+
+        async def run() -> None:
+            fleet = Fleet(_SIZES)
+            for address in fleet.addresses:
+                fleet.start(address, fleet.addresses[:2])
+            await asyncio.sleep(4.0)
+            isolated, others = fleet.addresses[:8], fleet.addresses[8:]
+            loop = asyncio.get_running_loop()
+            for address in isolated:
+                fleet.views[address].record_request_start("u", trial=False)
+            await asyncio.sleep(_KNOWN_S)
+            for address in others:
+                self.assertEqual(8, fleet.views[address].load.in_flight("u", loop.time()))
+            for address in isolated:
+                fleet.views[address].set_isolated(True)
+            await asyncio.sleep(_KNOWN_S)
+            for address in others:
+                self.assertEqual(0, fleet.views[address].load.in_flight("u", loop.time()))
+            for address in isolated:
+                fleet.views[address].record_request_end("u")
+                fleet.views[address].set_isolated(False)
+            await asyncio.sleep(_KNOWN_S)
+            for address in fleet.addresses:
+                self.assertEqual(0, fleet.views[address].load.in_flight("u", loop.time()))
+            fleet.stop()
+
+        self.run_paused(run())
+
     def test_all_know_it_while_hubs_are_killed_and_instances_restart(self) -> None:
         async def run() -> None:
             fleet = Fleet(_SIZES)
