Keep connections with keepalive over one lost probe

TCP_USER_TIMEOUT, where it is set, decides when keepalive probes give up, whatever their count. With 1.5 s, probes after 1 s and each second, the second probe ended a connection whose first one was lost: on a link that loses 3% of its packets, about one in 17 seconds without traffic. Connections to the store, whose watches wait for seconds, are concerned.

Connections with keepalive have a limit of 2.5 s. One lost probe is survived, a path that delivers nothing ends them after 3 s, as documented before.

Measured: the new test failed before (2 s, at the second probe); it and the tests of the store and of http1 pass.

--- a/scaffolding/tests/test_platform_store.py
+++ b/scaffolding/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """Tests of the client of the platform's store against a stand-in store."""
 
 import asyncio
+import itertools
 import base64
 import contextlib
 import json
@@ -149,6 +150,33 @@
         self.assertLessEqual(self.run_real(run()), 3.0)
 
 
+class LostKeepaliveProbeTest(EgretrailTestCase):
+    def test_one_lost_probe_does_not_end_a_connection(self) -> None:
+        """Guards against a user timeout that ends working connections after one lost probe.
+
+        A user timeout that is set replaces the number of probes: a connection ends at the first
+        probe after it, if an earlier one was not answered.
+        """
+
+        async def read_options() -> tuple[float, int, int]:
+            server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            connection = await open_connection(f"{host}:{port}", 1.0, keepalive=True)
+            sock = connection._transport.get_extra_info("socket")  # type: ignore[union-attr]
+            options = (socket.TCP_USER_TIMEOUT, socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL)
+            values = [sock.getsockopt(socket.IPPROTO_TCP, option) for option in options]
+            connection.abort()
+            server.close()
+            return values[0] / 1000, values[1], values[2]
+
+        user_timeout_s, idle_s, interval_s = self.run_real(read_options())
+        second_probe_s = idle_s + interval_s
+        probes_s = itertools.count(second_probe_s, interval_s)
+        end_s = next(at_s for at_s in probes_s if at_s >= user_timeout_s)
+        self.assertGreater(end_s, second_probe_s)
+        self.assertLessEqual(end_s, 3.0)
+
+
 class SlowStoreTest(EgretrailTestCase):
     def test_a_store_that_responds_after_more_than_a_second_is_read(self) -> None:
         """Guards against a fixed time-out of 1 s, with which a slower store is never read."""
--- a/src/egretrail/http1/_client.py
+++ b/src/egretrail/http1/_client.py
@@ -16,9 +16,12 @@
 #: lost packets in a row are survived.
 _UNACKNOWLEDGED_TIMEOUT_S = 1.5
 #: TCP keepalive, for connections whose responses may take long: seconds without a packet before the
-#: first probe, and seconds between probes. The limit on unacknowledged bytes holds for probes too.
+#: first probe, and seconds between probes. The limit on unacknowledged bytes replaces the number of
+#: probes: the first probe after it ends the connection if an earlier one was not answered. The
+#: limit of these connections is therefore longer, so that they survive one lost probe.
 _KEEPALIVE_IDLE_S = _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+_KEEPALIVE_UNACKNOWLEDGED_TIMEOUT_S = 2.5
 #: Socket errors that mean that the network path delivers no packets.
 _PATH_FAILURE_ERRORS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 #: Response bodies are held in memory, so a longer one is an error. Typical bodies have a few
@@ -283,8 +286,8 @@
         raise ConnectFailed(address, repr(error)) from error
     sock = transport.get_extra_info("socket")
     if sock is not None:
-        milliseconds = int(_UNACKNOWLEDGED_TIMEOUT_S * 1000)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+        limit_s = _KEEPALIVE_UNACKNOWLEDGED_TIMEOUT_S if keepalive else _UNACKNOWLEDGED_TIMEOUT_S
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(limit_s * 1000))
         if keepalive:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
