--- a/scaffolding/tests/test_platform_store.py
+++ b/scaffolding/tests/test_platform_store.py
@@ -1,9 +1,9 @@
 """Tests of the client of the platform's store against a stand-in store."""
 
 import asyncio
-import itertools
 import base64
 import contextlib
+import itertools
 import json
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
