Do not take an instance as isolated that connected while it was probing

A series of probes takes up to 0.7 s. Where all of them failed, the instance counted as isolated, even if a request had opened a connection meanwhile: with several upstreams down, one of its own failures in a row was enough to relay its requests for half a second and to discard what it had observed.

A connection opened since the series began excludes isolation. Found by reading, not seen in a run.

Measured: tests of the path check and of the paths pass; the new case of an opened connection has no equivalent on the code before.

--- a/src/egretrail/dispatch/_path_check.py
+++ b/src/egretrail/dispatch/_path_check.py
@@ -42,6 +42,8 @@
 
     def __init__(self) -> None:
         self._held: list[HeldFailure] = []
+        #: Whether a connection to any upstream was opened since the last series of probes began.
+        self._has_connected = False
         #: Whether this instance has found that it reaches no upstream.
         self.is_isolated = False
 
@@ -64,6 +66,7 @@
         connections may work while new ones fail, so a response says nothing about failures to
         connect.
         """
+        self._has_connected = self._has_connected or connected
         if not self._held:
             return ()
         attributed: list[HeldFailure] = []
@@ -79,11 +82,18 @@
         self._held = kept
         return attributed
 
+    def start_probes(self) -> None:
+        """Record that a series of probes begins."""
+        self._has_connected = False
+
     def record_unreached(self, upstream_ids: Iterable[str]) -> Sequence[HeldFailure]:
-        """Record upstreams that were probed in vain while none accepted a connection.
+        """Record the upstreams of a series of probes if none of them accepted a connection.
 
-        Returns the failures that this instance's own paths caused, if it is isolated.
+        Returns the failures that this instance's own paths caused, if it is isolated. It is not if
+        a request opened a connection meanwhile.
         """
+        if self._has_connected:
+            return ()
         unreached = {failure.observation.upstream_id for failure in self._held}
         unreached.update(upstream_ids)
         if len(unreached) < _ISOLATED_QUORUM:
--- a/src/egretrail/dispatch/tests/test_path_check.py
+++ b/src/egretrail/dispatch/tests/test_path_check.py
@@ -50,6 +50,21 @@
         check.hold(Observation("v", Outcome.BROKEN, 0.1), None, 2.0)
         self.assertEqual(1, len(check.record_contact("w", 2.1, connected=True)))
 
+    @cases({"a connection": (True, False), "a response": (False, True)})
+    def test_a_connection_opened_during_the_probes_shows_that_paths_work(
+        self, case: tuple[bool, bool]
+    ) -> None:
+        connected, isolated = case
+        check = PathCheck()
+        check.hold(Observation("u", Outcome.UNREACHABLE, 0.1), None, 1.0)
+        check.start_probes()
+        check.record_contact("x", 1.2, connected=connected)
+        check.record_unreached(["v", "w"])
+        self.assertEqual(isolated, check.is_isolated)
+        check.start_probes()
+        check.record_unreached(["v", "w"])
+        self.assertTrue(check.is_isolated)
+
     @cases({"seed 1": 1, "seed 2": 2, "seed 3": 3})
     def test_probes_alternate_between_zones_and_services(self, seed: int) -> None:
         """Guards against taking the failure of a zone or a service for one of all paths."""
--- a/src/egretrail/gateway/_upstream_paths.py
+++ b/src/egretrail/gateway/_upstream_paths.py
@@ -121,6 +121,7 @@
         if not self._check.has_held_failures:
             return
         self._probed_s = self._loop.time()
+        self._check.start_probes()
         order = self._choose_probes()
         unreached = await self._unreached(order[:1])
         if unreached:
