--- a/src/egretrail/gateway/tests/test_settings_change.py
+++ b/src/egretrail/gateway/tests/test_settings_change.py
@@ -25,6 +25,7 @@
     "directory_address": ("127.0.0.1:9", False),
     "peer_port": (9, False),
     "metrics_port": (9, False),
+    "relay_port": (9, False),
     "seeds": (["127.0.0.9"], True),
     "store_address": ("127.0.0.9:9", True),
     "memory_mb": (9, True),
