--- a/src/egretrail/gateway/_relay.py
+++ b/src/egretrail/gateway/_relay.py
@@ -36,6 +36,9 @@
 RELAY_LIMITS = ServerLimits(
     header_bytes=1_024, body_bytes=64 * 1024 * 1024, header_timeout_s=2.0, idle_timeout_s=10.0
 )
+#: The status with which an instance says that it did not take an attempt: it is isolated itself, or
+#: lacks memory for the request (``BodyBudget``). Results of attempts have status 200.
+_NOT_TAKEN = 503
 #: After this many instances that could not take an attempt, it is refused.
 _RELAYS_MAX = 3
 #: Retry-After while no instance reaches an upstream: when the next probes have ended.
@@ -109,8 +112,7 @@
         finally:
             self._in_flight[address] -= 1
         self._pool.release(address, connection)
-        if received.status == 503:
-            # The instance is isolated itself, or has no memory for the request.
+        if received.status == _NOT_TAKEN:
             return None
         result = decode_result(received.body)
         if received.status != 200 or isinstance(result, Err):
@@ -139,7 +141,7 @@
     async def handle(self, request: Request) -> Response:
         """Run an attempt and return its result; cancelled when the other instance disconnects."""
         if self._view.is_isolated:
-            return Response(503)
+            return Response(_NOT_TAKEN)
         decoded = decode_attempt(request.body, request.received_s)
         if isinstance(decoded, Err):
             self._log.event("relay_refused", cause=str(decoded.err_value))
