Take the fleet's retries as unknown when no peer is heard for half a second

A hub that is cut off from everyone still receives its own sections, so its zone counted as heard, and other zones count as heard for a second.

An instance that has heard no datagram of any peer for half a second keeps to its own share of the retry budget.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	touch $@
 
 # Simulated fleets send in the iteration order of sets of names; a fixed seed makes runs repeatable.
+# One case of test_retry_counts fails with some seeds (KNOWN-RED.txt), so tests need one until then.
 HASH_SEED ?= 1
 # Number of pytest workers; each uses loopback addresses of its own.
 WORKERS ?= 4
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -190,6 +190,7 @@
         if isinstance(decoded, Err):
             self._log.event("datagram_dropped", peer=sender, cause=decoded.err_value)
             return
+        self._view.record_peer_contact()
         match decoded.ok_value:
             case HeartbeatsDatagram() as datagram:
                 for heartbeat in datagram.heartbeats:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -72,6 +72,9 @@
 #: With reports of a smaller share of the living instances, the fleet's retries are unknown: a new
 #: hub has not yet received heartbeats of most instances.
 _COUNTED_SHARE = 0.75
+#: After this time without a datagram of any peer, the fleet's retries are unknown. A hub receives
+#: its own sections, so lost contact with everyone else does not make its zone's section late.
+_PEERS_SILENT_S = 0.5
 #: Keys are refused this long before the last confirmation of the configuration reaches its maximum
 #: age.
 _REVOCATION_MARGIN_S = 0.25
@@ -167,6 +170,8 @@
         self.zones = ZoneAggregates(
             settings.availability_zone, self.load, self.retry_budget, self.quotas
         )
+        #: When the last datagram of another instance arrived.
+        self._peer_heard_s = float("-inf")
         #: Whether this instance's last call to the store was answered.
         self.store_contact = False
         #: Whether this instance reaches no upstream.
@@ -267,6 +272,10 @@
             self.store_contact = contact
             self.on_update(True)
 
+    def record_peer_contact(self) -> None:
+        """Record that a datagram of another instance arrived."""
+        self._peer_heard_s = self._clock()
+
     def record_peer_revision(self, revision: int, peer: str) -> None:
         """Record a peer's revision of the upstreams; log once if this instance stays behind it."""
         if revision <= self.upstreams.revision:
@@ -586,6 +595,8 @@
 
     def _receives_retry_counts(self, now_s: float) -> bool:
         """Return whether the retries of nearly all living instances are known here."""
+        if self.membership.size() > 1 and now_s - self._peer_heard_s > _PEERS_SILENT_S:
+            return False
         if self.zones.instances(now_s) < _COUNTED_SHARE * self.membership.size():
             return False
         return self.zones.receives_all_retry_counts(now_s, self.retry_budget.window_s)
