--- /dev/null
+++ b/src/egretrail/overload/__init__.py
@@ -0,0 +1,40 @@
+"""Overload control: who gets the room of a service that is offered more than it can take.
+
+No module of this package performs I/O; the time is an argument.
+"""
+
+from egretrail.overload._demand import (
+    DEMAND_WINDOW_S,
+    AccountDemandKey,
+    DemandKey,
+    DemandReport,
+    DemandRow,
+    service_key,
+)
+from egretrail.overload._policy import (
+    Arrival,
+    NoOverloadPolicy,
+    OverloadPolicy,
+    Rejection,
+    ServiceRoom,
+    ServiceSnapshot,
+    ServiceState,
+    ServiceTerms,
+)
+
+__all__ = [
+    "DEMAND_WINDOW_S",
+    "AccountDemandKey",
+    "Arrival",
+    "DemandKey",
+    "DemandReport",
+    "DemandRow",
+    "NoOverloadPolicy",
+    "OverloadPolicy",
+    "Rejection",
+    "ServiceRoom",
+    "ServiceSnapshot",
+    "ServiceState",
+    "ServiceTerms",
+    "service_key",
+]
