Admit by urgency and fair shares from the demand of the whole fleet

An instance sees four requests a second and cannot rank callers by its own counts, so all kinds of requests lose alike in a burst. FleetOverloadPolicy sums the zones' reports, detects whether a service is full or refuses, admits by priority and by max-min shares of accounts, allocates retries by urgency and spreads Retry-After. Accounts are reported by priority: the lowest three bits of their key hold it (account_demand_key).

--- a/src/egretrail/overload/__init__.py
+++ b/src/egretrail/overload/__init__.py
@@ -9,8 +9,10 @@
     DemandKey,
     DemandReport,
     DemandRow,
+    account_demand_key,
     service_key,
 )
+from egretrail.overload._fleet_policy import FleetOverloadPolicy
 from egretrail.overload._policy import (
     Arrival,
     NoOverloadPolicy,
@@ -29,6 +31,7 @@
     "DemandKey",
     "DemandReport",
     "DemandRow",
+    "FleetOverloadPolicy",
     "NoOverloadPolicy",
     "OverloadPolicy",
     "Rejection",
@@ -36,5 +39,6 @@
     "ServiceSnapshot",
     "ServiceState",
     "ServiceTerms",
+    "account_demand_key",
     "service_key",
 ]
--- a/src/egretrail/overload/_demand.py
+++ b/src/egretrail/overload/_demand.py
@@ -6,6 +6,11 @@
 
 import xxhash
 
+from egretrail.dispatch import account_key
+
+#: The lowest bits of an account's number in demand reports hold the priority.
+_PRIORITY_MASK = 7
+
 #: The sliding window in which demand is counted. Reports carry the counts of this window, not
 #: counters that grow, so that a lost report or a new hub needs no earlier value.
 DEMAND_WINDOW_S = 1.0
@@ -19,6 +24,20 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
+def account_demand_key(account: str, priority: int) -> int:
+    """Return the 32-bit number that identifies an account's requests of one priority.
+
+    Accounts share the capacity left for one priority, so their requests are counted by priority.
+    Priorities from 7 on are counted together.
+    """
+    return (account_key(account) & ~_PRIORITY_MASK) | min(priority, _PRIORITY_MASK)
+
+
+def priority_of_account_key(key: int) -> int:
+    """Return the priority in a number of ``account_demand_key``."""
+    return key & _PRIORITY_MASK
+
+
 class DemandKey(NamedTuple):
     """A service and the priority of requests for it."""
 
@@ -29,11 +48,11 @@
 
 
 class AccountDemandKey(NamedTuple):
-    """A service and a client account."""
+    """A service and a client account's requests of one priority."""
 
     #: The key of the service (``service_key``).
     service: int
-    #: The key of the account (``account_key``).
+    #: The key of the account and the priority (``account_demand_key``).
     account: int
 
 
--- /dev/null
+++ b/src/egretrail/overload/_fleet_policy.py
@@ -0,0 +1,269 @@
+"""Overload control from the demand that all instances report."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from egretrail.overload._admission import AdmissionPlan, fill_by_priority, plan_admission
+from egretrail.overload._capacity import Capacity
+from egretrail.overload._counting import OwnDemand
+from egretrail.overload._credit import ShareCredits
+from egretrail.overload._demand import (
+    AccountDemandKey,
+    DemandKey,
+    DemandReport,
+    account_demand_key,
+    service_key,
+)
+from egretrail.overload._fleet_totals import FleetTotals, ServiceDemand, own_demand
+from egretrail.overload._policy import (
+    Arrival,
+    OverloadPolicy,
+    Rejection,
+    ServiceRoom,
+    ServiceSnapshot,
+    ServiceState,
+    ServiceTerms,
+)
+from egretrail.overload._returns import ReturnSchedule, clamp_retry_after, is_in_time
+from egretrail.overload._state import StateDetector
+
+#: How long this instance's counts are used before they are added up again, which takes as long as
+#: many decisions.
+_OWN_COUNTS_VALID_S = 0.02
+#: Accounts of a snapshot.
+_SNAPSHOT_ACCOUNTS_MAX = 10
+
+
+@dataclass(slots=True)
+class _Service:
+    """What the policy knows of one service that it watches."""
+
+    key: int
+    terms: ServiceTerms
+    own: OwnDemand
+    admissions: ShareCredits
+    retries: ShareCredits
+    detector: StateDetector = field(default_factory=StateDetector)
+    #: Retries that the budget allowed per second, when last told.
+    retries_per_s: float = 0.0
+    #: This instance's counts, when last added up.
+    own_demand: ServiceDemand | None = None
+
+    @property
+    def objective_s(self) -> float:
+        """The objective of the most urgent requests."""
+        objectives_s = self.terms.objectives_s
+        return objectives_s[min(objectives_s)] if objectives_s else float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class _Assessment:
+    """A service as of now."""
+
+    state: ServiceState
+    #: The capacity over which the demand is counted.
+    capacity: Capacity
+    demand: ServiceDemand
+    #: The part of the fleet that the demand is that of.
+    share: float
+
+
+class FleetOverloadPolicy(OverloadPolicy):
+    """Decides from the sum of all zones' reports, and from its own counts without reports.
+
+    Made for bursts of 2.5 times the load and for services that refuse half of it. An instance sees
+    four requests a second, so its own counts rank no callers; without a common view, all kinds of
+    requests would lose alike.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._services: dict[str, _Service] = {}
+        self._totals = FleetTotals()
+        self._returns = ReturnSchedule(rng)
+        self._known_share = 1.0
+        self._own_share = 1.0
+        self._own_zone = ""
+
+    def configure(self, terms: Mapping[str, ServiceTerms]) -> None:
+        """Set the terms of all services; counts stay where the terms do."""
+        before, self._services = self._services, {}
+        for name, service_terms in terms.items():
+            if not (service_terms.ranks_urgency or service_terms.shares_accounts):
+                continue
+            known = before.get(name)
+            if known is not None and known.terms == service_terms:
+                self._services[name] = known
+                continue
+            self._services[name] = _Service(
+                service_key(name),
+                service_terms,
+                OwnDemand(counts_accounts=service_terms.shares_accounts),
+                ShareCredits(self._rng),
+                ShareCredits(self._rng),
+            )
+
+    def watches(self, service: str) -> bool:
+        """Return whether the service's terms rank urgency or accounts."""
+        return service in self._services
+
+    def admit(self, arrival: Arrival, room: ServiceRoom, now_s: float) -> Rejection | None:
+        """Count a request that arrives; return why it is refused, or None."""
+        service = self._services.get(arrival.service)
+        if service is None:
+            return None
+        priority = arrival.priority
+        service.own.record_offered(priority, arrival.account, now_s)
+        found = self._assess(service, room, now_s)
+        if found.state is not ServiceState.FULL:
+            return None
+        room_per_s = found.capacity.corrected_per_s
+        plan = self._plan(service, found, room_per_s)
+        kind: tuple[int, int] = (priority, 0)
+        own_account_per_s = 0.0
+        if plan.level_per_s is not None and priority == plan.partial_priority:
+            kind = (priority, account_demand_key(arrival.account, priority))
+            own_account_per_s = float(service.own.account_total(kind[1], now_s))
+        share = plan.share(priority, kind[1], own_account_per_s)
+        if service.admissions.draws(kind, share):
+            return None
+        service.own.record_refused(priority, now_s)
+        typical_s = clamp_retry_after(found.capacity.mean_s)
+        return Rejection(
+            self._retry_after_s(found, arrival, typical_s),
+            found.state,
+            share,
+            plan.offered_per_s,
+            room_per_s,
+            max(now_s - found.demand.oldest_s, 0.0),
+        )
+
+    def record_shed(self, service: str, priority: int, now_s: float) -> None:
+        """Count an attempt that an upstream refused without running it."""
+        known = self._services.get(service)
+        if known is not None:
+            known.own.record_shed(priority, now_s)
+
+    def permits_retry(
+        self, service: str, priority: int, retries_per_s: float, room: ServiceRoom, now_s: float
+    ) -> bool:
+        """Return whether a retry is urgent enough for what the budget allows per second.
+
+        Made for services of which all upstreams refuse half of their attempts: the budget allows
+        one retry for three refusals, and without ranking the urgent requests lose as many as the
+        others.
+        """
+        known = self._services.get(service)
+        if known is None:
+            return True
+        known.own.record_retry_wanted(priority, now_s)
+        known.retries_per_s = retries_per_s
+        found = self._assess(known, room, now_s)
+        if found.state is ServiceState.NORMAL or not known.terms.ranks_urgency:
+            return True
+        wanted_per_s = found.demand.retries_wanted_per_s
+        shares = fill_by_priority({priority: 0.0, **wanted_per_s}, retries_per_s * found.share)
+        return known.retries.draws(priority, shares[priority])
+
+    def permits_hedge(self, service: str, room: ServiceRoom, now_s: float) -> bool:
+        """Return whether a request may be hedged: only while the service is normal."""
+        known = self._services.get(service)
+        return known is None or self._assess(known, room, now_s).state is ServiceState.NORMAL
+
+    def retry_after_s(
+        self, arrival: Arrival, room: ServiceRoom, typical_s: float, now_s: float
+    ) -> float:
+        """Return when a refused client may return; ``typical_s`` is the ordinary wait."""
+        known = self._services.get(arrival.service)
+        if known is None:
+            return typical_s
+        return self._retry_after_s(self._assess(known, room, now_s), arrival, typical_s)
+
+    def own_report(self, now_s: float) -> DemandReport:
+        """Return this instance's counts of the last second."""
+        rows = {}
+        accounts = {}
+        for service in self._services.values():
+            for priority, row in service.own.rows(now_s).items():
+                rows[DemandKey(service.key, priority)] = row
+            for key, count in service.own.accounts(now_s).items():
+                accounts[AccountDemandKey(service.key, key)] = count
+        return DemandReport(rows, accounts)
+
+    def apply_zone_report(self, zone: str, report: DemandReport, now_s: float) -> None:
+        """Replace the report of a zone, as its hub summed it."""
+        self._totals.apply(zone, report, now_s)
+
+    def set_fleet(self, known_share: float, own_share: float, own_zone: str) -> None:
+        """Set which part of the fleet reports here, and which part of it this instance is."""
+        self._own_share = min(max(own_share, 0.0), 1.0)
+        self._known_share = min(max(known_share, self._own_share), 1.0)
+        self._own_zone = own_zone
+
+    def snapshot(self, service: str, room: ServiceRoom, now_s: float) -> ServiceSnapshot | None:
+        """Return the state of a service that is watched, else None."""
+        known = self._services.get(service)
+        if known is None:
+            return None
+        found = self._assess(known, room, now_s)
+        accounts: dict[str, float] = {}
+        for key, per_s in found.demand.accounts_per_s.items():
+            name = known.own.account_name(key)
+            accounts[name] = accounts.get(name, 0.0) + per_s
+        heaviest = sorted(accounts.items(), key=lambda item: (-item[1], item[0]))
+        return ServiceSnapshot(
+            found.state,
+            room,
+            {
+                priority: (row.offered, row.refused, row.shed)
+                for priority, row in sorted(found.demand.rows.items())
+            },
+            [(name, round(per_s)) for name, per_s in heaviest[:_SNAPSHOT_ACCOUNTS_MAX]],
+            max(now_s - found.demand.oldest_s, 0.0),
+        )
+
+    def _assess(self, service: _Service, room: ServiceRoom, now_s: float) -> _Assessment:
+        """Return the state of a service, from reports or else from this instance's own counts.
+
+        Requests in flight are known without demand reports, so the slots are always compared with
+        those of the part of the fleet that is known.
+        """
+        share = self._known_share
+        capacity = Capacity.of(room, service.objective_s, share)
+        demand = self._totals.demand(service.key, self._own_zone, now_s)
+        if demand is None:
+            share = self._own_share
+            demand = self._own_demand(service, now_s)
+            capacity = capacity.part(share / max(self._known_share, 1e-9))
+        state = service.detector.update(capacity, demand, service.retries_per_s * share, now_s)
+        if state is ServiceState.NORMAL:
+            service.admissions.clear()
+            service.retries.clear()
+        return _Assessment(state, capacity, demand, share)
+
+    def _own_demand(self, service: _Service, now_s: float) -> ServiceDemand:
+        demand = service.own_demand
+        if demand is None or not 0 <= now_s - demand.oldest_s < _OWN_COUNTS_VALID_S:
+            demand = own_demand(service.own.rows(now_s), service.own.accounts(now_s), now_s)
+            service.own_demand = demand
+        return demand
+
+    def _plan(self, service: _Service, found: _Assessment, room_per_s: float) -> AdmissionPlan:
+        shares_accounts = service.terms.shares_accounts
+        accounts_per_s = found.demand.accounts_per_s if shares_accounts else None
+        return plan_admission(found.demand.offered_per_s, accounts_per_s, room_per_s)
+
+    def _retry_after_s(self, found: _Assessment, arrival: Arrival, typical_s: float) -> float:
+        if found.state is ServiceState.NORMAL:
+            return typical_s
+        if found.state is ServiceState.SHEDDING:
+            wait_s = self._returns.while_shedding_s()
+        else:
+            refused = {priority: row.refused for priority, row in found.demand.rows.items()}
+            wait_s = self._returns.while_full_s(
+                arrival.priority, found.capacity, found.demand.offered_per_s, refused
+            )
+        if not is_in_time(wait_s, arrival.objective_s, arrival.remaining_s):
+            return typical_s
+        return clamp_retry_after(wait_s)
