Read whether accounts share capacity, and derive the terms of services

Cause: overload control must take effect only where requests of several priorities go to one service, or where the settings name the contract of fair shares and there are client accounts.

Change: GatewaySettings.shares_capacity is read from the list of contracts; service_terms lists the services that are to be watched, with their shortest objectives by priority.

--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -69,6 +69,8 @@
     revocation_s: float | None = None
     #: The window of client accounts' quotas, and how far they may be exceeded.
     quota_terms: QuotaTerms = field(default_factory=QuotaTerms)
+    #: Whether the capacity of services that are short of it is shared fairly by client accounts.
+    shares_capacity: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/overload/__init__.py
+++ b/src/egretrail/overload/__init__.py
@@ -21,6 +21,7 @@
     ServiceState,
     ServiceTerms,
 )
+from egretrail.overload._terms import service_terms
 
 __all__ = [
     "DEMAND_WINDOW_S",
@@ -37,4 +38,5 @@
     "ServiceState",
     "ServiceTerms",
     "service_key",
+    "service_terms",
 ]
--- a/src/egretrail/platform/_node_file.py
+++ b/src/egretrail/platform/_node_file.py
@@ -15,6 +15,8 @@
 #: The environment variable that holds the file's path.
 SETTINGS_VARIABLE = "EGRETRAIL_NODE_FILE"
 _PORT_MAX = 65_535
+#: The name of the contract by which client accounts share the capacity of services fairly.
+_FAIR_SHARES = "pressure"
 
 
 class NodeFile(SettingsFile):
@@ -53,7 +55,8 @@
     node = file.table("self")
     network = file.table("network")
     listen = network.table("listen")
-    bounds = file.table("terms").table("bounds")
+    terms = file.table("terms")
+    bounds = terms.table("bounds")
     limits = node.table("limits")
     peer_port = _first_internal_port(network)
     settings = GatewaySettings(
@@ -83,6 +86,8 @@
             slack=bounds.number("quotaSlack", 0.0),
         ),
         revocation_s=bounds.duration_s("revoke") if bounds.boolean("strictRevoke") else None,
+        shares_capacity=_FAIR_SHARES
+        in (terms.rows("contracts") if terms.is_present("contracts") else ()),
     )
     network.check("seeds", all(_is_ip(seed) for seed in settings.seeds), "not all are IP:PORT")
     store = file.table("platform").table("platform")
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -537,6 +537,29 @@
         assert isinstance(read, Err), read
         self.assertEqual(1, len(read.err_value.faults))
 
+    @cases(
+        {
+            "no list of contracts": ("", False),
+            "an empty list": ("contracts = []", False),
+            "other contracts": ('contracts = ["quota", 5]', False),
+            "the contract of fair shares": ('contracts = ["quota", "pressure"]', True),
+        }
+    )
+    def test_accounts_share_capacity_where_the_contracts_say_so(
+        self, case: tuple[str, bool]
+    ) -> None:
+        line, expected = case
+        read = self._read_text(_NODE.replace("[terms.bounds]", f"[terms]\n{line}\n[terms.bounds]"))
+        assert isinstance(read, Ok), read
+        self.assertIs(expected, read.ok_value.shares_capacity)
+
+    @cases({"a text": '"pressure"', "a table": "{pressure = true}", "a boolean": "true"})
+    def test_contracts_of_another_type_are_one_fault(self, value: str) -> None:
+        text = _NODE.replace("[terms.bounds]", f"[terms]\ncontracts = {value}\n[terms.bounds]")
+        read = self._read_text(text)
+        assert isinstance(read, Err), read
+        self.assertEqual(1, len(read.err_value.faults))
+
 
 def _replace_by_copy(path: Path) -> None:
     other = path.with_suffix(".new")
--- a/src/egretrail/traffic/_objectives.py
+++ b/src/egretrail/traffic/_objectives.py
@@ -1,6 +1,6 @@
 """Priorities and latency objectives of requests that share services."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from egretrail.traffic._accounts import ClientAccount
 from egretrail.traffic._config import FleetConfig, Route
@@ -25,6 +25,10 @@
                     known_s = shortest_s.get(priority, route.objective_s)
                     shortest_s[priority] = min(known_s, route.objective_s)
 
+    def by_service(self) -> Mapping[str, Mapping[int, float]]:
+        """Return the shortest objectives by priority, of each service that has requests."""
+        return self._objectives_s
+
     def shortest_objective_s(self, service: str, priority: int) -> float | None:
         """Return the shortest objective of a service's more urgent requests; None without any."""
         shortest_s = self._objectives_s.get(service, {})
