Report demand in heartbeats, and its sum in the hubs' sections

Cause: an instance sees a few requests a second, so callers can be ranked alike only from the sums of all instances.

Without demand the field is left out.

--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -9,6 +9,7 @@
 import msgpack
 from result import Err, Ok, Result
 
+from egretrail.cluster._demand_codec import decode_demand, encode_demand
 from egretrail.cluster._heartbeat import DropReport, Heartbeat, LossReport, OutcomeReport
 from egretrail.cluster._instance import Instance, InstanceState
 from egretrail.cluster._malformed import MALFORMED, MalformedMessage
@@ -30,6 +31,7 @@
     encode_section,
 )
 from egretrail.dispatch import Outcome, RequestDigest, RetryCounts
+from egretrail.overload import DemandReport
 
 #: The version of the wire format, incremented with each change of it; datagrams of other versions
 #: are discarded.
@@ -226,6 +228,8 @@
         None if heartbeat.last_section is None else encode_echo(heartbeat.last_section),
         encode_accounts(heartbeat.accounts),
         heartbeat.is_isolated,
+        # Without demand, the field is left out.
+        *([] if heartbeat.demand.is_empty else [encode_demand(heartbeat.demand)]),
     ]
 
 
@@ -293,4 +297,5 @@
         accounts=decode_accounts(row[20]),
         # Earlier versions of the program do not send it.
         is_isolated=bool(row[21]) if len(row) > 21 else False,
+        demand=decode_demand(row[22]) if len(row) > 22 else DemandReport(),
     )
--- a/src/egretrail/cluster/_heartbeat.py
+++ b/src/egretrail/cluster/_heartbeat.py
@@ -7,6 +7,7 @@
 from egretrail.cluster._config_freshness import SectionEcho
 from egretrail.cluster._instance import Instance, InstanceState, short_incarnation
 from egretrail.dispatch import AccountReport, Outcome, RequestDigest, RetryCounts
+from egretrail.overload import DemandReport
 
 
 class OutcomeReport(NamedTuple):
@@ -111,6 +112,8 @@
     accounts: Mapping[int, AccountReport] = field(default_factory=dict)
     #: Whether the instance reaches no upstream; it serves its clients through other instances.
     is_isolated: bool = False
+    #: The demand for services that are watched for overload; empty if there is none.
+    demand: DemandReport = field(default_factory=DemandReport)
 
     def instance(self) -> Instance:
         """Return the roster entry of the heartbeat's origin."""
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -1,9 +1,10 @@
 """Aggregates a zone: the hub turns its instances' heartbeats into sections for all of them."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from egretrail.cluster._config_freshness import SectionEcho
+from egretrail.cluster._demand_sums import DemandSums
 from egretrail.cluster._heartbeat import Heartbeat, OutcomeReport
 from egretrail.cluster._hub_reports import HubReports
 from egretrail.cluster._hub_terms import HubTerm, HubTerms
@@ -27,6 +28,7 @@
     RetryCounts,
     new_counts,
 )
+from egretrail.overload import DemandReport
 
 #: Outcomes that other instances act upon at once.
 URGENT_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.OVERDUE})
@@ -80,6 +82,8 @@
     received_sections: Sequence[SectionEcho] = field(default=(), compare=False)
     #: The ids of upstreams that began to drain lately, by the receivers to which they are reported.
     draining: Mapping[Scope, Sequence[str]] = field(default_factory=dict, compare=False)
+    #: The keys of the services of which most slots are taken; their demand is always reported.
+    busy_services: Collection[int] = field(default=(), compare=False)
 
 
 @dataclass(slots=True)
@@ -156,6 +160,7 @@
         self._accounts: dict[int, AccountCounter] = {}
         self._accounts_sent_s = {scope: float("-inf") for scope in Scope}
         self._accounts_offset = 0
+        self._demand = DemandSums()
         self._roster_sends_left = dict.fromkeys(Scope, _ROSTER_SEND_COUNT)
         self._roster_sent_s = {scope: float("-inf") for scope in Scope}
         self._free_indexes: list[tuple[int, float]] = []
@@ -243,6 +248,7 @@
             refusals=self._drain_refusals(Scope.ZONE),
             accounts=self._accounts_to_send(Scope.ZONE, now_s),
             draining=state.draining.get(Scope.ZONE, ()),
+            demand=self._demand_to_send(Scope.ZONE, state, now_s),
             **self._retry_fields(Scope.ZONE, now_s),
             **self._report_fields(Scope.ZONE, now_s),
         )
@@ -277,6 +283,7 @@
             refusals=self._drain_refusals(Scope.CROSS_ZONE),
             accounts=self._accounts_to_send(Scope.CROSS_ZONE, now_s),
             draining=state.draining.get(Scope.CROSS_ZONE, ()),
+            demand=self._demand_to_send(Scope.CROSS_ZONE, state, now_s),
             **self._retry_fields(Scope.CROSS_ZONE, now_s),
             **self._report_fields(Scope.CROSS_ZONE, now_s),
         )
@@ -386,6 +393,14 @@
             keys = [*keys[first:], *keys[:first]][:_ACCOUNTS_MAX]
         return {key: self._accounts[key].report(now_s) for key in keys}
 
+    def _demand_to_send(self, scope: Scope, state: HubState, now_s: float) -> DemandReport | None:
+        reports = [
+            member.heartbeat.demand
+            for member in self._members.values()
+            if now_s - member.received_s <= _MEMBER_TIMEOUT_S
+        ]
+        return self._demand.next_report(scope, reports, state.busy_services, now_s)
+
     def _replace_loads(self, old: Mapping[int, int], new: Mapping[int, int]) -> None:
         for key in old.keys() | new.keys():
             change = new.get(key, 0) - old.get(key, 0)
--- a/src/egretrail/cluster/_section.py
+++ b/src/egretrail/cluster/_section.py
@@ -15,6 +15,7 @@
 from egretrail.cluster._hub_terms import HubTerm
 from egretrail.cluster._instance import Instance
 from egretrail.dispatch import AccountReport, RetryCounts
+from egretrail.overload import DemandReport
 
 
 class Scope(enum.IntEnum):
@@ -144,3 +145,6 @@
     #: The zone's request counts of recently active client accounts with a quota, by the key of the
     #: account.
     accounts: Mapping[int, AccountReport] = field(default_factory=dict)
+    #: The zone's demand for services that are short of capacity. None leaves the demand that an
+    #: earlier section reported; an empty report ends it. Rows without accounts leave the accounts.
+    demand: DemandReport | None = None
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from egretrail.cluster._config_freshness import SectionEcho
+from egretrail.cluster._demand_codec import decode_demand, encode_demand
 from egretrail.cluster._heartbeat import DropReport, LimitReport, LossReport, OutcomeReport
 from egretrail.cluster._hub_terms import HubTerm
 from egretrail.cluster._instance import Instance, InstanceState
@@ -119,6 +120,8 @@
             [_encode_term(term) for term in section.earlier_terms],
             list(section.draining),
             [address_number(address) for address in section.isolated],
+            # Without news of the demand, the field is left out.
+            *([] if section.demand is None else [encode_demand(section.demand)]),
         ]
     )
     return packed
@@ -157,6 +160,7 @@
         earlier_terms=[_decode_term(term) for term in row[24]] if len(row) > 24 else (),
         draining=[str(upstream_id) for upstream_id in row[25]] if len(row) > 25 else (),
         isolated=[_address(number) for number in row[26]] if len(row) > 26 else (),
+        demand=decode_demand(row[27]) if len(row) > 27 else None,
     )
 
 
