--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -9,6 +9,7 @@
 import msgpack
 from result import Err, Ok, Result
 
+from egretrail.cluster._demand_codec import decode_demand, encode_demand
 from egretrail.cluster._heartbeat import DropReport, Heartbeat, LossReport, OutcomeReport
 from egretrail.cluster._instance import Instance, InstanceState
 from egretrail.cluster._malformed import MALFORMED, MalformedMessage
@@ -30,6 +31,7 @@
     encode_section,
 )
 from egretrail.dispatch import Outcome, RequestDigest, RetryCounts
+from egretrail.overload import DemandReport
 
 #: The version of the wire format, incremented with each change of it; datagrams of other versions
 #: are discarded.
@@ -226,10 +228,18 @@
         None if heartbeat.last_section is None else encode_echo(heartbeat.last_section),
         encode_accounts(heartbeat.accounts),
         heartbeat.is_isolated,
-        list(heartbeat.replaced),
+        *_optional_fields(heartbeat),
     ]
 
 
+def _optional_fields(heartbeat: Heartbeat) -> list[Any]:
+    """Return the last fields, which are left out where there is nothing to report."""
+    fields: list[Any] = [list(heartbeat.replaced)]
+    if not heartbeat.demand.is_empty:
+        fields.append(encode_demand(heartbeat.demand))
+    return fields if heartbeat.replaced or len(fields) > 1 else []
+
+
 def _retry_counts_row(counts: Mapping[str, RetryCounts]) -> dict[str, list[int]]:
     return {
         service: [retry_counts.requests, retry_counts.retries]
@@ -295,4 +305,5 @@
         # Earlier versions of the program do not send it.
         is_isolated=bool(row[21]) if len(row) > 21 else False,
         replaced=[str(upstream_id) for upstream_id in row[22]] if len(row) > 22 else (),
+        demand=decode_demand(row[23]) if len(row) > 23 else DemandReport(),
     )
--- a/src/egretrail/cluster/_heartbeat.py
+++ b/src/egretrail/cluster/_heartbeat.py
@@ -7,6 +7,7 @@
 from egretrail.cluster._config_freshness import SectionEcho
 from egretrail.cluster._instance import Instance, InstanceState, short_incarnation
 from egretrail.dispatch import AccountReport, Outcome, RequestDigest, RetryCounts
+from egretrail.overload import DemandReport
 
 
 class OutcomeReport(NamedTuple):
@@ -113,6 +114,8 @@
     is_isolated: bool = False
     #: The ids of upstreams whose address was found in the last seconds to belong to another one.
     replaced: Sequence[str] = ()
+    #: The demand for services that are watched for overload; empty if there is none.
+    demand: DemandReport = field(default_factory=DemandReport)
 
     def instance(self) -> Instance:
         """Return the roster entry of the heartbeat's origin."""
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -192,6 +192,7 @@
                 # The other hubs that learn it from this one need not report it to each other.
                 Scope.CROSS_ZONE: view.recently_draining(cross_zone=True),
             },
+            busy_services=view.overload.busy_services(self._clock()),
         )
 
     def _record_sent(self, scope: Scope, sections: Sequence[Section]) -> None:
--- a/src/egretrail/overload/__init__.py
+++ b/src/egretrail/overload/__init__.py
@@ -23,6 +23,7 @@
     ServiceState,
     ServiceTerms,
 )
+from egretrail.overload._terms import service_terms
 
 __all__ = [
     "DEMAND_WINDOW_S",
@@ -41,4 +42,5 @@
     "ServiceTerms",
     "account_demand_key",
     "service_key",
+    "service_terms",
 ]
