Count failed paths against the pair of instance and upstream

Cause: two instances that failed at an upstream between two of its responses took it out of service for all.

Change: a quorum counts attempts since whose beginning no response was reported; held failures are reported with their beginning. A later response ends the suspicion and doubles the quorum of the upstream, which halves after 10 s. An instance that failed at an upstream that responds to others counts only for itself for 3 s: without that, each upstream has to be suspected wrongly several times first. An instance whose own path failed leaves trials to the others for 2 s.

--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -9,7 +9,7 @@
 from egretrail.dispatch._durations import ServiceDurations
 from egretrail.dispatch._limits import AdvertisedLimit, AdvertisedLimits, LimitPosition
 from egretrail.dispatch._load import FleetLoad
-from egretrail.dispatch._observation import Observation, Outcome
+from egretrail.dispatch._observation import RESPONSE_OUTCOMES, Observation, Outcome
 from egretrail.dispatch._path_check import PATH_OUTCOMES, HeldFailure, PathCheck, choose_probes
 from egretrail.dispatch._placement import Choice, Placement, PlacementQuery, Refusal, RefusalReason
 from egretrail.dispatch._quotas import (
@@ -45,6 +45,7 @@
     "COUNT_MODULUS",
     "FIRST_PAUSE_S",
     "PATH_OUTCOMES",
+    "RESPONSE_OUTCOMES",
     "AccountCounter",
     "AccountCounts",
     "AccountQuotas",
--- a/src/egretrail/dispatch/_observation.py
+++ b/src/egretrail/dispatch/_observation.py
@@ -26,6 +26,10 @@
     EXPIRED = 7
 
 
+#: Outcomes that come with a response of the upstream.
+RESPONSE_OUTCOMES = frozenset({Outcome.SUCCESS, Outcome.FAILED, Outcome.SHED, Outcome.EXPIRED})
+
+
 @dataclass(frozen=True, slots=True)
 class Observation:
     """An observed outcome. The receiver adds the observer's name and its own time of receipt."""
@@ -34,5 +38,6 @@
     upstream_id: str
     #: Outcome of the request.
     outcome: Outcome
-    #: Time from sending the request to the outcome.
+    #: Time from sending the request to the outcome; for ``UNREACHABLE``, from the beginning of the
+    #: attempt to its report.
     duration_s: float
--- a/src/egretrail/dispatch/_path_check.py
+++ b/src/egretrail/dispatch/_path_check.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from egretrail.dispatch._crashing_requests import RequestDigest
 from egretrail.dispatch._observation import Observation, Outcome
@@ -77,8 +77,15 @@
             is_connect_failure = failure.observation.outcome is Outcome.UNREACHABLE
             if is_connect_failure and not connected:
                 kept.append(failure)
-            elif not is_connect_failure or failure.observation.upstream_id != upstream_id:
+            elif not is_connect_failure:
                 attributed.append(failure)
+            elif failure.observation.upstream_id != upstream_id:
+                # Responses since the attempt began show that the upstream is reachable, so the
+                # report must not state a later beginning.
+                held_s = now_s - failure.at_s
+                duration_s = failure.observation.duration_s + held_s
+                observation = replace(failure.observation, duration_s=duration_s)
+                attributed.append(replace(failure, observation=observation))
         self._held = kept
         return attributed
 
--- a/src/egretrail/dispatch/_suspicion.py
+++ b/src/egretrail/dispatch/_suspicion.py
@@ -10,8 +10,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from egretrail.dispatch._observation import Observation, Outcome
-from egretrail.dispatch._reachability import FIRST_PATH_PAUSE_S, ReachabilityTable
+from egretrail.dispatch._observation import RESPONSE_OUTCOMES, Observation, Outcome
+from egretrail.dispatch._reachability import (
+    FIRST_PATH_PAUSE_S,
+    RESPONSE_MARGIN_S,
+    ReachabilityTable,
+)
 
 #: A failure within this share of the typical duration indicates an upstream that does not work at
 #: all. A healthy upstream has single failures that take as long as a normal request.
@@ -33,6 +37,9 @@
 #: Successes in a row, one request at a time, before a suspect returns to full service. An upstream
 #: that fails half of its requests passes every other trial.
 _PROBATION_SUCCESSES = 2
+#: For how long after a trial is due an instance whose own path failed leaves it to the others. By
+#: then the number of instances that may try has doubled eight times.
+_OTHERS_FIRST_S = 2.0
 #: How long an upstream counts as shedding after it refused a request. A full upstream has a free
 #: slot when one of its requests ends; one that refuses without need reaches the maximum in four
 #: steps.
@@ -67,8 +74,9 @@
     pause_s: float
     #: Whether the evidence is weak; such a suspicion expires.
     is_weak: bool = False
-    #: Whether the reason is that several instances could not reach it, not that it failed requests.
-    is_unreachable: bool = False
+    #: If the reason is that several instances could not reach it: when the first of their attempts
+    #: began. None if the reason is that it failed requests.
+    first_attempt_s: float | None = None
     #: Successes since the last failure.
     successes: int = 0
     #: Time of the last success.
@@ -105,6 +113,8 @@
         self, observation: Observation, observer: str, typical_s: float, now_s: float
     ) -> None:
         """Record an outcome that was observed now; ``typical_s`` is the typical duration."""
+        if observation.outcome in RESPONSE_OUTCOMES:
+            self.record_response(observation.upstream_id, now_s)
         match observation.outcome:
             case Outcome.SUCCESS:
                 self._record_success(
@@ -118,10 +128,21 @@
             case Outcome.OVERDUE:
                 self._record_failure(observation, observer, False, now_s)
             case Outcome.UNREACHABLE | Outcome.SILENT:
-                is_confirmed = self._reachability.record_failure(
-                    observation.upstream_id, observer, now_s
-                )
-                self._record_unreachable(observation, now_s, is_confirmed=is_confirmed)
+                self._record_unreachable(observation, observer, now_s)
+
+    def record_response(self, upstream_id: str, now_s: float) -> None:
+        """Record that an upstream responded to any instance, which shows that it is reachable.
+
+        If it is suspected because instances could not reach it, only their paths had failed. It
+        returns to service at once, and more instances have to fail before the next such suspicion.
+        """
+        self._reachability.record_response(upstream_id, now_s)
+        suspicion = self._suspicions.get(upstream_id)
+        if suspicion is None or suspicion.first_attempt_s is None:
+            return
+        if now_s >= suspicion.first_attempt_s + RESPONSE_MARGIN_S:
+            del self._suspicions[upstream_id]
+            self._reachability.raise_quorum(upstream_id, now_s)
 
     def pause_path(self, upstream_id: str, now_s: float) -> None:
         """Avoid an upstream for a while because this instance's network path to it failed."""
@@ -164,16 +185,21 @@
     def overdue_s(self, upstream_id: str, now_s: float, pause_factor: float = 1.0) -> float:
         """Return for how long a suspect's trial has been due; negative before that time.
 
-        The pause is multiplied by ``pause_factor``.
+        The pause is multiplied by ``pause_factor``. While paths fail for a fifth of the instances,
+        a trial of one of them shows nothing and costs its request 0.35 s. An instance whose own
+        path failed therefore leaves the trial to others, and tries only if nobody else did.
         """
         if self._reachability.is_paused(upstream_id, now_s):
             return float("-inf")
         suspicion = self._suspicions.get(upstream_id)
         if suspicion is None:
             return 0.0
+        overdue_s = now_s - suspicion.since_s - suspicion.pause_s * pause_factor
         if suspicion.successes:
-            return now_s - suspicion.last_success_s
-        return now_s - suspicion.since_s - suspicion.pause_s * pause_factor
+            overdue_s = now_s - suspicion.last_success_s
+        if self._reachability.has_failed_path(upstream_id, now_s):
+            overdue_s -= _OTHERS_FIRST_S
+        return overdue_s
 
     def export_records(self, now_s: float) -> list[SuspicionRecord]:
         """Return all suspicions that are not weak, for an instance that has just started.
@@ -211,7 +237,8 @@
     def _record_success(
         self, upstream_id: str, observer: str, started_s: float, now_s: float
     ) -> None:
-        self._reachability.record_success(upstream_id, observer)
+        if observer == self._own_name:
+            self._reachability.resume(upstream_id)
         suspicion = self._suspicions.get(upstream_id)
         if suspicion is None or started_s < suspicion.since_s + _CLEAR_MARGIN_S:
             return
@@ -248,9 +275,7 @@
                 now_s, _WEAK_SUSPICION_S, is_weak=True
             )
 
-    def _record_unreachable(
-        self, observation: Observation, now_s: float, *, is_confirmed: bool
-    ) -> None:
+    def _record_unreachable(self, observation: Observation, observer: str, now_s: float) -> None:
         """Take an upstream out of service that no instance reaches, or extend a suspect's pause.
 
         At the heaviest load, upstreams crash while three in ten are suspected for failing requests.
@@ -259,13 +284,21 @@
         one: 600 were sent in 2 s. On probation the upstream has just responded to some instance, so
         that one failed path shows nothing about it.
         """
-        suspicion = self._suspicions.get(observation.upstream_id)
+        upstream_id = observation.upstream_id
+        first_attempt_s = self._reachability.record_failure(
+            upstream_id, observer, now_s - observation.duration_s, now_s
+        )
+        suspicion = self._suspicions.get(upstream_id)
         if suspicion is None or suspicion.is_weak:
-            if is_confirmed:
-                self._suspicions[observation.upstream_id] = _Suspicion(
-                    now_s, FIRST_PATH_PAUSE_S, is_unreachable=True
+            if first_attempt_s is not None:
+                self._suspicions[upstream_id] = _Suspicion(
+                    now_s, FIRST_PATH_PAUSE_S, first_attempt_s=first_attempt_s
                 )
-        elif is_confirmed or not suspicion.successes:
+            return
+        is_trial = not suspicion.successes and not self._reachability.is_discredited(
+            observer, now_s
+        )
+        if first_attempt_s is not None or is_trial:
             self._extend_pause(suspicion, observation, now_s)
 
     def _extend_pause(self, suspicion: _Suspicion, observation: Observation, now_s: float) -> None:
@@ -274,7 +307,7 @@
             return
         pause_s = min(max(suspicion.pause_s * _PAUSE_GROWTH, FIRST_PAUSE_S), _PAUSE_MAX_S)
         self._suspicions[observation.upstream_id] = _Suspicion(
-            now_s, pause_s, is_unreachable=suspicion.is_unreachable
+            now_s, pause_s, first_attempt_s=suspicion.first_attempt_s
         )
 
     def _add_weak_evidence(self, observation: Observation, observer: str, now_s: float) -> bool:
--- a/src/egretrail/gateway/_outcome_recorder.py
+++ b/src/egretrail/gateway/_outcome_recorder.py
@@ -4,6 +4,7 @@
 
 from egretrail.cluster import OutcomeReport
 from egretrail.dispatch import (
+    RESPONSE_OUTCOMES,
     FleetLoad,
     Observation,
     Outcome,
@@ -14,8 +15,6 @@
 from egretrail.gateway._log import EventLog
 from egretrail.traffic import UpstreamRecord, UpstreamTable, upstream_key
 
-#: Outcomes that come with an answer of the upstream.
-_ANSWERED = frozenset({Outcome.SUCCESS, Outcome.FAILED, Outcome.SHED, Outcome.EXPIRED})
 #: Outcomes after which the attempt brings no answer to the client.
 _LOST_ANSWERS = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT, Outcome.SHED})
 #: A refusal that this instance observed returns in its zone's aggregates within this time. Counted
@@ -80,6 +79,7 @@
         if record is None:
             return
         if self._suspicion.has_no_evidence(record.id):
+            self._suspicion.record_response(record.id, now_s)
             self._load.record_response(record.id, now_s)
             self._record_duration(record, duration_s, now_s)
             return
@@ -93,7 +93,7 @@
         before = self._suspicion.health(observation.upstream_id, now_s)
         typical_s = self._durations.mean_s(record.service)
         self._suspicion.record_outcome(observation, observer, typical_s, now_s)
-        if observation.outcome in _ANSWERED:
+        if observation.outcome in RESPONSE_OUTCOMES:
             self._load.record_response(observation.upstream_id, now_s)
         if observation.outcome is Outcome.SUCCESS:
             self._record_duration(record, observation.duration_s, now_s)
