Detect full services from where the queue will be, and learn the bias of their capacity

Requests in flight at other instances are known a quarter of a second late; in a burst the queue overshot its target by half. Accounts are averaged over two seconds unless they change.

--- a/src/egretrail/overload/_admission.py
+++ b/src/egretrail/overload/_admission.py
@@ -1,9 +1,10 @@
 """Divides a rate between priorities, and between the accounts of one priority."""
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from egretrail.overload._demand import priority_of_account_key
+from egretrail.overload._demand import LAST_KEY_PRIORITY, priority_of_account_key
 
 
 def fill_by_priority(wanted_per_s: Mapping[int, float], room_per_s: float) -> Mapping[int, float]:
@@ -16,24 +17,24 @@
     return shares
 
 
-def fair_level(demands_per_s: Iterable[float], unlisted_per_s: float, room_per_s: float) -> float:
-    """Return the largest rate that each account may have, so that all together fit the room.
+def fair_level(demands: Iterable[float], unlisted: float, room: float) -> float:
+    """Return the largest number that each account may have, so that all together fit the room.
 
     Accounts that ask for less get what they ask for, and the others share what these leave (max-min
-    fairness). ``unlisted_per_s`` is the demand of accounts that are too small to be listed: of as
-    many as the smallest listed one would allow.
+    fairness). ``unlisted`` is the demand of accounts that are too small to be listed: of as many as
+    the smallest listed one would allow.
     """
-    demands = sorted(demands_per_s)
-    left_per_s = room_per_s
-    if unlisted_per_s > 0:
-        smallest_per_s = max(demands[0], 1.0) if demands else 1.0
-        count = -(-unlisted_per_s // smallest_per_s)
-        demands = sorted([*demands, *[unlisted_per_s / count] * int(count)])
-    for index, per_s in enumerate(demands):
-        level_per_s = left_per_s / (len(demands) - index)
-        if per_s >= level_per_s:
-            return max(level_per_s, 0.0)
-        left_per_s -= per_s
+    ordered = sorted(demands)
+    if unlisted > 0:
+        size = max(ordered[0], 1.0) if ordered else 1.0
+        count = math.ceil(unlisted / size)
+        ordered = sorted([*ordered, *[unlisted / count] * count])
+    left = room
+    for index, demand in enumerate(ordered):
+        level = left / (len(ordered) - index)
+        if demand >= level:
+            return max(level, 0.0)
+        left -= demand
     return float("inf")
 
 
@@ -47,13 +48,13 @@
     partial_priority: int | None
     #: Requests per second that are offered at all priorities.
     offered_per_s: float
-    #: Requests per second that are admitted of each account at the partial priority, at most; None
-    #: where accounts do not share the capacity.
-    level_per_s: float | None = None
-    #: Requests per second of accounts at the partial priority.
-    accounts_per_s: Mapping[int, float] = field(default_factory=dict)
+    #: Requests of each account that are admitted at the partial priority, at most, of those that
+    #: ``accounts`` counts; None where accounts do not share the capacity.
+    level: float | None = None
+    #: Requests in a second of accounts at the partial priority.
+    accounts: Mapping[int, float] = field(default_factory=dict)
 
-    def share(self, priority: int, account_key: int, own_account_per_s: float) -> float:
+    def share(self, priority: int, account_key: int, own_count: float) -> float:
         """Return the share of a kind of request that is admitted.
 
         An account that is not listed offers at least what this instance counts.
@@ -62,34 +63,36 @@
             return 1.0
         if priority > self.partial_priority:
             return 0.0
-        if self.level_per_s is None:
+        if self.level is None:
             return self.shares[priority]
-        account_per_s = max(self.accounts_per_s.get(account_key, 0.0), own_account_per_s)
-        return min(self.level_per_s / account_per_s, 1.0) if account_per_s > 0 else 1.0
+        count = max(self.accounts.get(account_key, 0.0), own_count)
+        return min(self.level / count, 1.0) if count > 0 else 1.0
 
 
 def plan_admission(
     offered_per_s: Mapping[int, float],
-    accounts_per_s: Mapping[int, float] | None,
+    counts: Mapping[int, float],
+    accounts: Mapping[int, float] | None,
     room_per_s: float,
 ) -> AdmissionPlan:
     """Admit by priority until the room is spent, and by account at the last one.
 
     Made for bursts of 2.5 times the load: without it, all kinds of requests lose alike, and one
-    account that sends six times its load takes the others' part. ``accounts_per_s`` is None where
-    accounts do not share the capacity.
+    account that sends six times its load takes the others' part. ``counts`` and ``accounts`` are
+    the requests of the last second by priority and by account key. These lag behind the rates, so
+    accounts share the part of ``counts`` that is admitted. ``accounts`` is None where they do not
+    share the capacity.
     """
     shares = fill_by_priority(offered_per_s, room_per_s)
     total_per_s = sum(offered_per_s.values())
     partial = min((priority for priority, share in shares.items() if share < 1.0), default=None)
-    if partial is None or accounts_per_s is None:
+    if partial is None or accounts is None:
         return AdmissionPlan(shares, partial, total_per_s)
-    accounts = {
-        key: per_s
-        for key, per_s in accounts_per_s.items()
-        if priority_of_account_key(key) == min(partial, 7)
+    listed = {
+        key: count
+        for key, count in accounts.items()
+        if priority_of_account_key(key) == min(partial, LAST_KEY_PRIORITY)
     }
-    left_per_s = shares[partial] * offered_per_s[partial]
-    unlisted_per_s = offered_per_s[partial] - sum(accounts.values())
-    level_per_s = fair_level(accounts.values(), unlisted_per_s, left_per_s)
-    return AdmissionPlan(shares, partial, total_per_s, level_per_s, accounts)
+    count = max(counts.get(partial, 0.0), sum(listed.values()))
+    level = fair_level(listed.values(), count - sum(listed.values()), shares[partial] * count)
+    return AdmissionPlan(shares, partial, total_per_s, level, listed)
--- a/src/egretrail/overload/_demand.py
+++ b/src/egretrail/overload/_demand.py
@@ -8,8 +8,9 @@
 
 from egretrail.dispatch import account_key
 
-#: The lowest bits of an account's number in demand reports hold the priority.
-_PRIORITY_MASK = 7
+#: The lowest three bits of an account's number in demand reports hold the priority; from this one
+#: on, priorities are counted together.
+LAST_KEY_PRIORITY = 7
 
 #: The sliding window in which demand is counted. Reports carry the counts of this window, not
 #: counters that grow, so that a lost report or a new hub needs no earlier value.
@@ -28,14 +29,13 @@
     """Return the 32-bit number that identifies an account's requests of one priority.
 
     Accounts share the capacity left for one priority, so their requests are counted by priority.
-    Priorities from 7 on are counted together.
     """
-    return (account_key(account) & ~_PRIORITY_MASK) | min(priority, _PRIORITY_MASK)
+    return (account_key(account) & ~LAST_KEY_PRIORITY) | min(priority, LAST_KEY_PRIORITY)
 
 
 def priority_of_account_key(key: int) -> int:
     """Return the priority in a number of ``account_demand_key``."""
-    return key & _PRIORITY_MASK
+    return key & LAST_KEY_PRIORITY
 
 
 class DemandKey(NamedTuple):
--- a/src/egretrail/overload/_fleet_policy.py
+++ b/src/egretrail/overload/_fleet_policy.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from egretrail.overload._admission import AdmissionPlan, fill_by_priority, plan_admission
-from egretrail.overload._capacity import Capacity
+from egretrail.overload._capacity import Capacity, CapacityBias
 from egretrail.overload._counting import OwnDemand
 from egretrail.overload._credit import ShareCredits
 from egretrail.overload._demand import (
@@ -15,7 +15,7 @@
     account_demand_key,
     service_key,
 )
-from egretrail.overload._fleet_totals import FleetTotals, ServiceDemand, own_demand
+from egretrail.overload._fleet_totals import FleetTotals, ServiceDemand, SteadyCounts, own_demand
 from egretrail.overload._policy import (
     Arrival,
     OverloadPolicy,
@@ -45,6 +45,8 @@
     admissions: ShareCredits
     retries: ShareCredits
     detector: StateDetector = field(default_factory=StateDetector)
+    bias: CapacityBias = field(default_factory=CapacityBias)
+    accounts: SteadyCounts = field(default_factory=SteadyCounts)
     #: Retries that the budget allowed per second, when last told.
     retries_per_s: float = 0.0
     #: This instance's counts, when last added up.
@@ -119,13 +121,13 @@
         if found.state is not ServiceState.FULL:
             return None
         room_per_s = found.capacity.corrected_per_s
-        plan = self._plan(service, found, room_per_s)
+        plan = self._plan(service, found, room_per_s, now_s)
         kind: tuple[int, int] = (priority, 0)
-        own_account_per_s = 0.0
-        if plan.level_per_s is not None and priority == plan.partial_priority:
+        own_count = 0.0
+        if plan.level is not None and priority == plan.partial_priority:
             kind = (priority, account_demand_key(arrival.account, priority))
-            own_account_per_s = float(service.own.account_total(kind[1], now_s))
-        share = plan.share(priority, kind[1], own_account_per_s)
+            own_count = float(service.own.account_total(kind[1], now_s))
+        share = plan.share(priority, kind[1], own_count)
         if service.admissions.draws(kind, share):
             return None
         service.own.record_refused(priority, now_s)
@@ -162,8 +164,8 @@
         found = self._assess(known, room, now_s)
         if found.state is ServiceState.NORMAL or not known.terms.ranks_urgency:
             return True
-        wanted_per_s = found.demand.retries_wanted_per_s
-        shares = fill_by_priority({priority: 0.0, **wanted_per_s}, retries_per_s * found.share)
+        wanted = {other: float(row.retries_wanted) for other, row in found.demand.rows.items()}
+        shares = fill_by_priority({priority: 0.0, **wanted}, retries_per_s * found.share)
         return known.retries.draws(priority, shares[priority])
 
     def permits_hedge(self, service: str, room: ServiceRoom, now_s: float) -> bool:
@@ -208,7 +210,7 @@
             return None
         found = self._assess(known, room, now_s)
         accounts: dict[str, float] = {}
-        for key, per_s in found.demand.accounts_per_s.items():
+        for key, per_s in found.demand.accounts.items():
             name = known.own.account_name(key)
             accounts[name] = accounts.get(name, 0.0) + per_s
         heaviest = sorted(accounts.items(), key=lambda item: (-item[1], item[0]))
@@ -240,7 +242,8 @@
         if state is ServiceState.NORMAL:
             service.admissions.clear()
             service.retries.clear()
-        return _Assessment(state, capacity, demand, share)
+        bias = service.bias.update(capacity, now_s, is_full=state is ServiceState.FULL)
+        return _Assessment(state, capacity.with_bias(bias), demand, share)
 
     def _own_demand(self, service: _Service, now_s: float) -> ServiceDemand:
         demand = service.own_demand
@@ -249,10 +252,15 @@
             service.own_demand = demand
         return demand
 
-    def _plan(self, service: _Service, found: _Assessment, room_per_s: float) -> AdmissionPlan:
-        shares_accounts = service.terms.shares_accounts
-        accounts_per_s = found.demand.accounts_per_s if shares_accounts else None
-        return plan_admission(found.demand.offered_per_s, accounts_per_s, room_per_s)
+    def _plan(
+        self, service: _Service, found: _Assessment, room_per_s: float, now_s: float
+    ) -> AdmissionPlan:
+        demand = found.demand
+        accounts: Mapping[int, float] | None = None
+        if service.terms.shares_accounts:
+            accounts = service.accounts.update(demand.accounts, now_s)
+        counts = {priority: float(row.offered) for priority, row in demand.rows.items()}
+        return plan_admission(demand.offered_per_s, counts, accounts, room_per_s)
 
     def _retry_after_s(self, found: _Assessment, arrival: Arrival, typical_s: float) -> float:
         if found.state is ServiceState.NORMAL:
--- a/src/egretrail/overload/_fleet_totals.py
+++ b/src/egretrail/overload/_fleet_totals.py
@@ -1,5 +1,6 @@
 """The demand of the whole fleet, from the reports of its zones."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -19,6 +20,10 @@
 #: The rate at which requests arrive is that of this time before the last report. A count of a whole
 #: second lags behind a burst by half a second, in which the queue grows past what may wait.
 _RATE_SPAN_S = 0.4
+#: Counts of accounts are averaged over this time.
+_STEADY_S = 2.0
+#: A count that differs from the average by more than this many standard deviations is a change.
+_CHANGE_DEVIATIONS = 2.5
 
 
 class RateTracker:
@@ -81,10 +86,10 @@
     rows: dict[int, DemandRow] = field(default_factory=dict)
     #: Requests that arrive per second, by priority.
     offered_per_s: dict[int, float] = field(default_factory=dict)
-    #: Retries that are asked for per second, by priority.
-    retries_wanted_per_s: dict[int, float] = field(default_factory=dict)
-    #: Requests that arrive per second, by account key; the heaviest accounts only.
-    accounts_per_s: dict[int, float] = field(default_factory=dict)
+    #: Attempts that upstreams refuse per second, by priority.
+    shed_per_s: dict[int, float] = field(default_factory=dict)
+    #: Requests of the last second, by account key; the heaviest accounts only.
+    accounts: dict[int, float] = field(default_factory=dict)
     #: Receipt of the oldest report behind it.
     oldest_s: float = float("inf")
     #: When the first report behind it stops counting.
@@ -105,7 +110,7 @@
 
     received_s: float
     rows: dict[DemandKey, tuple[DemandRow, RateTracker, RateTracker]]
-    accounts: dict[AccountDemandKey, RateTracker]
+    accounts: Mapping[AccountDemandKey, int]
 
 
 class FleetTotals:
@@ -125,16 +130,11 @@
         for key, row in report.rows.items():
             known = before.rows.get(key)
             offered = RateTracker() if known is None else known[1]
-            wanted = RateTracker() if known is None else known[2]
+            shed = RateTracker() if known is None else known[2]
             offered.update(row.offered, now_s)
-            wanted.update(row.retries_wanted, now_s)
-            rows[key] = (row, offered, wanted)
-        accounts = {}
-        for account, count in report.accounts.items():
-            tracker = before.accounts.get(account) or RateTracker()
-            tracker.update(count, now_s)
-            accounts[account] = tracker
-        self._zones[zone] = _ZoneReport(now_s, rows, accounts)
+            shed.update(row.shed, now_s)
+            rows[key] = (row, offered, shed)
+        self._zones[zone] = _ZoneReport(now_s, rows, report.accounts)
 
     def demand(self, service: int, own_zone: str, now_s: float) -> ServiceDemand | None:
         """Return the fleet's demand; None without a current report of the own zone."""
@@ -155,17 +155,46 @@
                 continue
             demand.oldest_s = min(demand.oldest_s, report.received_s)
             demand.valid_until_s = min(demand.valid_until_s, report.received_s + valid_s)
-            for (row_service, priority), (row, offered, wanted) in report.rows.items():
+            for (row_service, priority), (row, offered, shed) in report.rows.items():
                 if row_service == service:
                     demand.rows[priority] = demand.rows.get(priority, DemandRow()).plus(row)
                     _add(demand.offered_per_s, priority, offered.per_s())
-                    _add(demand.retries_wanted_per_s, priority, wanted.per_s())
-            for (account_service, account), tracker in report.accounts.items():
+                    _add(demand.shed_per_s, priority, shed.per_s())
+            for (account_service, account), count in report.accounts.items():
                 if account_service == service:
-                    _add(demand.accounts_per_s, account, tracker.per_s())
+                    _add(demand.accounts, account, float(count))
         return demand
 
 
+class SteadyCounts:
+    """Averages the counts of accounts over some seconds, unless an account's demand changes.
+
+    An account with eight requests a second has eleven in some seconds. Limited by the counts of
+    single seconds, an account that asks for its fair share would be served 0.87 of it. A change
+    that chance does not explain counts at once, so that an account that sends six times its load is
+    limited from the first report on.
+    """
+
+    def __init__(self) -> None:
+        self._means: dict[int, float] = {}
+        self._updated_s = float("-inf")
+        self._counts: Mapping[int, float] | None = None
+
+    def update(self, counts: Mapping[int, float], now_s: float) -> Mapping[int, float]:
+        """Return the averages; counts that are the same object as before are not applied again."""
+        if counts is self._counts:
+            return self._means
+        weight = 1.0 - math.exp(-max(now_s - self._updated_s, 0.0) / _STEADY_S)
+        means = {}
+        for key, count in counts.items():
+            mean = self._means.get(key, count)
+            if abs(count - mean) > _CHANGE_DEVIATIONS * math.sqrt(max(mean, 1.0)):
+                mean = count
+            means[key] = mean + (count - mean) * weight
+        self._means, self._counts, self._updated_s = means, counts, now_s
+        return means
+
+
 def own_demand(
     rows: Mapping[int, DemandRow], accounts: Mapping[int, int], now_s: float
 ) -> ServiceDemand:
@@ -173,7 +202,7 @@
     return ServiceDemand(
         dict(rows),
         {priority: float(row.offered) for priority, row in rows.items()},
-        {priority: float(row.retries_wanted) for priority, row in rows.items()},
+        {priority: float(row.shed) for priority, row in rows.items()},
         {key: float(count) for key, count in accounts.items()},
         now_s,
     )
--- a/src/egretrail/overload/_state.py
+++ b/src/egretrail/overload/_state.py
@@ -8,8 +8,15 @@
 #: At 300 attempts a second the share varies by 0.02 from one second to the next.
 _SHEDDING_FROM = 0.2
 _SHEDDING_UNTIL = 0.15
+#: Refusals are over when they fall below this share of recent requests, if there are this many. The
+#: share of a whole second shows it half a second later.
+_SHED_END_SHARE = 0.08
+_RECENT_MIN_PER_S = 50.0
 #: With fewer refusals in a second nothing is concluded: an upstream that restarts refuses a few.
 _SHED_MIN = 3
+#: The numbers of requests in flight at other instances are this old. Meanwhile the queue grows by
+#: what is offered beyond the capacity, which in a burst of 2.5 times the load is half of the slots.
+_VIEW_AGE_S = 0.25
 #: Slots are free while less than this share of them is taken. Requests in flight are known as of
 #: some tenths of a second ago.
 _FREE_SHARE = 0.9
@@ -53,14 +60,15 @@
     def _is_full(self, capacity: Capacity, demand: ServiceDemand) -> bool:
         if capacity.slots <= 0:
             return False
-        if capacity.in_flight > capacity.target_in_flight:
+        was_full = self._state is ServiceState.FULL
+        offered_per_s = sum(demand.offered_per_s.values())
+        expected = capacity.in_flight
+        if capacity.in_flight >= capacity.slots and not was_full:
+            expected += max(offered_per_s - capacity.per_s, 0.0) * _VIEW_AGE_S
+        if expected > capacity.target_in_flight:
             return True
-        if (
-            self._state is not ServiceState.FULL
-            or capacity.in_flight < _IDLE_SHARE * capacity.slots
-        ):
+        if not was_full or capacity.in_flight < _IDLE_SHARE * capacity.slots:
             return False
-        offered_per_s = sum(demand.offered_per_s.values())
         if capacity.in_flight < _FREE_SHARE * capacity.slots:
             return offered_per_s > capacity.per_s
         queue_end = _QUEUE_END_SHARE * (capacity.target_in_flight - capacity.slots)
@@ -77,6 +85,10 @@
             return False
         if now_s - self._full_until_s < _AFTER_FULL_S:
             return False
+        offered_per_s = sum(demand.offered_per_s.values())
+        shed_per_s = sum(demand.shed_per_s.values())
+        if offered_per_s >= _RECENT_MIN_PER_S and shed_per_s < _SHED_END_SHARE * offered_per_s:
+            return False
         total = demand.total
         if total.shed < _SHED_MIN:
             return False
--- a/src/egretrail/overload/tests/test_decisions.py
+++ b/src/egretrail/overload/tests/test_decisions.py
@@ -57,6 +57,7 @@
             # in flight of 100 slots, offered, shed, retries wanted, states after 1 s of it
             "calm": (70, 230, 0, 0, ServiceState.NORMAL),
             "slots taken, a short queue": (140, 330, 0, 0, ServiceState.NORMAL),
+            "a queue that will be long when others know": (170, 450, 0, 0, ServiceState.FULL),
             "a long queue": (200, 400, 0, 0, ServiceState.FULL),
             "half is refused, slots free": (40, 230, 150, 150, ServiceState.SHEDDING),
             "a tenth is refused": (60, 230, 24, 24, ServiceState.NORMAL),
@@ -68,7 +69,7 @@
     def test_state(self, case: tuple[int, int, int, int, ServiceState]) -> None:
         in_flight, offered, shed, wanted, expected = case
         row = DemandRow(offered, 0, shed, wanted)
-        demand = ServiceDemand({0: row}, {0: float(offered)})
+        demand = ServiceDemand({0: row}, {0: float(offered)}, {0: float(shed)})
         capacity = Capacity.of(ServiceRoom(100, in_flight, 0.3), 1.1, 1.0)
         self.assertEqual(expected, StateDetector().update(capacity, demand, 50.0, 5.0))
 
@@ -96,7 +97,7 @@
 
     def test_refusals_of_a_full_service_do_not_make_it_shed_afterwards(self) -> None:
         detector = StateDetector()
-        demand = ServiceDemand({0: DemandRow(300, 0, 150, 150)}, {0: 300.0})
+        demand = ServiceDemand({0: DemandRow(300, 0, 150, 150)}, {0: 300.0}, {0: 150.0})
         detector.update(Capacity.of(_FULL, 1.1, 1.0), demand, 50.0, 5.0)
         free = Capacity.of(_FREE, 1.1, 1.0)
         states = [detector.update(free, demand, 50.0, now_s) for now_s in (5.2, 5.9, 6.1)]
@@ -142,7 +143,7 @@
             account_demand_key("a", 1): 60.0,
             account_demand_key("b", 1): 10.0,
         }
-        plan = plan_admission({0: 90.0, 1: 70.0}, accounts, 120.0)
+        plan = plan_admission({0: 90.0, 1: 70.0}, {0: 90.0, 1: 70.0}, accounts, 120.0)
         shares = [
             plan.share(priority, account_demand_key(name, priority), 1.0)
             for priority, name in ((0, "a"), (1, "a"), (1, "b"), (2, "b"))
