Replay bursts, refusals and failures on many overload policies side by side

44, 88 and 300 policies stand before simulated slots; reports are summed by zone and delivered 0.1 to 0.3 s late. Retry-After is scheduled by each instance for its part of the free capacity: spread over the last second's refusals only, continuing refusals brought back more than 1.2 times the free capacity.

--- a/src/egretrail/overload/_admission.py
+++ b/src/egretrail/overload/_admission.py
@@ -6,6 +6,11 @@
 
 from egretrail.overload._demand import LAST_KEY_PRIORITY, priority_of_account_key
 
+#: An account that exceeds the fair level by less than this many standard deviations of a count may
+#: ask for no more than its fair share, and is not limited. Averaged over two seconds, counts vary
+#: by half a deviation.
+_LEVEL_TOLERANCE = 0.5
+
 
 def fill_by_priority(wanted_per_s: Mapping[int, float], room_per_s: float) -> Mapping[int, float]:
     """Return the share of each priority's requests that fits, the most urgent (0) first."""
@@ -66,7 +71,9 @@
         if self.level is None:
             return self.shares[priority]
         count = max(self.accounts.get(account_key, 0.0), own_count)
-        return min(self.level / count, 1.0) if count > 0 else 1.0
+        if count <= self.level + _LEVEL_TOLERANCE * math.sqrt(self.level):
+            return 1.0
+        return self.level / count
 
 
 def plan_admission(
--- a/src/egretrail/overload/_fleet_policy.py
+++ b/src/egretrail/overload/_fleet_policy.py
@@ -1,5 +1,6 @@
 """Overload control from the demand that all instances report."""
 
+import math
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -25,7 +26,7 @@
     ServiceState,
     ServiceTerms,
 )
-from egretrail.overload._returns import ReturnSchedule, clamp_retry_after, is_in_time
+from egretrail.overload._returns import ReturnSchedule, clamp_retry_after, latest_return_s
 from egretrail.overload._state import StateDetector
 
 #: How long this instance's counts are used before they are added up again, which takes as long as
@@ -44,6 +45,7 @@
     own: OwnDemand
     admissions: ShareCredits
     retries: ShareCredits
+    returns: ReturnSchedule
     detector: StateDetector = field(default_factory=StateDetector)
     bias: CapacityBias = field(default_factory=CapacityBias)
     accounts: SteadyCounts = field(default_factory=SteadyCounts)
@@ -83,7 +85,6 @@
         self._rng = rng
         self._services: dict[str, _Service] = {}
         self._totals = FleetTotals()
-        self._returns = ReturnSchedule(rng)
         self._known_share = 1.0
         self._own_share = 1.0
         self._own_zone = ""
@@ -104,6 +105,7 @@
                 OwnDemand(counts_accounts=service_terms.shares_accounts),
                 ShareCredits(self._rng),
                 ShareCredits(self._rng),
+                ReturnSchedule(self._rng),
             )
 
     def watches(self, service: str) -> bool:
@@ -133,7 +135,7 @@
         service.own.record_refused(priority, now_s)
         typical_s = clamp_retry_after(found.capacity.mean_s)
         return Rejection(
-            self._retry_after_s(found, arrival, typical_s),
+            self._retry_after_s(service, found, arrival, typical_s, now_s),
             found.state,
             share,
             plan.offered_per_s,
@@ -180,7 +182,8 @@
         known = self._services.get(arrival.service)
         if known is None:
             return typical_s
-        return self._retry_after_s(self._assess(known, room, now_s), arrival, typical_s)
+        found = self._assess(known, room, now_s)
+        return self._retry_after_s(known, found, arrival, typical_s, now_s)
 
     def own_report(self, now_s: float) -> DemandReport:
         """Return this instance's counts of the last second."""
@@ -234,11 +237,15 @@
         share = self._known_share
         capacity = Capacity.of(room, service.objective_s, share)
         demand = self._totals.demand(service.key, self._own_zone, now_s)
+        margin = 0.0
         if demand is None:
-            share = self._own_share
+            # An instance alone has one request in flight on average, and at times four by chance.
+            part = self._own_share / max(self._known_share, 1e-9)
+            margin = math.sqrt(capacity.target_in_flight) * part
+            share, capacity = self._own_share, capacity.part(part)
             demand = self._own_demand(service, now_s)
-            capacity = capacity.part(share / max(self._known_share, 1e-9))
-        state = service.detector.update(capacity, demand, service.retries_per_s * share, now_s)
+        retries_per_s = service.retries_per_s * share
+        state = service.detector.update(capacity, demand, retries_per_s, now_s, margin=margin)
         if state is ServiceState.NORMAL:
             service.admissions.clear()
             service.retries.clear()
@@ -262,16 +269,27 @@
         counts = {priority: float(row.offered) for priority, row in demand.rows.items()}
         return plan_admission(demand.offered_per_s, counts, accounts, room_per_s)
 
-    def _retry_after_s(self, found: _Assessment, arrival: Arrival, typical_s: float) -> float:
+    def _retry_after_s(
+        self,
+        service: _Service,
+        found: _Assessment,
+        arrival: Arrival,
+        typical_s: float,
+        now_s: float,
+    ) -> float:
         if found.state is ServiceState.NORMAL:
             return typical_s
+        latest_s = latest_return_s(arrival.objective_s, arrival.remaining_s)
         if found.state is ServiceState.SHEDDING:
-            wait_s = self._returns.while_shedding_s()
-        else:
-            refused = {priority: row.refused for priority, row in found.demand.rows.items()}
-            wait_s = self._returns.while_full_s(
-                arrival.priority, found.capacity, found.demand.offered_per_s, refused
-            )
-        if not is_in_time(wait_s, arrival.objective_s, arrival.remaining_s):
-            return typical_s
-        return clamp_retry_after(wait_s)
+            wait_s = service.returns.while_shedding_s()
+            return wait_s if wait_s <= latest_s else typical_s
+        own_part = self._own_share / found.share if found.share else 1.0
+        scheduled_s = service.returns.while_full_s(
+            arrival.priority,
+            found.capacity,
+            found.demand.offered_per_s,
+            own_part,
+            latest_s,
+            now_s,
+        )
+        return typical_s if scheduled_s is None else clamp_retry_after(scheduled_s)
--- a/src/egretrail/overload/_returns.py
+++ b/src/egretrail/overload/_returns.py
@@ -15,8 +15,6 @@
 _RETURN_SHARE = 0.9
 #: A client that would come back later than after this share of what it has left is not in time.
 _REMAINING_SHARE = 1.0 / 3.0
-#: Consecutive multiples of the golden ratio fill an interval evenly, whatever their number.
-_GOLDEN_RATIO = 0.6180339887498949
 
 
 def clamp_retry_after(wait_s: float) -> float:
@@ -24,17 +22,24 @@
     return min(max(wait_s, _RETRY_MIN_S), _RETRY_MAX_S)
 
 
+def latest_return_s(objective_s: float, remaining_s: float) -> float:
+    """Return the latest time at which a client may return and still be served in time."""
+    return min(remaining_s * _REMAINING_SHARE, objective_s, _RETRY_MAX_S)
+
+
 class ReturnSchedule:
-    """When refused clients may return.
+    """When refused clients of one service may return.
 
-    Made for bursts in which half of the requests are refused: told the same time, they come back
-    together and fill the service again. The requests that were refused in the last second return
-    one priority after the other, each at the rate of the capacity that more urgent requests leave.
+    Made for bursts in which half of the requests are refused: told the same time, clients come back
+    together and fill the service again. Each instance brings back its part of the capacity that
+    more urgent requests leave, one client after the other, so all instances together bring back no
+    more than that at any moment, whatever they know of each other's refusals.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._position = rng.random()
+        #: When the next client may return, by priority.
+        self._next_s: dict[int, float] = {}
 
     def while_shedding_s(self) -> float:
         """Return a short time, since there is capacity at once."""
@@ -45,25 +50,27 @@
         priority: int,
         capacity: Capacity,
         offered_per_s: Mapping[int, float],
-        refused: Mapping[int, int],
-    ) -> float:
-        """Return a time for one of the refused; it may be infinite.
+        own_part: float,
+        latest_s: float,
+        now_s: float,
+    ) -> float | None:
+        """Return after what time a client may return; None if that is after ``latest_s``.
 
-        ``offered_per_s`` and ``refused`` are the rates and the last second's refusals by priority.
+        ``offered_per_s`` are the rates by priority, and ``own_part`` is the part of the capacity
+        that this instance may bring clients back to.
         """
         more_urgent_per_s = sum(per_s for other, per_s in offered_per_s.items() if other < priority)
-        free_per_s = (capacity.per_s - more_urgent_per_s) * _RETURN_SHARE
+        free_per_s = (capacity.per_s - more_urgent_per_s) * _RETURN_SHARE * own_part
         if free_per_s <= 0:
-            return float("inf")
-        before = sum(count for other, count in refused.items() if other < priority)
-        # The refusal at hand may not be reported yet.
-        same = max(refused.get(priority, 0), 1)
-        self._position = (self._position + _GOLDEN_RATIO) % 1.0
+            return None
+        interval_s = 1.0 / free_per_s
         excess = max(capacity.in_flight - capacity.target_in_flight, 0.0)
-        start_s = _RETRY_MIN_S + excess / max(capacity.per_s, 1e-9)
-        return start_s + (before + self._position * same) / free_per_s
-
-
-def is_in_time(wait_s: float, objective_s: float, remaining_s: float) -> bool:
-    """Return whether a client that returns after a time can be served in time."""
-    return wait_s <= min(remaining_s * _REMAINING_SHARE, objective_s, _RETRY_MAX_S)
+        first_s = now_s + _RETRY_MIN_S + excess / capacity.per_s
+        next_s = self._next_s.get(priority, float("-inf"))
+        if next_s < first_s:
+            # All instances begin to refuse at the same time.
+            next_s = first_s + self._rng.random() * interval_s
+        if next_s - now_s > latest_s:
+            return None
+        self._next_s[priority] = next_s + interval_s
+        return next_s - now_s
--- a/src/egretrail/overload/_state.py
+++ b/src/egretrail/overload/_state.py
@@ -10,8 +10,8 @@
 _SHEDDING_UNTIL = 0.15
 #: Refusals are over when they fall below this share of recent requests, if there are this many. The
 #: share of a whole second shows it half a second later.
-_SHED_END_SHARE = 0.08
-_RECENT_MIN_PER_S = 50.0
+_SHED_END_SHARE = 0.15
+_RECENT_MIN_PER_S = 100.0
 #: With fewer refusals in a second nothing is concluded: an upstream that restarts refuses a few.
 _SHED_MIN = 3
 #: The numbers of requests in flight at other instances are this old. Meanwhile the queue grows by
@@ -45,10 +45,20 @@
         self._full_until_s = float("-inf")
 
     def update(
-        self, capacity: Capacity, demand: ServiceDemand, retries_per_s: float, now_s: float
+        self,
+        capacity: Capacity,
+        demand: ServiceDemand,
+        retries_per_s: float,
+        now_s: float,
+        *,
+        margin: float = 0.0,
     ) -> ServiceState:
-        """Return the state; ``retries_per_s`` is how many retries the budget allows."""
-        if self._is_full(capacity, demand):
+        """Return the state.
+
+        ``retries_per_s`` is how many retries the budget allows. A full service has more requests in
+        flight than the target by the ``margin``.
+        """
+        if self._is_full(capacity, demand, margin):
             self._state = ServiceState.FULL
             self._full_until_s = now_s
         elif self._is_shedding(capacity, demand, retries_per_s, now_s):
@@ -57,7 +67,7 @@
             self._state = ServiceState.NORMAL
         return self._state
 
-    def _is_full(self, capacity: Capacity, demand: ServiceDemand) -> bool:
+    def _is_full(self, capacity: Capacity, demand: ServiceDemand, margin: float) -> bool:
         if capacity.slots <= 0:
             return False
         was_full = self._state is ServiceState.FULL
@@ -65,7 +75,7 @@
         expected = capacity.in_flight
         if capacity.in_flight >= capacity.slots and not was_full:
             expected += max(offered_per_s - capacity.per_s, 0.0) * _VIEW_AGE_S
-        if expected > capacity.target_in_flight:
+        if expected > capacity.target_in_flight + margin:
             return True
         if not was_full or capacity.in_flight < _IDLE_SHARE * capacity.slots:
             return False
--- a/src/egretrail/overload/tests/replay.py
+++ b/src/egretrail/overload/tests/replay.py
@@ -25,6 +25,8 @@
 #: Zones send the sums of their reports this often; other zones get them 0.1 to 0.3 s late.
 _REPORT_INTERVAL_S = 0.2
 _OWN_ZONE_DELAY_S = 0.1
+#: A zone that has not been heard for this long is not known.
+_HEARD_S = 1.0
 _SAMPLE_S = 0.05
 
 
@@ -45,11 +47,10 @@
     big_part: float = 0.1
     shed: tuple[float, float] = (0.0, 0.0)
     retries_per_s: float = 50.0
-    known_share: float = 1.0
     until_s: float = 10.0
     #: Actual duration of work, as a multiple of what the policies are told.
     work_factor: float = 1.0
-    #: Whether a zone's report of a time reaches an instance.
+    #: Whether a report of a time from a zone reaches another one.
     delivers: Callable[[float, int, int, random.Random], bool] = lambda *_: True
     #: When which instances restart, and which is frozen from when until when.
     restart_s: float = float("inf")
@@ -86,8 +87,10 @@
     requests: list[Request] = field(default_factory=list)
     #: Time, requests in flight, requests refused so far, and the state at each instance.
     samples: list[tuple[float, int, int, list[ServiceState]]] = field(default_factory=list)
-    #: Retries asked for and permitted, by priority.
-    retries: dict[int, list[int]] = field(default_factory=dict)
+    #: Time of each attempt, and whether an upstream refused it.
+    attempts: list[tuple[float, bool]] = field(default_factory=list)
+    #: Time and priority of each retry that was asked for, and whether it was permitted.
+    retries: list[tuple[float, int, bool]] = field(default_factory=list)
 
     def run(self) -> "Replay":
         """Play the pattern to its end."""
@@ -96,13 +99,15 @@
         kinds = [_KINDS[priority] for priority in pattern.priorities]
         self._rate = sum(rate for rate, _, _ in kinds) * size / 88
         work = sum(rate * work_s for rate, work_s, _ in kinds) * size / 88
-        self._mean_s = work / self._rate
+        self.mean_s = work / self._rate
         self.slots = round(work / _USUAL_LOAD)
         self._names = [f"a{index}" for index in range(pattern.accounts)]
         self._weights = [1.0 / (index + 1) for index in range(pattern.accounts)]
         self._policies = [self._new_policy(index) for index in range(size)]
-        self._in_flight: list[dict[int, int]] = [{} for _ in range(size)]
-        self._zone_in_flight = [0] * 4
+        #: When each zone was heard last at each instance, and what it had in flight.
+        self._heard: list[dict[int, tuple[float, int]]] = [{} for _ in range(size)]
+        #: Requests in flight of each instance.
+        self._own = [0] * size
         self._busy, self._queue = 0, deque[Request]()
         self._refused = 0
         self._budget = deque[float]()
@@ -126,11 +131,22 @@
         policy = FleetOverloadPolicy(random.Random(f"{self.seed} {index}"))
         objectives_s = {priority: _KINDS[priority][2] for priority in self.pattern.priorities}
         policy.configure({"s": ServiceTerms(True, True, objectives_s)})
-        policy.set_fleet(self.pattern.known_share, 1 / self.pattern.instances, str(index % 4))
         return policy
 
     def _room(self, index: int) -> ServiceRoom:
-        return ServiceRoom(self.slots, sum(self._in_flight[index].values()), self._mean_s)
+        """Return the slots and what is in flight at the zones that are heard, or here if none is.
+
+        As in the gateway, instances that are not heard belong to the part that is not known.
+        """
+        heard = [
+            in_flight
+            for received_s, in_flight in self._heard[index].values()
+            if self.now_s - received_s < _HEARD_S
+        ]
+        own_share = 1 / self.pattern.instances
+        known_share = len(heard) / 4 if heard else own_share
+        self._policies[index].set_fleet(known_share, own_share, str(index % 4))
+        return ServiceRoom(self.slots, sum(heard) if heard else self._own[index], self.mean_s)
 
     def _is_frozen(self, index: int) -> bool:
         frozen, from_s, until_s = self.pattern.frozen
@@ -159,7 +175,7 @@
         refusal = self._policies[index].admit(arrival, self._room(index), self.now_s)
         if refusal is None:
             request.admitted = True
-            self._zone_in_flight[index % 4] += 1
+            self._own[index] += 1
             self._attempt(request)
         else:
             self._refused += 1
@@ -168,14 +184,16 @@
     def _attempt(self, request: Request) -> None:
         index, priority = request.instance, request.arrival.priority
         from_s, until_s = self.pattern.shed
-        if from_s <= self.now_s < until_s and self._rng.random() < 0.55:
+        is_shed = from_s <= self.now_s < until_s and self._rng.random() < 0.55
+        self.attempts.append((self.now_s, is_shed))
+        if is_shed:
             policy = self._policies[index]
             policy.record_shed("s", priority, self.now_s)
             if request.attempts < _ATTEMPTS_MAX and self._retries(index, priority):
                 request.attempts += 1
                 self._at(self.now_s + 0.002, self._attempt, request)
             else:
-                self._zone_in_flight[index % 4] -= 1
+                self._own[index] -= 1
         elif self._busy < self.slots:
             self._start(request)
         else:
@@ -184,17 +202,15 @@
     def _retries(self, index: int, priority: int) -> bool:
         """Ask the policy, then the budget of one second."""
         allowed = self.pattern.retries_per_s
-        counts = self.retries.setdefault(priority, [0, 0])
-        counts[0] += 1
         room = self._room(index)
         permits = self._policies[index].permits_retry("s", priority, allowed, room, self.now_s)
         while self._budget and self._budget[0] < self.now_s - 1.0:
             self._budget.popleft()
-        if not permits or len(self._budget) >= allowed * 1.25:
-            return False
-        self._budget.append(self.now_s)
-        counts[1] += 1
-        return True
+        permits = permits and len(self._budget) < allowed * 1.25
+        if permits:
+            self._budget.append(self.now_s)
+        self.retries.append((self.now_s, priority, permits))
+        return permits
 
     def _start(self, request: Request) -> None:
         self._busy += 1
@@ -204,7 +220,7 @@
     def _finish(self, request: Request) -> None:
         request.ended_s = self.now_s
         self._busy -= 1
-        self._zone_in_flight[request.instance % 4] -= 1
+        self._own[request.instance] -= 1
         if self._queue:
             self._start(self._queue.popleft())
 
@@ -224,31 +240,34 @@
         report = DemandReport(rows, {key: accounts[key] for key in heaviest})
         for other in range(4):
             delay_s = _OWN_ZONE_DELAY_S if other == zone else self._rng.uniform(0.1, 0.3)
-            found = (zone, other, report, self._zone_in_flight[zone], self.now_s)
+            found = (zone, other, report, sum(self._own[zone::4]), self.now_s)
             self._at(self.now_s + delay_s, self._deliver, found)
 
     def _deliver(self, found: tuple[int, int, DemandReport, int, float]) -> None:
         zone, other, report, in_flight, sent_s = found
+        if not self.pattern.delivers(sent_s, zone, other, self._rng):
+            return
         for index in range(other, self.pattern.instances, 4):
-            if self._is_frozen(index):
-                continue
-            if self.pattern.delivers(sent_s, zone, index, self._rng):
+            if not self._is_frozen(index):
                 self._policies[index].apply_zone_report(str(zone), report, self.now_s)
-                self._in_flight[index][zone] = in_flight
+                self._heard[index][zone] = (self.now_s, in_flight)
 
     def _restart(self, _: object) -> None:
         for index in range(0, self.pattern.instances, 3):
             self._policies[index] = self._new_policy(index)
-            self._in_flight[index] = {}
+            self._heard[index] = {}
 
     def _sample(self, _: object) -> None:
         self._at(self.now_s + _SAMPLE_S, self._sample, None)
         states = []
         for index, policy in enumerate(self._policies):
+            if self._is_frozen(index):
+                states.append(ServiceState.NORMAL)
+                continue
             snapshot = policy.snapshot("s", self._room(index), self.now_s)
             assert snapshot is not None
             states.append(snapshot.state)
-        self.samples.append((self.now_s, sum(self._zone_in_flight), self._refused, states))
+        self.samples.append((self.now_s, sum(self._own), self._refused, states))
 
     def served(self, from_s: float, until_s: float, **kind: object) -> float:
         """Return the share of requests served in time, of those whose arrival is as given."""
@@ -260,6 +279,10 @@
         ]
         return sum(request.in_time for request in chosen) / max(len(chosen), 1)
 
+    def refused_from(self, from_s: float) -> list[Request]:
+        """Return the requests that were refused on arrival from a time on."""
+        return [each for each in self.requests if each.at_s >= from_s and not each.admitted]
+
     def late(self) -> float:
         """Return the share of what was served that was late."""
         ended = [request for request in self.requests if request.ended_s < float("inf")]
@@ -274,13 +297,16 @@
         ]
         return sum(taken) / max(len(taken), 1)
 
+    def retries_from(self, from_s: float) -> Mapping[int, tuple[int, int]]:
+        """Return how many retries were asked for and permitted from a time on, by priority."""
+        found: dict[int, tuple[int, int]] = {}
+        for at_s, priority, permitted in self.retries:
+            if at_s >= from_s:
+                asked, granted = found.get(priority, (0, 0))
+                found[priority] = (asked + 1, granted + permitted)
+        return found
+
     def changes(self, index: int) -> list[tuple[float, ServiceState]]:
         """Return when an instance's state changed, and to what."""
         found = [(sample[0], sample[3][index]) for sample in self.samples]
         return [after for before, after in itertools.pairwise(found) if before[1] != after[1]]
-
-
-def account_shares(replay: Replay, from_s: float, until_s: float) -> Mapping[str, float]:
-    """Return the share served of each account's requests."""
-    names = {request.arrival.account for request in replay.requests}
-    return {name: replay.served(from_s, until_s, account=name) for name in sorted(names)}
--- a/src/egretrail/overload/tests/test_decisions.py
+++ b/src/egretrail/overload/tests/test_decisions.py
@@ -20,7 +20,7 @@
 from egretrail.overload._capacity import Capacity
 from egretrail.overload._credit import ShareCredits
 from egretrail.overload._fleet_totals import RateTracker, ServiceDemand
-from egretrail.overload._returns import ReturnSchedule, is_in_time
+from egretrail.overload._returns import ReturnSchedule, latest_return_s
 from egretrail.overload._state import StateDetector
 from egretrail.testing import EgretrailTestCase, cases
 
@@ -299,26 +299,41 @@
 
 
 class ReturnTest(EgretrailTestCase):
-    def test_the_more_urgent_return_first_at_the_free_capacity(self) -> None:
+    @cases(
+        {
+            # priority, part of the capacity, latest time, clients told to return of 100, by when
+            "the most urgent": (0, 1.0, 0.2, 44, 0.2),
+            "what more urgent ones leave": (1, 1.0, 0.5, 94, 0.5),
+            "less urgent": (2, 1.0, 0.5, 40, 0.5),
+            "a tenth of the capacity": (2, 0.1, 2.0, 17, 2.0),
+            "nothing is left": (3, 1.0, 2.0, 0, 0.0),
+        }
+    )
+    def test_clients_return_at_the_rate_of_the_free_capacity(
+        self, case: tuple[int, float, float, int, float]
+    ) -> None:
+        priority, part, latest_s, expected, by_s = case
         schedule = ReturnSchedule(random.Random(2))
         capacity = Capacity.of(ServiceRoom(100, 193, 0.3), 1.1, 1.0)
-        offered, refused = {0: 100.0, 1: 133.0, 2: 300.0}, {1: 50, 2: 100}
-        first = [schedule.while_full_s(1, capacity, offered, refused) for _ in range(50)]
-        second = [schedule.while_full_s(2, capacity, offered, refused) for _ in range(100)]
-        self.assertLess(max(first), 0.05 + 50 / 200)
-        self.assertGreater(min(second), 0.05 + 50 / 100)
+        offered = {0: 100.0, 1: 133.0, 2: 300.0}
+        times = [
+            schedule.while_full_s(priority, capacity, offered, part, latest_s, 5.0)
+            for _ in range(100)
+        ]
+        told = [time_s for time_s in times if time_s is not None]
+        self.assertAlmostEqual(expected, len(told), delta=2)
+        self.assertTrue(all(0.05 <= time_s <= by_s for time_s in told))
 
     @cases(
         {
-            "soon": (0.3, 3.0, 10.0, True),
-            "past a third of what is left": (0.3, 3.0, 0.8, False),
-            "past the objective": (0.6, 0.5, 10.0, False),
-            "never": (float("inf"), 3.0, 10.0, False),
+            "objective": (0.5, 10.0, 0.5),
+            "a third of what is left": (3.0, 0.9, 0.3),
+            "longest Retry-After": (5.0, 20.0, 2.0),
         }
     )
-    def test_not_in_time(self, case: tuple[float, float, float, bool]) -> None:
-        wait_s, objective_s, remaining_s, expected = case
-        self.assertEqual(expected, is_in_time(wait_s, objective_s, remaining_s))
+    def test_latest_return(self, case: tuple[float, float, float]) -> None:
+        objective_s, remaining_s, expected = case
+        self.assertAlmostEqual(expected, latest_return_s(objective_s, remaining_s))
 
     def test_a_time_while_shedding_is_short_and_spread(self) -> None:
         policy = _policy({0: DemandRow(100, 0, 60, 60)})
