--- a/src/egretrail/overload/_admission.py
+++ b/src/egretrail/overload/_admission.py
@@ -9,7 +9,7 @@
 #: An account that exceeds the fair level by less than this many standard deviations of a count may
 #: ask for no more than its fair share, and is not limited. Averaged over two seconds, counts vary
 #: by half a deviation.
-_LEVEL_TOLERANCE = 0.5
+_LEVEL_TOLERANCE = 1.0
 
 
 def fill_by_priority(wanted_per_s: Mapping[int, float], room_per_s: float) -> Mapping[int, float]:
--- a/src/egretrail/overload/_state.py
+++ b/src/egretrail/overload/_state.py
@@ -14,7 +14,7 @@
 _RECENT_MIN_PER_S = 100.0
 #: With fewer refusals in a second nothing is concluded: an upstream that restarts refuses a few.
 _SHED_MIN = 3
-#: The numbers of requests in flight at other instances are this old. Meanwhile the queue grows by
+#: What is known of other instances is this old on average. Meanwhile the queue grows by
 #: what is offered beyond the capacity, which in a burst of 2.5 times the load is half of the slots.
 _VIEW_AGE_S = 0.25
 #: Slots are free while less than this share of them is taken. Requests in flight are known as of
@@ -103,4 +103,6 @@
         if total.shed < _SHED_MIN:
             return False
         attempts = total.offered - total.refused + min(total.retries_wanted, retries_per_s)
-        return total.shed >= (_SHEDDING_UNTIL if was_shedding else _SHEDDING_FROM) * attempts
+        # The counts end before now; meanwhile recent refusals went on.
+        shed = total.shed + (shed_per_s - total.shed) * _VIEW_AGE_S
+        return shed >= (_SHEDDING_UNTIL if was_shedding else _SHEDDING_FROM) * attempts
