--- a/src/egretrail/gateway/_admission.py
+++ b/src/egretrail/gateway/_admission.py
@@ -151,8 +151,6 @@
         if not view.overload.policy.watches(pending.service):
             return None
         rejection = view.overload.admit(pending.arrival(now_s), now_s)
-        # The fleet's decisions are based on what all instances report.
-        view.on_update(False)
         if rejection is None:
             return None
         self.record_refusal(
--- a/src/egretrail/gateway/_overload_control.py
+++ b/src/egretrail/gateway/_overload_control.py
@@ -27,6 +27,10 @@
 #: tenth of a millisecond, which each request would cost otherwise; loads and suspicions from other
 #: zones are older than that.
 _ROOM_VALID_S = 0.05
+#: How long a sample of the own demand is reported: samples are taken every 0.1 s, except by an
+#: instance that was paused.
+_REPORT_VALID_S = 0.25
+_NO_DEMAND = DemandReport()
 #: The demand of a service is reported when more than this share of its slots is taken, so that the
 #: fleet knows it when the slots are full.
 _BUSY_SHARE = 0.7
@@ -78,6 +82,8 @@
         #: The policy in force.
         self.policy: OverloadPolicy = NoOverloadPolicy()
         self._terms: Mapping[str, ServiceTerms] = {}
+        self._report = _NO_DEMAND
+        self._sampled_s = float("-inf")
         self._rooms: dict[str, tuple[ServiceRoom, float]] = {}
         self._states: dict[str, ServiceState] = {}
         self._states_checked_s = float("-inf")
@@ -96,6 +102,7 @@
         self._terms = terms
         self._states = {name: state for name, state in self._states.items() if name in terms}
         self._rooms.clear()
+        self._sampled_s = float("-inf")
         self.policy.configure(terms)
 
     @property
@@ -142,8 +149,22 @@
         return self.policy.retry_after_s(arrival, room, typical_s, now_s)
 
     def own_report(self, now_s: float) -> DemandReport:
-        """Return this instance's demand, for its heartbeat."""
-        return self.policy.own_report(now_s) if self._terms else DemandReport()
+        """Return this instance's demand as of the last sample, for its heartbeat."""
+        if not 0 <= now_s - self._sampled_s < _REPORT_VALID_S:
+            self.sample_report(now_s)
+        return self._report
+
+    def sample_report(self, now_s: float) -> bool:
+        """Take the next sample of the own demand; return whether it differs from the last one.
+
+        Samples are taken at even intervals. Heartbeats mostly follow an event that is counted: a
+        count taken then sees each arrival at once and its end late, and with a few requests a
+        second at each instance, the sum of the fleet would be a tenth too high.
+        """
+        self._sampled_s = now_s
+        before = self._report
+        self._report = self.policy.own_report(now_s) if self._terms else _NO_DEMAND
+        return self._report != before
 
     def apply_section(self, section: Section, now_s: float) -> None:
         """Apply the demand in a section of a hub whose aggregates are used."""
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -214,6 +214,8 @@
         if now_s - self._expired_s >= _EXPIRE_S:
             self._expired_s = now_s
             self._view.expire()
+        if self._view.overload.sample_report(now_s):
+            self._view.on_update(False)
         self._update_hub_role(now_s)
 
     def _update_hub_role(self, now_s: float) -> None:
--- a/src/egretrail/gateway/tests/fleet.py
+++ b/src/egretrail/gateway/tests/fleet.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 from egretrail.dispatch import QuotaTerms
+from egretrail.gateway import GatewaySettings
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.network import SimulatedLinks, SimulatedNetwork
@@ -32,6 +33,8 @@
         self.capacities: dict[str, float] = {}
         #: The maximum age of a configuration's confirmation for accepting keys; None for no limit.
         self.revocation_s: float | None = None
+        #: Whether client accounts share the capacity of services.
+        self.shares_capacity = False
 
     def start(self, address: str, contacts: Sequence[str]) -> asyncio.Task[None]:
         """Start an instance that knows some addresses."""
@@ -39,12 +42,7 @@
         rng = random.Random(address)
         log = EventLog(address, descriptor=os.open(os.devnull, os.O_WRONLY))
         zone = f"z{address.split('.')[2]}"
-        settings = replace(
-            gateway_settings(address, zone),
-            capacity=self.capacities.get(address, 1.0),
-            revocation_s=self.revocation_s,
-            quota_terms=QuotaTerms(5.0, 0.1, 20.0),
-        )
+        settings = self.settings(address)
         view = FleetView(settings, self._next_incarnation(address), loop.time, log, rng)
         view.replace_upstreams(
             [
@@ -65,6 +63,16 @@
         self.tasks[address] = loop.create_task(self._run(links), context=context)
         return self.tasks[address]
 
+    def settings(self, address: str) -> GatewaySettings:
+        """Return the settings of an instance."""
+        return replace(
+            gateway_settings(address, f"z{address.split('.')[2]}"),
+            capacity=self.capacities.get(address, 1.0),
+            revocation_s=self.revocation_s,
+            quota_terms=QuotaTerms(5.0, 0.1, 20.0),
+            shares_capacity=self.shares_capacity,
+        )
+
     async def _run(self, links: SimulatedLinks) -> None:
         if self.streams is not None:
             await links.open_streams()
