Send demand to both hubs of a split zone, and bound its bytes in large fleets

Cause: a hub of another zone sent its sections to the hub of a split zone that it had heard last. With equal intervals this was always the same one, and the other half knew 108 of 180 requests a second after two seconds. In a fleet of 300 with 71 accounts, reports cost 1.8 KB/s at each instance.

Change: while services are watched, sections go to all hubs of a zone heard within 0.6 s. Intervals of reports, and the number of accounts in them, depend on the size of the zone.

--- a/src/egretrail/cluster/_demand_sums.py
+++ b/src/egretrail/cluster/_demand_sums.py
@@ -6,17 +6,18 @@
 from egretrail.cluster._section import Scope
 from egretrail.overload import AccountDemandKey, DemandKey, DemandReport, DemandRow
 
-#: The minimum interval between reports to the own zone: five a second. Sections to other zones are
-#: sent no more often than that.
-_ZONE_INTERVAL_S = 0.2
-#: The minimum interval between reports with accounts, for each instance of the zone. With 24
-#: accounts of 10 bytes, an instance of a fleet of 300 in three zones receives 0.3 KB/s of the own
-#: zone's accounts. In a zone of 25 instances, each report has them.
-_ACCOUNTS_INSTANCE_S = {Scope.ZONE: 0.008, Scope.CROSS_ZONE: 0.016}
-_ACCOUNTS_INTERVAL_MAX_S = {Scope.ZONE: 0.8, Scope.CROSS_ZONE: 1.6}
-#: Maximum accounts in one report, the heaviest first. Light accounts are not those that a fair
-#: share limits.
-_ACCOUNTS_MAX = 24
+#: The minimum interval between reports, five a second, and by how much it grows with each instance
+#: of the zone. In a fleet of 300 in three zones, an instance receives 4 reports a second of its own
+#: zone, and 1.7 of each other zone: with the accounts and its own heartbeats less than 1 KB/s.
+_INTERVAL_MIN_S = 0.2
+_INTERVAL_INSTANCE_S = {Scope.ZONE: 0.0025, Scope.CROSS_ZONE: 0.006}
+#: The same interval between reports with accounts, which are most of the bytes.
+_ACCOUNTS_INSTANCE_S = {Scope.ZONE: 0.01, Scope.CROSS_ZONE: 0.024}
+_ACCOUNTS_INTERVAL_MAX_S = {Scope.ZONE: 1.0, Scope.CROSS_ZONE: 2.4}
+#: Accounts in one report, the heaviest first; fewer in zones of more than 50 instances. Light
+#: accounts are not those that a fair share limits.
+_ACCOUNTS_MIN, _ACCOUNTS_MAX = 12, 24
+_ACCOUNT_ROWS = 1_200
 #: How many reports tell that the demand has ended, in case a datagram is lost.
 _END_REPORTS = 3
 #: Timers may fire this much early.
@@ -48,9 +49,12 @@
         ``reports`` are the last ones of the zone's instances. ``busy_services`` are the keys of the
         services that are also reported while they refuse nothing.
         """
-        if now_s - self._sent_s[scope] < _ZONE_INTERVAL_S - _TIMER_TOLERANCE_S:
+        size = len(reports)
+        interval_s = max(size * _INTERVAL_INSTANCE_S[scope], _INTERVAL_MIN_S)
+        if now_s - self._sent_s[scope] < interval_s - _TIMER_TOLERANCE_S:
             return None
-        total = sum_demand(reports, busy_services)
+        accounts_max = min(max(_ACCOUNT_ROWS // max(size, 1), _ACCOUNTS_MIN), _ACCOUNTS_MAX)
+        total = sum_demand(reports, busy_services, accounts_max)
         if total.is_empty:
             if not self._ends_left[scope]:
                 return None
@@ -59,16 +63,16 @@
             return total
         self._ends_left[scope] = _END_REPORTS
         self._sent_s[scope] = now_s
-        interval_s = min(
-            len(reports) * _ACCOUNTS_INSTANCE_S[scope], _ACCOUNTS_INTERVAL_MAX_S[scope]
-        )
+        interval_s = min(size * _ACCOUNTS_INSTANCE_S[scope], _ACCOUNTS_INTERVAL_MAX_S[scope])
         if now_s - self._accounts_sent_s[scope] < interval_s - _TIMER_TOLERANCE_S:
             return DemandReport(total.rows)
         self._accounts_sent_s[scope] = now_s
         return total
 
 
-def sum_demand(reports: Iterable[DemandReport], busy_services: Collection[int]) -> DemandReport:
+def sum_demand(
+    reports: Iterable[DemandReport], busy_services: Collection[int], accounts_max: int
+) -> DemandReport:
     """Return the sum of reports for the services that are short of capacity or busy."""
     rows: dict[DemandKey, DemandRow] = {}
     accounts: Counter[AccountDemandKey] = Counter()
@@ -87,5 +91,5 @@
     )
     return DemandReport(
         {key: row for key, row in rows.items() if key.service in included},
-        {key: offered for offered, key in heaviest[:_ACCOUNTS_MAX]},
+        {key: offered for offered, key in heaviest[:accounts_max]},
     )
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -48,6 +48,10 @@
 #: After this time without a section, the hub of another zone is unknown, and its zone's instances
 #: are tried.
 _HUB_KNOWN_S = 1.5
+#: All hubs of a zone that sent sections within this time get those of other zones, while services
+#: are watched for overload. A split zone has two, and one of them received nothing for seconds:
+#: the other one had always sent last when sections were due.
+_PARTS_HEARD_S = 0.6
 #: The number of instances tried in a zone whose hub is unknown; each of them relays the sections.
 _HUB_CANDIDATES = 2
 
@@ -260,8 +264,11 @@
 
     def _hubs(self, zone: str, now_s: float) -> Sequence[str]:
         hub = self._view.zones.hub(zone)
-        if hub is not None and now_s - self._view.zones.last_received_s(zone) <= _HUB_KNOWN_S:
-            return [hub]
+        heard_s = self._view.zones.last_received_s(zone)
+        if hub is not None and now_s - heard_s <= _HUB_KNOWN_S:
+            if not self._view.overload.services:
+                return [hub]
+            return self._view.zones.hubs(zone, min(now_s - _PARTS_HEARD_S, heard_s))
         return self._view.membership.hub_order(zone)[:_HUB_CANDIDATES]
 
 
--- a/src/egretrail/gateway/_overload_control.py
+++ b/src/egretrail/gateway/_overload_control.py
@@ -37,8 +37,8 @@
 #: States are compared with those logged before at most this often.
 _STATES_INTERVAL_S = 0.05
 #: How long accounts of a zone stay after the last section that names any: hubs of large zones send
-#: them every 0.8 s to their own zone, every 1.6 s to others, and one datagram may be lost.
-_ACCOUNTS_VALID_S = 3.4
+#: them every second to their own zone, every 2.4 s to others, and one datagram may be lost.
+_ACCOUNTS_VALID_S = 5.0
 #: Maximum accounts of a service in the metrics.
 _METRIC_ACCOUNTS_MAX = 10
 
--- a/src/egretrail/gateway/_zone_aggregates.py
+++ b/src/egretrail/gateway/_zone_aggregates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 from egretrail.cluster import (
     Heartbeat,
@@ -42,6 +43,8 @@
 _REORDER_WINDOW = 16
 _REORDER_MASK = (1 << _REORDER_WINDOW) - 1
 
+_Key = TypeVar("_Key")
+
 
 @dataclass(slots=True)
 class _ReceivedSections:
@@ -120,6 +123,8 @@
         self._account_counts_heard_s: dict[str, float] = {}
         #: When a section of each zone last arrived, also of zones that are silent now.
         self._zones_heard_s: dict[str, float] = {}
+        #: When a section of each hub last arrived, by its zone and address.
+        self._hubs_heard_s: dict[tuple[str, str], float] = {}
 
     def record_sent(self, heartbeat: Heartbeat, now_s: float) -> None:
         """Remember a heartbeat of this instance, which the own zone's aggregates will include."""
@@ -210,6 +215,14 @@
         zone = self._zones.get(availability_zone)
         return None if zone is None else zone.hub
 
+    def hubs(self, availability_zone: str, since_s: float) -> Sequence[str]:
+        """Return the hubs that sent a section for a zone since a moment; several if it is split."""
+        return [
+            hub
+            for (zone, hub), heard_s in self._hubs_heard_s.items()
+            if zone == availability_zone and heard_s >= since_s
+        ]
+
     def last_received_s(self, availability_zone: str) -> float:
         """Return when the last section of a zone arrived; minus infinity for a silent zone."""
         zone = self._zones.get(availability_zone)
@@ -225,6 +238,7 @@
             self._load.remove_peer(name)
             if name == self._own_zone:
                 self._reset_own_zone()
+        _pop_older(self._hubs_heard_s, now_s - _ZONE_SILENCE_S)
         for lifetime in _pop_older(self._retry_counts_heard_s, now_s - _RETRY_COUNTS_RETENTION_S):
             self._retry_budget.remove_peer(lifetime)
         for lifetime in _pop_older(
@@ -307,6 +321,7 @@
             zone = self._zones[name] = _Zone(section.hub, lifetime, now_s, 0, 0, loads)
         self._account_counts_heard_s[lifetime] = now_s
         self._zones_heard_s[name] = now_s
+        self._hubs_heard_s[name, section.hub] = now_s
         zone.received_s = now_s
         zone.instances = section.instances
         zone.store_readers = section.store_readers
@@ -346,7 +361,7 @@
     return HubTerm(section.hub, section.incarnation, section.retries, section.recent_retries)
 
 
-def _pop_older(times_s: dict[str, float], before_s: float) -> list[str]:
+def _pop_older(times_s: dict[_Key, float], before_s: float) -> list[_Key]:
     """Remove and return the keys whose time is before a moment."""
     old = [key for key, at_s in times_s.items() if at_s < before_s]
     for key in old:
