--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -307,7 +307,10 @@
         although they have slots. Limits and backoffs of upstreams state a time of their own.
         """
         view, now_s = self._view, self._loop.time()
-        if refusal is not None and refusal.reason is not RefusalReason.NO_TIME:
+        all_refused = (
+            refusal is not None and refusal.reason is RefusalReason.NO_UPSTREAM and pending.tried
+        )
+        if refusal is not None and refusal.reason is not RefusalReason.NO_TIME and not all_refused:
             return refusal.retry_after_s
         # Upstreams that refused have capacity again when some of their requests have ended.
         ready = view.upstreams.ready(pending.service)
--- a/src/egretrail/gateway/tests/test_demand.py
+++ b/src/egretrail/gateway/tests/test_demand.py
@@ -223,7 +223,6 @@
 
         self.run_paused(run())
         per_s = {name: size / _MEASURE_S for name, size in counted.items()}
-        print("BYTES", has_accounts, per_s)
         self.assertGreater(min(per_s["sent"], per_s["received"]), 50.0)
         self.assertLessEqual(sum(per_s.values()), 1024.0)
 
