Count requests by second, service, priority, account and client zone in losses

It now also prints offered, served, late, refused, failed and attempts by second, service, route, priority, account and client zone, refusals by reason with the Retry-After that was given, and attempts by whether a slot was known to be free and by upstream zone. Logs of earlier versions show "(unknown)". Collecting events, finding a reason, counting and printing are modules of their own.

A line that was cut off, also before another line, loses only itself; an infinite time no longer ends the command with an error.

--- a/src/egretrail/cli/_gateway.py
+++ b/src/egretrail/cli/_gateway.py
@@ -9,11 +9,11 @@
 import click
 from result import Err
 
+from egretrail.cli._gateway_losses import losses_document, losses_text
 from egretrail.cli._gateway_show import burn, show
 from egretrail.diagnosis import (
     CauseKind,
     LogLine,
-    LossReport,
     build_timeline,
     find_cause,
     find_losses,
@@ -73,48 +73,20 @@
 @click.option("--seconds", is_flag=True, help="Show each second of the logs as well.")
 @_as_json
 def losses(logs: Sequence[IO[str]], seconds: bool, as_json: bool) -> None:
-    """Count the requests that were lost or late, by route and reason.
+    """Count requests, and those that were lost or late, by route, reason and other properties.
 
     Exits with 1 where the logs name no request.
     """
     report = find_losses(_lines(logs))
     if as_json:
-        click.echo(json.dumps(_losses_document(report)))
+        click.echo(json.dumps(losses_document(report)))
     else:
-        _print_losses(report, seconds=seconds)
+        for line in losses_text(report, seconds=seconds):
+            click.echo(line)
     if not report.requests:
         sys.exit(1)
 
 
-def _losses_document(report: LossReport) -> dict[str, object]:
-    reasons = [
-        {"route": route, "reason": reason, "requests": count}
-        for (route, reason), count in report.by_reason().items()
-    ]
-    by_second = {str(second): dict(counts) for second, counts in report.by_second().items()}
-    return {
-        "requests": dict(report.requests),
-        "lost": reasons,
-        "seconds": by_second,
-        "upstreams": dict(report.by_upstream()),
-    }
-
-
-def _print_losses(report: LossReport, *, seconds: bool) -> None:
-    click.echo(f"{'route':24}{'requests':>10}")
-    for route, count in sorted(report.requests.items()):
-        click.echo(f"{route or '(none)':24}{count:10}")
-    click.echo(f"\n{'route':24}{'lost':>10}{'share':>9}  reason")
-    for (route, reason), count in report.by_reason().items():
-        share = count / report.requests[route]
-        click.echo(f"{route or '(none)':24}{count:10}{share:9.4f}  {reason}")
-    if seconds:
-        click.echo(f"\n{'second':>14}  lost by reason")
-        for second, counts in report.by_second().items():
-            cells = ", ".join(f"{reason}: {count}" for reason, count in counts.most_common())
-            click.echo(f"{second:14}  {cells}")
-
-
 @gateway.command()
 @click.option("--settings", "settings_path", type=Path, help="A settings file of an instance.")
 @click.option("--config", "config_path", type=Path, help="A configuration as operators write it.")
--- a/src/egretrail/diagnosis/_lines.py
+++ b/src/egretrail/diagnosis/_lines.py
@@ -1,5 +1,6 @@
 """Parses log lines of ``key=value`` pairs."""
 
+import math
 import re
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
@@ -27,14 +28,22 @@
 
 
 def parse_lines(lines: Iterable[str]) -> Iterator[LogLine]:
-    """Yield the events of a log; lines in any other format are skipped."""
+    """Yield the events of a log; lines in any other format are skipped.
+
+    A process that is killed may leave a line without its end, to which the next line of the file is
+    appended. The fields are therefore read from the last start of a line on. A line that ends with
+    a request's id is skipped: fields follow it in every event, so the id may lack its end and be
+    that of another request.
+    """
     for line in lines:
-        start = line.find("time=")
+        start = line.rfind("time=", 0, max(line.rfind(" instance="), 0))
         if start < 0:
             continue
         fields = {key: _unquote(value) for key, value in _PAIR.findall(line[start:])}
         try:
             time_s = float(fields.pop("time"))
+            if not math.isfinite(time_s) or next(reversed(fields), "") == "id":
+                continue
             yield LogLine(time_s, fields.pop("instance"), fields.pop("event"), fields)
         except (KeyError, ValueError):
             continue
