Split plain log fields without the pattern and count like requests together

The counts by second, service, priority, account and zone cost two seconds for a log of 200,000 lines. Fields before the first quotation mark are now split at blanks, and requests with the same properties are counted in one group that is divided by property at the end.

--- a/src/egretrail/diagnosis/_lines.py
+++ b/src/egretrail/diagnosis/_lines.py
@@ -39,7 +39,7 @@
         start = line.rfind("time=", 0, max(line.rfind(" instance="), 0))
         if start < 0:
             continue
-        fields = {key: _unquote(value) for key, value in _PAIR.findall(line[start:])}
+        fields = _parse_fields(line[start:])
         try:
             time_s = float(fields.pop("time"))
             if not math.isfinite(time_s) or next(reversed(fields), "") == "id":
@@ -49,6 +49,23 @@
             continue
 
 
+def _parse_fields(text: str) -> dict[str, str]:
+    """Return the fields of a line.
+
+    Most values have no quotation marks, and splitting at blanks takes half the time of the pattern.
+    """
+    plain, mark, _ = text.partition('"')
+    quoted_start = plain.rfind(" ") if mark else len(text)
+    try:
+        fields = dict([pair.split("=", 1) for pair in text[:quoted_start].split()])
+    except ValueError:
+        fields, quoted_start = {}, 0
+    if mark or not quoted_start:
+        for key, value in _PAIR.findall(text, quoted_start):
+            fields[key] = _unquote(value)
+    return fields
+
+
 def _unquote(value: str) -> str:
     if not value.startswith('"'):
         return value
--- a/src/egretrail/diagnosis/_tables.py
+++ b/src/egretrail/diagnosis/_tables.py
@@ -1,7 +1,7 @@
 """Counts requests, refusals and attempts by properties that the logs have of them."""
 
 import enum
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from statistics import median
 
@@ -58,6 +58,13 @@
     #: Attempts that were sent to upstreams.
     attempts: int = 0
 
+    def add(self, other: "RequestCounts") -> None:
+        """Add other requests."""
+        self.offered += other.offered
+        self.attempts += other.attempts
+        for outcome, count in other.outcomes.items():
+            self.outcomes[outcome] += count
+
 
 @dataclass(slots=True)
 class RefusalCounts:
@@ -100,62 +107,80 @@
     attempts: Mapping[tuple[SlotState, str], AttemptCounts]
 
 
+#: The properties that a request has from its arrival to its end, unlike the second.
+_FIXED = (
+    Dimension.SERVICE,
+    Dimension.ROUTE,
+    Dimension.PRIORITY,
+    Dimension.ACCOUNT,
+    Dimension.CLIENT_ZONE,
+)
+
+
 class TableBuilder:
-    """Adds up requests, one after the other."""
+    """Adds up requests, one after the other.
+
+    A log has many requests with the same properties, so these are counted together first and
+    divided by property at the end.
+    """
 
     def __init__(self, zones: Mapping[str, str]) -> None:
         self._zones = zones
-        self._requests: dict[Dimension, dict[str, RequestCounts]] = {one: {} for one in Dimension}
+        self._groups: dict[tuple[str, ...], RequestCounts] = {}
+        self._seconds: dict[int, RequestCounts] = {}
         self._refusals: dict[str, RefusalCounts] = {}
         self._attempts: dict[tuple[SlotState, str], AttemptCounts] = {}
 
     def add(self, events: RequestEvents, last: LogLine, outcome: Outcome) -> None:
         """Count a request, whose final line and outcome are given."""
-        client_zone = self._zones.get(events.instance(), UNKNOWN)
-        values = {
-            Dimension.SERVICE: events.value("service"),
-            Dimension.ROUTE: events.value("route"),
-            Dimension.PRIORITY: events.value("priority"),
-            Dimension.ACCOUNT: events.value("account"),
-            Dimension.CLIENT_ZONE: client_zone,
-        }
-        for dimension, value in values.items():
-            counts = self._counts(dimension, value)
-            counts.offered += 1
-            counts.outcomes[outcome] += 1
-            counts.attempts += len(events.attempts)
+        values = (
+            events.value("service"),
+            events.value("route"),
+            events.value("priority"),
+            events.value("account"),
+            self._zones.get(events.instance(), UNKNOWN),
+        )
+        counts = self._groups.get(values)
+        if counts is None:
+            counts = self._groups[values] = RequestCounts()
+        counts.offered += 1
+        counts.outcomes[outcome] += 1
+        counts.attempts += len(events.attempts)
         self._second(events.arrival_s()).offered += 1
         self._second(last.time_s).outcomes[outcome] += 1
         for attempt in events.attempts:
             self._second(attempt.time_s).attempts += 1
-        self._add_attempts(events)
+        if events.attempts:
+            self._add_attempts(events)
         if events.refused is not None:
             self._add_refusal(events.refused)
 
     def build(self) -> LossTables:
         """Return the tables of all requests added."""
-        requests: dict[Dimension, dict[str, RequestCounts]] = {}
-        for dimension, rows in self._requests.items():
-            match dimension:
-                case Dimension.SECOND | Dimension.PRIORITY:
-                    values: Sequence[str] = sorted(rows, key=_numeric_order)
-                case _:
-                    values = sorted(rows, key=lambda value: (-rows[value].offered, value))
-            requests[dimension] = {value: rows[value] for value in values}
+        requests: dict[Dimension, dict[str, RequestCounts]] = {
+            Dimension.SECOND: {
+                str(second): self._seconds[second] for second in sorted(self._seconds)
+            }
+        }
+        for position, dimension in enumerate(_FIXED):
+            rows: dict[str, RequestCounts] = {}
+            for values, counts in self._groups.items():
+                rows.setdefault(values[position], RequestCounts()).add(counts)
+            if dimension is Dimension.PRIORITY:
+                order = sorted(rows, key=_numeric_order)
+            else:
+                order = sorted(rows, key=lambda value: (-rows[value].offered, value))
+            requests[dimension] = {value: rows[value] for value in order}
         refusals = sorted(self._refusals.items(), key=lambda row: -row[1].refusals)
         attempts = sorted(self._attempts.items(), key=lambda row: -row[1].attempts)
         return LossTables(requests, dict(refusals), dict(attempts))
 
-    def _counts(self, dimension: Dimension, value: str) -> RequestCounts:
-        rows = self._requests[dimension]
-        counts = rows.get(value)
+    def _second(self, time_s: float) -> RequestCounts:
+        counts = self._seconds.get(int(time_s))
         if counts is None:
-            counts = rows[value] = RequestCounts()
+            counts = self._seconds[int(time_s)] = RequestCounts()
         return counts
 
-    def _second(self, time_s: float) -> RequestCounts:
-        return self._counts(Dimension.SECOND, str(int(time_s)))
-
     def _add_refusal(self, line: LogLine) -> None:
         counts = self._refusals.setdefault(line.fields.get("reason", UNKNOWN), RefusalCounts())
         counts.refusals += 1
