Explain refusals by share and urgency, and show overloaded services

explain printed the bare reason of a request that was refused because of the load, and could not tell a retry withheld by urgency from one withheld by the budget. show said nothing of services that are not in their normal state.

explain now states the share admitted, offered and possible requests a second, the age of the reports, and what the service was sent by priority in the second before. Where a retry was missing, it names urgency if the service was not normal and only more urgent requests were retried, else the count of the budget at the last retry. show lists services with a state other than normal, the demand by priority and the heaviest accounts, as the highest figure of any gateway, since each exports figures of the whole fleet.

--- a/src/egretrail/cli/_gateway_metrics.py
+++ b/src/egretrail/cli/_gateway_metrics.py
@@ -30,6 +30,13 @@
     answers: Mapping[tuple[str, str], int]
     #: Refusals by reason.
     refusals: Mapping[str, int]
+    #: Services and states that the gateway takes them to be in.
+    service_states: Mapping[str, str] = field(default_factory=dict)
+    #: Requests of the last second by kind (``offered``, ``refused``, ``shed``), service and
+    #: priority, of the whole fleet as the gateway knows it.
+    demand: Mapping[tuple[str, str, str], float] = field(default_factory=dict)
+    #: Requests that the heaviest accounts sent in the last second, by service and account.
+    account_demand: Mapping[tuple[str, str], float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,17 +67,30 @@
     values: dict[str, float] = {}
     answers: dict[tuple[str, str], int] = {}
     refusals: dict[str, int] = {}
+    service_states: dict[str, str] = {}
+    demand: dict[tuple[str, str, str], float] = {}
+    account_demand: dict[tuple[str, str], float] = {}
     for family in text_string_to_metric_families(text):
         for sample in family.samples:
-            name = sample.name.removeprefix("egretrail_")
+            name, labels = sample.name.removeprefix("egretrail_"), sample.labels
             if name == "answers_total":
-                key = (sample.labels["route"], sample.labels["outcome"])
-                answers[key] = int(sample.value)
+                answers[labels["route"], labels["outcome"]] = int(sample.value)
             elif name == "refusals_total":
-                refusals[sample.labels["reason"]] = int(sample.value)
-            elif not sample.labels:
+                refusals[labels["reason"]] = int(sample.value)
+            elif name == "service_state":
+                # A state that a gateway has left may be shown as 0.
+                if sample.value > 0:
+                    service_states[labels["service"]] = labels["state"]
+            elif name == "account_offered":
+                account_demand[labels["service"], labels["account"]] = sample.value
+            elif name.startswith("demand_") and "priority" in labels:
+                kind = name.removeprefix("demand_")
+                demand[kind, labels["service"], labels["priority"]] = sample.value
+            elif not labels:
                 values[name] = sample.value
-    return MetricsReading(address, values, answers, refusals)
+    return MetricsReading(
+        address, values, answers, refusals, service_states, demand, account_demand
+    )
 
 
 def compute_burn_rates(
--- a/src/egretrail/cli/_gateway_show.py
+++ b/src/egretrail/cli/_gateway_show.py
@@ -16,6 +16,7 @@
     compute_burn_rates,
     read_all_metrics,
 )
+from egretrail.cli._service_overload import find_overloads, overload_document, overloads_text
 
 #: Columns of ``show``: the title, and the name of the metric.
 _COLUMNS = (
@@ -35,7 +36,7 @@
 @_addresses
 @_as_json
 def show(addresses: Sequence[str], as_json: bool) -> None:
-    """Show what gateways know, from their metrics addresses (IP:PORT).
+    """Show what gateways know, and services that are overloaded, from metrics (IP:PORT).
 
     Exits with 1 where gateways differ in their configuration or in whom they know, with 3 where one
     does not answer.
@@ -43,10 +44,15 @@
     results = asyncio.run(read_all_metrics(addresses))
     readings = _successful_readings(results)
     differences = _differences(readings)
+    overloads = find_overloads(readings)
     if as_json:
-        click.echo(json.dumps(_show_document(results, differences)))
+        document = _show_document(results, differences)
+        document["services"] = [overload_document(one) for one in overloads]
+        click.echo(json.dumps(document))
     else:
         _print_table(readings)
+        for line in overloads_text(overloads):
+            click.echo(line)
         for difference in differences:
             click.echo(difference)
         for failure in _failures(results):
--- a/src/egretrail/cli/tests/test_gateway.py
+++ b/src/egretrail/cli/tests/test_gateway.py
@@ -62,6 +62,39 @@
         self.assertEqual(expected, document["lost"])
         self.assertEqual({"3": {"refused: no_time": 1}}, document["seconds"])
 
+    def test_losses_show_every_table(self) -> None:
+        _, output = self._run("n1.log", _REFUSED, "losses", "--seconds", "--logs", "FILE")
+        rows = [line.split() for line in output.splitlines()]
+        for row in (
+            "requests by service offered served late refused failed unknown attempts",
+            "s 1 1 0 0 0 0 1",
+            "(unknown) 2 1 0 1 0 0 1",
+            "4 1 1 0 0 0 0 1",
+            "no_time 1 none logged",
+            "(unknown) 1 0 0 0 a slot known to be free",
+        ):
+            self.assertIn(row.split(), rows)
+
+    def test_the_tables_are_in_the_document(self) -> None:
+        text = _REFUSED.replace("attempts=0", "attempts=0 retry_after_s=0.5 account=acme")
+        _, output = self._run("n1.log", text, "losses", "--json", "--logs", "FILE")
+        document = json.loads(output)
+        self.assertEqual(
+            ["second", "service", "route", "priority", "account", "client_zone"],
+            list(document["by"]),
+        )
+        self.assertEqual(1, document["by"]["account"]["acme"]["refused"])
+        self.assertEqual(0.5, document["refusals"]["no_time"]["retry_after_median_s"])
+        self.assertEqual("free", document["attempts"][0]["slot"])
+
+    def test_only_the_largest_rows_of_a_property_are_printed(self) -> None:
+        text = "".join(
+            f"time=3 instance=n1 event=refused id=b{number} route=r{number:02} reason=no_time\n"
+            for number in range(23)
+        )
+        _, output = self._run("n1.log", text, "losses", "--logs", "FILE")
+        self.assertIn("... 3 more, see --json", output)
+
     @cases(
         {
             "settings": ("node.toml", "[self]\n", "--settings", 1, "self.ip: missing"),
--- a/src/egretrail/cli/tests/test_gateway_show.py
+++ b/src/egretrail/cli/tests/test_gateway_show.py
@@ -10,12 +10,25 @@
 
 from egretrail.cli import main
 from egretrail.cli._gateway_metrics import compute_burn_rates, parse_metrics
+from egretrail.cli._service_overload import find_overloads, overloads_text
 from egretrail.gateway import GatewayMetrics
 from egretrail.testing import EgretrailTestCase, cases
 
 #: Response counts by route and outcome.
 Answers = dict[tuple[str, str], int]
 
+_OVERLOAD = """\
+egretrail_service_state{service="s",state="full"} 1
+egretrail_service_state{service="t",state="normal"} 1
+egretrail_demand_offered{service="s",priority="2"} 200
+egretrail_demand_offered{service="s",priority="0"} 40
+egretrail_demand_refused{service="s",priority="2"} 90
+egretrail_demand_shed{service="s",priority="2"} 7
+egretrail_account_offered{service="s",account="b"} 9
+egretrail_account_offered{service="s",account="large"} 120
+egretrail_account_offered{service="t",account="c"} 80
+"""
+
 
 def _text(answers: Answers, *, members: int = 3, version: int = 7) -> str:
     metrics = GatewayMetrics()
@@ -114,6 +127,41 @@
         )
 
 
+class OverloadTest(EgretrailTestCase):
+    @cases(
+        {
+            "normal everywhere": ([_OVERLOAD.replace("full", "normal")], []),
+            "an earlier version": ([""], []),
+            "a state that was left": ([_OVERLOAD.replace('"} 1', '"} 0')], []),
+            "full on one": (
+                [_OVERLOAD],
+                [
+                    "service s: full on 1",
+                    "  priority 0 in the last second: offered 40, refused 0, shed 0",
+                    "  priority 2 in the last second: offered 200, refused 90, shed 7",
+                    "  account large: offered 120",
+                    "  account b: offered 9",
+                ],
+            ),
+            # Guards against adding up figures that are each of the whole fleet.
+            "different ages of reports": (
+                [_OVERLOAD, _OVERLOAD.replace("full", "normal").replace(" 120", " 150")],
+                [
+                    "service s: full on 1, normal on 1",
+                    "  priority 0 in the last second: offered 40, refused 0, shed 0",
+                    "  priority 2 in the last second: offered 200, refused 90, shed 7",
+                    "  account large: offered 150",
+                    "  account b: offered 9",
+                ],
+            ),
+        }
+    )
+    def test_overload(self, case: tuple[Sequence[str], list[str]]) -> None:
+        texts, expected = case
+        readings = [parse_metrics(f"a:{n}", _text({}) + text) for n, text in enumerate(texts)]
+        self.assertEqual(expected, list(overloads_text(find_overloads(readings))))
+
+
 class ShowCommandTest(EgretrailTestCase):
     def _run(self, texts: Sequence[str], *arguments: str) -> tuple[int, str]:
         servers = [self.enterContext(_MetricsServer(text)) for text in texts]
@@ -145,6 +193,15 @@
         self.assertEqual(3.0, document["gateways"][0]["values"]["members"])
         self.assertEqual([], document["differences"])
 
+    def test_show_lists_services_that_are_not_normal(self) -> None:
+        text = _text({}) + _OVERLOAD
+        _, output = self._run([text], "show")
+        self.assertIn("service s: full on 1\n", output)
+        _, output = self._run([text], "show", "--json")
+        [service] = json.loads(output)["services"]
+        self.assertEqual({"offered": 200.0, "refused": 90.0, "shed": 7.0}, service["demand"]["2"])
+        self.assertEqual({"account": "large", "offered": 120.0}, service["accounts"][0])
+
     # Also guards against a reading that times out because this process was paused.
     @cases(
         {
--- a/src/egretrail/diagnosis/_cause.py
+++ b/src/egretrail/diagnosis/_cause.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from egretrail.diagnosis._lines import LogLine
+from egretrail.diagnosis._refusals import FieldsOrUnknown, refusal_text
 from egretrail.diagnosis._timeline import RequestTimeline
 
 
@@ -32,54 +33,16 @@
     text: str
 
 
-_REFUSAL_TEXTS = {
-    "no_upstream": "no upstream of service {service} was listed as taking work",
-    "all_suspect": "every upstream of service {service} was doubted or had been tried",
-    "no_time": (
-        "it would have waited {wait_s} s for a slot, work of service {service} usually takes "
-        "{usual_s} s, and it had {left_s} s left"
-    ),
-    "not_run": (
-        "the upstreams of service {service} refused it and no repeat was left ({attempts} sent)"
-    ),
-    "limited": (
-        "every upstream of service {service} had named a limit, of which this instance had no token"
-        " left"
-    ),
-    "backing_off": (
-        "every upstream of service {service} had asked this instance to send no requests for a time"
-        " that was not over"
-    ),
-    "isolated": (
-        "neither the instance nor any that it asked could connect to an upstream, of any service"
-    ),
-    "crashes_upstreams": "three upstreams were lost while they ran it",
-    "config_behind": (
-        "no route of the configuration in force takes it, or no account holds its key, and the"
-        " instance cannot know whether a newer one does"
-    ),
-    "key_unproved": (
-        "the instance had not heard for {proof_age_s} s that its keys are still in force, longer"
-        " than an ended key may be taken"
-    ),
-    "over_quota": (
-        "the quota of account {account} had room for {room} requests, and it sent {demand_per_s} a"
-        " second"
-    ),
-    "starting": "the instance did not know the configuration yet",
-    "stopping": "the instance was about to stop",
-}
-
-
 def find_cause(timeline: RequestTimeline) -> Cause:
     """Return the cause of the outcome of a timeline's request."""
     last = {line.event: line for line in timeline.events}
     if "refused" in last:
-        return _refusal_cause(last["refused"])
+        text = refusal_text(last["refused"], timeline.contention)
+        return Cause(CauseKind.REFUSED, f"refused without having run: {text}")
     if "no_route" in last:
         fields = last["no_route"].fields
         text = "no route of configuration {config_version} takes {path} on {host}"
-        return Cause(CauseKind.NO_ROUTE, text.format_map(_FieldsOrUnknown(fields)))
+        return Cause(CauseKind.NO_ROUTE, text.format_map(FieldsOrUnknown(fields)))
     if "key_refused" in last:
         return _key_refusal_cause(last["key_refused"])
     if "answered" in last:
@@ -89,18 +52,12 @@
     return Cause(CauseKind.UNKNOWN, "no log line names it")
 
 
-def _refusal_cause(line: LogLine) -> Cause:
-    reason = line.fields.get("reason", "")
-    text = _REFUSAL_TEXTS.get(reason, reason).format_map(_FieldsOrUnknown(line.fields))
-    return Cause(CauseKind.REFUSED, f"refused without having run: {text}")
-
-
 def _key_refusal_cause(line: LogLine) -> Cause:
     if line.fields.get("reason") == "missing":
         text = "it carries no API key, or more than one, and route {route} needs one"
     else:
         text = "no account of configuration {config_version} holds its API key"
-    return Cause(CauseKind.NO_ACCOUNT, text.format_map(_FieldsOrUnknown(line.fields)))
+    return Cause(CauseKind.NO_ACCOUNT, text.format_map(FieldsOrUnknown(line.fields)))
 
 
 def _outcome_cause(timeline: RequestTimeline, line: LogLine) -> Cause:
@@ -139,10 +96,3 @@
         else "; nothing was held against it"
     )
     return Cause(CauseKind.UPSTREAM_FAILED, f"upstream {upstream} failed the request{history}")
-
-
-class _FieldsOrUnknown(dict[str, str]):
-    """Log fields for a format string; a field that the log lacks is shown as ``unknown``."""
-
-    def __missing__(self, key: str) -> str:
-        return "unknown"
--- a/src/egretrail/diagnosis/_requests.py
+++ b/src/egretrail/diagnosis/_requests.py
@@ -40,9 +40,12 @@
         return UNKNOWN if found is None else NONE
 
     def arrival_s(self) -> float:
-        """Return when the request arrived, or its first line if its duration is not logged."""
+        """Return when the request arrived, to the millisecond of the log.
+
+        Without a logged duration, this is the time of its first line.
+        """
         if self.answered is not None and (duration_s := number(self.answered, "duration_s")):
-            return self.answered.time_s - duration_s
+            return round(self.answered.time_s - duration_s, 3)
         lines = [*self.attempts, *self.failures, self.refused, self.answered]
         return min(line.time_s for line in lines if line is not None)
 
--- a/src/egretrail/diagnosis/_timeline.py
+++ b/src/egretrail/diagnosis/_timeline.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from egretrail.diagnosis._contention import Contention, find_contention
 from egretrail.diagnosis._lines import LogLine
 
 #: Events about an upstream's health are searched this long before each attempt.
@@ -20,10 +21,15 @@
     events: Sequence[LogLine]
     #: The last events about its upstreams' health before it, logged by the same instance.
     prior_health_events: Sequence[LogLine]
+    #: What else its service was sent before it was refused; None if it was not refused.
+    contention: Contention | None = None
 
     def merged_lines(self) -> Sequence[LogLine]:
         """Return all lines of the timeline, ordered by time."""
-        return sorted([*self.prior_health_events, *self.events], key=lambda line: line.time_s)
+        lines = [*self.prior_health_events, *self.events]
+        if self.contention is not None and self.contention.state_change is not None:
+            lines.append(self.contention.state_change)
+        return sorted(lines, key=lambda line: line.time_s)
 
 
 def build_timeline(attempt_id: str, lines: Iterable[LogLine]) -> RequestTimeline:
@@ -34,7 +40,9 @@
     for event in own:
         if event.event == "attempt":
             health_events += _last_health_events(event, all_lines)
-    return RequestTimeline(attempt_id, own, health_events)
+    refused = next((line for line in reversed(own) if line.event == "refused"), None)
+    contention = find_contention(refused, all_lines) if refused is not None else None
+    return RequestTimeline(attempt_id, own, health_events, contention)
 
 
 def _last_health_events(attempt: LogLine, all_lines: Sequence[LogLine]) -> list[LogLine]:
