--- a/src/egretrail/cli/_gateway_losses.py
+++ b/src/egretrail/cli/_gateway_losses.py
@@ -100,11 +100,11 @@
 def _attempts_text(tables: LossTables) -> Iterator[str]:
     if not tables.attempts:
         return
-    titles = ("attempts", "far", "shed", "failed")
-    yield f"\n{'upstream zone':24}" + "".join(f"{title:>10}" for title in titles) + "  sent with"
+    titles = ("attempts", "other zone", "shed", "failed")
+    yield f"\n{'upstream zone':24}" + "".join(f"{title:>12}" for title in titles) + "  sent with"
     for (slot, zone), row in tables.attempts.items():
         cells = (row.attempts, row.from_other_zones, row.shed, row.failed)
-        yield f"{zone:24}" + "".join(f"{cell:10}" for cell in cells) + f"  {_SLOT_TEXTS[slot]}"
+        yield f"{zone:24}" + "".join(f"{cell:12}" for cell in cells) + f"  {_SLOT_TEXTS[slot]}"
 
 
 def _counts_document(row: RequestCounts) -> dict[str, int]:
