Compare overdue requests with answers, and report disproving successes to all zones

Cause: two overdue requests within 3 s put an upstream behind the others, whatever it answered. Other zones heard of failed paths but not of the successes that disprove them: the successes of upstreams in good health stay in their zone.

Answers are known in the own zone only, so overdue requests of other zones count only as trials. An overdue request no longer confirms a reset connection. A success after failures to reach the upstream is reported to all zones.

--- a/src/egretrail/dispatch/_observation.py
+++ b/src/egretrail/dispatch/_observation.py
@@ -38,6 +38,6 @@
     upstream_id: str
     #: Outcome of the request.
     outcome: Outcome
-    #: Time from sending the request to the outcome; for ``UNREACHABLE``, from the beginning of the
-    #: attempt to its report.
+    #: Time from sending the request to the outcome; for ``UNREACHABLE`` and ``OVERDUE``, from the
+    #: beginning of the attempt to its report.
     duration_s: float
--- a/src/egretrail/dispatch/_path_check.py
+++ b/src/egretrail/dispatch/_path_check.py
@@ -77,15 +77,8 @@
             is_connect_failure = failure.observation.outcome is Outcome.UNREACHABLE
             if is_connect_failure and not connected:
                 kept.append(failure)
-            elif not is_connect_failure:
-                attributed.append(failure)
-            elif failure.observation.upstream_id != upstream_id:
-                # Responses since the attempt began show that the upstream is reachable, so the
-                # report must not state a later beginning.
-                held_s = now_s - failure.at_s
-                duration_s = failure.observation.duration_s + held_s
-                observation = replace(failure.observation, duration_s=duration_s)
-                attributed.append(replace(failure, observation=observation))
+            elif not is_connect_failure or failure.observation.upstream_id != upstream_id:
+                attributed.append(_with_time_held(failure, now_s))
         self._held = kept
         return attributed
 
@@ -114,6 +107,18 @@
         self.is_isolated = False
 
 
+def _with_time_held(failure: HeldFailure, now_s: float) -> HeldFailure:
+    """Return a failure with the duration until its report, where its beginning is evidence.
+
+    Failures to connect, and overdue requests, are compared with the responses since then.
+    """
+    observation = failure.observation
+    if observation.outcome not in (Outcome.UNREACHABLE, Outcome.OVERDUE):
+        return failure
+    duration_s = observation.duration_s + now_s - failure.at_s
+    return replace(failure, observation=replace(observation, duration_s=duration_s))
+
+
 def choose_probes(
     records: Collection[UpstreamRecord],
     avoided: Collection[str],
--- a/src/egretrail/dispatch/_reachability.py
+++ b/src/egretrail/dispatch/_reachability.py
@@ -176,6 +176,10 @@
         """Return whether any failure to reach an upstream is remembered."""
         return upstream_id in self._failures or upstream_id in self._own_pauses
 
+    def has_failures(self, upstream_id: str) -> bool:
+        """Return whether instances failed to reach an upstream since its last response."""
+        return upstream_id in self._failures
+
     def is_paused(self, upstream_id: str, now_s: float) -> bool:
         """Return whether this instance avoids an upstream because its own network path failed."""
         pause = self._own_pauses.get(upstream_id)
--- a/src/egretrail/dispatch/_suspicion.py
+++ b/src/egretrail/dispatch/_suspicion.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from egretrail.dispatch._observation import RESPONSE_OUTCOMES, Observation, Outcome
+from egretrail.dispatch._overdue import OverdueTable
 from egretrail.dispatch._reachability import (
     FIRST_PATH_PAUSE_S,
     RESPONSE_MARGIN_S,
@@ -108,13 +109,14 @@
         #: Until when upstreams count as shedding, and the length of that time.
         self._shedding: dict[str, tuple[float, float]] = {}
         self._reachability = ReachabilityTable(own_name)
+        self._overdue = OverdueTable(own_name)
 
     def record_outcome(
         self, observation: Observation, observer: str, typical_s: float, now_s: float
     ) -> None:
         """Record an outcome that was observed now; ``typical_s`` is the typical duration."""
         if observation.outcome in RESPONSE_OUTCOMES:
-            self.record_response(observation.upstream_id, now_s)
+            self.record_response(observation.upstream_id, observer, now_s)
         match observation.outcome:
             case Outcome.SUCCESS:
                 self._record_success(
@@ -126,16 +128,21 @@
                 is_quick = observation.duration_s < typical_s * _QUICK_SHARE
                 self._record_failure(observation, observer, is_quick, now_s)
             case Outcome.OVERDUE:
-                self._record_failure(observation, observer, False, now_s)
+                sent_s = now_s - observation.duration_s
+                is_frequent = self._overdue.record_overdue(
+                    observation.upstream_id, observer, sent_s, now_s
+                )
+                self._record_overdue(observation, now_s, is_frequent=is_frequent)
             case Outcome.UNREACHABLE | Outcome.SILENT:
                 self._record_unreachable(observation, observer, now_s)
 
-    def record_response(self, upstream_id: str, now_s: float) -> None:
-        """Record that an upstream responded to any instance, which shows that it is reachable.
+    def record_response(self, upstream_id: str, observer: str, now_s: float) -> None:
+        """Record that an upstream responded to an instance, which shows that it is reachable.
 
         If it is suspected because instances could not reach it, only their paths had failed. It
         returns to service at once, and more instances have to fail before the next such suspicion.
         """
+        self._overdue.record_answer(upstream_id, observer, now_s)
         self._reachability.record_response(upstream_id, now_s)
         suspicion = self._suspicions.get(upstream_id)
         if suspicion is None or suspicion.first_attempt_s is None:
@@ -172,6 +179,10 @@
         is_known = upstream_id in self._suspicions or upstream_id in self._weak_evidence
         return not is_known and not self._reachability.has_evidence(upstream_id)
 
+    def has_unanswered_failures(self, upstream_id: str) -> bool:
+        """Return whether instances failed to reach an upstream since its last known response."""
+        return self._reachability.has_failures(upstream_id)
+
     def is_shedding(self, upstream_id: str, now_s: float) -> bool:
         """Return whether an upstream recently refused a request without running it.
 
@@ -233,6 +244,7 @@
             for upstream_id in table.keys() - listed:
                 table.pop(upstream_id)
         self._reachability.keep_only(listed)
+        self._overdue.keep_only(listed)
 
     def _record_success(
         self, upstream_id: str, observer: str, started_s: float, now_s: float
@@ -275,6 +287,16 @@
                 now_s, _WEAK_SUSPICION_S, is_weak=True
             )
 
+    def _record_overdue(self, observation: Observation, now_s: float, *, is_frequent: bool) -> None:
+        """Put an upstream that hangs behind the others, or extend a suspect's pause."""
+        suspicion = self._suspicions.get(observation.upstream_id)
+        if suspicion is not None and not suspicion.is_weak:
+            self._extend_pause(suspicion, observation, now_s)
+        elif is_frequent:
+            self._suspicions[observation.upstream_id] = _Suspicion(
+                now_s, _WEAK_SUSPICION_S, is_weak=True
+            )
+
     def _record_unreachable(self, observation: Observation, observer: str, now_s: float) -> None:
         """Take an upstream out of service that no instance reaches, or extend a suspect's pause.
 
@@ -311,13 +333,8 @@
         )
 
     def _add_weak_evidence(self, observation: Observation, observer: str, now_s: float) -> bool:
-        """Add weak evidence; return whether there is enough of it.
-
-        Overdue requests of one instance count once: its own network path may be the cause.
-        """
+        """Add weak evidence; return whether there is enough of it."""
         evidence = self._weak_evidence.setdefault(observation.upstream_id, [])
         evidence[:] = [(name, at_s) for name, at_s in evidence if now_s - at_s < _WEAK_WINDOW_S]
-        if observation.outcome is Outcome.OVERDUE:
-            evidence[:] = [(name, at_s) for name, at_s in evidence if name != observer]
         evidence.append((observer, now_s))
         return len(evidence) >= _WEAK_QUORUM
--- a/src/egretrail/gateway/_outcome_recorder.py
+++ b/src/egretrail/gateway/_outcome_recorder.py
@@ -11,10 +11,12 @@
     Placement,
     ServiceDurations,
     SuspicionTable,
+    UpstreamHealth,
 )
 from egretrail.gateway._log import EventLog
 from egretrail.traffic import UpstreamRecord, UpstreamTable, upstream_key
 
+_SUSPECTED = frozenset({UpstreamHealth.SUSPECT, UpstreamHealth.PROBATION})
 #: Outcomes after which the attempt brings no answer to the client.
 _LOST_ANSWERS = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT, Outcome.SHED})
 #: A refusal that this instance observed returns in its zone's aggregates within this time. Counted
@@ -58,10 +60,19 @@
         if observation.outcome is Outcome.SHED:
             self._refused_s[observation.upstream_id] = now_s
 
-    def record_reported(self, report: OutcomeReport, now_s: float) -> None:
-        """Record an outcome that another instance reported."""
+    def record_reported(
+        self, report: OutcomeReport, now_s: float, *, is_own_zone: bool = True
+    ) -> None:
+        """Record an outcome that another instance reported.
+
+        Overdue requests are compared with answers, which are known for the own zone only. Those of
+        other zones therefore count only as trials of suspects.
+        """
         upstream_id = self.ids_by_key.get(report.upstream_key)
-        if upstream_id is not None:
+        if upstream_id is None:
+            return
+        is_compared = report.outcome is Outcome.OVERDUE and not is_own_zone
+        if not is_compared or self._suspicion.health(upstream_id, now_s) in _SUSPECTED:
             observation = Observation(upstream_id, report.outcome, report.duration_s)
             self._record(observation, report.observer, now_s)
 
@@ -79,7 +90,7 @@
         if record is None:
             return
         if self._suspicion.has_no_evidence(record.id):
-            self._suspicion.record_response(record.id, now_s)
+            self._suspicion.record_response(record.id, "", now_s)
             self._load.record_response(record.id, now_s)
             self._record_duration(record, duration_s, now_s)
             return
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -380,7 +380,9 @@
         )
         for report in section.outcomes[known_count:]:
             if report.observer != self._settings.ip:
-                self._outcome_recorder.record_reported(report, now_s)
+                self._outcome_recorder.record_reported(
+                    report, now_s, is_own_zone=section.availability_zone == self.own_zone
+                )
         for key in section.refusals:
             self._outcome_recorder.record_reported_refusal(key, section.hub, now_s)
         changed = section.changed
@@ -502,7 +504,10 @@
     def record_outcome(self, observation: Observation, digest: RequestDigest | None = None) -> None:
         """Record an outcome that this instance observed, and report it to the others."""
         now_s = self._clock()
-        suspected = self.suspicion.health(observation.upstream_id, now_s) is not UpstreamHealth.GOOD
+        health = self.suspicion.health(observation.upstream_id, now_s)
+        # Other zones hear of a success only if it may disprove a suspicion there.
+        suspected = health is not UpstreamHealth.GOOD
+        suspected |= self.suspicion.has_unanswered_failures(observation.upstream_id)
         own_name = self._settings.ip
         self._outcome_recorder.record_own(observation, own_name, now_s)
         key = upstream_key(observation.upstream_id)
