Compute the capacity of a service and the sum of a zone faster

Cause: with 214 upstreams a capacity took 0.14 ms, the sum of 100 members' reports 1.2 ms (machine with other load).

Change: suspects are looked up as a set, loads are added up in one call, and sums have no object for each addition.

--- a/src/egretrail/cluster/_demand_sums.py
+++ b/src/egretrail/cluster/_demand_sums.py
@@ -74,22 +74,26 @@
     reports: Iterable[DemandReport], busy_services: Collection[int], accounts_max: int
 ) -> DemandReport:
     """Return the sum of reports for the services that are short of capacity or busy."""
-    rows: dict[DemandKey, DemandRow] = {}
+    rows: dict[DemandKey, list[int]] = {}
     accounts: Counter[AccountDemandKey] = Counter()
     for report in reports:
+        # Without an object for each sum: a hub of 100 instances adds up 900 rows.
         for key, row in report.rows.items():
-            rows[key] = rows[key].plus(row) if key in rows else row
-        accounts.update(report.accounts)
+            sums = rows.setdefault(key, [0, 0, 0, 0])
+            sums[0] += row.offered
+            sums[1] += row.refused
+            sums[2] += row.shed
+            sums[3] += row.retries_wanted
+        for account, offered in report.accounts.items():
+            accounts[account] += offered
     included = {
-        key.service
-        for key, row in rows.items()
-        if row.refused or row.shed or row.retries_wanted or key.service in busy_services
+        key.service for key, sums in rows.items() if any(sums[1:]) or key.service in busy_services
     }
     heaviest = sorted(
         ((offered, key) for key, offered in accounts.items() if key.service in included),
         key=lambda entry: (-entry[0], entry[1]),
     )
     return DemandReport(
-        {key: row for key, row in rows.items() if key.service in included},
+        {key: DemandRow(*sums) for key, sums in rows.items() if key.service in included},
         {key: offered for offered, key in heaviest[:accounts_max]},
     )
--- a/src/egretrail/dispatch/_load.py
+++ b/src/egretrail/dispatch/_load.py
@@ -93,6 +93,15 @@
             return max(known, reported[0])
         return known
 
+    def sum_in_flight(self, upstream_ids: Iterable[str], now_s: float) -> int:
+        """Return the requests in flight at several upstreams together."""
+        totals, reports = self._totals, self._reported_loads
+        return sum(
+            self.in_flight(upstream_id, now_s) if upstream_id in reports else totals[upstream_id]
+            for upstream_id in upstream_ids
+            if upstream_id in totals or upstream_id in reports
+        )
+
     def idle_for_s(self, upstream_id: str, now_s: float) -> float:
         """Return for how long no instance is known to have used an upstream."""
         if self._totals.get(upstream_id, 0) > 0:
--- a/src/egretrail/dispatch/_suspicion.py
+++ b/src/egretrail/dispatch/_suspicion.py
@@ -144,6 +144,14 @@
             return UpstreamHealth.GOOD
         return UpstreamHealth.WEAKLY_SUSPECT
 
+    def out_of_service(self) -> set[str]:
+        """Return the upstreams that are out of service for all instances, or on probation."""
+        return {
+            upstream_id
+            for upstream_id, suspicion in self._suspicions.items()
+            if not suspicion.is_weak
+        }
+
     def has_no_evidence(self, upstream_id: str) -> bool:
         """Return whether no evidence is held against an upstream, so a success changes nothing."""
         is_known = upstream_id in self._suspicions or upstream_id in self._weak_evidence
--- a/src/egretrail/gateway/_overload_control.py
+++ b/src/egretrail/gateway/_overload_control.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from egretrail.cluster import Section
-from egretrail.dispatch import Placement, UpstreamHealth
+from egretrail.dispatch import Placement
 from egretrail.gateway._log import EventLog
 from egretrail.overload import (
     AccountDemandKey,
@@ -23,9 +23,8 @@
 )
 from egretrail.traffic import FleetConfig, ObjectiveTable, UpstreamTable
 
-#: How long the capacity of a service is used after it was computed. With 214 upstreams this takes a
-#: tenth of a millisecond, which each request would cost otherwise; loads and suspicions from other
-#: zones are older than that.
+#: How long the capacity of a service is used after it was computed, which takes some tens of
+#: microseconds with 214 upstreams; loads and suspicions from other zones are older than that.
 _ROOM_VALID_S = 0.05
 #: How long a sample of the own demand is reported: samples are taken every 0.1 s, except by an
 #: instance that was paused.
@@ -189,14 +188,14 @@
         known = self._rooms.get(service)
         if known is not None and 0 <= now_s - known[1] < _ROOM_VALID_S:
             return known[0]
-        slots = in_flight = 0
         placement = self._placement
-        for record in self._upstreams.ready(service):
-            health = placement.suspicion.health(record.id, now_s)
-            if health not in (UpstreamHealth.SUSPECT, UpstreamHealth.PROBATION):
-                slots += record.slots
-                in_flight += placement.load.in_flight(record.id, now_s)
-        room = ServiceRoom(slots, in_flight, placement.durations.mean_s(service))
+        suspects = placement.suspicion.out_of_service()
+        used = [one for one in self._upstreams.ready(service) if one.id not in suspects]
+        room = ServiceRoom(
+            slots=sum([one.slots for one in used]),
+            in_flight=placement.load.sum_in_flight([one.id for one in used], now_s),
+            mean_s=placement.durations.mean_s(service),
+        )
         self._rooms[service] = room, now_s
         return room
 
