Add load patterns and partial cuts with a killed hub to the fault soak

The soak sent an even load and cut gateways from all backends only, so it could not show what overload does to the guarantees.

A plan now also draws an account that sends many times its usual, a burst of the less urgent kind of a service beyond what its backends take, clients that return at once after a refusal, clients that read large responses slowly, backends of unlike speed, and paths cut between some gateways and some backends while a hub is killed. They are drawn apart from the faults, so that a seed keeps its faults. The routes have priorities and the clients accounts. In a burst, the most urgent requests must be served at least as often as others, but for differences within three standard deviations. A breach prints the folder of the logs.

--- a/scaffolding/platform/backend.py
+++ b/scaffolding/platform/backend.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 
 _numbers = itertools.count(1)
+#: Added to the response to a request with ``large`` in its target: more than socket buffers hold.
+_LARGE_BYTES = 600_000
 
 
 class Behaviour(enum.Enum):
@@ -156,7 +158,8 @@
             run.cancel()
             self.cancelled.append(attempt)
             return False
-        return self._respond(writer, attempt, f"{self.id} {method} {target}".encode())
+        padding = "." * _LARGE_BYTES + " " if "large" in target else ""
+        return self._respond(writer, attempt, f"{self.id} {padding}{method} {target}".encode())
 
     async def _wait_for_disconnect(self, reader: asyncio.StreamReader) -> None:
         while not reader.at_eof():
--- a/scaffolding/platform/cut_gateway.py
+++ b/scaffolding/platform/cut_gateway.py
@@ -1,8 +1,9 @@
-"""Runs a gateway whose network paths to all backends can be cut from outside the process.
+"""Runs a gateway whose network paths to backends can be cut from outside the process.
 
 Backends cannot tell gateways apart by their loopback addresses, so a proxy before a backend cannot
 refuse the connections of one gateway only. The cut is therefore injected below the gateway's code,
-where it opens connections. A file next to the gateway's settings names the cut in force.
+where it opens connections. A file next to the gateway's settings names the cut in force, and the
+ports of the backends that are cut; without ports it is all of them.
 """
 
 import asyncio
@@ -25,7 +26,7 @@
 
 
 class BackendCut(enum.Enum):
-    """What happens to the connections of a gateway to all backends."""
+    """What happens to the connections of a gateway to the backends that are cut."""
 
     NONE = "none"
     #: New connections are refused; open ones work.
@@ -49,8 +50,9 @@
 class _Connection:
     """An open connection to a backend, whose bytes are held back while it is silent."""
 
-    def __init__(self, transport: Any, protocol: asyncio.Protocol) -> None:
+    def __init__(self, transport: Any, protocol: asyncio.Protocol, port: int) -> None:
         self.transport = transport
+        self.port = port
         self._protocol = protocol
         self._write: Callable[[bytes], None] = transport.write
         self._held: list[bytes] = []
@@ -97,6 +99,7 @@
     def __init__(self, control: Path) -> None:
         self._control = control
         self._cut = BackendCut.NONE
+        self._ports: frozenset[int] = frozenset()
         self._connections: list[_Connection] = []
         self._is_polling = False
 
@@ -112,13 +115,14 @@
                 self._poll(loop)
             if host != BACKEND_HOST:
                 return await create_connection(loop, factory, host, port, **kw)
-            if self._cut is BackendCut.HANGING:
+            cut = self._cut_of(port)
+            if cut is BackendCut.HANGING:
                 await asyncio.Event().wait()
-            if self._cut is not BackendCut.NONE:
+            if cut is not BackendCut.NONE:
                 raise ConnectionRefusedError(errno.ECONNREFUSED, "cut from the backends")
             transport, protocol = await create_connection(loop, factory, host, port, **kw)
-            connection = _Connection(transport, protocol)
-            connection.set_silent(self._cut in _SILENT_CUTS)
+            connection = _Connection(transport, protocol, port)
+            connection.set_silent(self._cut_of(port) in _SILENT_CUTS)
             self._connections.append(connection)
             return transport, protocol
 
@@ -129,15 +133,21 @@
             text = self._control.read_text()
         except FileNotFoundError:
             text = BackendCut.NONE.value
-        cut = BackendCut(text)
-        if cut is not self._cut:
-            self._apply(cut)
+        name, *ports = text.split()
+        cut, cut_ports = BackendCut(name), frozenset(int(port) for port in ports)
+        if (cut, cut_ports) != (self._cut, self._ports):
+            self._apply(cut, cut_ports)
         loop.call_later(_POLL_S, self._poll, loop)
 
-    def _apply(self, cut: BackendCut) -> None:
-        self._cut = cut
+    def _cut_of(self, port: int) -> BackendCut:
+        """Return the cut in force for the backend with a port."""
+        return self._cut if not self._ports or port in self._ports else BackendCut.NONE
+
+    def _apply(self, cut: BackendCut, ports: frozenset[int]) -> None:
+        self._cut, self._ports = cut, ports
         self._connections = [one for one in self._connections if not one.transport.is_closing()]
         for connection in self._connections:
+            cut = self._cut_of(connection.port)
             if cut is BackendCut.RESET:
                 connection.reset()
             else:
--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -224,13 +224,18 @@
             self.backends.append(backend)
             self.store.write(f"servers/{backend.id}", backend.store_entry())
 
-    def cut_from_backends(self, numbers: Iterable[int], cut: BackendCut) -> None:
-        """Cut gateways from all backends, or restore their paths; lasts over restarts."""
+    def cut_from_backends(
+        self, numbers: Iterable[int], cut: BackendCut, ports: Iterable[int] = ()
+    ) -> None:
+        """Cut gateways from backends, or restore their paths; lasts over restarts.
+
+        Without ports, all backends are cut.
+        """
         for number in numbers:
             path = control_path(self.settings_path(number))
             # The gateway must never read a partial name.
             partial = path.with_suffix(".partial")
-            partial.write_text(cut.value)
+            partial.write_text(" ".join([cut.value, *map(str, ports)]))
             partial.rename(path)
 
     def is_running(self, number: int) -> bool:
--- a/scaffolding/soak/_fault_driver.py
+++ b/scaffolding/soak/_fault_driver.py
@@ -19,6 +19,8 @@
 from scaffolding.platform.store import StoreMode
 from scaffolding.soak._disturbances import DisturbanceLog
 from scaffolding.soak._guarantees import GuaranteeChecker
+from scaffolding.soak._loads import LoadDriver
+from scaffolding.soak._path_cuts import PathCutter
 from scaffolding.soak._plan import Fault, FaultKind
 
 #: Number of backends by service. The moving route rotates over three of the services.
@@ -67,21 +69,13 @@
     LinkFault.CUT_TO_CLIENT,
     LinkFault.BLACKHOLED,
 )
-_BACKEND_CUTS = (
-    BackendCut.REFUSED,
-    BackendCut.HANGING,
-    BackendCut.RESET,
-    BackendCut.SILENT,
-)
-#: A cut lasts this many times as long as other faults: gateways find it out within a second.
-_CUT_FACTOR = 2.0
 _STORE_MODES = (StoreMode.UNAVAILABLE, StoreMode.UNRESPONSIVE, StoreMode.LOSING_REPLIES)
 
 
 class FaultDriver:
     """Manages backends, links and gateway processes during a plan."""
 
-    def __init__(self, fleet: GatewayFleet, checker: GuaranteeChecker) -> None:
+    def __init__(self, fleet: GatewayFleet, checker: GuaranteeChecker, loads: LoadDriver) -> None:
         self._fleet = fleet
         self._checker = checker
         self._links: dict[str, LinkProxy] = {}
@@ -89,13 +83,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._version = 1
         self._active_outages: Counter[str] = Counter()
-        #: Number of cuts in force, by gateway.
-        self._active_cuts: Counter[int] = Counter()
         self._write_config: Callable[[int, str], None] = lambda version, service: None
         #: All backends that were started.
         self.all_backends: list[StandInBackend] = []
         #: Time spans in which a fault or a delay of the machine was active.
         self.disturbances = checker.disturbances
+        self._paths = PathCutter(fleet, self._links, self.disturbances)
+        self._loads = loads
         #: Time spans of planned gateway stops and reloads.
         self.stops = DisturbanceLog()
         #: Draining backends, each with the time of its draining entry and the bound in seconds.
@@ -162,6 +156,8 @@
             FaultKind.STORE_HISTORY_DISCARDED: self._discard_store_history,
             FaultKind.CONFIG_CHANGE: self._config_change,
             FaultKind.CONFIG_SERIES: self._config_series,
+            FaultKind.PATHS_CUT_HUB_KILLED: self._cut_and_kill_hub,
+            **self._loads.handlers(),
         }
         await handlers[fault.kind](fault, rng)
 
@@ -216,24 +212,16 @@
             self._fleet.signal_gateway(number, signal.SIGCONT)
 
     async def _cut_from_backends(self, fault: Fault, rng: random.Random) -> None:
-        """Cut one gateway, a few, half, a zone or all but one from all backends."""
-        cut, numbers = rng.choice(_BACKEND_CUTS), self._gateways_to_cut(rng)
-        duration_s = fault.duration_s * _CUT_FACTOR
-        for number in numbers:
-            self._record_disturbance(f"gateway-{number}", duration_s)
-            self._active_cuts[number] += 1
-        self._fleet.cut_from_backends(numbers, cut)
-        await asyncio.sleep(duration_s)
-        self._active_cuts.subtract(numbers)
-        restored = [number for number in numbers if not self._active_cuts[number]]
-        self._fleet.cut_from_backends(restored, BackendCut.NONE)
-
-    def _gateways_to_cut(self, rng: random.Random) -> Sequence[int]:
-        count = len(self._fleet.store_links)
-        numbers = rng.sample(range(count), count)
-        zone = rng.choice(ZONES)
-        in_zone = [number for number in numbers if self._fleet.zone(number) == zone]
-        return rng.choice([numbers[:1], numbers[:2], numbers[: count // 2], in_zone, numbers[1:]])
+        await self._paths.cut_from_all(fault.duration_s, rng)
+
+    async def _cut_and_kill_hub(self, fault: Fault, rng: random.Random) -> None:
+        """Kill a hub while paths between some gateways and some backends are cut."""
+        cut = self._spawn(self._paths.cut_from_some(fault.duration_s, rng))
+        await asyncio.sleep(rng.random() * fault.duration_s)
+        hubs = self._paths.hubs()
+        if hubs:
+            await self._kill_one(rng.choice(hubs))
+        await cut
 
     async def _reload(self, fault: Fault, rng: random.Random) -> None:
         """Change a gateway's settings file, with no, one or several signals.
--- a/scaffolding/soak/_guarantees.py
+++ b/scaffolding/soak/_guarantees.py
@@ -8,6 +8,7 @@
 from scaffolding.soak._disturbances import DisturbanceLog
 from scaffolding.soak._notices import requests_after_stated_draining, requests_during_backoff
 from scaffolding.soak._sent_attempt import SentAttempt
+from scaffolding.soak._urgency import urgency_violations
 
 #: Statuses that guarantee that a request was not executed and never will be.
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -27,6 +28,8 @@
     cut_at_shutdown: list[str] = field(default_factory=list)
     #: Requests that reached a draining backend after the time bound.
     late_to_draining: list[str] = field(default_factory=list)
+    #: Time spans of bursts of the less urgent kinds of a service.
+    bursts: list[tuple[float, float]] = field(default_factory=list)
     #: When faults were active.
     disturbances: DisturbanceLog = field(default_factory=DisturbanceLog)
 
@@ -46,6 +49,7 @@
             )
         found += self._configuration_violations(backends_by_attempt)
         found += self._retry_budget_violations(backends)
+        found += urgency_violations(self.sent, self.bursts)
         found += requests_after_stated_draining(self.sent, backends)
         found += requests_during_backoff(self.sent, backends, self.disturbances)
         return found
--- a/scaffolding/soak/_plan.py
+++ b/scaffolding/soak/_plan.py
@@ -2,12 +2,12 @@
 
 import enum
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 
 class FaultKind(enum.Enum):
-    """The kinds of fault; several faults may overlap, also of the same kind."""
+    """The kinds of fault and load pattern; several may overlap, also of the same kind."""
 
     GATEWAY_KILLED = "gateway_killed"
     GATEWAY_STOPPED = "gateway_stopped"
@@ -27,6 +27,12 @@
     STORE_HISTORY_DISCARDED = "store_forgets"
     CONFIG_CHANGE = "config_change"
     CONFIG_SERIES = "config_series"
+    ACCOUNT_SURGES = "account_surges"
+    KIND_BURSTS = "kind_bursts"
+    CLIENTS_RETURN_AT_ONCE = "clients_return_at_once"
+    CLIENTS_READ_SLOWLY = "clients_read_slowly"
+    BACKENDS_UNEQUAL = "backends_unequal"
+    PATHS_CUT_HUB_KILLED = "paths_cut_hub_killed"
 
 
 #: Relative frequency of each kind.
@@ -50,10 +56,22 @@
     FaultKind.CONFIG_CHANGE: 3,
     FaultKind.CONFIG_SERIES: 1,
 }
+#: Relative frequency of each load pattern, and of the fault that goes with them. They are drawn
+#: apart from the faults, so that a seed keeps the faults that it had without them.
+_LOAD_WEIGHTS = {
+    FaultKind.ACCOUNT_SURGES: 2,
+    FaultKind.KIND_BURSTS: 3,
+    FaultKind.CLIENTS_RETURN_AT_ONCE: 2,
+    FaultKind.CLIENTS_READ_SLOWLY: 2,
+    FaultKind.BACKENDS_UNEQUAL: 2,
+    FaultKind.PATHS_CUT_HUB_KILLED: 2,
+}
 #: Bounds of the duration of a fault.
 _DURATION_MIN_S, _DURATION_MAX_S = 0.3, 4.0
 #: Mean time between the starts of faults.
 _INTERVAL_S = 0.7
+#: Mean time between the starts of load patterns, which last longer than this on average.
+_LOAD_INTERVAL_S = 1.8
 #: Probability that the next fault, of any kind, follows within 0.05 s.
 _IMMEDIATE_NEXT_SHARE = 0.25
 
@@ -73,16 +91,23 @@
 
 
 def plan(seed: int, length_s: float) -> Sequence[Fault]:
-    """Return the faults of a run, ordered by start time."""
-    rng = random.Random(seed)
-    kinds, weights = list(_WEIGHTS), list(_WEIGHTS.values())
+    """Return the faults and load patterns of a run, ordered by start time."""
+    faults = _draw(random.Random(seed), _WEIGHTS, _INTERVAL_S, length_s)
+    loads = _draw(random.Random(f"load {seed}"), _LOAD_WEIGHTS, _LOAD_INTERVAL_S, length_s)
+    return sorted([*faults, *loads], key=lambda fault: fault.at_s)
+
+
+def _draw(
+    rng: random.Random, weights_by_kind: Mapping[FaultKind, int], interval_s: float, length_s: float
+) -> Sequence[Fault]:
+    kinds, weights = list(weights_by_kind), list(weights_by_kind.values())
     faults: list[Fault] = []
-    at_s = rng.expovariate(1 / _INTERVAL_S)
+    at_s = rng.expovariate(1 / interval_s)
     while at_s < length_s:
         kind = rng.choices(kinds, weights)[0]
         faults.append(
             Fault(at_s, rng.uniform(_DURATION_MIN_S, _DURATION_MAX_S), kind, rng.getrandbits(30))
         )
-        pause_s = 0.05 if rng.random() < _IMMEDIATE_NEXT_SHARE else rng.expovariate(1 / _INTERVAL_S)
+        pause_s = 0.05 if rng.random() < _IMMEDIATE_NEXT_SHARE else rng.expovariate(1 / interval_s)
         at_s += pause_s
     return faults
--- a/scaffolding/soak/_run.py
+++ b/scaffolding/soak/_run.py
@@ -5,19 +5,17 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
+from pathlib import Path
 
 from scaffolding.platform import GatewayClient, GatewayFleet
-from scaffolding.platform.fleet import HOST, at_most_once_route, config, route
+from scaffolding.platform.fleet import HOST, account, at_most_once_route, config, route
 from scaffolding.soak._client import KeepAliveClient
+from scaffolding.soak._clients import ACCOUNTS, KINDS, WAIT_S, ClientGroup, account_name
 from scaffolding.soak._fault_driver import FaultDriver
 from scaffolding.soak._guarantees import GuaranteeChecker
+from scaffolding.soak._loads import LoadDriver
 from scaffolding.soak._plan import plan
-from scaffolding.soak._sent_attempt import SentAttempt
 
-#: How long clients wait for a response.
-_WAIT_S = 3.0
-#: Mean pause between two requests of a client, which sends one request at a time.
-_PAUSE_S = 0.08
 #: The fleet must serve again within this time after the last fault.
 _RECOVERY_S = 15.0
 _RECOVERED_SHARE = 0.9
@@ -37,12 +35,16 @@
     faults: Counter[str]
     #: A description of each violated guarantee.
     violations: Sequence[str]
+    #: The folder of the gateways' logs.
+    logs: Path
 
     def __str__(self) -> str:
         answers = " ".join(f"{status}:{count}" for status, count in sorted(self.statuses.items()))
         faults = " ".join(f"{name}:{count}" for name, count in sorted(self.faults.items()))
         lines = [f"seed {self.seed}: {answers} | {faults}"]
         lines += [f"  broken: {one}" for one in self.violations]
+        if self.violations:
+            lines.append(f"  logs: {self.logs}")
         return "\n".join(lines)
 
 
@@ -53,10 +55,12 @@
         self._seed = seed
         self._length_s = length_s
         self._gateways = gateways
-        self._clients = clients
+        self._client_count = clients
         self._fleet = GatewayFleet(gateways, with_backend_cuts=True)
         self._checker = GuaranteeChecker()
-        self._driver = FaultDriver(self._fleet, self._checker)
+        self._clients = ClientGroup(self._fleet, self._checker, gateways)
+        loads = LoadDriver(self._fleet, self._clients, self._checker)
+        self._driver = FaultDriver(self._fleet, self._checker, loads)
         self._probe_client = GatewayClient(HOST)
 
     async def run(self) -> SoakReport:
@@ -76,7 +80,7 @@
             violations.append(f"not serving {_RECOVERY_S:.0f} s after the last fault")
         statuses = Counter(one.result.status for one in self._checker.sent)
         kinds = Counter(fault.kind.value for fault in faults)
-        return SoakReport(self._seed, statuses, kinds, violations)
+        return SoakReport(self._seed, statuses, kinds, violations, self._fleet.logs)
 
     async def _start(self) -> None:
         await self._driver.start(self._write_config)
@@ -88,58 +92,39 @@
 
     def _write_config(self, version: int, moving_service: str) -> None:
         rows = [
-            route("read", "/read/", "catalogue"),
-            at_most_once_route("order", "/order/", "orders"),
-            route("moving", "/moving/", moving_service),
+            (route if not kind.is_at_most_once else at_most_once_route)(
+                name, f"/{name}/", kind.service or moving_service, priority=kind.priority
+            )
+            for name, kind in KINDS.items()
         ]
-        self._fleet.store.write("op/config", config(version, rows))
+        names = [account_name(number) for number in range(ACCOUNTS)]
+        accounts = [account(name, name) for name in names]
+        self._fleet.store.write("op/config", config(version, rows, accounts))
 
     async def _run_plan(self, faults: Sequence[object]) -> None:
         end = asyncio.Event()
         clients = [
-            asyncio.create_task(self._client(number, end)) for number in range(self._clients)
+            asyncio.create_task(
+                self._clients.run(number, random.Random(self._seed * 1_000 + number), end)
+            )
+            for number in range(self._client_count)
         ]
         await self._driver.run(faults)  # type: ignore[arg-type]
         end.set()
         await asyncio.gather(*clients)
 
-    async def _client(self, number: int, end: asyncio.Event) -> None:
-        """Send requests one after the other, on kept-alive connections where possible."""
-        rng = random.Random(self._seed * 1_000 + number)
-        client = KeepAliveClient(HOST)
-        while not end.is_set():
-            await asyncio.sleep(rng.expovariate(1 / _PAUSE_S))
-            await self._send_one(client, rng.randrange(self._gateways), rng)
-        client.close()
-
-    async def _send_one(self, client: KeepAliveClient, gateway: int, rng: random.Random) -> bool:
-        kind = rng.choice(["read", "order", "order", "moving"])
-        method = "POST" if kind == "order" else "GET"
-        target = f"/{kind}/{rng.randrange(1_000)}"
-        at_s = asyncio.get_running_loop().time()
-        process_number = self._fleet.start_counts[gateway]
-        result, _ = await client.send(self._fleet.traffic_address(gateway), method, target, _WAIT_S)
-        service = {"read": "catalogue", "order": "orders"}.get(kind, "")
-        if self._fleet.start_counts[gateway] == process_number or result.status == 0 or service:
-            request_line = f"{method} {target}"
-            is_at_most_once = kind == "order"
-            sent = SentAttempt(
-                at_s, gateway, process_number, is_at_most_once, service, request_line, result
-            )
-            self._checker.sent.append(sent)
-        return result.status == 200
-
     async def _wait_for_recovery(self) -> bool:
         """Return whether nearly all requests are served again within the recovery time."""
         loop = asyncio.get_running_loop()
         rng = random.Random(self._seed)
-        client = KeepAliveClient(HOST)
+        client = KeepAliveClient(HOST, account_name(0))
         end_s = loop.time() + _RECOVERY_S
         try:
             while loop.time() < end_s:
                 served = [
-                    await self._send_one(client, number % self._gateways, rng)
-                    for number in range(4 * self._gateways)
+                    await self._clients.send(client, kind, rng, gateway) == 200
+                    for gateway in range(self._gateways)
+                    for kind in KINDS
                 ]
                 if sum(served) >= _RECOVERED_SHARE * len(served):
                     return True
@@ -153,7 +138,7 @@
         by_attempt = {one.result.attempt: one for one in self._checker.sent}
         for one in self._checker.sent:
             name = f"gateway-{one.gateway}"
-            end_s = one.at_s + _WAIT_S
+            end_s = one.at_s + WAIT_S
             stopping = self._driver.stops.overlaps(name, one.at_s, one.at_s + 1.0)
             if one.result.status or not stopping:
                 continue
--- a/scaffolding/soak/_sent_attempt.py
+++ b/scaffolding/soak/_sent_attempt.py
@@ -23,3 +23,5 @@
     request_line: str
     #: What the client received.
     result: AttemptResult
+    #: The priority of its route; 0 is the most urgent.
+    priority: int = 1
--- a/scaffolding/soak/tests/test_soak.py
+++ b/scaffolding/soak/tests/test_soak.py
@@ -3,12 +3,15 @@
 import asyncio
 import itertools
 from collections.abc import Sequence
+from dataclasses import replace
 
 from egretrail.testing import EgretrailTestCase, cases
 from scaffolding.platform import AttemptResult, GatewayFleet, LinkFault, LinkProxy, StandInBackend
-from scaffolding.soak import GuaranteeChecker, SoakRun, plan
+from scaffolding.soak import FaultKind, GuaranteeChecker, SoakRun, plan
+from scaffolding.soak._client import KeepAliveClient
 from scaffolding.soak._disturbances import DisturbanceLog
 from scaffolding.soak._sent_attempt import SentAttempt
+from scaffolding.soak._urgency import urgency_violations
 
 _LIMIT_S = 180.0
 #: Seeds that once violated a guarantee, with the plan's length in seconds, by what was violated and
@@ -160,11 +163,66 @@
         self.assertEqual(expected, len([one for one in found if "of backoff" in one]))
 
 
+class UrgencyTest(EgretrailTestCase):
+    """Requests in a burst from 0 to 10 s, as (priority, status, number)."""
+
+    @cases(
+        {
+            "alike": ([(0, 200, 40), (0, 503, 10), (2, 200, 40), (2, 503, 10)], False),
+            "the most urgent more often": ([(0, 200, 50), (2, 200, 10), (2, 503, 40)], False),
+            "the most urgent less often": ([(0, 200, 10), (0, 503, 40), (2, 200, 50)], True),
+            "a difference by chance": (
+                [(0, 200, 44), (0, 503, 6), (2, 200, 49), (2, 503, 1)],
+                False,
+            ),
+            "too few": ([(0, 503, 19), (2, 200, 50)], False),
+            "no response": ([(0, 200, 50), (0, 0, 90), (2, 200, 50)], False),
+            "one priority": ([(0, 503, 50)], False),
+            "all others": ([(0, 503, 50), (1, 200, 50), (2, 503, 50)], True),
+        }
+    )
+    def test_served_shares(self, case: tuple[Sequence[tuple[int, int, int]], bool]) -> None:
+        rows, is_violation = case
+        sent = [
+            replace(_sent(5.0, "orders", status), priority=priority)
+            for priority, status, number in rows
+            for _ in range(number)
+        ]
+        found = list(urgency_violations(sent, [(0.0, 10.0)]))
+        self.assertEqual(is_violation, bool(found), str(found))
+
+    def test_requests_outside_a_burst_and_before_gateways_know_of_it_do_not_count(self) -> None:
+        urgent = [replace(_sent(at_s, "orders", 503), priority=0) for at_s in [0.2, 11.0] * 50]
+        others = [replace(_sent(5.0, "orders", 200), priority=2) for _ in range(50)]
+        self.assertEqual([], list(urgency_violations([*urgent, *others], [(0.0, 10.0)])))
+
+
+class SlowReaderTest(EgretrailTestCase):
+    def test_a_slow_reader_gets_the_whole_response(self) -> None:
+        async def run() -> None:
+            backend = StandInBackend("catalogue", "z")
+            await backend.start()
+            client = KeepAliveClient("h", "key")
+            result = await client.send(backend.address, "GET", "/read/large-1", 3.0, slowly=True)
+            self.assertEqual(200, result.status)
+            self.assertTrue(result.body.startswith(backend.id.encode()))
+            self.assertTrue(result.body.endswith(b"GET /read/large-1"))
+            await backend.stop()
+            result = await client.send(backend.address, "GET", "/read/large-1", 3.0, slowly=True)
+            self.assertEqual(0, result.status)
+
+        self.run_real(run(), _LIMIT_S)
+
+
 class PlanTest(EgretrailTestCase):
     def test_a_seed_gives_the_same_plan_and_another_seed_another(self) -> None:
         self.assertEqual(plan(3, 30.0), plan(3, 30.0))
         self.assertNotEqual(plan(3, 30.0), plan(4, 30.0))
 
+    def test_every_load_pattern_occurs(self) -> None:
+        kinds = {fault.kind for seed in range(20) for fault in plan(seed, 12.0)}
+        self.assertEqual(set(FaultKind), kinds)
+
     def test_faults_overlap(self) -> None:
         faults = plan(3, 60.0)
         pairs = itertools.pairwise(faults)
--- a/scaffolding/tests/test_gateway_cut.py
+++ b/scaffolding/tests/test_gateway_cut.py
@@ -100,6 +100,23 @@
     ) -> None:
         self._run_cut(cut, _SIZES["half"], has_failing_backends=True)
 
+    def test_only_the_named_backends_are_cut(self) -> None:
+        async def scenario(harness: FleetHarness) -> None:
+            fleet, traffic = harness.fleet, _Traffic(harness)
+            await traffic.run_for(0.5)
+            cut, others = fleet.backends[::2], fleet.backends[1::2]
+            ports = [int(one.address.rpartition(":")[2]) for one in cut]
+            fleet.cut_from_backends(range(_GATEWAYS), BackendCut.RESET, ports)
+            await traffic.run_for(0.5)
+            before = [len(one.arrivals) for one in [*cut, *others]]
+            await traffic.run_for(1.0)
+            new = [len(one.arrivals) for one in [*cut, *others]]
+            growth = [now - then for now, then in zip(new, before, strict=True)]
+            self.assertEqual(0, sum(growth[: len(cut)]))
+            self.assertGreater(sum(growth[len(cut) :]), 0)
+
+        self.run_scenario(scenario, count=_GATEWAYS, backends=4, with_backend_cuts=True)
+
     def _run_cut(
         self, cut: BackendCut, numbers: Sequence[int], *, has_failing_backends: bool = False
     ) -> None:
