Relay a service's requests while this instance reaches none of its upstreams

Cause: an instance that is cut from all upstreams of one service is not isolated, since it reaches others. It refused the service's requests after failing at several upstreams, while other instances served theirs.

An instance that reaches none itself, or only by paths that failed lately, does not take the attempt. If nobody does, the request is sent from here as before.

--- a/src/egretrail/dispatch/__init__.py
+++ b/src/egretrail/dispatch/__init__.py
@@ -32,6 +32,7 @@
     RetryCounts,
     new_retry_counts,
 )
+from egretrail.dispatch._service_paths import ServicePathCheck
 from egretrail.dispatch._slot_shares import SlotShares
 from egretrail.dispatch._suspicion import (
     FIRST_PAUSE_S,
@@ -75,6 +76,7 @@
     "RetryCounter",
     "RetryCounts",
     "ServiceDurations",
+    "ServicePathCheck",
     "SlotShares",
     "SuspicionRecord",
     "SuspicionTable",
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -115,6 +115,8 @@
     is_trial: bool
     #: Number of upstreams considered.
     candidate_count: int
+    #: Whether this instance's own network path to the upstream failed recently.
+    is_last_resort: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,7 +232,14 @@
             if free is None:
                 return refusal
             chosen = free
-        return Choice(chosen, self.load.in_flight(chosen.id, now_s), False, len(candidates))
+        return Choice(
+            chosen,
+            self.load.in_flight(chosen.id, now_s),
+            False,
+            len(candidates),
+            is_last_resort=self.suspicion.health(chosen.id, now_s)
+            is UpstreamHealth.UNREACHABLE_FROM_HERE,
+        )
 
     def _late_refusal(
         self, query: PlacementQuery, record: UpstreamRecord, now_s: float
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -7,7 +7,14 @@
 from dataclasses import replace
 from typing import Any
 
-from egretrail.dispatch import Choice, PlacementQuery, Refusal, UpstreamHealth, request_digest
+from egretrail.dispatch import (
+    Choice,
+    PlacementQuery,
+    Refusal,
+    RefusalReason,
+    UpstreamHealth,
+    request_digest,
+)
 from egretrail.gateway._attempts import AttemptRunner, attempt_fields
 from egretrail.gateway._interfaces import RequestContract, RequestMetadata, StartupSettings
 from egretrail.gateway._log import EventLog
@@ -46,6 +53,11 @@
 _CRASHING_RETRY_S = 30.0
 
 
+def _is_unreached(result: AttemptResult) -> bool:
+    """Return whether no other instance reaches an upstream of the service either."""
+    return result.refusal is not None and result.refusal.reason is RefusalReason.ISOLATED
+
+
 class RequestExecutor:
     """Runs requests: at most once where the route requires that, else retried within limits."""
 
@@ -68,7 +80,7 @@
         #: Sends requests through other instances while this one reaches no upstream.
         self.relay_client = RelayClient(settings, view, log, rng)
         #: Serves the requests of instances that reach no upstream.
-        self.relay_server = RelayServer(view, self._attempt_runner, pool, log)
+        self.relay_server = RelayServer(view, self._attempt_runner, pool, log, self.paths)
         self._log = log
         self._metrics = metrics
         self._rng = rng
@@ -273,7 +285,8 @@
     ) -> Refusal | None:
         """Start an attempt; return the refusal if no upstream can be chosen.
 
-        An isolated instance lets another instance choose, which may refuse later.
+        An instance that reaches no upstream of the service lets another one choose, which may
+        refuse later.
 
         With all slots occupied, hedging slow requests would slow down every request. A hedge is
         therefore sent only to an upstream with a free slot (``spare_only``).
@@ -292,7 +305,7 @@
             connected=self._pool.idle_upstreams(),
         )
         choice: Choice | None = None
-        if not self.paths.is_isolated:
+        if not self.paths.reaches_none(pending.service):
             ready = self._view.upstreams.ready(pending.service)
             found = self._view.placement.choose(query, ready, now_s)
             if isinstance(found, Refusal):
@@ -323,14 +336,19 @@
         return None
 
     async def _run_relayed(self, pending: PendingRequest, query: PlacementQuery) -> AttemptResult:
-        """Send a request through another instance, as this one reaches no upstream.
+        """Send a request through another instance, as this one reaches no upstream of the service.
 
         What upstreams state in responses binds this instance although it did not send the request:
         the instance that it chooses next may not know it.
         """
         excluded = [*query.excluded, *self._view.refusing_upstreams(pending.service)]
         query = replace(query, excluded=excluded)
-        result = await self.relay_client.run(pending.attempt(), query)
+        attempt = pending.attempt()
+        result = await self.relay_client.run(attempt, query)
+        if _is_unreached(result) and not self.paths.is_isolated:
+            # Last resort: paths that lose packets still deliver some requests.
+            here = await self.relay_server.run_here(attempt, query, is_relayed=False)
+            return result if here is None else here
         received = result.received
         if received is not None:
             notices = self._contract.notices(received)
--- a/src/egretrail/gateway/_relay.py
+++ b/src/egretrail/gateway/_relay.py
@@ -1,4 +1,4 @@
-"""Sends requests through another instance while this one reaches no upstream, and serves such."""
+"""Sends requests through another instance that reaches upstreams, and serves such requests."""
 
 import asyncio
 import random
@@ -21,6 +21,7 @@
     encode_attempt,
     encode_result,
 )
+from egretrail.gateway._upstream_paths import UpstreamPaths
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import (
     ConnectFailed,
@@ -36,8 +37,9 @@
 RELAY_LIMITS = ServerLimits(
     header_bytes=1_024, body_bytes=64 * 1024 * 1024, header_timeout_s=2.0, idle_timeout_s=10.0
 )
-#: The status with which an instance says that it did not take an attempt: it is isolated itself, or
-#: lacks memory for the request (``BodyBudget``). Results of attempts have status 200.
+#: The status with which an instance says that it did not take an attempt: it reaches no upstream of
+#: the service itself, or lacks memory for the request (``BodyBudget``). Results of attempts have
+#: status 200.
 _NOT_TAKEN = 503
 #: After this many instances that could not take an attempt, it is refused.
 _RELAYS_MAX = 3
@@ -123,7 +125,7 @@
 
 
 class RelayServer:
-    """Sends the attempts of isolated instances to upstreams."""
+    """Sends the attempts of instances that reach no upstream, of any or of one service."""
 
     def __init__(
         self,
@@ -131,8 +133,10 @@
         attempt_runner: AttemptRunner,
         pool: UpstreamConnectionPool,
         log: EventLog,
+        paths: UpstreamPaths,
     ) -> None:
         self._view = view
+        self._paths = paths
         self._attempt_runner = attempt_runner
         self._pool = pool
         self._log = log
@@ -146,20 +150,32 @@
         if isinstance(decoded, Err):
             self._log.event("relay_refused", cause=str(decoded.err_value))
             return Response(400)
-        return Response(200, encode_result(await self._run(decoded.ok_value)))
+        attempt, query = decoded.ok_value.attempt, decoded.ok_value.query
+        if self._paths.reaches_none(attempt.service):
+            return Response(_NOT_TAKEN)
+        result = await self.run_here(attempt, query, is_relayed=True)
+        return Response(_NOT_TAKEN) if result is None else Response(200, encode_result(result))
+
+    async def run_here(
+        self, attempt: AttemptRequest, query: PlacementQuery, *, is_relayed: bool
+    ) -> AttemptResult | None:
+        """Send an attempt from this instance.
 
-    async def _run(self, relayed: RelayedAttempt) -> AttemptResult:
-        attempt, query = relayed.attempt, relayed.query
+        Returns None for a relayed attempt if paths from here failed to all upstreams that may be
+        chosen: another instance, or the one that has the request, may reach them.
+        """
         ready = self._view.upstreams.ready(attempt.service)
         query = replace(query, connected=self._pool.idle_upstreams())
         choice = self._view.placement.choose(query, ready, self._loop.time())
         if isinstance(choice, Refusal):
             return AttemptResult(Disposition.REFUSED, cause=choice.reason.value, refusal=choice)
+        if is_relayed and choice.is_last_resort:
+            return None
         upstream_id = choice.upstream.id
         self._log.event(
             "attempt",
             id=attempt.attempt_id,
-            relayed=True,
+            relayed=is_relayed,
             **attempt_fields(choice, query, self._view.upstreams.revision),
         )
         self._view.record_request_start(upstream_id, trial=choice.is_trial)
--- a/src/egretrail/gateway/_upstream_paths.py
+++ b/src/egretrail/gateway/_upstream_paths.py
@@ -14,6 +14,7 @@
 )
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._pool import UpstreamConnectionPool
+from egretrail.gateway._service_paths import ServicePaths
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import ConnectFailed
 from egretrail.traffic import UpstreamRecord
@@ -44,6 +45,7 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._check = PathCheck()
+        self._services = ServicePaths(view, self._unreached, log, rng)
         self._probing: asyncio.Task[None] | None = None
         #: The probes of upstreams to which an open connection went silent, by upstream id.
         self._reconnecting: dict[str, asyncio.Task[None]] = {}
@@ -58,8 +60,13 @@
         """Whether this instance reaches no upstream, though others may."""
         return self._check.is_isolated
 
+    def reaches_none(self, service: str) -> bool:
+        """Whether this instance reaches no usable upstream of a service, though others may."""
+        return self.is_isolated or self._services.reaches_none(service)
+
     def record_contact(self, upstream_id: str, *, connected: bool = False) -> None:
         """Record a response of an upstream, or a new connection to it."""
+        self._services.record_contact(upstream_id)
         for failure in self._check.record_contact(
             upstream_id, self._loop.time(), connected=connected
         ):
@@ -74,6 +81,8 @@
             return
         if digest is not None and not self.is_isolated:
             self._view.record_own_loss(observation.upstream_id, digest)
+        if observation.outcome is Outcome.UNREACHABLE and not self.is_isolated:
+            self._services.record_failure(observation.upstream_id)
         self._check.hold(observation, digest, self._loop.time())
         if self._check.has_held_failures and self._probing is None:
             # The response to another request usually explains why one is overdue.
