Expect in the queue what was admitted lately

Each instance now adds what its own decisions say that all admitted meanwhile, the most urgent are never cut for a queue that is too long, and a queue beyond the longest wait is corrected faster. A queue is at least a quarter of a typical duration.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,7 +1,10 @@
-"""Microbenchmarks of the scheduler's decisions by number of upstreams; prints one table.
+"""Microbenchmarks of the scheduler's decisions by number of upstreams.
 
 A request is submitted and finished with free slots (placing), or submitted to a full queue and
 refused (admitting). The candidates are a new list for each call, as in the daemon.
+
+A second table has the admission of requests to a full service by number of client accounts. A zone
+reports twenty times a second, so that the sums of reports are part of the figures.
 """
 
 import random
@@ -10,6 +13,18 @@
 from collections.abc import Callable, Sequence
 
 from egretrail.identity import AvailabilityZone, CallerId, RouteName, TeamName, UpstreamName
+from egretrail.overload import (
+    AccountDemandKey,
+    Arrival,
+    DemandKey,
+    DemandReport,
+    DemandRow,
+    FleetOverloadPolicy,
+    ServiceRoom,
+    ServiceTerms,
+    account_demand_key,
+    service_key,
+)
 from egretrail.service import (
     AttemptResult,
     Candidate,
@@ -22,6 +37,7 @@
     WorkId,
 )
 
+_ACCOUNT_COUNTS = (10, 100)
 _UPSTREAM_COUNTS = (10, 31, 200)
 _SLOTS = 4
 _ROUNDS = 2000
@@ -77,6 +93,31 @@
         scheduler.submit(_work(number, 0.0), 0.0)
 
 
+def _admitting_by_share(count: int, *, has_reports: bool) -> None:
+    """Admit requests of accounts to a full service, from reports or from own counts only."""
+    policy = FleetOverloadPolicy(random.Random(1))
+    policy.configure({"tiles": ServiceTerms(True, True, {0: 1.1, 1: 1.5})})
+    policy.set_fleet(1.0, 1 / 88, "espoo-b")
+    key = service_key("tiles")
+    names = [f"account-{index}" for index in range(count)]
+    accounts = {AccountDemandKey(key, account_demand_key(name, 1)): 5 for name in names}
+    rows = {DemandKey(key, 0): DemandRow(300), DemandKey(key, 1): DemandRow(5 * count + 100)}
+    room = ServiceRoom(100, 200, 0.3)
+    for number in range(_ROUNDS):
+        now_s = number * 0.005
+        if has_reports and number % 10 == 0:
+            policy.apply_zone_report("espoo-b", DemandReport(rows, accounts), now_s)
+        policy.admit(Arrival("tiles", number % 2, names[number % count], 1.5, 10.0), room, now_s)
+
+
+def _admitting_from_reports(count: int) -> None:
+    _admitting_by_share(count, has_reports=True)
+
+
+def _admitting_alone(count: int) -> None:
+    _admitting_by_share(count, has_reports=False)
+
+
 def _microseconds(run: Callable[[int], None], count: int, events: int) -> float:
     """Return the shortest time per event over the repeats, in microseconds."""
     durations_s = []
@@ -88,7 +129,7 @@
 
 
 def main() -> None:
-    """Print the table."""
+    """Print the tables."""
     lines = [
         "| upstreams | placing, us a request | admitting to a full queue, us |",
         "| --- | --- | --- |",
@@ -97,6 +138,15 @@
         placing = _microseconds(_placing, count, _ROUNDS)
         admitting = _microseconds(_admitting, count, _ROUNDS + count * _SLOTS)
         lines.append(f"| {count} | {placing:.0f} | {admitting:.0f} |")
+    lines += [
+        "",
+        "| accounts | admitting to a full service, us | the same without reports, us |",
+        "| --- | --- | --- |",
+    ]
+    for count in _ACCOUNT_COUNTS:
+        shared = _microseconds(_admitting_from_reports, count, _ROUNDS)
+        alone = _microseconds(_admitting_alone, count, _ROUNDS)
+        lines.append(f"| {count} | {shared:.0f} | {alone:.0f} |")
     sys.stdout.write("\n".join(lines) + "\n")
 
 
--- a/src/egretrail/overload/_admission.py
+++ b/src/egretrail/overload/_admission.py
@@ -81,6 +81,7 @@
     counts: Mapping[int, float],
     accounts: Mapping[int, float] | None,
     room_per_s: float,
+    capacity_per_s: float | None = None,
 ) -> AdmissionPlan:
     """Admit by priority until the room is spent, and by account at the last one.
 
@@ -88,9 +89,13 @@
     account that sends six times its load takes the others' part. ``counts`` and ``accounts`` are
     the requests of the last second by priority and by account key. These lag behind the rates, so
     accounts share the part of ``counts`` that is admitted. ``accounts`` is None where they do not
-    share the capacity.
+    share the capacity. The most urgent requests get ``capacity_per_s`` where it exceeds the room:
+    only less urgent ones make up for a queue that is too long.
     """
-    shares = fill_by_priority(offered_per_s, room_per_s)
+    shares = dict(fill_by_priority(offered_per_s, room_per_s))
+    first = min(offered_per_s, default=None)
+    if first is not None and capacity_per_s is not None and shares[first] < 1.0:
+        shares[first] = min(max(room_per_s, capacity_per_s) / offered_per_s[first], 1.0)
     total_per_s = sum(offered_per_s.values())
     partial = min((priority for priority, share in shares.items() if share < 1.0), default=None)
     if partial is None or accounts is None:
--- a/src/egretrail/overload/_capacity.py
+++ b/src/egretrail/overload/_capacity.py
@@ -1,5 +1,6 @@
 """What a service can take, and how long its queue may become."""
 
+from collections import deque
 from dataclasses import dataclass, replace
 
 from egretrail.overload._policy import ServiceRoom
@@ -12,12 +13,16 @@
 _TARGET_SHARE = 0.5
 #: Shortest longest wait, in typical durations, where the objective leaves none. With a shorter
 #: queue, the differences between upstreams leave slots empty.
-_WAIT_MIN_FACTOR = 0.2
+_WAIT_MIN_FACTOR = 0.5
 #: The queue is corrected to its target over this time.
 _CORRECTION_S = 1.0
 #: A queue that is too long takes no more than this part of the capacity. Without the bound, a queue
 #: that overshoots at the begin of a burst leaves nothing to accounts that ask for little.
 _CORRECTED_MIN = 0.75
+#: What exceeds the longest wait is corrected over this time, at the cost of less urgent requests.
+_EXCESS_CORRECTION_S = 0.25
+#: What is known of other instances is this old on average.
+VIEW_AGE_S = 0.25
 #: Rate at which the bias follows the queue. With the correction over one second, the queue settles
 #: within three seconds and overshoots by 0.04 of a step.
 _BIAS_GAIN_PER_S2 = 0.5
@@ -62,6 +67,10 @@
         """Return a part of the slots and of the requests in flight, with the same wait."""
         return replace(self, slots=self.slots * share, in_flight=self.in_flight * share)
 
+    def plus_in_flight(self, requests: float) -> "Capacity":
+        """Return the capacity with more requests in flight, or fewer."""
+        return replace(self, in_flight=max(self.in_flight + requests, 0.0))
+
     def with_bias(self, share: float) -> "Capacity":
         """Return the capacity with a bias, given as a share of the slots' capacity."""
         return replace(self, bias_per_s=share * self.slots / self.mean_s)
@@ -76,17 +85,18 @@
         """Requests in flight at which the wait is the target."""
         return self.slots * (1.0 + self.target_wait_s / self.mean_s)
 
+    @property
+    def longest_in_flight(self) -> float:
+        """Requests in flight beyond which the most urgent ones wait too long."""
+        return self.slots * (1.0 + self.target_wait_s / _TARGET_SHARE / self.mean_s)
+
     @property
     def corrected_per_s(self) -> float:
         """Requests per second that bring the queue to its target."""
         correction_per_s = (self.target_in_flight - self.in_flight) / _CORRECTION_S
-        return max(self.per_s + correction_per_s, self.per_s * _CORRECTED_MIN)
-
-    def wait_s(self) -> float:
-        """Return the expected wait for a slot."""
-        if not self.slots:
-            return 0.0
-        return max(self.in_flight - self.slots, 0.0) / self.slots * self.mean_s
+        corrected_per_s = max(self.per_s + correction_per_s, self.per_s * _CORRECTED_MIN)
+        excess = max(self.in_flight - self.longest_in_flight, 0.0)
+        return max(corrected_per_s - excess / _EXCESS_CORRECTION_S, 0.0)
 
 
 class CapacityBias:
@@ -109,8 +119,44 @@
             return 0.0
         elapsed_s = min(max(now_s - self._updated_s, 0.0), _BIAS_STEP_MAX_S)
         self._updated_s = now_s
+        if capacity.in_flight > capacity.longest_in_flight:
+            # This was admitted before the burst was known.
+            return self._share
         error = (capacity.target_in_flight - capacity.in_flight) / capacity.slots
         error = min(max(error, -_BIAS_ERROR_MAX), _BIAS_ERROR_MAX)
         change = error * capacity.mean_s * _BIAS_GAIN_PER_S2 * elapsed_s
         self._share = min(max(self._share + change, -_BIAS_MAX), _BIAS_MAX)
         return self._share
+
+
+class QueueForecast:
+    """What was admitted beyond the capacity, and does not show yet in the requests in flight.
+
+    What is known of other instances is a quarter of a second old, which is longer than a request
+    takes. All instances admit alike, so each knows from its own decisions what the others admitted
+    meanwhile. Corrected by what is known alone, the queue would swing between empty and too long.
+    """
+
+    def __init__(self) -> None:
+        #: Times of decisions, and what is admitted beyond the capacity per second from then on.
+        self._rates: deque[tuple[float, float]] = deque()
+
+    def record(self, excess_per_s: float, now_s: float) -> None:
+        """Record what is admitted beyond the capacity from now on."""
+        self._rates.append((now_s, excess_per_s))
+        while len(self._rates) > 1 and self._rates[1][0] <= now_s - VIEW_AGE_S:
+            self._rates.popleft()
+
+    def requests(self, now_s: float) -> float:
+        """Return what was added to the queue in the time that is not known."""
+        total = 0.0
+        until_s = now_s
+        for at_s, per_s in reversed(self._rates):
+            from_s = max(at_s, now_s - VIEW_AGE_S)
+            total += max(until_s - from_s, 0.0) * per_s
+            until_s = from_s
+        return total
+
+    def clear(self) -> None:
+        """Forget the decisions."""
+        self._rates.clear()
--- a/src/egretrail/overload/_fleet_policy.py
+++ b/src/egretrail/overload/_fleet_policy.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from egretrail.overload._admission import AdmissionPlan, fill_by_priority, plan_admission
-from egretrail.overload._capacity import Capacity, CapacityBias
+from egretrail.overload._capacity import Capacity, CapacityBias, QueueForecast
 from egretrail.overload._counting import OwnDemand
 from egretrail.overload._credit import ShareCredits
 from egretrail.overload._demand import (
@@ -48,6 +48,7 @@
     returns: ReturnSchedule
     detector: StateDetector = field(default_factory=StateDetector)
     bias: CapacityBias = field(default_factory=CapacityBias)
+    forecast: QueueForecast = field(default_factory=QueueForecast)
     accounts: SteadyCounts = field(default_factory=SteadyCounts)
     #: Retries that the budget allowed per second, when last told.
     retries_per_s: float = 0.0
@@ -124,6 +125,8 @@
             return None
         room_per_s = found.capacity.corrected_per_s
         plan = self._plan(service, found, room_per_s, now_s)
+        admitted_per_s = min(room_per_s, plan.offered_per_s)
+        service.forecast.record(admitted_per_s - found.capacity.per_s, now_s)
         kind: tuple[int, int] = (priority, 0)
         own_count = 0.0
         if plan.level is not None and priority == plan.partial_priority:
@@ -249,7 +252,15 @@
         if state is ServiceState.NORMAL:
             service.admissions.clear()
             service.retries.clear()
-        bias = service.bias.update(capacity, now_s, is_full=state is ServiceState.FULL)
+        is_full = state is ServiceState.FULL
+        if is_full:
+            capacity = capacity.plus_in_flight(service.forecast.requests(now_s))
+        else:
+            # Where slots are free, requests in flight do not grow by what is offered.
+            excess_per_s = sum(demand.offered_per_s.values()) - capacity.per_s
+            is_filled = capacity.in_flight >= capacity.slots
+            service.forecast.record(max(excess_per_s, 0.0) if is_filled else 0.0, now_s)
+        bias = service.bias.update(capacity, now_s, is_full=is_full)
         return _Assessment(state, capacity.with_bias(bias), demand, share)
 
     def _own_demand(self, service: _Service, now_s: float) -> ServiceDemand:
@@ -267,7 +278,9 @@
         if service.terms.shares_accounts:
             accounts = service.accounts.update(demand.accounts, now_s)
         counts = {priority: float(row.offered) for priority, row in demand.rows.items()}
-        return plan_admission(demand.offered_per_s, counts, accounts, room_per_s)
+        return plan_admission(
+            demand.offered_per_s, counts, accounts, room_per_s, found.capacity.per_s
+        )
 
     def _retry_after_s(
         self,
--- a/src/egretrail/overload/_state.py
+++ b/src/egretrail/overload/_state.py
@@ -1,6 +1,6 @@
 """Detects whether a service refuses, or is full."""
 
-from egretrail.overload._capacity import Capacity
+from egretrail.overload._capacity import VIEW_AGE_S, Capacity
 from egretrail.overload._fleet_totals import ServiceDemand
 from egretrail.overload._policy import ServiceState
 
@@ -14,14 +14,12 @@
 _RECENT_MIN_PER_S = 100.0
 #: With fewer refusals in a second nothing is concluded: an upstream that restarts refuses a few.
 _SHED_MIN = 3
-#: What is known of other instances is this old on average. Meanwhile the queue grows by
-#: what is offered beyond the capacity, which in a burst of 2.5 times the load is half of the slots.
-_VIEW_AGE_S = 0.25
 #: Slots are free while less than this share of them is taken. Requests in flight are known as of
 #: some tenths of a second ago.
 _FREE_SHARE = 0.9
-#: Slots of which less than this share is taken are free whatever the demand seemed to be.
-_IDLE_SHARE = 0.7
+#: Slots of which less than this share is taken are free whatever the demand seemed to be. With 0.7, a
+#: short queue that emptied for a moment ended the state in the middle of a burst.
+_IDLE_SHARE = 0.5
 #: A queue below this share of its target, with less demand than capacity, is that of a service with
 #: enough capacity.
 _QUEUE_END_SHARE = 0.25
@@ -74,7 +72,8 @@
         offered_per_s = sum(demand.offered_per_s.values())
         expected = capacity.in_flight
         if capacity.in_flight >= capacity.slots and not was_full:
-            expected += max(offered_per_s - capacity.per_s, 0.0) * _VIEW_AGE_S
+            # In a burst of 2.5 times the load the queue grows by half of the slots meanwhile.
+            expected += max(offered_per_s - capacity.per_s, 0.0) * VIEW_AGE_S
         if expected > capacity.target_in_flight + margin:
             return True
         if not was_full or capacity.in_flight < _IDLE_SHARE * capacity.slots:
@@ -104,5 +103,5 @@
             return False
         attempts = total.offered - total.refused + min(total.retries_wanted, retries_per_s)
         # The counts end before now; meanwhile recent refusals went on.
-        shed = total.shed + (shed_per_s - total.shed) * _VIEW_AGE_S
+        shed = total.shed + (shed_per_s - total.shed) * VIEW_AGE_S
         return shed >= (_SHEDDING_UNTIL if was_shedding else _SHEDDING_FROM) * attempts
