--- a/src/egretrail/overload/_admission.py
+++ b/src/egretrail/overload/_admission.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from egretrail.overload._demand import LAST_KEY_PRIORITY, priority_of_account_key
+from egretrail.overload._demand import LAST_KEY_PRIORITY
 
 #: An account that exceeds the fair level by less than this many standard deviations of a count may
 #: ask for no more than its fair share, and is not limited. Averaged over two seconds, counts vary
@@ -79,7 +79,7 @@
 def plan_admission(
     offered_per_s: Mapping[int, float],
     counts: Mapping[int, float],
-    accounts: Mapping[int, float] | None,
+    accounts: Mapping[int, Mapping[int, float]] | None,
     room_per_s: float,
     capacity_per_s: float | None = None,
 ) -> AdmissionPlan:
@@ -87,10 +87,10 @@
 
     Made for bursts of 2.5 times the load: without it, all kinds of requests lose alike, and one
     account that sends six times its load takes the others' part. ``counts`` and ``accounts`` are
-    the requests of the last second by priority and by account key. These lag behind the rates, so
-    accounts share the part of ``counts`` that is admitted. ``accounts`` is None where they do not
-    share the capacity. The most urgent requests get ``capacity_per_s`` where it exceeds the room:
-    only less urgent ones make up for a queue that is too long.
+    the requests of the last second by priority, and by priority and account key. These lag behind
+    the rates, so accounts share the part of ``counts`` that is admitted. ``accounts`` is None where
+    they do not share the capacity. The most urgent requests get ``capacity_per_s`` where it exceeds
+    the room: only less urgent ones make up for a queue that is too long.
     """
     shares = dict(fill_by_priority(offered_per_s, room_per_s))
     first = min(offered_per_s, default=None)
@@ -100,11 +100,8 @@
     partial = min((priority for priority, share in shares.items() if share < 1.0), default=None)
     if partial is None or accounts is None:
         return AdmissionPlan(shares, partial, total_per_s)
-    listed = {
-        key: count
-        for key, count in accounts.items()
-        if priority_of_account_key(key) == min(partial, LAST_KEY_PRIORITY)
-    }
-    count = max(counts.get(partial, 0.0), sum(listed.values()))
-    level = fair_level(listed.values(), count - sum(listed.values()), shares[partial] * count)
+    listed = accounts.get(min(partial, LAST_KEY_PRIORITY), {})
+    listed_count = sum(listed.values())
+    count = max(counts.get(partial, 0.0), listed_count)
+    level = fair_level(listed.values(), count - listed_count, shares[partial] * count)
     return AdmissionPlan(shares, partial, total_per_s, level, listed)
--- a/src/egretrail/overload/_capacity.py
+++ b/src/egretrail/overload/_capacity.py
@@ -1,7 +1,7 @@
 """What a service can take, and how long its queue may become."""
 
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from egretrail.overload._policy import ServiceRoom
 
@@ -33,6 +33,8 @@
 _BIAS_MAX = 0.5
 #: An instance that asks rarely, or was frozen, integrates at most this time at once.
 _BIAS_STEP_MAX_S = 0.5
+#: Decisions that follow each other sooner are not recorded, so that a forecast stays cheap.
+_FORECAST_STEP_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,15 +67,18 @@
 
     def part(self, share: float) -> "Capacity":
         """Return a part of the slots and of the requests in flight, with the same wait."""
-        return replace(self, slots=self.slots * share, in_flight=self.in_flight * share)
+        slots, in_flight = self.slots * share, self.in_flight * share
+        return Capacity(slots, in_flight, self.mean_s, self.target_wait_s, self.bias_per_s)
 
     def plus_in_flight(self, requests: float) -> "Capacity":
         """Return the capacity with more requests in flight, or fewer."""
-        return replace(self, in_flight=max(self.in_flight + requests, 0.0))
+        in_flight = max(self.in_flight + requests, 0.0)
+        return Capacity(self.slots, in_flight, self.mean_s, self.target_wait_s, self.bias_per_s)
 
     def with_bias(self, share: float) -> "Capacity":
         """Return the capacity with a bias, given as a share of the slots' capacity."""
-        return replace(self, bias_per_s=share * self.slots / self.mean_s)
+        bias_per_s = share * self.slots / self.mean_s
+        return Capacity(self.slots, self.in_flight, self.mean_s, self.target_wait_s, bias_per_s)
 
     @property
     def per_s(self) -> float:
@@ -143,6 +148,8 @@
 
     def record(self, excess_per_s: float, now_s: float) -> None:
         """Record what is admitted beyond the capacity from now on."""
+        if self._rates and now_s - self._rates[-1][0] < _FORECAST_STEP_S:
+            return
         self._rates.append((now_s, excess_per_s))
         while len(self._rates) > 1 and self._rates[1][0] <= now_s - VIEW_AGE_S:
             self._rates.popleft()
--- a/src/egretrail/overload/_fleet_policy.py
+++ b/src/egretrail/overload/_fleet_policy.py
@@ -274,7 +274,7 @@
         self, service: _Service, found: _Assessment, room_per_s: float, now_s: float
     ) -> AdmissionPlan:
         demand = found.demand
-        accounts: Mapping[int, float] | None = None
+        accounts: Mapping[int, Mapping[int, float]] | None = None
         if service.terms.shares_accounts:
             accounts = service.accounts.update(demand.accounts, now_s)
         counts = {priority: float(row.offered) for priority, row in demand.rows.items()}
--- a/src/egretrail/overload/_fleet_totals.py
+++ b/src/egretrail/overload/_fleet_totals.py
@@ -6,6 +6,7 @@
 
 from egretrail.overload._demand import (
     DEMAND_WINDOW_S,
+    LAST_KEY_PRIORITY,
     AccountDemandKey,
     DemandKey,
     DemandReport,
@@ -22,8 +23,9 @@
 _RATE_SPAN_S = 0.4
 #: Counts of accounts are averaged over this time.
 _STEADY_S = 2.0
-#: A count that differs from the average by more than this many standard deviations is a change.
-_CHANGE_DEVIATIONS = 2.5
+#: A count whose squared difference from the average exceeds this many variances (2.5 standard
+#: deviations) is a change.
+_CHANGE_VARIANCES = 6.25
 
 
 class RateTracker:
@@ -177,22 +179,39 @@
 
     def __init__(self) -> None:
         self._means: dict[int, float] = {}
+        self._by_priority: dict[int, dict[int, float]] = {}
         self._updated_s = float("-inf")
         self._counts: Mapping[int, float] | None = None
 
-    def update(self, counts: Mapping[int, float], now_s: float) -> Mapping[int, float]:
-        """Return the averages; counts that are the same object as before are not applied again."""
+    def update(
+        self, counts: Mapping[int, float], now_s: float
+    ) -> Mapping[int, Mapping[int, float]]:
+        """Return the averages by priority and account key.
+
+        Counts that are the same object as before are not applied again.
+        """
         if counts is self._counts:
-            return self._means
+            return self._by_priority
         weight = 1.0 - math.exp(-max(now_s - self._updated_s, 0.0) / _STEADY_S)
         means = {}
+        by_priority: dict[int, dict[int, float]] = {}
+        known = self._means
         for key, count in counts.items():
-            mean = self._means.get(key, count)
-            if abs(count - mean) > _CHANGE_DEVIATIONS * math.sqrt(max(mean, 1.0)):
+            mean = known.get(key, count)
+            change = count - mean
+            if change * change > _CHANGE_VARIANCES * (mean if mean > 1.0 else 1.0):
                 mean = count
-            means[key] = mean + (count - mean) * weight
+            else:
+                mean += change * weight
+            means[key] = mean
+            priority = key & LAST_KEY_PRIORITY
+            listed = by_priority.get(priority)
+            if listed is None:
+                listed = by_priority[priority] = {}
+            listed[key] = mean
+        self._by_priority = by_priority
         self._means, self._counts, self._updated_s = means, counts, now_s
-        return means
+        return self._by_priority
 
 
 def own_demand(
--- a/src/egretrail/overload/_state.py
+++ b/src/egretrail/overload/_state.py
@@ -17,8 +17,8 @@
 #: Slots are free while less than this share of them is taken. Requests in flight are known as of
 #: some tenths of a second ago.
 _FREE_SHARE = 0.9
-#: Slots of which less than this share is taken are free whatever the demand seemed to be. With 0.7, a
-#: short queue that emptied for a moment ended the state in the middle of a burst.
+#: Slots of which less than this share is taken are free whatever the demand seemed to be. With 0.7,
+#: a short queue that emptied for a moment ended the state in the middle of a burst.
 _IDLE_SHARE = 0.5
 #: A queue below this share of its target, with less demand than capacity, is that of a service with
 #: enough capacity.
--- a/src/egretrail/overload/tests/test_decisions.py
+++ b/src/egretrail/overload/tests/test_decisions.py
@@ -140,11 +140,8 @@
         self.assertAlmostEqual(expected, fair_level(demands, unlisted, room))
 
     def test_only_accounts_of_the_partial_priority_share_it(self) -> None:
-        accounts = {
-            account_demand_key("a", 0): 90.0,
-            account_demand_key("a", 1): 60.0,
-            account_demand_key("b", 1): 10.0,
-        }
+        keys = {(n, p): account_demand_key(n, p) for n, p in (("a", 0), ("a", 1), ("b", 1))}
+        accounts = {0: {keys["a", 0]: 90.0}, 1: {keys["a", 1]: 60.0, keys["b", 1]: 10.0}}
         plan = plan_admission({0: 90.0, 1: 70.0}, {0: 90.0, 1: 70.0}, accounts, 120.0)
         shares = [
             plan.share(priority, account_demand_key(name, priority), 1.0)
