--- a/src/egretrail/overload/_capacity.py
+++ b/src/egretrail/overload/_capacity.py
@@ -34,7 +34,7 @@
 #: An instance that asks rarely, or was frozen, integrates at most this time at once.
 _BIAS_STEP_MAX_S = 0.5
 #: Decisions that follow each other sooner are not recorded, so that a forecast stays cheap.
-_FORECAST_STEP_S = 0.02
+_FORECAST_STEP_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,13 +157,11 @@
     def requests(self, now_s: float) -> float:
         """Return what was added to the queue in the time that is not known."""
         total = 0.0
+        first_s = now_s - VIEW_AGE_S
         until_s = now_s
         for at_s, per_s in reversed(self._rates):
-            from_s = max(at_s, now_s - VIEW_AGE_S)
-            total += max(until_s - from_s, 0.0) * per_s
-            until_s = from_s
+            if at_s <= first_s:
+                return total + (until_s - first_s) * per_s
+            total += (until_s - at_s) * per_s
+            until_s = at_s
         return total
-
-    def clear(self) -> None:
-        """Forget the decisions."""
-        self._rates.clear()
--- a/src/egretrail/overload/_fleet_policy.py
+++ b/src/egretrail/overload/_fleet_policy.py
@@ -31,7 +31,7 @@
 
 #: How long this instance's counts are used before they are added up again, which takes as long as
 #: many decisions.
-_OWN_COUNTS_VALID_S = 0.02
+_OWN_COUNTS_VALID_S = 0.05
 #: Accounts of a snapshot.
 _SNAPSHOT_ACCOUNTS_MAX = 10
 
--- a/src/egretrail/overload/_fleet_totals.py
+++ b/src/egretrail/overload/_fleet_totals.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from operator import itemgetter
 
 from egretrail.overload._demand import (
     DEMAND_WINDOW_S,
@@ -209,7 +210,11 @@
             if listed is None:
                 listed = by_priority[priority] = {}
             listed[key] = mean
-        self._by_priority = by_priority
+        # In ascending order, so that a decision's sort finds them sorted.
+        self._by_priority = {
+            priority: dict(sorted(listed.items(), key=itemgetter(1)))
+            for priority, listed in by_priority.items()
+        }
         self._means, self._counts, self._updated_s = means, counts, now_s
         return self._by_priority
 
