--- a/src/egretrail/overload/_admission.py
+++ b/src/egretrail/overload/_admission.py
@@ -10,6 +10,8 @@
 #: ask for no more than its fair share, and is not limited. Averaged over two seconds, counts vary
 #: by half a deviation.
 _LEVEL_TOLERANCE = 1.0
+#: Accounts that are not listed count as at most this many; more would cost a decision more time.
+_UNLISTED_MAX = 100
 
 
 def fill_by_priority(wanted_per_s: Mapping[int, float], room_per_s: float) -> Mapping[int, float]:
@@ -32,14 +34,17 @@
     ordered = sorted(demands)
     if unlisted > 0:
         size = max(ordered[0], 1.0) if ordered else 1.0
-        count = math.ceil(unlisted / size)
+        count = min(math.ceil(unlisted / size), _UNLISTED_MAX)
         ordered = sorted([*ordered, *[unlisted / count] * count])
-    left = room
-    for index, demand in enumerate(ordered):
-        level = left / (len(ordered) - index)
-        if demand >= level:
+    total = sum(ordered)
+    if total <= room:
+        return float("inf")
+    limited = 0.0
+    for index in range(len(ordered) - 1, -1, -1):
+        limited += ordered[index]
+        level = (room - (total - limited)) / (len(ordered) - index)
+        if index == 0 or level >= ordered[index - 1]:
             return max(level, 0.0)
-        left -= demand
     return float("inf")
 
 
