--- a/src/egretrail/overload/_admission.py
+++ b/src/egretrail/overload/_admission.py
@@ -4,12 +4,14 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from egretrail.overload._demand import LAST_KEY_PRIORITY, priority_of_account_key
+from egretrail.overload._demand import LAST_KEY_PRIORITY
 
 #: An account that exceeds the fair level by less than this many standard deviations of a count may
 #: ask for no more than its fair share, and is not limited. Averaged over two seconds, counts vary
 #: by half a deviation.
 _LEVEL_TOLERANCE = 1.0
+#: Accounts that are not listed count as at most this many; more would cost a decision more time.
+_UNLISTED_MAX = 100
 
 
 def fill_by_priority(wanted_per_s: Mapping[int, float], room_per_s: float) -> Mapping[int, float]:
@@ -32,14 +34,17 @@
     ordered = sorted(demands)
     if unlisted > 0:
         size = max(ordered[0], 1.0) if ordered else 1.0
-        count = math.ceil(unlisted / size)
+        count = min(math.ceil(unlisted / size), _UNLISTED_MAX)
         ordered = sorted([*ordered, *[unlisted / count] * count])
-    left = room
-    for index, demand in enumerate(ordered):
-        level = left / (len(ordered) - index)
-        if demand >= level:
+    total = sum(ordered)
+    if total <= room:
+        return float("inf")
+    limited = 0.0
+    for index in range(len(ordered) - 1, -1, -1):
+        limited += ordered[index]
+        level = (room - (total - limited)) / (len(ordered) - index)
+        if index == 0 or level >= ordered[index - 1]:
             return max(level, 0.0)
-        left -= demand
     return float("inf")
 
 
@@ -79,27 +84,29 @@
 def plan_admission(
     offered_per_s: Mapping[int, float],
     counts: Mapping[int, float],
-    accounts: Mapping[int, float] | None,
+    accounts: Mapping[int, Mapping[int, float]] | None,
     room_per_s: float,
+    capacity_per_s: float | None = None,
 ) -> AdmissionPlan:
     """Admit by priority until the room is spent, and by account at the last one.
 
     Made for bursts of 2.5 times the load: without it, all kinds of requests lose alike, and one
     account that sends six times its load takes the others' part. ``counts`` and ``accounts`` are
-    the requests of the last second by priority and by account key. These lag behind the rates, so
-    accounts share the part of ``counts`` that is admitted. ``accounts`` is None where they do not
-    share the capacity.
+    the requests of the last second by priority, and by priority and account key. These lag behind
+    the rates, so accounts share the part of ``counts`` that is admitted. ``accounts`` is None where
+    they do not share the capacity. The most urgent requests get ``capacity_per_s`` where it exceeds
+    the room: only less urgent ones make up for a queue that is too long.
     """
-    shares = fill_by_priority(offered_per_s, room_per_s)
+    shares = dict(fill_by_priority(offered_per_s, room_per_s))
+    first = min(offered_per_s, default=None)
+    if first is not None and capacity_per_s is not None and shares[first] < 1.0:
+        shares[first] = min(max(room_per_s, capacity_per_s) / offered_per_s[first], 1.0)
     total_per_s = sum(offered_per_s.values())
     partial = min((priority for priority, share in shares.items() if share < 1.0), default=None)
     if partial is None or accounts is None:
         return AdmissionPlan(shares, partial, total_per_s)
-    listed = {
-        key: count
-        for key, count in accounts.items()
-        if priority_of_account_key(key) == min(partial, LAST_KEY_PRIORITY)
-    }
-    count = max(counts.get(partial, 0.0), sum(listed.values()))
-    level = fair_level(listed.values(), count - sum(listed.values()), shares[partial] * count)
+    listed = accounts.get(min(partial, LAST_KEY_PRIORITY), {})
+    listed_count = sum(listed.values())
+    count = max(counts.get(partial, 0.0), listed_count)
+    level = fair_level(listed.values(), count - listed_count, shares[partial] * count)
     return AdmissionPlan(shares, partial, total_per_s, level, listed)
