--- a/src/egretrail/gateway/_overload_control.py
+++ b/src/egretrail/gateway/_overload_control.py
@@ -30,11 +30,13 @@
 #: instance that was paused.
 _REPORT_VALID_S = 0.25
 _NO_DEMAND = DemandReport()
+#: Maximum accounts in a heartbeat, the heaviest first, which must fit into one datagram.
+_OWN_ACCOUNTS_MAX = 24
 #: The demand of a service is reported when more than this share of its slots is taken, so that the
 #: fleet knows it when the slots are full.
 _BUSY_SHARE = 0.7
 #: States are compared with those logged before at most this often.
-_STATES_INTERVAL_S = 0.05
+_STATES_INTERVAL_S = 0.1
 #: How long accounts of a zone stay after the last section that names any: hubs of large zones send
 #: them every second to their own zone, every 2.4 s to others, and one datagram may be lost.
 _ACCOUNTS_VALID_S = 5.0
@@ -162,7 +164,11 @@
         """
         self._sampled_s = now_s
         before = self._report
-        self._report = self.policy.own_report(now_s) if self._terms else _NO_DEMAND
+        report = self.policy.own_report(now_s) if self._terms else _NO_DEMAND
+        if len(report.accounts) > _OWN_ACCOUNTS_MAX:
+            heaviest = sorted(report.accounts.items(), key=lambda one: (-one[1], one[0]))
+            report = DemandReport(report.rows, dict(heaviest[:_OWN_ACCOUNTS_MAX]))
+        self._report = report
         return self._report != before
 
     def apply_section(self, section: Section, now_s: float) -> None:
--- a/src/egretrail/gateway/tests/test_overload_control.py
+++ b/src/egretrail/gateway/tests/test_overload_control.py
@@ -170,6 +170,17 @@
             instance.now_s += later_s if sequence == 1 else 0.0
         self.assertEqual({"00000005": 9} if expected else {}, self._offered(instance)[1])
 
+    def test_a_heartbeat_has_the_24_heaviest_accounts(self) -> None:
+        """Guards against a heartbeat that does not fit into one datagram."""
+        instance = _Instance()
+        instance.view.apply_config(ranked_config({"s": (0, 1)}), "test")
+        accounts = {AccountDemandKey(_S, n): n for n in range(1, 60)}
+        with mock.patch.object(
+            instance.policy, "own_report", return_value=DemandReport(_ROWS, accounts)
+        ):
+            report = instance.view.next_heartbeat().demand
+        self.assertEqual({*range(36, 60)}, {key.account for key in report.accounts})
+
     def test_sections_of_a_hub_that_is_not_followed_are_ignored(self) -> None:
         instance = _Instance()
         instance.view.apply_config(ranked_config({"s": (0, 1)}), "test")
