--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -228,11 +228,18 @@
         None if heartbeat.last_section is None else encode_echo(heartbeat.last_section),
         encode_accounts(heartbeat.accounts),
         heartbeat.is_isolated,
-        # Without demand, the field is left out.
-        *([] if heartbeat.demand.is_empty else [encode_demand(heartbeat.demand)]),
+        *_optional_fields(heartbeat),
     ]
 
 
+def _optional_fields(heartbeat: Heartbeat) -> list[Any]:
+    """Return the last fields, which are left out where there is nothing to report."""
+    fields: list[Any] = [list(heartbeat.replaced)]
+    if not heartbeat.demand.is_empty:
+        fields.append(encode_demand(heartbeat.demand))
+    return fields if heartbeat.replaced or len(fields) > 1 else []
+
+
 def _retry_counts_row(counts: Mapping[str, RetryCounts]) -> dict[str, list[int]]:
     return {
         service: [retry_counts.requests, retry_counts.retries]
@@ -297,5 +304,6 @@
         accounts=decode_accounts(row[20]),
         # Earlier versions of the program do not send it.
         is_isolated=bool(row[21]) if len(row) > 21 else False,
-        demand=decode_demand(row[22]) if len(row) > 22 else DemandReport(),
+        replaced=[str(upstream_id) for upstream_id in row[22]] if len(row) > 22 else (),
+        demand=decode_demand(row[23]) if len(row) > 23 else DemandReport(),
     )
--- a/src/egretrail/cluster/_heartbeat.py
+++ b/src/egretrail/cluster/_heartbeat.py
@@ -112,6 +112,8 @@
     accounts: Mapping[int, AccountReport] = field(default_factory=dict)
     #: Whether the instance reaches no upstream; it serves its clients through other instances.
     is_isolated: bool = False
+    #: The ids of upstreams whose address was found in the last seconds to belong to another one.
+    replaced: Sequence[str] = ()
     #: The demand for services that are watched for overload; empty if there is none.
     demand: DemandReport = field(default_factory=DemandReport)
 
--- a/src/egretrail/cluster/tests/test_demand.py
+++ b/src/egretrail/cluster/tests/test_demand.py
@@ -51,7 +51,8 @@
         datagram[3] = [msgpack.packb([*msgpack.unpackb(datagram[3][0]), field])]
     else:
         datagram = msgpack.unpackb(_heartbeat_bytes())
-        datagram[3][0].append(field)
+        # The optional field before it lists no replaced upstreams.
+        datagram[3][0] += [[], field]
     return bytes(msgpack.packb(datagram))
 
 
--- a/src/egretrail/dispatch/_path_check.py
+++ b/src/egretrail/dispatch/_path_check.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from egretrail.dispatch._crashing_requests import RequestDigest
 from egretrail.dispatch._observation import Observation, Outcome
@@ -78,7 +78,7 @@
             if is_connect_failure and not connected:
                 kept.append(failure)
             elif not is_connect_failure or failure.observation.upstream_id != upstream_id:
-                attributed.append(failure)
+                attributed.append(_with_time_held(failure, now_s))
         self._held = kept
         return attributed
 
@@ -107,6 +107,18 @@
         self.is_isolated = False
 
 
+def _with_time_held(failure: HeldFailure, now_s: float) -> HeldFailure:
+    """Return a failure with the duration until its report, where its beginning is evidence.
+
+    Failures to connect, and overdue requests, are compared with the responses since then.
+    """
+    observation = failure.observation
+    if observation.outcome not in (Outcome.UNREACHABLE, Outcome.OVERDUE):
+        return failure
+    duration_s = observation.duration_s + now_s - failure.at_s
+    return replace(failure, observation=replace(observation, duration_s=duration_s))
+
+
 def choose_probes(
     records: Collection[UpstreamRecord],
     avoided: Collection[str],
--- a/src/egretrail/dispatch/_suspicion.py
+++ b/src/egretrail/dispatch/_suspicion.py
@@ -10,8 +10,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from egretrail.dispatch._observation import Observation, Outcome
-from egretrail.dispatch._reachability import FIRST_PATH_PAUSE_S, ReachabilityTable
+from egretrail.dispatch._observation import RESPONSE_OUTCOMES, Observation, Outcome
+from egretrail.dispatch._overdue import OverdueTable
+from egretrail.dispatch._reachability import (
+    FIRST_PATH_PAUSE_S,
+    RESPONSE_MARGIN_S,
+    ReachabilityTable,
+)
 
 #: A failure within this share of the typical duration indicates an upstream that does not work at
 #: all. A healthy upstream has single failures that take as long as a normal request.
@@ -33,6 +38,9 @@
 #: Successes in a row, one request at a time, before a suspect returns to full service. An upstream
 #: that fails half of its requests passes every other trial.
 _PROBATION_SUCCESSES = 2
+#: For how long after a trial is due an instance whose own path failed leaves it to the others. By
+#: then the number of instances that may try has doubled eight times.
+_OTHERS_FIRST_S = 2.0
 #: How long an upstream counts as shedding after it refused a request. A full upstream has a free
 #: slot when one of its requests ends; one that refuses without need reaches the maximum in four
 #: steps.
@@ -67,8 +75,9 @@
     pause_s: float
     #: Whether the evidence is weak; such a suspicion expires.
     is_weak: bool = False
-    #: Whether the reason is that several instances could not reach it, not that it failed requests.
-    is_unreachable: bool = False
+    #: If the reason is that several instances could not reach it: when the first of their attempts
+    #: began. None if the reason is that it failed requests.
+    first_attempt_s: float | None = None
     #: Successes since the last failure.
     successes: int = 0
     #: Time of the last success.
@@ -100,11 +109,14 @@
         #: Until when upstreams count as shedding, and the length of that time.
         self._shedding: dict[str, tuple[float, float]] = {}
         self._reachability = ReachabilityTable(own_name)
+        self._overdue = OverdueTable(own_name)
 
     def record_outcome(
         self, observation: Observation, observer: str, typical_s: float, now_s: float
     ) -> None:
         """Record an outcome that was observed now; ``typical_s`` is the typical duration."""
+        if observation.outcome in RESPONSE_OUTCOMES:
+            self.record_response(observation.upstream_id, observer, now_s)
         match observation.outcome:
             case Outcome.SUCCESS:
                 self._record_success(
@@ -116,10 +128,28 @@
                 is_quick = observation.duration_s < typical_s * _QUICK_SHARE
                 self._record_failure(observation, observer, is_quick, now_s)
             case Outcome.OVERDUE:
-                self._record_failure(observation, observer, False, now_s)
+                sent_s = now_s - observation.duration_s
+                is_frequent = self._overdue.record_overdue(
+                    observation.upstream_id, observer, sent_s, now_s
+                )
+                self._record_overdue(observation, now_s, is_frequent=is_frequent)
             case Outcome.UNREACHABLE | Outcome.SILENT:
-                if self._reachability.record_failure(observation.upstream_id, observer, now_s):
-                    self._record_unreachable(observation, now_s)
+                self._record_unreachable(observation, observer, now_s)
+
+    def record_response(self, upstream_id: str, observer: str, now_s: float) -> None:
+        """Record that an upstream responded to an instance, which shows that it is reachable.
+
+        If it is suspected because instances could not reach it, only their paths had failed. It
+        returns to service at once, and more instances have to fail before the next such suspicion.
+        """
+        self._overdue.record_answer(upstream_id, observer, now_s)
+        self._reachability.record_response(upstream_id, now_s)
+        suspicion = self._suspicions.get(upstream_id)
+        if suspicion is None or suspicion.first_attempt_s is None:
+            return
+        if now_s >= suspicion.first_attempt_s + RESPONSE_MARGIN_S:
+            del self._suspicions[upstream_id]
+            self._reachability.raise_quorum(upstream_id, now_s)
 
     def pause_path(self, upstream_id: str, now_s: float) -> None:
         """Avoid an upstream for a while because this instance's network path to it failed."""
@@ -157,6 +187,10 @@
         is_known = upstream_id in self._suspicions or upstream_id in self._weak_evidence
         return not is_known and not self._reachability.has_evidence(upstream_id)
 
+    def has_unanswered_failures(self, upstream_id: str) -> bool:
+        """Return whether instances failed to reach an upstream since its last known response."""
+        return self._reachability.has_failures(upstream_id)
+
     def is_shedding(self, upstream_id: str, now_s: float) -> bool:
         """Return whether an upstream recently refused a request without running it.
 
@@ -170,16 +204,21 @@
     def overdue_s(self, upstream_id: str, now_s: float, pause_factor: float = 1.0) -> float:
         """Return for how long a suspect's trial has been due; negative before that time.
 
-        The pause is multiplied by ``pause_factor``.
+        The pause is multiplied by ``pause_factor``. While paths fail for a fifth of the instances,
+        a trial of one of them shows nothing and costs its request 0.35 s. An instance whose own
+        path failed therefore leaves the trial to others, and tries only if nobody else did.
         """
         if self._reachability.is_paused(upstream_id, now_s):
             return float("-inf")
         suspicion = self._suspicions.get(upstream_id)
         if suspicion is None:
             return 0.0
+        overdue_s = now_s - suspicion.since_s - suspicion.pause_s * pause_factor
         if suspicion.successes:
-            return now_s - suspicion.last_success_s
-        return now_s - suspicion.since_s - suspicion.pause_s * pause_factor
+            overdue_s = now_s - suspicion.last_success_s
+        if self._reachability.has_failed_path(upstream_id, now_s):
+            overdue_s -= _OTHERS_FIRST_S
+        return overdue_s
 
     def export_records(self, now_s: float) -> list[SuspicionRecord]:
         """Return all suspicions that are not weak, for an instance that has just started.
@@ -213,11 +252,13 @@
             for upstream_id in table.keys() - listed:
                 table.pop(upstream_id)
         self._reachability.keep_only(listed)
+        self._overdue.keep_only(listed)
 
     def _record_success(
         self, upstream_id: str, observer: str, started_s: float, now_s: float
     ) -> None:
-        self._reachability.record_success(upstream_id, observer)
+        if observer == self._own_name:
+            self._reachability.resume(upstream_id)
         suspicion = self._suspicions.get(upstream_id)
         if suspicion is None or started_s < suspicion.since_s + _CLEAR_MARGIN_S:
             return
@@ -254,15 +295,40 @@
                 now_s, _WEAK_SUSPICION_S, is_weak=True
             )
 
-    def _record_unreachable(self, observation: Observation, now_s: float) -> None:
-        """Take an upstream out of service that no instance reaches."""
+    def _record_overdue(self, observation: Observation, now_s: float, *, is_frequent: bool) -> None:
+        """Put an upstream that hangs behind the others, or extend a suspect's pause."""
         suspicion = self._suspicions.get(observation.upstream_id)
-        if suspicion is None or suspicion.is_weak:
-            pause_s = FIRST_PATH_PAUSE_S
+        if suspicion is not None and not suspicion.is_weak:
+            self._extend_pause(suspicion, observation, now_s)
+        elif is_frequent:
             self._suspicions[observation.upstream_id] = _Suspicion(
-                now_s, pause_s, is_unreachable=True
+                now_s, _WEAK_SUSPICION_S, is_weak=True
             )
-        elif suspicion.is_unreachable:
+
+    def _record_unreachable(self, observation: Observation, observer: str, now_s: float) -> None:
+        """Take an upstream out of service that no instance reaches, or extend a suspect's pause.
+
+        At the heaviest load, upstreams crash while three in ten are suspected for failing requests.
+        Trials at those cannot connect, and each costs its request 0.35 s. If such a trial extended
+        only the pauses of suspects that were unreachable before, each of 132 instances would send
+        one: 600 were sent in 2 s. On probation the upstream has just responded to some instance, so
+        that one failed path shows nothing about it.
+        """
+        upstream_id = observation.upstream_id
+        first_attempt_s = self._reachability.record_failure(
+            upstream_id, observer, now_s - observation.duration_s, now_s
+        )
+        suspicion = self._suspicions.get(upstream_id)
+        if suspicion is None or suspicion.is_weak:
+            if first_attempt_s is not None:
+                self._suspicions[upstream_id] = _Suspicion(
+                    now_s, FIRST_PATH_PAUSE_S, first_attempt_s=first_attempt_s
+                )
+            return
+        is_trial = not suspicion.successes and not self._reachability.is_discredited(
+            observer, now_s
+        )
+        if first_attempt_s is not None or is_trial:
             self._extend_pause(suspicion, observation, now_s)
 
     def _extend_pause(self, suspicion: _Suspicion, observation: Observation, now_s: float) -> None:
@@ -271,17 +337,12 @@
             return
         pause_s = min(max(suspicion.pause_s * _PAUSE_GROWTH, FIRST_PAUSE_S), _PAUSE_MAX_S)
         self._suspicions[observation.upstream_id] = _Suspicion(
-            now_s, pause_s, is_unreachable=suspicion.is_unreachable
+            now_s, pause_s, first_attempt_s=suspicion.first_attempt_s
         )
 
     def _add_weak_evidence(self, observation: Observation, observer: str, now_s: float) -> bool:
-        """Add weak evidence; return whether there is enough of it.
-
-        Overdue requests of one instance count once: its own network path may be the cause.
-        """
+        """Add weak evidence; return whether there is enough of it."""
         evidence = self._weak_evidence.setdefault(observation.upstream_id, [])
         evidence[:] = [(name, at_s) for name, at_s in evidence if now_s - at_s < _WEAK_WINDOW_S]
-        if observation.outcome is Outcome.OVERDUE:
-            evidence[:] = [(name, at_s) for name, at_s in evidence if name != observer]
         evidence.append((observer, now_s))
         return len(evidence) >= _WEAK_QUORUM
--- a/src/egretrail/gateway/_outcome_recorder.py
+++ b/src/egretrail/gateway/_outcome_recorder.py
@@ -4,18 +4,19 @@
 
 from egretrail.cluster import OutcomeReport
 from egretrail.dispatch import (
+    RESPONSE_OUTCOMES,
     FleetLoad,
     Observation,
     Outcome,
     Placement,
     ServiceDurations,
     SuspicionTable,
+    UpstreamHealth,
 )
 from egretrail.gateway._log import EventLog
 from egretrail.traffic import UpstreamRecord, UpstreamTable, upstream_key
 
-#: Outcomes that come with an answer of the upstream.
-_ANSWERED = frozenset({Outcome.SUCCESS, Outcome.FAILED, Outcome.SHED, Outcome.EXPIRED})
+_SUSPECTED = frozenset({UpstreamHealth.SUSPECT, UpstreamHealth.PROBATION})
 #: Outcomes after which the attempt brings no answer to the client.
 _LOST_ANSWERS = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT, Outcome.SHED})
 #: A refusal that this instance observed returns in its zone's aggregates within this time. Counted
@@ -59,10 +60,19 @@
         if observation.outcome is Outcome.SHED:
             self._refused_s[observation.upstream_id] = now_s
 
-    def record_reported(self, report: OutcomeReport, now_s: float) -> None:
-        """Record an outcome that another instance reported."""
+    def record_reported(
+        self, report: OutcomeReport, now_s: float, *, is_own_zone: bool = True
+    ) -> None:
+        """Record an outcome that another instance reported.
+
+        Overdue requests are compared with answers, which are known for the own zone only. Those of
+        other zones therefore count only as trials of suspects.
+        """
         upstream_id = self.ids_by_key.get(report.upstream_key)
-        if upstream_id is not None:
+        if upstream_id is None:
+            return
+        is_compared = report.outcome is Outcome.OVERDUE and not is_own_zone
+        if not is_compared or self._suspicion.health(upstream_id, now_s) in _SUSPECTED:
             observation = Observation(upstream_id, report.outcome, report.duration_s)
             self._record(observation, report.observer, now_s)
 
@@ -80,6 +90,7 @@
         if record is None:
             return
         if self._suspicion.has_no_evidence(record.id):
+            self._suspicion.record_response(record.id, "", now_s)
             self._load.record_response(record.id, now_s)
             self._record_duration(record, duration_s, now_s)
             return
@@ -93,7 +104,7 @@
         before = self._suspicion.health(observation.upstream_id, now_s)
         typical_s = self._durations.mean_s(record.service)
         self._suspicion.record_outcome(observation, observer, typical_s, now_s)
-        if observation.outcome in _ANSWERED:
+        if observation.outcome in RESPONSE_OUTCOMES:
             self._load.record_response(observation.upstream_id, now_s)
         if observation.outcome is Outcome.SUCCESS:
             self._record_duration(record, observation.duration_s, now_s)
--- a/src/egretrail/gateway/_overload_control.py
+++ b/src/egretrail/gateway/_overload_control.py
@@ -11,6 +11,7 @@
     AccountDemandKey,
     Arrival,
     DemandReport,
+    FleetOverloadPolicy,
     NoOverloadPolicy,
     OverloadPolicy,
     Rejection,
@@ -49,7 +50,7 @@
 
 def choose_policy(terms: Mapping[str, ServiceTerms], rng: random.Random) -> OverloadPolicy:
     """Return the policy of a fleet whose configuration calls for overload control."""
-    return NoOverloadPolicy()
+    return FleetOverloadPolicy(rng)
 
 
 @dataclass(slots=True)
@@ -149,6 +150,12 @@
         room = self.room(arrival.service, now_s)
         return self.policy.retry_after_s(arrival, room, typical_s, now_s)
 
+    def urgent_slot_share(self, service: str, priority: int, now_s: float) -> float:
+        """Return the share of a service's slots that more urgent requests need; 1 if unknown."""
+        if not self.policy.watches(service):
+            return 1.0
+        return self.policy.urgent_slot_share(service, priority, self.room(service, now_s), now_s)
+
     def own_report(self, now_s: float) -> DemandReport:
         """Return this instance's demand as of the last sample, for its heartbeat."""
         if not 0 <= now_s - self._sampled_s < _REPORT_VALID_S:
--- a/src/egretrail/overload/__init__.py
+++ b/src/egretrail/overload/__init__.py
@@ -9,8 +9,10 @@
     DemandKey,
     DemandReport,
     DemandRow,
+    account_demand_key,
     service_key,
 )
+from egretrail.overload._fleet_policy import FleetOverloadPolicy
 from egretrail.overload._policy import (
     Arrival,
     NoOverloadPolicy,
@@ -30,6 +32,7 @@
     "DemandKey",
     "DemandReport",
     "DemandRow",
+    "FleetOverloadPolicy",
     "NoOverloadPolicy",
     "OverloadPolicy",
     "Rejection",
@@ -37,6 +40,7 @@
     "ServiceSnapshot",
     "ServiceState",
     "ServiceTerms",
+    "account_demand_key",
     "service_key",
     "service_terms",
 ]
