State why slow clients of the soak wait for 9 s

In two plays with the time of each slow read printed, reads of 600 KB took 3.1 to 3.4 s, and 5.1 to 6.7 s beside a burst.

--- a/scaffolding/soak/_client.py
+++ b/scaffolding/soak/_client.py
@@ -19,7 +19,8 @@
 #: than a chunk.
 _SLOW_CHUNK_BYTES, _SLOW_PAUSE_S, _SLOW_BUFFER_BYTES = 16_384, 0.02, 4_096
 _HEAD = re.compile(rb"HTTP/1.1 (\d+) .*?\r\ncontent-length: *(\d+)\r\n", re.DOTALL | re.IGNORECASE)
-#: A client that reads slowly gives up after this time, twice what it takes.
+#: A client that reads slowly gives up after this time. Beside the clients of a burst, which share
+#: the event loop, reads of up to 6.7 s were seen; with 6 s, two were taken as cut by a stop.
 SLOW_WAIT_S = 9.0
 _numbers = itertools.count(1)
 
