Even shares of the slots in service, and demand balanced by zone

Shares by independent rank give some instances of a zone no slot and some six, and count slots that are out of service. A zone whose demand swings by half sends to others only by cost, on reports of 0.1 to 0.3 s.

Slots in service, of each zone, are matched with the own zone's instances so that their numbers differ by at most one (EvenSlotAssignment). What a zone cannot serve goes to zones with spare slots, in a proportion computed from the requests in flight by the clients' zone (DemandBalancer), drawn with a credit. Requests that peers report weigh less than own ones. The argument balancing of FleetView switches all of it.

--- a/benchmarks/balancing.py
+++ b/benchmarks/balancing.py
@@ -1,10 +1,11 @@
 """Replays the placement of whole fleets and prints their figures as a table.
 
-Run as ``python -m benchmarks.balancing [LENGTH_S]``. All rows are repeatable except the processor
-time of a choice.
+Run as ``python -m benchmarks.balancing [LENGTH_S [STEP ...]]``; see ``_STEPS``. All figures are
+repeatable except the processor time of a choice.
 """
 
 import sys
+from collections.abc import Callable
 
 from egretrail.balancing.tests.replay import Figures, Replay, Scenario
 
@@ -13,6 +14,19 @@
 _LENGTH_S = 30.0
 
 
+def _balance(replay: Replay) -> None:
+    replay.use_even_shares()
+    replay.balance_zones()
+
+
+_STEPS: dict[str, Callable[[Replay], None]] = {
+    "off": Replay.use_ranked_shares,
+    "even shares only": Replay.use_even_shares,
+    "zones only": Replay.balance_zones,
+    "on": _balance,
+}
+
+
 def _scenarios(length_s: float) -> dict[str, Scenario]:
     scenarios = {
         f"{instances} at {use}": Scenario(instances, upstreams, slots, use, length_s)
@@ -42,14 +56,17 @@
 def main() -> None:
     """Print the table."""
     length_s = float(sys.argv[1]) if len(sys.argv) > 1 else _LENGTH_S
+    steps = sys.argv[2:] or list(_STEPS)
     sys.stdout.write(
         "| instances at use | avoidable waits | mean waits by zone, ms | across zones / best "
         "| time / best | refused | choice, us |\n| --- | --- | --- | --- | --- | --- | --- |\n"
     )
     for name, scenario in _scenarios(length_s).items():
         best = Replay(scenario, omniscient=True).run()
-        sys.stdout.write(_row(name, Replay(scenario).run(), best) + "\n")
-        sys.stdout.flush()
+        for step in steps:
+            figures = Replay(scenario, _STEPS[step]).run()
+            sys.stdout.write(_row(f"{name}, {step}", figures, best) + "\n")
+            sys.stdout.flush()
 
 
 if __name__ == "__main__":
--- a/src/egretrail/balancing/__init__.py
+++ b/src/egretrail/balancing/__init__.py
@@ -3,6 +3,16 @@
 No module of this package performs I/O; the time is an argument.
 """
 
-from egretrail.balancing._interfaces import SlotAssignment, SlotOwner, ZoneBalancer, ZoneLoad
+from egretrail.balancing._demand_balancer import DemandBalancer
+from egretrail.balancing._even_assignment import EvenSlotAssignment
+from egretrail.balancing._interfaces import SlotAssignment, SlotOwner, ZoneBalancer
+from egretrail.balancing._zone_shares import EvenSlotShares
 
-__all__ = ["SlotAssignment", "SlotOwner", "ZoneBalancer", "ZoneLoad"]
+__all__ = [
+    "DemandBalancer",
+    "EvenSlotAssignment",
+    "EvenSlotShares",
+    "SlotAssignment",
+    "SlotOwner",
+    "ZoneBalancer",
+]
--- a/src/egretrail/balancing/_interfaces.py
+++ b/src/egretrail/balancing/_interfaces.py
@@ -4,19 +4,23 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
+from egretrail.traffic import UpstreamRecord
+
 
 @dataclass(frozen=True, slots=True)
 class SlotOwner:
-    """An upstream of the own zone whose slots are shared by the zone's instances."""
+    """An upstream in service whose slots are shared by the instances of a zone."""
 
     #: The upstream's id.
     upstream_id: str
     #: How many requests it runs concurrently.
     slots: int
+    #: Its service and zone, say; the slots of each group are shared evenly.
+    group: str = ""
 
 
 class SlotAssignment(abc.ABC):
-    """Assigns the slots of a zone's upstreams to the zone's instances, alike at all of them."""
+    """Assigns the slots of upstreams to the instances of a zone, alike at all of them."""
 
     @abc.abstractmethod
     def assign(self, upstreams: Sequence[SlotOwner], instances: Collection[str]) -> None:
@@ -27,21 +31,9 @@
         """Return how many slots of an upstream are an instance's share."""
 
 
-@dataclass(frozen=True, slots=True)
-class ZoneLoad:
-    """The load of one service's upstreams in one availability zone."""
-
-    #: The availability zone.
-    zone: str
-    #: Slots of the upstreams that are in service there.
-    slots: int
-    #: Requests in flight at these upstreams.
-    in_flight: int
-
-
 class ZoneBalancer(abc.ABC):
-    """Decides which zone's upstreams a request of this instance goes to."""
+    """Decides to which zone's upstreams a request of this instance goes."""
 
     @abc.abstractmethod
-    def choose_zone(self, service: str, loads: Sequence[ZoneLoad], now_s: float) -> str:
-        """Return the zone for the next request; the own zone unless another evens the waits."""
+    def choose_zone(self, service: str, upstreams: Sequence[UpstreamRecord], now_s: float) -> str:
+        """Return the zone for the next request; ``upstreams`` are those that accept it."""
--- a/src/egretrail/balancing/tests/replay.py
+++ b/src/egretrail/balancing/tests/replay.py
@@ -10,7 +10,9 @@
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
+from egretrail.balancing import DemandBalancer, EvenSlotShares
 from egretrail.dispatch import (
     Choice,
     FleetLoad,
@@ -124,8 +126,6 @@
     ) -> None:
         self.scenario = scenario
         self.figures = Figures()
-        #: Called with the time after each change of what is in service.
-        self.on_health_change: Callable[[float], None] = lambda now_s: None
         self._omniscient = omniscient
         # Arrivals, work and health are equal in both kinds of replay.
         self._arrivals, self._health = random.Random(scenario.seed), random.Random(scenario.seed)
@@ -142,6 +142,7 @@
         self._answered: dict[str, set[str]] = {zone: set() for zone in ZONES}
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._number = 0
+        self.now_s = 0.0
         self.use_ranked_shares()
         configure(self)
 
@@ -157,8 +158,8 @@
                         lambda now_s, z=zone, t=target: self._report(z, t, now_s),  # type: ignore
                     )
         while self._events[0][0] < self.scenario.length_s:
-            now_s, _, act = heapq.heappop(self._events)
-            act(now_s)
+            self.now_s, _, act = heapq.heappop(self._events)
+            act(self.now_s)
         return self.figures
 
     def at(self, at_s: float, act: Callable[[float], None]) -> None:
@@ -187,6 +188,31 @@
                 )
                 one.placement.has_slot_share = shares.has_share
 
+    def use_even_shares(self) -> None:
+        """Give each instance an even share of the slots in service, as it sees them."""
+        for one in self.instances:
+            names = [other.name for other in self.members(one.zone)]
+            shares = EvenSlotShares(
+                one.name,
+                lambda: self.now_s,
+                lambda s=one.suspicion: [  # type: ignore[misc]
+                    record for record in self.records if record.id not in s.suspects
+                ],
+                lambda n=names: n,  # type: ignore[misc]
+            )
+            one.placement.has_slot_share = shares.has_share
+
+    def balance_zones(self) -> None:
+        """Let each instance send to other zones what its own cannot serve."""
+        for one in self.instances:
+            placement = one.placement
+            placement.zone_balancer = DemandBalancer(
+                one.zone,
+                partial(placement.load.in_flight_by_origin, one.zone),
+                lambda name, _, s=one.suspicion: name not in s.suspects,  # type: ignore[misc]
+                placement.rng,
+            )
+
     def _new_upstream(self, number: int) -> _Upstream:
         zone = ZONES[number % len(ZONES)]
         slots = self.scenario.slots
@@ -231,7 +257,6 @@
         for one in self.instances:
             others = self._rng.sample(sorted(self._upstreams), differing)
             one.suspicion.suspects = known.symmetric_difference(others) if differing else known
-        self.on_health_change(now_s)
 
     def _arrive(self, zone: str, now_s: float) -> None:
         scenario, rng = self.scenario, self._arrivals
--- a/src/egretrail/cluster/_membership.py
+++ b/src/egretrail/cluster/_membership.py
@@ -199,6 +199,10 @@
         others = self.zone_instances(self._zone)
         return sum(instance.address not in isolated for instance in others) + 1
 
+    def connected_zone_addresses(self) -> Sequence[str]:
+        """Return the addresses of the own zone's instances that take tasks and reach upstreams."""
+        return self._connected_candidates(self._zone)
+
     def task_rank(self, task: str, availability_zone: str) -> int:
         """Return this instance's rank for a task of a zone that needs network paths to upstreams.
 
--- a/src/egretrail/dispatch/_load.py
+++ b/src/egretrail/dispatch/_load.py
@@ -1,6 +1,7 @@
 """Number of requests that the whole fleet has in flight at each upstream."""
 
 from collections.abc import Iterable, Mapping
+from itertools import repeat
 
 #: How long a load that an upstream reported in a response is used. Requests last some hundred
 #: milliseconds, so an older report says little about the slots that are taken now.
@@ -93,6 +94,10 @@
             return max(known, reported[0])
         return known
 
+    def own_in_flight(self, upstream_id: str) -> int:
+        """Return the requests of this instance that are in flight at an upstream."""
+        return self._own_counts.get(upstream_id, 0)
+
     def idle_for_s(self, upstream_id: str, now_s: float) -> float:
         """Return for how long no instance is known to have used an upstream."""
         if self._totals.get(upstream_id, 0) > 0:
@@ -103,6 +108,20 @@
         """Return this instance's counts, for its peers."""
         return dict(self._own_counts)
 
+    def in_flight_by_origin(self, own_origin: str, upstream_ids: Iterable[str]) -> dict[str, int]:
+        """Return the requests in flight at some upstreams by the peer or zone they come from.
+
+        Those of this instance are added to those of ``own_origin``.
+        """
+        ids = list(upstream_ids)
+        totals = {
+            origin: sum(map(counts.get, ids, repeat(0)))
+            for origin, counts in self._peer_counts.items()
+        }
+        own = sum(map(self._own_counts.get, ids, repeat(0)))
+        totals[own_origin] = totals.get(own_origin, 0) + own
+        return totals
+
     def keep_only(self, upstream_ids: Iterable[str]) -> None:
         """Remove the state of upstreams that are no longer listed."""
         listed = set(upstream_ids)
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
+from egretrail.balancing import ZoneBalancer
 from egretrail.dispatch._backoff import BackoffTable
 from egretrail.dispatch._durations import ServiceDurations
 from egretrail.dispatch._limits import AdvertisedLimits, LimitPosition
@@ -25,6 +26,12 @@
 #: With less, instances choose the same slots that seemed free. The value stays below the costs of
 #: weak suspicion and of shedding, which would otherwise be outweighed by an own slot.
 _NO_SLOT_SHARE_COST = 0.7
+#: Costs of all slots taken by requests of this instance, and by those of others, where zones are
+#: balanced. Reports are 0.1 to 0.3 s old, and two in five of the requests in them have ended since.
+#: With equal costs, instances left free slots of their own for slots that only seemed free
+#: (docs/design/balancing.md).
+_OWN_LOAD_COST = 0.7
+_REPORTED_LOAD_COST = 0.42
 #: Cost of opening a connection: enough to decide between upstreams of equal load.
 _NEW_CONNECTION_COST = 0.05
 #: Upstreams that are slower than their service by this factor have an extra cost; smaller
@@ -151,6 +158,8 @@
     backoffs: BackoffTable = field(default_factory=BackoffTable)
     #: Whether a slot of an upstream is this instance's share.
     has_slot_share: Callable[[UpstreamRecord], bool] = lambda record: True
+    #: Chooses the zone of each request; None for the own zone.
+    zone_balancer: ZoneBalancer | None = None
     #: Breaks ties, so that instances with equal views choose different upstreams.
     rng: random.Random = field(default_factory=random.Random)
 
@@ -190,6 +199,9 @@
                 self.retry_after_s(query.service, ready, now_s),
             )
             return Refusal(RefusalReason.LIMITED, retry_after_s)
+        home = self.availability_zone
+        if self.zone_balancer is not None and not query.spare_only:
+            home = self.zone_balancer.choose_zone(query.service, within_limits, now_s)
         suspects: list[UpstreamRecord] = []
         in_service: list[UpstreamRecord] = []
         best: UpstreamRecord | None = None
@@ -201,7 +213,7 @@
             if health in (UpstreamHealth.SUSPECT, UpstreamHealth.PROBATION):
                 suspects.append(record)
                 continue
-            cost = self._cost(query, record, now_s)
+            cost = self._cost(query, record, home, now_s)
             if health is UpstreamHealth.UNREACHABLE_FROM_HERE:
                 cost += _UNREACHABLE_COST
             else:
@@ -263,11 +275,16 @@
             return Refusal(RefusalReason.NO_TIME, _clamp_retry_after(wait_s), wait_s)
         return None
 
-    def _cost(self, query: PlacementQuery, record: UpstreamRecord, now_s: float) -> float:
+    def _cost(
+        self, query: PlacementQuery, record: UpstreamRecord, home: str, now_s: float
+    ) -> float:
         cost = self.load.in_flight(record.id, now_s) / record.slots
-        if record.availability_zone != self.availability_zone:
+        if self.zone_balancer is not None and not query.spare_only:
+            own_cost = self.load.own_in_flight(record.id) / record.slots
+            cost = _OWN_LOAD_COST * own_cost + _REPORTED_LOAD_COST * (cost - own_cost)
+        if record.availability_zone != home:
             cost += self._cross_zone_cost(query)
-        else:
+        elif home == self.availability_zone:
             cost += self._unresponsive_cost(record, now_s)
         if not query.spare_only and not self.has_slot_share(record):
             cost += _NO_SLOT_SHARE_COST
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -5,7 +5,9 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from functools import partial
 
+from egretrail.balancing import DemandBalancer, EvenSlotShares
 from egretrail.cluster import (
     URGENT_OUTCOMES,
     ChunkedConfig,
@@ -78,6 +80,8 @@
 #: Keys are refused this long before the last confirmation of the configuration reaches its maximum
 #: age.
 _REVOCATION_MARGIN_S = 0.25
+#: Health with which an upstream gets no requests but trials.
+_OUT_OF_SERVICE = frozenset({UpstreamHealth.SUSPECT, UpstreamHealth.PROBATION})
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,8 +105,14 @@
         log: EventLog,
         rng: random.Random,
         elapsed_clock: Callable[[], float] | None = None,
+        *,
+        balancing: bool = True,
     ) -> None:
-        """Start empty; ``elapsed_clock`` also counts the time in which the machine is suspended."""
+        """Start empty; ``elapsed_clock`` also counts the time in which the machine is suspended.
+
+        ``balancing`` selects even shares of the slots in service and balanced zones instead of
+        shares by independent rank.
+        """
         self._settings = settings
         #: Rises with each start of the process.
         self.incarnation = incarnation
@@ -140,8 +150,14 @@
         #: The remaining quotas of client accounts.
         self.quotas = AccountQuotas(settings.quota_terms, rng)
         own_zone = settings.availability_zone
-        #: The slots of the zone's upstreams that this instance prefers.
+        #: The slots of the zone's upstreams that this instance prefers, without balancing.
         self.shares = SlotShares(lambda task: self.membership.task_rank(task, own_zone))
+        even_shares = EvenSlotShares(
+            settings.ip, clock, self._in_service, self.membership.connected_zone_addresses
+        )
+        balancer = DemandBalancer(
+            own_zone, partial(self.load.in_flight_by_origin, own_zone), self._is_in_service, rng
+        )
         self.membership.on_change = self.shares.invalidate
         #: Rate limits that upstreams have advertised.
         self.limit_exchange = LimitExchange(settings.ip, self._limit_position, self._reports, log)
@@ -160,7 +176,8 @@
             ),
             limits=self.limit_exchange.limits,
             backoffs=self.backoffs,
-            has_slot_share=self.shares.has_share,
+            has_slot_share=even_shares.has_share if balancing else self.shares.has_share,
+            zone_balancer=balancer if balancing else None,
             rng=rng,
         )
         self._outcome_recorder = OutcomeRecorder(
@@ -601,6 +618,18 @@
             return False
         return self.zones.receives_all_retry_counts(now_s, self.retry_budget.window_s)
 
+    def _is_in_service(self, upstream_id: str, now_s: float) -> bool:
+        return self.suspicion.health(upstream_id, now_s) not in _OUT_OF_SERVICE
+
+    def _in_service(self) -> Sequence[UpstreamRecord]:
+        """Return the upstreams that accept work and that the fleet does not suspect."""
+        now_s = self._clock()
+        return [
+            record
+            for record in self.upstreams
+            if record.state is UpstreamState.READY and self._is_in_service(record.id, now_s)
+        ]
+
     def _limit_position(self, record: UpstreamRecord) -> LimitPosition:
         return limit_position(
             record,
