--- a/src/egretrail/balancing/__init__.py
+++ b/src/egretrail/balancing/__init__.py
@@ -3,7 +3,7 @@
 No module of this package performs I/O; the time is an argument.
 """
 
-from egretrail.balancing._demand_balancer import DemandBalancer
+from egretrail.balancing._demand_balancer import DemandBalancer, flow_shares
 from egretrail.balancing._even_assignment import EvenSlotAssignment
 from egretrail.balancing._interfaces import SlotAssignment, SlotOwner, ZoneBalancer
 from egretrail.balancing._zone_shares import EvenSlotShares
@@ -15,4 +15,5 @@
     "SlotAssignment",
     "SlotOwner",
     "ZoneBalancer",
+    "flow_shares",
 ]
