--- a/benchmarks/balancing.py
+++ b/benchmarks/balancing.py
@@ -1,17 +1,21 @@
-"""Replays the placement of whole fleets and prints their figures as a table.
+"""Times the decisions of balancing and replays the placement of whole fleets; prints two tables.
 
 Run as ``python -m benchmarks.balancing [LENGTH_S [STEP ...]]``; see ``_STEPS``. All figures are
 repeatable except the processor time of a choice.
 """
 
 import sys
+import time
 from collections.abc import Callable
 
+from egretrail.balancing import EvenSlotAssignment, SlotOwner
 from egretrail.balancing.tests.replay import Figures, Replay, Scenario
+from egretrail.dispatch import PlacementQuery
 
 _SIZES = ((44, 30, 4), (132, 107, 3), (300, 240, 3))
 _USES = (0.6, 0.75, 0.9)
 _LENGTH_S = 30.0
+_UPSTREAMS, _ZONE_INSTANCES, _REPEATS = 214, 100, 7
 
 
 def _balance(replay: Replay) -> None:
@@ -53,8 +57,54 @@
     )
 
 
+def _microseconds(run: Callable[[], object], count: int) -> float:
+    """Return the shortest processor time of a call over some repeats, in microseconds."""
+    durations_s = []
+    for _ in range(_REPEATS):
+        started_s = time.process_time()
+        for _ in range(count):
+            run()
+        durations_s.append(time.process_time() - started_s)
+    return 1e6 * min(durations_s) / count
+
+
+def _decisions() -> dict[str, float]:
+    """Return the processor time of each decision, in microseconds."""
+    addresses = [f"10.0.0.{n}" for n in range(_ZONE_INSTANCES)]
+    owners = [SlotOwner(f"u{n}", 3) for n in range(_UPSTREAMS)]
+    known = EvenSlotAssignment()
+    known.assign(owners, addresses)
+    times = {
+        "shares, everything new": _microseconds(
+            lambda: EvenSlotAssignment().assign(owners, addresses), 1
+        ),
+        "shares, an upstream less": _microseconds(lambda: known.assign(owners[1:], addresses), 1),
+    }
+    for step in ("off", "on"):
+        replay = Replay(Scenario(99, _UPSTREAMS, 3, 0.75, 1.0), _STEPS[step])
+        replay.run()
+        placement = replay.instances[0].placement
+        query = PlacementQuery("s", 4.0, 2.0, False)
+        record = replay.records[0]
+        # The time stands still: neither shares nor demand are computed anew.
+        times[f"lookup of a share, {step}"] = _microseconds(
+            lambda p=placement, r=record: p.has_slot_share(r), 1000  # type: ignore[misc]
+        )
+        times[f"choice, {step}"] = _microseconds(
+            lambda p=placement, r=replay, q=query: p.choose(q, r.records, 1.0),  # type: ignore
+            100,
+        )
+    return times
+
+
 def main() -> None:
-    """Print the table."""
+    """Print the tables."""
+    sys.stdout.write(
+        f"| decision, {_UPSTREAMS} upstreams, {_ZONE_INSTANCES} instances | us |\n| --- | --- |\n"
+    )
+    for name, time_us in _decisions().items():
+        sys.stdout.write(f"| {name} | {time_us:.2f} |\n")
+    sys.stdout.write("\n")
     length_s = float(sys.argv[1]) if len(sys.argv) > 1 else _LENGTH_S
     steps = sys.argv[2:] or list(_STEPS)
     sys.stdout.write(
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -278,10 +278,11 @@
     def _cost(
         self, query: PlacementQuery, record: UpstreamRecord, home: str, now_s: float
     ) -> float:
-        cost = self.load.in_flight(record.id, now_s) / record.slots
+        load: float = self.load.in_flight(record.id, now_s)
         if self.zone_balancer is not None and not query.spare_only:
-            own_cost = self.load.own_in_flight(record.id) / record.slots
-            cost = _OWN_LOAD_COST * own_cost + _REPORTED_LOAD_COST * (cost - own_cost)
+            own = self.load.own_in_flight(record.id)
+            load = _OWN_LOAD_COST * own + _REPORTED_LOAD_COST * (load - own)
+        cost = load / record.slots
         if record.availability_zone != home:
             cost += self._cross_zone_cost(query)
         elif home == self.availability_zone:
