--- a/src/egretrail/balancing/tests/test_zones.py
+++ b/src/egretrail/balancing/tests/test_zones.py
@@ -2,11 +2,20 @@
 
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
-from egretrail.balancing import DemandBalancer, flow_shares
+from egretrail.balancing import DemandBalancer, ZoneBalancer, flow_shares
 from egretrail.balancing.tests.replay import Figures, Replay, Scenario
+from egretrail.dispatch import (
+    Choice,
+    FleetLoad,
+    Placement,
+    PlacementQuery,
+    ServiceDurations,
+    SuspicionTable,
+    TrialScheduler,
+)
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import UpstreamRecord, UpstreamState
 
@@ -112,3 +121,40 @@
         after = Replay(scenario, _balanced).run()
         self.assertLess(_mean_s(after), bound * _mean_s(before))
         self.assertEqual(0, after.refused)
+
+
+class _FixedZone(ZoneBalancer):
+    def choose_zone(self, service: str, upstreams: Sequence[UpstreamRecord], now_s: float) -> str:
+        return "b"
+
+
+class BalancedPlacementTest(EgretrailTestCase):
+    def _zone(self, **changes: object) -> str:
+        load, suspicion = FleetLoad(), SuspicionTable("me")
+        placement = Placement(
+            "a",
+            load,
+            ServiceDurations(),
+            suspicion,
+            TrialScheduler(load, suspicion),
+            has_slot_share=lambda record: False,
+            zone_balancer=_FixedZone(),
+        )
+        query = PlacementQuery("s", 4.0, 2.0, False, **changes)  # type: ignore[arg-type]
+        choice = placement.choose(query, _RECORDS, 0.0)
+        assert isinstance(choice, Choice)
+        return choice.upstream.availability_zone
+
+    @cases(
+        {
+            "a request": ({}, "b"),
+            "a hedged request": ({"spare_only": True}, "a"),
+            "a retry after both upstreams of the zone": ({"excluded": ["b0", "b1"]}, "a or c"),
+        }
+    )
+    def test_a_request_goes_to_the_zone_that_was_drawn(
+        self, case: tuple[dict[str, object], str]
+    ) -> None:
+        """Guards against a flow that placement ignores, and against refusals because of it."""
+        changes, expected = case
+        self.assertIn(self._zone(**changes), expected)
