Balance where the configuration lets requests compete

Balancing changed the choice of upstreams for all deployments. It follows overload control now: on where requests of different priority go to one service or client accounts share its capacity, else as before.

--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -110,12 +110,12 @@
         rng: random.Random,
         elapsed_clock: Callable[[], float] | None = None,
         *,
-        balancing: bool = True,
+        balancing: bool | None = None,
     ) -> None:
         """Start empty; ``elapsed_clock`` also counts the time in which the machine is suspended.
 
         ``balancing`` selects even shares of the slots in service and balanced zones instead of
-        shares by independent rank.
+        shares by independent rank; by default where the configuration lets requests compete.
         """
         self._settings = settings
         #: Rises with each start of the process.
@@ -158,10 +158,11 @@
         own_zone = settings.availability_zone
         #: The slots of the zone's upstreams that this instance prefers, without balancing.
         self.shares = SlotShares(lambda task: self.membership.task_rank(task, own_zone))
-        even_shares = EvenSlotShares(
+        self._balancing = balancing
+        self._even_shares = EvenSlotShares(
             settings.ip, clock, self._in_service, self.membership.connected_zone_addresses
         )
-        balancer = DemandBalancer(
+        self._zone_balancer = DemandBalancer(
             own_zone, partial(self.load.in_flight_by_origin, own_zone), self._is_in_service, rng
         )
         self.membership.on_change = self.shares.invalidate
@@ -182,10 +183,10 @@
             ),
             limits=self.limit_exchange.limits,
             backoffs=self.backoffs,
-            has_slot_share=even_shares.has_share if balancing else self.shares.has_share,
-            zone_balancer=balancer if balancing else None,
+            has_slot_share=self.shares.has_share,
             rng=rng,
         )
+        self._use_balancing(active=bool(balancing))
         self._outcome_recorder = OutcomeRecorder(
             self.upstreams, self.load, self.durations, self.suspicion, self.placement, log
         )
@@ -719,6 +720,14 @@
                 config, objectives, shares_capacity=self._settings.shares_capacity
             )
             self._update_overload(self._clock())
+            if self._balancing is None:
+                self._use_balancing(active=bool(self.overload.services))
+
+    def _use_balancing(self, *, active: bool) -> None:
+        placement = self.placement
+        placement.zone_balancer = self._zone_balancer if active else None
+        shares = self._even_shares if active else self.shares
+        placement.has_slot_share = shares.has_share
 
     def _apply_demand(self, section: Section, now_s: float) -> None:
         self.overload.apply_section(section, now_s)
