--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -310,6 +310,8 @@
 directory = "{ip}:{directory}"
 [platform.platform]
 address = "{self.store_host(number)}:{store}"
+[terms]
+contracts = ["base","pressure"]
 [terms.bounds]
 grace = "6s"
 configApply = "2s"
--- a/src/egretrail/dispatch/_placement.py
+++ b/src/egretrail/dispatch/_placement.py
@@ -23,6 +23,8 @@
 #: objective there, rather than cause cross-zone traffic.
 _BYTES_PER_COST_UNIT = 50_000
 _BYTES_COST_MAX = 2.0
+#: Requests with larger responses are not sent to other zones to even out the waits.
+_BALANCED_BYTES_MAX = 25_000
 #: Cost of an upstream of which this instance has no slot share, in any zone: two of three slots.
 #: With less, instances choose the same slots that seemed free. The value stays below the costs of
 #: weak suspicion and of shedding, which would otherwise be outweighed by an own slot.
@@ -210,8 +212,12 @@
             )
             return Refusal(RefusalReason.LIMITED, retry_after_s)
         home = self.availability_zone
-        if self.zone_balancer is not None and not query.spare_only:
-            home = self.zone_balancer.choose_zone(query.service, within_limits, now_s)
+        is_large = query.response_bytes > _BALANCED_BYTES_MAX
+        if self.zone_balancer is not None and not query.spare_only and not is_large:
+            home = self.zone_balancer.choose_zone(query.service, ready, now_s)
+        reserved: Collection[str] | None = None
+        if query.urgent_objective_s is not None:
+            reserved = self.reserve.reserved(query.service, ready, query.urgent_slot_share)
         suspects: list[UpstreamRecord] = []
         in_service: list[UpstreamRecord] = []
         best: UpstreamRecord | None = None
@@ -230,11 +236,16 @@
                 in_service.append(record)
             if health is UpstreamHealth.WEAKLY_SUSPECT:
                 cost += _WEAK_SUSPICION_COST
-            if self._delays_urgent(query, record, ready, now_s):
+            if self._delays_urgent(query, record, reserved, now_s):
                 cost += _RESERVED_COST
             if cost < best_cost:
                 best, best_cost = record, cost
-            if cost < free_cost and self.load.in_flight(record.id, now_s) < record.slots:
+            is_reachable = health is not UpstreamHealth.UNREACHABLE_FROM_HERE
+            if (
+                cost < free_cost
+                and is_reachable
+                and self.load.in_flight(record.id, now_s) < record.slots
+            ):
                 free, free_cost = record, cost
         if not query.spare_only:
             trial = self.trials.find_due(
@@ -247,7 +258,7 @@
                 RefusalReason.ALL_SUSPECT, self.retry_after_s(query.service, ready, now_s)
             )
         chosen = best
-        refusal = self._late_refusal(query, best, ready, now_s)
+        refusal = self._late_refusal(query, best, reserved, now_s)
         if refusal is not None:
             # Do not choose another upstream whose queue seems to end in time. That would be the one
             # whose typical duration is underestimated most, and its queue would outgrow the others.
@@ -267,7 +278,7 @@
         self,
         query: PlacementQuery,
         record: UpstreamRecord,
-        ready: Sequence[UpstreamRecord],
+        reserved: Collection[str] | None,
         now_s: float,
     ) -> Refusal | None:
         """Return the refusal of a request that an upstream's queue would make late, or None.
@@ -290,7 +301,7 @@
         is_late = (
             wait_s + mean_s * _OBJECTIVE_DURATION_FACTOR > query.objective_remaining_s > mean_s
         )
-        is_late = is_late or self._delays_urgent(query, record, ready, now_s)
+        is_late = is_late or self._delays_urgent(query, record, reserved, now_s)
         if is_late or wait_s + mean_s * _DEADLINE_DURATION_FACTOR > query.remaining_s:
             return Refusal(RefusalReason.NO_TIME, _clamp_retry_after(wait_s), wait_s)
         return None
@@ -299,7 +310,7 @@
         self,
         query: PlacementQuery,
         record: UpstreamRecord,
-        ready: Sequence[UpstreamRecord],
+        reserved: Collection[str] | None,
         now_s: float,
     ) -> bool:
         """Return whether a request would wait where more urgent ones need its place.
@@ -312,9 +323,9 @@
         in_flight = self.load.in_flight(record.id, now_s)
         if in_flight < record.slots:
             return False
-        if self.reserve.is_partial(ready, query.urgent_slot_share):
+        if reserved is not None:
             # At reserved upstreams, less urgent requests take free slots and never wait.
-            return self.reserve.includes(record.id, ready, query.urgent_slot_share)
+            return record.id in reserved
         mean_s = self.durations.upstream_mean_s(query.service, record.id)
         wait_s = (in_flight + 1 - record.slots) / record.slots * mean_s
         urgent_wait_s = query.urgent_objective_s - mean_s * _OBJECTIVE_DURATION_FACTOR
@@ -330,7 +341,7 @@
         cost = load / record.slots
         if record.availability_zone != home:
             cost += self._cross_zone_cost(query)
-        elif home == self.availability_zone:
+        if record.availability_zone == self.availability_zone:
             cost += self._unresponsive_cost(record, now_s)
         if not query.spare_only and not self.has_slot_share(record):
             cost += _NO_SLOT_SHARE_COST
--- a/src/egretrail/dispatch/_reachability.py
+++ b/src/egretrail/dispatch/_reachability.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 
 #: Number of instances that must fail to reach an upstream before it counts as unreachable for all,
-#: its growth with each time that this was wrong, and the maximum: nearly half of the largest fleet.
+#: its growth with each time that this was wrong, and the maximum. An upstream gets some twelve
+#: requests within the window, so many more instances could not fail at it.
 _QUORUM = 2
 _QUORUM_GROWTH = 2
-_QUORUM_MAX = 64
+_QUORUM_MAX = 16
 #: The quorum of an upstream shrinks again after this time without another wrong suspicion.
 _QUORUM_HALVING_S = 10.0
 #: Failures to reach an upstream count together within this time.
--- a/src/egretrail/dispatch/_suspicion.py
+++ b/src/egretrail/dispatch/_suspicion.py
@@ -143,6 +143,8 @@
         returns to service at once, and more instances have to fail before the next such suspicion.
         """
         self._overdue.record_answer(upstream_id, observer, now_s)
+        if observer == self._own_name:
+            self._reachability.resume(upstream_id)
         self._reachability.record_response(upstream_id, now_s)
         suspicion = self._suspicions.get(upstream_id)
         if suspicion is None or suspicion.first_attempt_s is None:
@@ -151,6 +153,14 @@
             del self._suspicions[upstream_id]
             self._reachability.raise_quorum(upstream_id, now_s)
 
+    def record_reported_shed(self, upstream_id: str, now_s: float) -> None:
+        """Record a refusal that another instance reported without its time.
+
+        It may be older than a failure to reach the upstream, so it does not show that the upstream
+        responds now.
+        """
+        self._record_shed(upstream_id, now_s)
+
     def pause_path(self, upstream_id: str, now_s: float) -> None:
         """Avoid an upstream for a while because this instance's network path to it failed."""
         self._reachability.pause(upstream_id, now_s)
@@ -257,8 +267,6 @@
     def _record_success(
         self, upstream_id: str, observer: str, started_s: float, now_s: float
     ) -> None:
-        if observer == self._own_name:
-            self._reachability.resume(upstream_id)
         suspicion = self._suspicions.get(upstream_id)
         if suspicion is None or started_s < suspicion.since_s + _CLEAR_MARGIN_S:
             return
--- a/src/egretrail/dispatch/_urgent_reserve.py
+++ b/src/egretrail/dispatch/_urgent_reserve.py
@@ -1,7 +1,7 @@
 """Chooses the upstreams that are kept free for a service's more urgent requests."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from egretrail.traffic import UpstreamRecord, upstream_key
 
@@ -19,27 +19,21 @@
     """
 
     def __init__(self) -> None:
-        self._ranks: dict[str, int] = {}
-        self._listed: tuple[str, ...] = ()
+        #: By service: the ids of the upstreams in the order in which they are reserved.
+        self._orders: dict[str, tuple[frozenset[str], Sequence[str]]] = {}
 
-    def is_partial(self, ready: Sequence[UpstreamRecord], slot_share: float) -> bool:
-        """Return whether some upstreams are left to less urgent requests.
+    def reserved(
+        self, service: str, ready: Sequence[UpstreamRecord], slot_share: float
+    ) -> Collection[str] | None:
+        """Return the ids of the reserved upstreams; None if urgent requests need most of them.
 
         ``slot_share`` is the share of the service's slots that urgent requests need.
         """
-        return _reserved_count(ready, slot_share) < len(ready)
-
-    def includes(
-        self, upstream_id: str, ready: Sequence[UpstreamRecord], slot_share: float
-    ) -> bool:
-        """Return whether an upstream is reserved."""
-        listed = tuple(record.id for record in ready)
-        if listed != self._listed:
-            self._listed = listed
-            order = sorted(listed, key=upstream_key)
-            self._ranks = {name: rank for rank, name in enumerate(order)}
-        return self._ranks.get(upstream_id, 0) < _reserved_count(ready, slot_share)
-
-
-def _reserved_count(ready: Sequence[UpstreamRecord], slot_share: float) -> int:
-    return max(math.ceil(slot_share * _MARGIN_FACTOR * len(ready)), 1)
+        count = max(math.ceil(slot_share * _MARGIN_FACTOR * len(ready)), 1)
+        if count >= len(ready):
+            return None
+        listed = frozenset(record.id for record in ready)
+        known = self._orders.get(service)
+        if known is None or known[0] != listed:
+            known = self._orders[service] = listed, sorted(listed, key=upstream_key)
+        return known[1][:count]
--- a/src/egretrail/gateway/_outcome_recorder.py
+++ b/src/egretrail/gateway/_outcome_recorder.py
@@ -76,13 +76,16 @@
             observation = Observation(upstream_id, report.outcome, report.duration_s)
             self._record(observation, report.observer, now_s)
 
-    def record_reported_refusal(self, key: int, observer: str, now_s: float) -> None:
+    def record_reported_refusal(self, key: int, now_s: float) -> None:
         """Record that an upstream recently refused a request of some instance."""
         upstream_id = self.ids_by_key.get(key)
         if upstream_id is None:
             return
         if now_s - self._refused_s.get(upstream_id, float("-inf")) > _ECHO_S:
-            self._record(Observation(upstream_id, Outcome.SHED, 0.0), observer, now_s)
+            self._suspicion.record_reported_shed(upstream_id, now_s)
+            self._placement.trials.record_failure(
+                self._upstreams.records[upstream_id].service, now_s
+            )
 
     def record_reported_successes(self, key: int, duration_s: float, now_s: float) -> None:
         """Record recent successes of an upstream, which include those of this instance."""
--- a/src/egretrail/gateway/_overload_control.py
+++ b/src/egretrail/gateway/_overload_control.py
@@ -87,6 +87,7 @@
         self._report = _NO_DEMAND
         self._sampled_s = float("-inf")
         self._rooms: dict[str, tuple[ServiceRoom, float]] = {}
+        self._known_share = 1.0
         self._states: dict[str, ServiceState] = {}
         self._states_checked_s = float("-inf")
         self._zone_accounts: dict[str, _ZoneAccounts] = {}
@@ -114,6 +115,7 @@
 
     def set_fleet(self, known_share: float, own_share: float) -> None:
         """Set which part of the fleet reports here, and which part of it this instance is."""
+        self._known_share = known_share
         self.policy.set_fleet(known_share, own_share, self._own_zone)
 
     def admit(self, arrival: Arrival, now_s: float) -> Rejection | None:
@@ -218,7 +220,7 @@
         return frozenset(
             service_key(service)
             for service, room in rooms.items()
-            if room.in_flight > _BUSY_SHARE * room.slots
+            if room.in_flight > _BUSY_SHARE * room.slots * self._known_share
         )
 
     def snapshots(self, now_s: float) -> Mapping[str, ServiceSnapshot]:
--- a/src/egretrail/gateway/_service_paths.py
+++ b/src/egretrail/gateway/_service_paths.py
@@ -85,9 +85,12 @@
                 self._check.forget(service)
                 break
             chosen = self._rng.sample(usable, min(_PROBES, len(usable)))
-            # A connection ends the state by way of ``record_contact``.
             unreached = await self._unreached(chosen)
-            if len(unreached) < len(chosen) or not self._check.record_unreached(service):
+            if len(unreached) < len(chosen):
+                # ``record_contact`` ignores an upstream that left the list meanwhile.
+                self._check.record_contact(service)
+                break
+            if not self._check.record_unreached(service):
                 break
             if since_s is None:
                 since_s = self._loop.time()
--- a/src/egretrail/gateway/_upstream_paths.py
+++ b/src/egretrail/gateway/_upstream_paths.py
@@ -67,6 +67,8 @@
     def record_contact(self, upstream_id: str, *, connected: bool = False) -> None:
         """Record a response of an upstream, or a new connection to it."""
         self._services.record_contact(upstream_id)
+        if connected:
+            self._view.suspicion.resume_path(upstream_id)
         for failure in self._check.record_contact(
             upstream_id, self._loop.time(), connected=connected
         ):
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -66,6 +66,8 @@
 #: An instance that receives reports from more than this share of the largest fleet size that it has
 #: seen is not counted as partitioned from the rest together with its zone.
 _FLEET_SHARE = 0.5
+#: For how long the largest recent number of instances counts as the size of the fleet.
+_RECENT_FLEET_S = 15.0
 #: The source of lists and changes of upstreams that were read from the store.
 _STORE_SOURCE = "store"
 #: For how long hubs report an upstream that began to drain, and maximum reports in one section,
@@ -125,6 +127,8 @@
         self._sequence = 0
         self._reports = OutgoingReports()
         self._largest_fleet = 1
+        #: The largest number of instances that reported lately, and when.
+        self._recent_fleet, self._recent_fleet_s = 1, float("-inf")
         #: The configuration in force.
         self.configs = ConfigState(clock)
         #: The last moment at which this configuration is known to have been the newest.
@@ -408,7 +412,7 @@
                     report, now_s, is_own_zone=section.availability_zone == self.own_zone
                 )
         for key in section.refusals:
-            self._outcome_recorder.record_reported_refusal(key, section.hub, now_s)
+            self._outcome_recorder.record_reported_refusal(key, now_s)
         changed = section.changed
         for key, duration_s in zip(changed.keys, changed.durations_s, strict=True):
             if duration_s:
@@ -723,6 +727,18 @@
             if self._balancing is None:
                 self._use_balancing(active=bool(self.overload.services))
 
+    def _recently_known_share(self, now_s: float) -> float:
+        """Return the share of the recent fleet that reports here.
+
+        Unlike the largest fleet ever, to which quotas and the retry budget keep, a fleet that stays
+        smaller for longer than a split zone is not taken as partly unknown: its slots would count
+        in part only, and requests would be refused while slots are free.
+        """
+        instances = self.zones.instances(now_s)
+        if instances >= self._recent_fleet or now_s - self._recent_fleet_s > _RECENT_FLEET_S:
+            self._recent_fleet, self._recent_fleet_s = instances, now_s
+        return instances / self._recent_fleet
+
     def _use_balancing(self, *, active: bool) -> None:
         placement = self.placement
         placement.zone_balancer = self._zone_balancer if active else None
@@ -736,7 +752,8 @@
 
     def _update_overload(self, now_s: float) -> None:
         if self.overload.services:
-            self.overload.set_fleet(self.known_share(), self._own_share(now_s))
+            known_share = self._recently_known_share(now_s)
+            self.overload.set_fleet(known_share, known_share * self._own_share(now_s))
             self.overload.log_states(now_s)
 
     def _state(self) -> InstanceState:
--- a/src/egretrail/http1/_server.py
+++ b/src/egretrail/http1/_server.py
@@ -103,8 +103,9 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being read or handled."""
-        return bool(self._exchanges) or self._in_message
+        """Whether a request is being read or handled, or a response is still being sent."""
+        is_sending = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return bool(self._exchanges) or self._in_message or is_sending
 
     def close_after_responses(self) -> None:
         """Close the connection after the responses to all requests that were read.
--- a/src/egretrail/http1/tests/test_http1.py
+++ b/src/egretrail/http1/tests/test_http1.py
@@ -158,6 +158,31 @@
 
         self._run_with_server(act)
 
+    def test_a_connection_is_busy_until_its_client_has_read_the_response(self) -> None:
+        # Guards against a server that stops while a response waits for a client that reads slowly.
+        body = b"x" * 16 * 1024 * 1024
+
+        async def respond(request: Request) -> Response:
+            return Response(200, body)
+
+        async def act(address: str, connections: set[ServerConnection]) -> None:
+            host, _, port = address.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            [connection] = connections
+            self.assertTrue(connection.is_busy)
+            await reader.readexactly(len(body))
+            async with asyncio.timeout(5):
+                while connection.is_busy:
+                    await asyncio.sleep(0.005)
+            writer.close()
+
+        async def run() -> None:
+            await self._serve(respond, act)
+
+        self.run_real(run())
+
     def test_bodies_of_all_connections_share_a_budget_and_release_it(self) -> None:
         async def act(address: str, connections: set[ServerConnection]) -> None:
             head = b"POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 1800\r\n\r\n"
--- a/src/egretrail/overload/_capacity.py
+++ b/src/egretrail/overload/_capacity.py
@@ -117,7 +117,9 @@
         self._share = 0.0
         self._updated_s = float("inf")
 
-    def update(self, capacity: Capacity, now_s: float, *, is_full: bool) -> float:
+    def update(
+        self, capacity: Capacity, offered_per_s: float, now_s: float, *, is_full: bool
+    ) -> float:
         """Return the bias as a share of the capacity; 0 if the service is not full."""
         if not is_full:
             self._share, self._updated_s = 0.0, float("inf")
@@ -125,9 +127,13 @@
         elapsed_s = min(max(now_s - self._updated_s, 0.0), _BIAS_STEP_MAX_S)
         self._updated_s = now_s
         if capacity.in_flight > capacity.longest_in_flight:
-            # This was admitted before the burst was known.
+            # This was admitted before the burst was known, or by too large a bias.
+            self._share = min(self._share, 0.0)
             return self._share
         error = (capacity.target_in_flight - capacity.in_flight) / capacity.slots
+        if error > 0.0 and offered_per_s <= capacity.per_s * (1.0 + self._share):
+            # The queue is short for want of demand, which says nothing about the capacity.
+            return self._share
         error = min(max(error, -_BIAS_ERROR_MAX), _BIAS_ERROR_MAX)
         change = error * capacity.mean_s * _BIAS_GAIN_PER_S2 * elapsed_s
         self._share = min(max(self._share + change, -_BIAS_MAX), _BIAS_MAX)
--- a/src/egretrail/overload/_fleet_policy.py
+++ b/src/egretrail/overload/_fleet_policy.py
@@ -32,8 +32,10 @@
 #: How long this instance's counts are used before they are added up again, which takes as long as
 #: many decisions.
 _OWN_COUNTS_VALID_S = 0.05
-#: Share of the demand from which on urgent requests bound the queue of a whole service.
-_RANKING_SHARE = 0.1
+#: Share of the demand from which on urgent requests bound the queue of a whole service, and until
+#: it falls below the other one: a share near one threshold varies from report to report.
+_RANKING_FROM_SHARE = 0.12
+_RANKING_UNTIL_SHARE = 0.08
 #: Accounts of a snapshot.
 _SNAPSHOT_ACCOUNTS_MAX = 10
 
@@ -56,23 +58,38 @@
     retries_per_s: float = 0.0
     #: This instance's counts, when last added up.
     own_demand: ServiceDemand | None = None
+    #: The priority whose objective bounds the queue; None before the demand was known.
+    ranking_priority: int | None = None
 
-    def objective_s(self, offered_per_s: Mapping[int, float]) -> float:
+    def objective_s(self, offered_per_s: Mapping[int, float] | None) -> float:
         """Return the objective that bounds the queue: that of the most urgent requests.
 
         Priorities that together are a small part of the demand do not bound it: upstreams are
-        reserved for them (``urgent_slot_share``).
+        reserved for them (``urgent_slot_share``). A less urgent priority bounds it by its longest
+        objective, so that a rare route with a short one does not shorten the queue of the others;
+        placement refuses a request that would miss its own. Without reports the last choice stays.
         """
         objectives_s = self.terms.objectives_s
         if not objectives_s:
             return float("inf")
+        first = min(objectives_s)
+        if offered_per_s:
+            self.ranking_priority = self._find_ranking_priority(offered_per_s)
+        priority = self.ranking_priority
+        if priority is None or priority == first:
+            return objectives_s[first]
+        return self.terms.longest_objectives_s.get(priority, objectives_s[priority])
+
+    def _find_ranking_priority(self, offered_per_s: Mapping[int, float]) -> int:
         total_per_s = sum(offered_per_s.values())
-        offered_so_far_per_s = 0.0
-        for priority in sorted(objectives_s):
-            offered_so_far_per_s += offered_per_s.get(priority, 0.0)
-            if offered_so_far_per_s >= _RANKING_SHARE * total_per_s:
-                return objectives_s[priority]
-        return objectives_s[max(objectives_s)]
+        so_far_per_s = 0.0
+        for priority in sorted(self.terms.objectives_s):
+            so_far_per_s += offered_per_s.get(priority, 0.0)
+            is_known = priority == self.ranking_priority
+            share = _RANKING_UNTIL_SHARE if is_known else _RANKING_FROM_SHARE
+            if so_far_per_s >= share * total_per_s:
+                return priority
+        return max(self.terms.objectives_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,7 +201,9 @@
         if found.state is ServiceState.NORMAL or not known.terms.ranks_urgency:
             return True
         wanted = {other: float(row.retries_wanted) for other, row in found.demand.rows.items()}
-        shares = fill_by_priority({priority: 0.0, **wanted}, retries_per_s * found.share)
+        # A wish that no report shows yet must not precede more urgent ones.
+        wanted[priority] = max(wanted.get(priority, 0.0), 1.0)
+        shares = fill_by_priority(wanted, retries_per_s * self._part_of_known(found.share))
         return known.retries.draws(priority, shares[priority])
 
     def permits_hedge(self, service: str, room: ServiceRoom, now_s: float) -> bool:
@@ -269,16 +288,16 @@
         """
         share = self._known_share
         demand = self._totals.demand(service.key, self._own_zone, now_s)
-        offered_per_s = {} if demand is None else demand.offered_per_s
+        offered_per_s = None if demand is None else demand.offered_per_s
         capacity = Capacity.of(room, service.objective_s(offered_per_s), share)
         margin = 0.0
         if demand is None:
             # An instance alone has one request in flight on average, and at times four by chance.
-            part = self._own_share / max(self._known_share, 1e-9)
+            part = self._part_of_known(self._own_share)
             margin = math.sqrt(capacity.target_in_flight) * part
             share, capacity = self._own_share, capacity.part(part)
             demand = self._own_demand(service, now_s)
-        retries_per_s = service.retries_per_s * share
+        retries_per_s = service.retries_per_s * self._part_of_known(share)
         state = service.detector.update(capacity, demand, retries_per_s, now_s, margin=margin)
         if state is ServiceState.NORMAL:
             service.admissions.clear()
@@ -292,9 +311,14 @@
             is_filled = capacity.in_flight >= capacity.slots
             excess_per_s = max(excess_per_s, 0.0) if is_filled else 0.0
             service.forecast.record(excess_per_s, capacity.slots, now_s)
-        bias = service.bias.update(capacity, now_s, is_full=is_full)
+        offered_total_per_s = sum(demand.offered_per_s.values())
+        bias = service.bias.update(capacity, offered_total_per_s, now_s, is_full=is_full)
         return _Assessment(state, capacity.with_bias(bias), demand, share)
 
+    def _part_of_known(self, share: float) -> float:
+        """Return a part of the fleet as a part of the known part, of which the budget is told."""
+        return share / max(self._known_share, 1e-9)
+
     def _own_demand(self, service: _Service, now_s: float) -> ServiceDemand:
         demand = service.own_demand
         if demand is None or not 0 <= now_s - demand.oldest_s < _OWN_COUNTS_VALID_S:
--- a/src/egretrail/overload/_policy.py
+++ b/src/egretrail/overload/_policy.py
@@ -3,7 +3,7 @@
 import abc
 import enum
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from egretrail.overload._demand import DemandReport
 
@@ -29,6 +29,8 @@
     shares_accounts: bool
     #: The shortest latency objective of the service's requests, by priority.
     objectives_s: Mapping[int, float]
+    #: The longest latency objective of the service's requests, by priority.
+    longest_objectives_s: Mapping[int, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/overload/_terms.py
+++ b/src/egretrail/overload/_terms.py
@@ -21,8 +21,11 @@
         shared = {
             part.service for route in config.routes if not route.is_public for part in route.parts
         }
+    longest = objectives.longest_by_service()
     return {
-        service: ServiceTerms(len(objectives_s) > 1, service in shared, objectives_s)
+        service: ServiceTerms(
+            len(objectives_s) > 1, service in shared, objectives_s, longest[service]
+        )
         for service, objectives_s in objectives.by_service().items()
         if len(objectives_s) > 1 or service in shared
     }
--- a/src/egretrail/overload/tests/test_state.py
+++ b/src/egretrail/overload/tests/test_state.py
@@ -86,11 +86,11 @@
     def test_a_lasting_difference_is_learned_and_forgotten_with_the_state(self) -> None:
         bias = CapacityBias()
         capacity = Capacity.of(ServiceRoom(100, 230, 0.3), 1.1, 1.0)
-        shares = [bias.update(capacity, step / 10, is_full=True) for step in range(21)]
+        shares = [bias.update(capacity, 500.0, step / 10, is_full=True) for step in range(21)]
         # 0.37 of the slots above the target, times 0.3 s, times 0.5 per square second, for 2 s.
         self.assertAlmostEqual(-0.11, shares[-1], delta=0.005)
-        self.assertEqual(0.0, bias.update(capacity, 2.1, is_full=False))
-        frozen = [bias.update(capacity, at_s, is_full=True) for at_s in (3.0, 9.0)]
+        self.assertEqual(0.0, bias.update(capacity, 500.0, 2.1, is_full=False))
+        frozen = [bias.update(capacity, 500.0, at_s, is_full=True) for at_s in (3.0, 9.0)]
         self.assertAlmostEqual(-0.0275, frozen[-1], delta=0.002)
 
     def test_what_was_admitted_lately_is_expected_in_the_queue(self) -> None:
--- a/src/egretrail/traffic/_objectives.py
+++ b/src/egretrail/traffic/_objectives.py
@@ -14,21 +14,28 @@
 
 
 class ObjectiveTable:
-    """The shortest objectives of a configuration's requests, by service and priority."""
+    """The objectives of a configuration's requests, by service and priority."""
 
     def __init__(self, config: FleetConfig) -> None:
         self._objectives_s: dict[str, dict[int, float]] = {}
+        self._longest_s: dict[str, dict[int, float]] = {}
         for route in config.routes:
             for part in route.parts:
                 shortest_s = self._objectives_s.setdefault(part.service, {})
+                longest_s = self._longest_s.setdefault(part.service, {})
                 for priority in _priorities(route, config.accounts):
                     known_s = shortest_s.get(priority, route.objective_s)
                     shortest_s[priority] = min(known_s, route.objective_s)
+                    longest_s[priority] = max(longest_s.get(priority, 0.0), route.objective_s)
 
     def by_service(self) -> Mapping[str, Mapping[int, float]]:
         """Return the shortest objectives by priority, of each service that has requests."""
         return self._objectives_s
 
+    def longest_by_service(self) -> Mapping[str, Mapping[int, float]]:
+        """Return the longest objectives by priority, of each service that has requests."""
+        return self._longest_s
+
     def shortest_objective_s(self, service: str, priority: int) -> float | None:
         """Return the shortest objective of a service's more urgent requests; None without any."""
         shortest_s = self._objectives_s.get(service, {})
