--- a/src/egretrail/dispatch/_retry_budget.py
+++ b/src/egretrail/dispatch/_retry_budget.py
@@ -20,6 +20,12 @@
 _PACING_FACTOR = 1.25
 
 
+#: The rate that is divided by urgency when the budget is spent, as a share of its even rate, and
+#: the time over which what is left is divided.
+_SPENT_RATE_SHARE = 0.9
+_LEFT_S = 4.0
+
+
 @dataclass(frozen=True, slots=True)
 class RetryCounts:
     """Requests and retries of one service that an instance has counted since its start."""
@@ -291,8 +297,16 @@
         return self._total(self._requests, service, now_s) / self._window_s
 
     def retries_per_s(self, service: str, now_s: float, known_share: float) -> float:
-        """Return the fleet's retries per second that the pacing permits, to rank those wanted."""
-        return self._paced(self._allowed(service, now_s, known_share)) / _PACING_WINDOW_S
+        """Return the fleet's retries per second that can go on, to rank those wanted.
+
+        That is the pace while much of the budget is left, and no more than what leaves the window
+        when it is spent. A higher rate would be given to less urgent requests too, and the budget
+        would then refuse urgent and other retries alike.
+        """
+        allowed = self._allowed(service, now_s, known_share)
+        paced_per_s = self._paced(allowed) / _PACING_WINDOW_S
+        left = max(allowed - self._total(self._retries, service, now_s), 0.0)
+        return min(paced_per_s, _SPENT_RATE_SHARE * allowed / self._window_s + left / _LEFT_S)
 
     def remove_peer(self, origin: str) -> None:
         """Remove a peer that is gone; its retries stay in the window."""
--- a/src/egretrail/dispatch/tests/test_retry_budget.py
+++ b/src/egretrail/dispatch/tests/test_retry_budget.py
@@ -25,6 +25,22 @@
                 other.apply_peer_counts(str(origin), _SERVICE, counts, now_s)
 
 
+class RankedRateTest(EgretrailTestCase):
+    """Guards against a rate that urgent requests find spent by less urgent ones."""
+
+    @cases({"nothing spent": (0, 18.75), "half spent": (75, 18.75), "all spent": (150, 13.5)})
+    def test_the_rate_falls_to_what_leaves_the_window(self, case: tuple[int, float]) -> None:
+        retries, expected_per_s = case
+        budget = FleetRetryBudget(_RATIO, _WINDOW_S, 0.0)
+        for step in range(1000):
+            budget.record_request(_SERVICE, step / 100)
+        for step in range(retries):
+            budget.record_retry(_SERVICE, 5.0 + step / 1000)
+        self.assertAlmostEqual(
+            expected_per_s, budget.retries_per_s(_SERVICE, 9.99, 1.0), delta=0.01
+        )
+
+
 class FleetBudgetTest(EgretrailTestCase):
     @cases(
         {
