--- a/src/egretrail/overload/_capacity.py
+++ b/src/egretrail/overload/_capacity.py
@@ -17,7 +17,7 @@
 #: The queue is corrected to its target over this time.
 _CORRECTION_S = 1.0
 #: A queue that is too long takes no more than this part of the capacity. Without the bound, a queue
-#: that overshoots at the begin of a burst leaves nothing to accounts that ask for little.
+#: that overshoots at the beginning of a burst leaves nothing to accounts that ask for little.
 _CORRECTED_MIN = 0.75
 #: What exceeds the longest wait is corrected over this time, at the cost of less urgent requests.
 _EXCESS_CORRECTION_S = 0.25
--- a/src/egretrail/overload/tests/replay.py
+++ b/src/egretrail/overload/tests/replay.py
@@ -18,10 +18,10 @@
     ServiceTerms,
 )
 
-#: Customer K's settlements, reads and assignments: rate per second, work and objective.
-KINDS_K = ((44.0, 0.22, 1.1), (75.0, 0.4, 1.5), (207.0, 0.3, 3.0))
-#: The same of customer C's confirmations and holds, with 132 instances.
-KINDS_C = ((88.0, 0.13, 0.4), (297.0, 0.23, 0.8))
+#: Settlements, reads and assignments of 88 instances: rate per second, work and objective.
+MIXED_OBJECTIVE_KINDS = ((44.0, 0.22, 1.1), (75.0, 0.4, 1.5), (207.0, 0.3, 3.0))
+#: The same of confirmations and holds of 132 instances.
+TIGHT_OBJECTIVE_KINDS = ((88.0, 0.13, 0.4), (297.0, 0.23, 0.8))
 #: Part of the slots that the usual load takes.
 _USUAL_LOAD = 0.75
 _ATTEMPTS_MAX = 3
@@ -50,7 +50,7 @@
     #: accounts do not share the capacity.
     accounts: int = 70
     #: The kinds by priority, and the priorities that are offered.
-    kinds: Sequence[tuple[float, float, float]] = KINDS_K
+    kinds: Sequence[tuple[float, float, float]] = MIXED_OBJECTIVE_KINDS
     priorities: tuple[int, ...] = (0, 1, 2)
     #: Instances for which the rates of the kinds are meant.
     rated_instances: int = 88
--- a/src/egretrail/overload/tests/test_replay.py
+++ b/src/egretrail/overload/tests/test_replay.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from egretrail.overload import ServiceState
-from egretrail.overload.tests.replay import KINDS_C, PACING_WINDOW_S, Pattern, Replay
+from egretrail.overload.tests.replay import TIGHT_OBJECTIVE_KINDS, PACING_WINDOW_S, Pattern, Replay
 from egretrail.testing import EgretrailTestCase, cases
 
 _FROM_S, _UNTIL_S = 2.0, 7.0
@@ -87,10 +87,15 @@
 
 
 class TightObjectiveTest(EgretrailTestCase):
-    """Customer C: confirmations with an objective of 0.4 s share a service with holds."""
+    """Confirmations with an objective of 0.4 s share a service with holds."""
 
     _PATTERN = Pattern(
-        132, kinds=KINDS_C, priorities=(0, 1), rated_instances=132, accounts=0, until_s=9.0
+        132,
+        kinds=TIGHT_OBJECTIVE_KINDS,
+        priorities=(0, 1),
+        rated_instances=132,
+        accounts=0,
+        until_s=9.0,
     )
 
     def test_bounds_while_demand_swings_above_the_capacity(self) -> None:
