--- a/src/egretrail/overload/tests/test_replay.py
+++ b/src/egretrail/overload/tests/test_replay.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from egretrail.overload import ServiceState
-from egretrail.overload.tests.replay import TIGHT_OBJECTIVE_KINDS, PACING_WINDOW_S, Pattern, Replay
+from egretrail.overload.tests.replay import PACING_WINDOW_S, TIGHT_OBJECTIVE_KINDS, Pattern, Replay
 from egretrail.testing import EgretrailTestCase, cases
 
 _FROM_S, _UNTIL_S = 2.0, 7.0
