--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -71,6 +71,8 @@
     quota_terms: QuotaTerms = field(default_factory=QuotaTerms)
     #: Whether the capacity of services that are short of it is shared fairly by client accounts.
     shares_capacity: bool = False
+    #: Whether services are watched for overload where requests of several priorities compete.
+    controls_overload: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretrail/gateway/_overload_control.py
+++ b/src/egretrail/gateway/_overload_control.py
@@ -93,10 +93,17 @@
         self._zone_accounts: dict[str, _ZoneAccounts] = {}
 
     def configure(
-        self, config: FleetConfig, objectives: ObjectiveTable, *, shares_capacity: bool
+        self,
+        config: FleetConfig,
+        objectives: ObjectiveTable,
+        *,
+        shares_capacity: bool,
+        is_enabled: bool = True,
     ) -> None:
-        """Apply a configuration or changed settings."""
-        terms = service_terms(config, objectives, shares_capacity=shares_capacity)
+        """Apply a configuration or changed settings; no service is watched unless enabled."""
+        terms: Mapping[str, ServiceTerms] = {}
+        if is_enabled:
+            terms = service_terms(config, objectives, shares_capacity=shares_capacity)
         if not terms:
             self.policy = NoOverloadPolicy()
             self._zone_accounts.clear()
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -112,12 +112,12 @@
         rng: random.Random,
         elapsed_clock: Callable[[], float] | None = None,
         *,
-        balancing: bool | None = None,
+        balancing: bool = True,
     ) -> None:
         """Start empty; ``elapsed_clock`` also counts the time in which the machine is suspended.
 
         ``balancing`` selects even shares of the slots in service and balanced zones instead of
-        shares by independent rank; by default where the configuration lets requests compete.
+        shares by independent rank.
         """
         self._settings = settings
         #: Rises with each start of the process.
@@ -162,11 +162,10 @@
         own_zone = settings.availability_zone
         #: The slots of the zone's upstreams that this instance prefers, without balancing.
         self.shares = SlotShares(lambda task: self.membership.task_rank(task, own_zone))
-        self._balancing = balancing
-        self._even_shares = EvenSlotShares(
+        even_shares = EvenSlotShares(
             settings.ip, clock, self._in_service, self.membership.connected_zone_addresses
         )
-        self._zone_balancer = DemandBalancer(
+        zone_balancer = DemandBalancer(
             own_zone, partial(self.load.in_flight_by_origin, own_zone), self._is_in_service, rng
         )
         self.membership.on_change = self.shares.invalidate
@@ -190,7 +189,9 @@
             has_slot_share=self.shares.has_share,
             rng=rng,
         )
-        self._use_balancing(active=bool(balancing))
+        if balancing:
+            self.placement.zone_balancer = zone_balancer
+            self.placement.has_slot_share = even_shares.has_share
         self._outcome_recorder = OutcomeRecorder(
             self.upstreams, self.load, self.durations, self.suspicion, self.placement, log
         )
@@ -721,11 +722,12 @@
         config, objectives = self.configs.config, self.configs.urgency
         if config is not None and objectives is not None:
             self.overload.configure(
-                config, objectives, shares_capacity=self._settings.shares_capacity
+                config,
+                objectives,
+                shares_capacity=self._settings.shares_capacity,
+                is_enabled=self._settings.controls_overload,
             )
             self._update_overload(self._clock())
-            if self._balancing is None:
-                self._use_balancing(active=bool(self.overload.services))
 
     def _recently_known_share(self, now_s: float) -> float:
         """Return the share of the recent fleet that reports here.
@@ -739,12 +741,6 @@
             self._recent_fleet, self._recent_fleet_s = instances, now_s
         return instances / self._recent_fleet
 
-    def _use_balancing(self, *, active: bool) -> None:
-        placement = self.placement
-        placement.zone_balancer = self._zone_balancer if active else None
-        shares = self._even_shares if active else self.shares
-        placement.has_slot_share = shares.has_share
-
     def _apply_demand(self, section: Section, now_s: float) -> None:
         self.overload.apply_section(section, now_s)
         if section.demand is not None or section.availability_zone == self.own_zone:
--- a/src/egretrail/platform/_node_file.py
+++ b/src/egretrail/platform/_node_file.py
@@ -15,8 +15,9 @@
 #: The environment variable that holds the file's path.
 SETTINGS_VARIABLE = "EGRETRAIL_NODE_FILE"
 _PORT_MAX = 65_535
-#: The name of the contract by which client accounts share the capacity of services fairly.
-_FAIR_SHARES = "pressure"
+#: The name of the contract under which services are watched for overload, and client accounts share
+#: their capacity fairly.
+_PRESSURE = "pressure"
 
 
 class NodeFile(SettingsFile):
@@ -59,6 +60,8 @@
     bounds = terms.table("bounds")
     limits = node.table("limits")
     peer_port = _first_internal_port(network)
+    contracts = terms.rows("contracts") if terms.is_present("contracts") else ()
+    has_pressure = _PRESSURE in contracts
     settings = GatewaySettings(
         name=node.text("nodeName"),
         ip=node.text("ip"),
@@ -86,8 +89,8 @@
             slack=bounds.number("quotaSlack", 0.0),
         ),
         revocation_s=bounds.duration_s("revoke") if bounds.boolean("strictRevoke") else None,
-        shares_capacity=_FAIR_SHARES
-        in (terms.rows("contracts") if terms.is_present("contracts") else ()),
+        shares_capacity=has_pressure,
+        controls_overload=has_pressure,
     )
     network.check("seeds", all(_is_ip(seed) for seed in settings.seeds), "not all are IP:PORT")
     store = file.table("platform").table("platform")
