--- a/src/egretrail/gateway/tests/test_settings_change.py
+++ b/src/egretrail/gateway/tests/test_settings_change.py
@@ -38,7 +38,7 @@
     "revocation_s": (9.0, True),
     "quota_terms": (QuotaTerms(9.0), True),
     "shares_capacity": (True, True),
-    "controls_overload": (False, False),
+    "controls_overload": (False, True),
 }
 
 
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -552,6 +552,7 @@
         read = self._read_text(_NODE.replace("[terms.bounds]", f"[terms]\n{line}\n[terms.bounds]"))
         assert isinstance(read, Ok), read
         self.assertIs(expected, read.ok_value.shares_capacity)
+        self.assertIs(expected, read.ok_value.controls_overload)
 
     @cases({"a text": '"pressure"', "a table": "{pressure = true}", "a boolean": "true"})
     def test_contracts_of_another_type_are_one_fault(self, value: str) -> None:
