--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -40,7 +40,7 @@
 }
 
 
-class CannotRun(Exception):
+class CannotRun(Exception):  # noqa: N818 - named for what happened
     """The case could not be set up."""
 
 
--- a/review/standins/messages.py
+++ b/review/standins/messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 
-class BadMessage(Exception):
+class MessageError(Exception):
     """The bytes are not a message that the stand-ins understand."""
 
 
@@ -42,7 +42,7 @@
         name, _, value = row.partition(":")
         headers[name.strip().lower()] = value.strip()
     if "chunked" in headers.get("transfer-encoding", ""):
-        raise BadMessage("chunked bodies are not used by the stand-ins")
+        raise MessageError("chunked bodies are not used by the stand-ins")
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return Message(first.split(" ", 2), headers, body)
 
