--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,8 @@
-"""Nine machines, eight of which lose power; at that moment the operator moves a route.
+"""Twelve machines, half of which lose power; at that moment the operator moves a route.
 
-The machine that stays up is in touch all the while, and so must handle requests by the new version
-from two seconds after its confirmation on. It is not the hub of its zone: the hubs, which read the
-store for the others, are among the machines that are lost. With ``TROUBLE=0`` no machine loses
-power.
+Lost are the hub of each of the three zones, which reads the store for the others, and its
+successor. The machines that stay up are in touch all the while, and so must handle requests by the
+new version from two seconds after its confirmation on. With ``TROUBLE=0`` no machine loses power.
 """
 
 import asyncio
@@ -14,10 +13,12 @@
 
 from standins.backend import Backend, Run
 from standins.client import Attempt, send
-from standins.deployment import CannotRun, Deployment, config, route
+from standins.deployment import ROOT, CannotRun, Deployment, config, route
 from standins.record import Record
 
-NODES = 9
+NODES = 12
+#: The machines that each zone loses, the first ones in the order of its hubs.
+LOST_IN_ZONE = 2
 SETTLE_S = 2.0
 STEADY_S = 5.0
 DARK_S = 3.5
@@ -36,22 +37,23 @@
         self.deployment = Deployment(record, NODES)
         self.runs: list[Run] = []
         self.attempts: list[Attempt] = []
-        #: The machine that stays up.
-        self.survivor = 0
+        #: The machines that lose power, and the others.
+        self.lost: list[int] = []
+        self.staying: list[int] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def choose_survivor(self) -> None:
-        """Choose a machine that does no duty for others, by its log."""
-        logs = [self.deployment.log(node) for node in range(NODES)]
-        idle = [
-            node
-            for node, log in enumerate(logs)
-            if log.rfind("event=hub_started") <= log.rfind("event=hub_stopped")
-        ]
-        if len(idle) != NODES - 3:
-            raise CannotRun(f"expected three hubs, found {NODES - len(idle)}")
-        self.survivor = idle[0]
-        self.record.note(f"the machine that stays up: {self.survivor}")
+    def choose_lost(self) -> None:
+        """Choose the hub of each zone and its successors, in the order that the project defines."""
+        sys.path.append(str(ROOT / "target" / "deps"))
+        from egretrail.identity import rendezvous_order
+
+        deployment = self.deployment
+        for zone in sorted({deployment.zone(node) for node in range(NODES)}):
+            ips = [ip for node, ip in enumerate(deployment.ips) if deployment.zone(node) == zone]
+            order = rendezvous_order(f"hub {zone}", ips)
+            self.lost += [deployment.ips.index(ip) for ip in order[:LOST_IN_ZONE]]
+        self.staying = [node for node in range(NODES) if node not in self.lost]
+        self.record.note(f"lost: {sorted(self.lost)}; staying: {self.staying}")
 
     async def backend(self, service: str, zone: int) -> Backend:
         """Start a backend of a service."""
@@ -64,10 +66,13 @@
         return one
 
     async def send_for(self, length_s: float) -> None:
-        """Send orders at a steady rate to the machine that stays up."""
+        """Send orders at a steady rate to the machines that stay up, one after the other."""
         end_s = self.record.now_s() + length_s
+        sent = 0
         while self.record.now_s() < end_s:
-            task = asyncio.create_task(self._send())
+            sent += 1
+            front = self.deployment.front(self.staying[sent % len(self.staying)])
+            task = asyncio.create_task(self._send(front))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(INTERVAL_S)
@@ -77,8 +82,7 @@
         if self._tasks:
             await asyncio.wait(self._tasks)
 
-    async def _send(self) -> None:
-        front = self.deployment.front(self.survivor)
+    async def _send(self, front: str) -> None:
         self.attempts.append(await send(self.record, front, HOST, "/release/order"))
 
 
@@ -94,14 +98,12 @@
             backends.append(await case.backend("depot-new", zone))
         await deployment.start()
         await asyncio.sleep(SETTLE_S)
-        case.choose_survivor()
+        case.choose_lost()
         await case.send_for(STEADY_S)
-        others = [node for node in range(NODES) if node != case.survivor]
         if with_trouble:
-            for node in others:
+            for node in case.lost:
                 deployment.signal(node, signal.SIGKILL)
-        zone = deployment.zone(case.survivor)
-        leaving = next(one for one in backends if (one.service, one.zone) == ("depot-old", zone))
+        leaving = backends[0]
         deployment.store.write("op/config", config(12, [route("/release/", "depot-new")]))
         moved_s = record.now_s()
         record.note("the store confirms version 0000000c: /release/ moves to depot-new")
@@ -110,7 +112,7 @@
         record.note(f"the store confirms that {leaving.id} (depot-old) is draining")
         await case.send_for(DARK_S)
         if with_trouble:
-            for node in others:
+            for node in case.lost:
                 await deployment.start_node(node)
         await case.send_for(WATCHED_S - DARK_S)
         await case.wait()
@@ -128,8 +130,8 @@
     record = case.record
     old = {backend.id for backend in backends if backend.service == "depot-old"}
     sent = {attempt.id: attempt for attempt in case.attempts}
-    if not case.deployment.is_running(case.survivor):
-        raise CannotRun("the machine that should stay up has ended")
+    if not all(case.deployment.is_running(node) for node in case.staying):
+        raise CannotRun("a machine that should stay up has ended")
     if sum(attempt.status == 200 for attempt in case.attempts) < len(case.attempts) * 0.8:
         raise CannotRun("fewer than four fifths of the orders were served")
     late = [
