Log why an instance reads the store and after which silence it became the hub

After a mass loss the survivors acted on an old configuration, and no log line showed whether nobody read the store, or nobody passed on what was read. reader_started and reader_stopped name the rank, the hub role and whether other readers are heard; hub_started also names the rank and the silence before it.

--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -222,7 +222,12 @@
         """Become the hub, or give up the hub role."""
         should_act = not self._view.leaving and self._election.is_hub(self._order(), now_s)
         if should_act and self._hub is None:
-            self._log.event("hub_started", known=self._view.membership.zone_size())
+            self._log.event(
+                "hub_started",
+                known=self._view.membership.zone_size(),
+                rank=self._view.membership.own_rank(),
+                silent_s=now_s - self._election.last_section_s,
+            )
             self._hub_terms += 1
             self._hub = HubLinks(
                 self._settings,
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -93,6 +93,8 @@
         self._started_s = self._loop.time()
         self._start_delay_s = _START_DELAY_S + rng.random() * 0.4
         self._last_success_s = float("-inf")
+        #: Whether this instance was a reader when that was last checked.
+        self._is_reader = False
         #: When this instance began to read; while it does not read, no outage is measured.
         self._reading_since_s = self._loop.time()
         #: Since when the store has not answered this instance; None outside an outage or a reading
@@ -182,7 +184,9 @@
         """Read and watch a part of the store while this instance is a reader."""
         retry_s = _RETRY_FIRST_S
         while True:
-            if not self.should_read():
+            reads = self.should_read()
+            self._log_role(reads)
+            if not reads:
                 self._view.set_store_contact(False)
                 self._outage_since_s = None
                 self._reading_since_s = self._loop.time()
@@ -199,6 +203,18 @@
             await asyncio.sleep(retry_s * (0.75 + self._rng.random() * 0.5))
             retry_s = min(retry_s * 2, _RETRY_MAX_S)
 
+    def _log_role(self, reads: bool) -> None:
+        """Log once when this instance begins or stops to read the store."""
+        if reads == self._is_reader:
+            return
+        self._is_reader = reads
+        self._log.event(
+            "reader_started" if reads else "reader_stopped",
+            rank=self._view.membership.own_rank(),
+            is_hub=self._peers.is_hub,
+            others_read=self._peer_reaches_store(),
+        )
+
     async def _check_liveness(self) -> None:
         """Cancel watches that are pending at a store that no longer answers.
 
