Let any number of survivors replace lost hubs and readers of the store in time

Cause: an instance read the store as the first of its zone's hub order, or once all reports of readers were 2.2 s old. The order kept lost instances as long; each of them also delayed its successors by 0.3 s, and a new hub that came late in the order was not heard of.

Change: the steps of a takeover have a time budget in one module. Successors but the first start after random delays of a truncated exponential distribution, so that few of any number of survivors start, within 0.65 s. New hubs announce themselves to their zone, the instance that leads a zone reads the store, and a zone's last report stands for its readers and its hub for 0.8 s, for which hubs report each 0.25 s. While the store answers nobody, instances that try are drawn at random.

Two tests changed. The one of time slots by rank asked instances with ranks that it made up; it passed whatever instances held them. It now asks twenty instances, with first and with last ranks, for at least four tries in the same 2 s, and at most ten.

--- a/Makefile
+++ b/Makefile
@@ -76,3 +76,4 @@
 prove: setup
 	$(BIN)/python -m pytest src scaffolding
 	EGRETRAIL_PROVE=1 $(BIN)/python -m pytest src/egretrail/floor/tests/test_honouring_exploration.py
+	EGRETRAIL_PROVE=1 $(BIN)/python -m pytest -n $(WORKERS) src/egretrail/gateway/tests/test_lost_readers.py
--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -48,7 +48,7 @@
     OutcomeReport,
 )
 from egretrail.cluster._hub import URGENT_OUTCOMES, Hub, HubState
-from egretrail.cluster._hub_election import HUB_TIMEOUT_S, HubElection
+from egretrail.cluster._hub_election import FALLBACK_TARGETS, HubElection
 from egretrail.cluster._hub_terms import HubTerm, HubTerms
 from egretrail.cluster._instance import Instance, InstanceState, short_incarnation
 from egretrail.cluster._malformed import MALFORMED, MalformedMessage
@@ -63,13 +63,25 @@
     Scope,
     Section,
 )
+from egretrail.cluster._takeover import (
+    CHANGE_IN_FORCE_S,
+    HUB_TIMEOUT_S,
+    TAKEOVER_STEPS_S,
+    ZONE_REPORT_INTERVAL_S,
+    ZONE_TIMEOUT_S,
+)
 from egretrail.cluster._zone_peers import ZonePeers, replace_slice
 
 __all__ = [
+    "CHANGE_IN_FORCE_S",
+    "FALLBACK_TARGETS",
     "HEARTBEAT_INTERVAL_S",
     "HUB_TIMEOUT_S",
     "MALFORMED",
+    "TAKEOVER_STEPS_S",
     "URGENT_OUTCOMES",
+    "ZONE_REPORT_INTERVAL_S",
+    "ZONE_TIMEOUT_S",
     "ChangedRows",
     "ChunkCollection",
     "ChunkedConfig",
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -34,6 +34,9 @@
 URGENT_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.OVERDUE})
 #: A member without a heartbeat for this time is removed: four heartbeats are missing.
 _MEMBER_TIMEOUT_S = 1.1
+#: A member without a heartbeat for this time does not count as a reader of the store: two
+#: heartbeats are missing.
+_READER_TIMEOUT_S = 0.6
 #: A new hub has not received heartbeats of all members. For this time it lists those it has
 #: received, and its roster removes nobody.
 _ROSTER_SETTLE_S = 1.2
@@ -100,6 +103,8 @@
     is_direct: bool
     #: The number of the next outcome report that is new to the hub.
     next_outcome: int
+    #: Whether the member is in contact with the store, as far as its heartbeats still arrive.
+    reads_store: bool = False
     #: The member's request counts of client accounts, by the key of the account.
     accounts: dict[int, AccountCounts] = field(default_factory=dict)
 
@@ -184,6 +189,7 @@
         member.heartbeat = heartbeat
         member.received_s = now_s
         member.is_direct = direct
+        member.reads_store = heartbeat.store_contact
         self._add_accounts(member, heartbeat, now_s)
         return self._record_reports(member, heartbeat, now_s) or urgent
 
@@ -201,6 +207,17 @@
             self._mark_roster_changed()
         return [member.heartbeat.instance() for member in removed]
 
+    def expire_readers(self, now_s: float) -> bool:
+        """Discount readers of the store whose heartbeats have stopped; return whether there are."""
+        silent = [
+            member
+            for member in self._members.values()
+            if member.reads_store and now_s - member.received_s > _READER_TIMEOUT_S
+        ]
+        for member in silent:
+            member.reads_store = False
+        return bool(silent)
+
     def extend_deadlines(self, pause_s: float) -> None:
         """Extend the deadlines of all members by the time in which this process was paused."""
         for member in self._members.values():
@@ -216,7 +233,7 @@
 
     def store_readers(self) -> int:
         """Return the number of members in contact with the store."""
-        return sum(member.heartbeat.store_contact for member in self._members.values())
+        return sum(member.reads_store for member in self._members.values())
 
     def isolated(self) -> Sequence[str]:
         """Return the addresses of the members that reach no upstream."""
@@ -255,17 +272,23 @@
         yield from self._roster_sections(Scope.ZONE, state, now_s)
 
     def urgent_sections(
-        self, scope: Scope, state: HubState, now_s: float, *, with_accounts: bool = False
+        self,
+        scope: Scope,
+        state: HubState,
+        now_s: float,
+        *,
+        with_accounts: bool = False,
+        always: bool = False,
     ) -> Iterator[Section]:
         """Yield sections with the updates that must not wait for the next periodic section.
 
         ``with_accounts`` also includes the counts of accounts and retries, and the current
-        freshness age of the configuration.
+        freshness age of the configuration. ``always`` yields a section without updates too.
         """
         report_fields = self._report_fields(scope, now_s)
         is_changed = self._state_key(state) != self._sent_states.get(scope)
         draining = state.draining.get(scope, ())
-        if any(report_fields.values()) or is_changed or with_accounts or draining:
+        if any(report_fields.values()) or is_changed or with_accounts or draining or always:
             counts: dict[str, object] = {}
             if with_accounts:
                 counts["accounts"] = self._accounts_to_send(scope, now_s)
--- a/src/egretrail/cluster/_hub_election.py
+++ b/src/egretrail/cluster/_hub_election.py
@@ -1,22 +1,22 @@
 """Hub election: the hub that an instance follows, and whether the instance is the hub itself."""
 
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-#: A hub sends ten sections a second. After this time without a section it is taken as failed or
-#: partitioned from this instance.
-HUB_TIMEOUT_S = 0.35
-#: The additional time that each further instance of the hub order waits for its predecessors to
-#: take over.
-_SUCCESSION_DELAY_S = 0.3
-#: The delay does not grow beyond this many such steps.
-_SUCCESSION_STEPS_MAX = 5
+from egretrail.cluster._takeover import (
+    HUB_TIMEOUT_S,
+    SUCCESSOR_LEAD_S,
+    TAKEOVER_SPREAD_S,
+    random_backoff_s,
+)
+
 #: Without an acknowledgement of heartbeats for this time, the network path to the hub is taken as
 #: broken.
 _ACK_TIMEOUT_S = 0.6
 #: The number of instances that receive a heartbeat while no working network path is known: each
 #: relays it.
-_FALLBACK_TARGETS = 3
+FALLBACK_TARGETS = 3
 #: Heartbeats that reach the hub through a relay are also sent to it directly at this interval.
 _DIRECT_INTERVAL_S = 1.0
 #: The hub of a zone exchanges messages directly with this many instances. Further instances are
@@ -33,6 +33,9 @@
     Zones start with instances that know a few of the others. No step needs consensus. Two instances
     may act as hubs at a time, each with the aggregates of a part of the zone, until the one that is
     later in the hub order receives sections of the other.
+
+    The hub order contains instances that were lost with the hub until a new hub's roster shows who
+    is left. So only the first successor relies on its rank, and all others on random delays.
     """
 
     #: The address of this instance.
@@ -48,8 +51,12 @@
     #: When the newest heartbeat that the hub acknowledged was sent, or when the hub was first
     #: followed if that is later.
     acknowledged_s: float = float("-inf")
+    #: The source of random delays.
+    rng: random.Random = field(default_factory=random.Random)
     #: When a heartbeat was last sent to the preferred next hop in addition to the one in use.
     _preferred_sent_s: float = field(default=float("-inf"))
+    #: The random delay before this instance takes over from a lost hub; None until one is drawn.
+    _backoff_s: float | None = None
 
     def accepts_hub(self, hub: str, order: Sequence[str], now_s: float) -> bool:
         """Return whether to apply a hub's sections.
@@ -68,6 +75,7 @@
             self.next_hop = None
             self.acknowledged_s = now_s
         self.last_section_s = now_s
+        self._backoff_s = None
         if self.next_hop is None or sender == self._preferred_next_hop(order):
             self.next_hop = sender
 
@@ -82,13 +90,28 @@
         rank = order.index(self.own_address)
         if rank == 0:
             return True
-        follows_predecessor = self.hub is not None and _rank(self.hub, order) < rank
-        silence_s = now_s - max(
-            self.last_section_s if follows_predecessor else self.started_s, self.started_s
-        )
-        return silence_s > HUB_TIMEOUT_S + _SUCCESSION_DELAY_S * min(
-            rank - 1, _SUCCESSION_STEPS_MAX
-        )
+        return self.hub == self.own_address or now_s > self.takeover_due_s(order)
+
+    def takeover_due_s(self, order: Sequence[str]) -> float:
+        """Return when this instance becomes the hub unless it receives a section before."""
+        is_first_successor = order[1:2] == [self.own_address]
+        if is_first_successor and self.hub is not None and self.hub not in order[:1]:
+            # The followed hub comes later in the order.
+            return self.started_s + HUB_TIMEOUT_S
+        if is_first_successor:
+            return self.hub_lost_s
+        if self._backoff_s is None:
+            self._backoff_s = random_backoff_s(TAKEOVER_SPREAD_S, self.rng)
+        return self.hub_lost_s + SUCCESSOR_LEAD_S + self._backoff_s
+
+    @property
+    def hub_lost_s(self) -> float:
+        """When the followed hub is taken as lost unless a section of it is received before."""
+        return max(self.last_section_s, self.started_s) + HUB_TIMEOUT_S
+
+    def extend_deadlines(self, pause_s: float) -> None:
+        """Extend the hub's time-out by the time in which this process was paused."""
+        self.last_section_s += pause_s
 
     def heartbeat_targets(self, order: Sequence[str], now_s: float) -> Sequence[str]:
         """Return the instances to which the next heartbeat is sent."""
@@ -100,7 +123,7 @@
         )
         if not healthy or self.next_hop is None:
             self.next_hop = None
-            return others[:_FALLBACK_TARGETS]
+            return others[:FALLBACK_TARGETS]
         preferred = self._preferred_next_hop(order)
         if self.next_hop == preferred or now_s - self._preferred_sent_s < _DIRECT_INTERVAL_S:
             return [self.next_hop]
--- a/src/egretrail/cluster/tests/test_hub.py
+++ b/src/egretrail/cluster/tests/test_hub.py
@@ -1,5 +1,6 @@
 """Tests of the hub's aggregates and of the election of the hub."""
 
+import random
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -279,6 +280,8 @@
         self.assertEqual(sum(n % 4 for n in range(30)), len(sent))
 
 
+#: The time in which an announcement of a hub reaches the others.
+_ANNOUNCED_S = 0.01
 _ORDER = ["10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"]
 
 
@@ -316,6 +319,13 @@
                 5.1,
                 True,
             ),
+            "the third, while it receives sections of the fourth only": (
+                "10.0.0.3",
+                [("10.0.0.4", "10.0.0.4", 5.0)],
+                5.1,
+                False,
+            ),
+            "the fourth, as soon as the third": ("10.0.0.4", [], 0.7, True),
             "a leaving instance": ("10.0.0.9", [], 9.0, False),
         }
     )
@@ -325,6 +335,19 @@
         own, received, now_s, is_hub = case
         self.assertIs(is_hub, self._election(own, received).is_hub(_ORDER, now_s))
 
+    # Guards against takeovers that all come late, or all at once, if many instances are lost.
+    @cases({"one": 1, "ten": 10, "a hundred": 100, "a thousand": 1_000})
+    def test_the_first_of_any_number_of_survivors_takes_over_in_time(self, survivors: int) -> None:
+        order = [f"10.{n // 62_500}.{n // 250 % 250}.{n % 250}" for n in range(2_000)]
+        for seed in range(20):
+            due_s = sorted(
+                HubElection(one, 0.0, rng=random.Random(f"{seed} {one}")).takeover_due_s(order)
+                for one in order[-survivors:]
+            )
+            self.assertLess(due_s[0], 0.7)
+            at_once = sum(one_s < due_s[0] + _ANNOUNCED_S for one_s in due_s)
+            self.assertLess(at_once, 10)
+
     @cases(
         {
             "the hub": ([("10.0.0.1", "10.0.0.1", 1.0)], 1.1, ["10.0.0.1"]),
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -1,10 +1,14 @@
 """The hub's side of the peers' datagrams: when sections go to the own and to other zones."""
 
 import asyncio
+import itertools
+import random
 from collections import Counter
 from collections.abc import Callable, Sequence
 
 from egretrail.cluster import (
+    ZONE_REPORT_INTERVAL_S,
+    ZONE_TIMEOUT_S,
     Heartbeat,
     Hub,
     HubState,
@@ -40,20 +44,18 @@
 #: Outcome reports to other zones are sent a second time after this interval, in case the datagram
 #: was lost, and draining upstreams several times.
 _CROSS_ZONE_RESEND_S = 0.1
-#: The maximum interval at which hubs send each other the counters of client accounts and the age of
-#: their configuration's last confirmation, while there are accounts.
-_ACCOUNTS_INTERVAL_S = 0.25
+#: A new hub announces itself to all instances of its zone for this time, at this interval. They may
+#: not know that its predecessor is lost, and it may come late in the hub order.
+_ANNOUNCE_S, _ANNOUNCE_INTERVAL_S = 0.5, 0.1
 #: Timers may fire this much early.
 _TIMER_TOLERANCE_S = 0.005
-#: After this time without a section, the hub of another zone is unknown, and its zone's instances
-#: are tried.
-_HUB_KNOWN_S = 1.5
 #: All hubs of a zone that sent sections within this time get those of other zones, while services
 #: are watched for overload. A split zone has two, and one of them received nothing for seconds:
 #: the other one had always sent last when sections were due.
 _PARTS_HEARD_S = 0.6
-#: The number of instances tried in a zone whose hub is unknown; each of them relays the sections.
-_HUB_CANDIDATES = 2
+#: The number of instances tried in a zone whose hub is unknown: the first of the hub order, and
+#: further ones at random, since the first ones may be lost. Each of them relays the sections.
+_HUB_CANDIDATES = 8
 
 
 class HubLinks:
@@ -67,6 +69,7 @@
         send: Callable[[bytes, str], None],
         apply_own: Callable[[Section], bool],
         cross_zone_bytes: Counter[str],
+        rng: random.Random,
     ) -> None:
         loop = asyncio.get_running_loop()
         self._settings = settings
@@ -75,7 +78,14 @@
         self._incarnation = incarnation
         #: When sections were sent, by the clock of the configuration's confirmation.
         self._sent = {scope: SendTimes() for scope in Scope}
-        self._accounts_sent_s = float("-inf")
+        self._rng = rng
+        #: When the last full report was sent to other zones.
+        self._reported_s = float("-inf")
+        #: When this hub started, and when it last announced itself to the whole zone.
+        self._started_s = loop.time()
+        self._announced_s = float("-inf")
+        #: Other hubs of the zone to which the next sections are sent as well.
+        self._rivals: dict[str, None] = {}
         self._send = send
         self._apply_own = apply_own
         self._cross_zone_bytes = cross_zone_bytes
@@ -143,6 +153,10 @@
         self._hub.schedule_roster()
         self._schedule_urgent()
 
+    def answer_rival(self, hub: str) -> None:
+        """Send the next sections to a hub that comes later in the order, so that it gives up."""
+        self._rivals[hub] = None
+
     def relay(self, encoded: Sequence[bytes], *, urgent: bool) -> None:
         """Relay sections of other zones' hubs to the own zone."""
         self._relayed += encoded
@@ -155,7 +169,9 @@
         """Remove silent members; ``pause_s`` is the time for which this process was paused."""
         if pause_s:
             self._hub.extend_deadlines(pause_s)
-        if self._hub.remove_silent(self._clock()):
+        now_s = self._clock()
+        has_lost_readers = self._hub.expire_readers(now_s)
+        if self._hub.remove_silent(now_s) or has_lost_readers:
             self._schedule_urgent()
 
     def send_final(self) -> None:
@@ -217,14 +233,25 @@
             sections = list(self._hub.urgent_sections(Scope.ZONE, self._state(), now_s))
         self._record_sent(Scope.ZONE, sections)
         relayed, self._relayed = self._relayed, []
-        receivers = self._hub.receivers()
-        for data in encode_sections(sections, relayed, cross_zone=False):
-            for receiver in receivers:
+        datagrams = list(encode_sections(sections, relayed, cross_zone=False))
+        if datagrams:
+            receivers = [*self._hub.receivers(), *self._rivals, *self._to_announce(now_s)]
+            self._rivals.clear()
+            for data, receiver in itertools.product(datagrams, dict.fromkeys(receivers)):
                 self._send(data, receiver)
         for section in sections:
             self._apply_own(section)
         self._zone_timer.schedule_at(self._zone_due_s)
 
+    def _to_announce(self, now_s: float) -> Sequence[str]:
+        """Return the instances of the zone if this hub is to announce itself to them now."""
+        is_due = now_s - self._announced_s >= _ANNOUNCE_INTERVAL_S - _TIMER_TOLERANCE_S
+        if not is_due or now_s - self._started_s > _ANNOUNCE_S:
+            return []
+        self._announced_s = now_s
+        zone = self._settings.availability_zone
+        return [one.address for one in self._view.membership.zone_instances(zone)]
+
     def _send_cross_zone(self) -> None:
         now_s = self._cross_zone_sent_s = self._clock()
         self._hub.record_heartbeat(self._view.next_heartbeat(), now_s, direct=True)
@@ -233,17 +260,18 @@
             self._cross_zone_due_s = now_s + self._cross_zone_interval_s()
             sections = list(self._hub.cross_zone_sections(self._state(), now_s))
         else:
-            is_due = now_s - self._accounts_sent_s >= _ACCOUNTS_INTERVAL_S - _TIMER_TOLERANCE_S
+            is_due = now_s - self._reported_s >= ZONE_REPORT_INTERVAL_S - _TIMER_TOLERANCE_S
             sections = list(
                 self._hub.urgent_sections(
                     Scope.CROSS_ZONE,
                     self._state(),
                     now_s,
                     with_accounts=self._view.has_accounts and is_due,
+                    always=is_due,
                 )
             )
         if is_due:
-            self._accounts_sent_s = now_s
+            self._reported_s = now_s
         self._record_sent(Scope.CROSS_ZONE, sections)
         targets = [target for zone in self._other_zones() for target in self._hubs(zone, now_s)]
         for data in encode_sections(sections, cross_zone=True):
@@ -251,8 +279,7 @@
                 self._cross_zone_bytes["sections"] += len(data)
                 self._send(data, target)
         self._cross_zone_timer.schedule_at(self._cross_zone_due_s)
-        if self._view.has_accounts:
-            self._cross_zone_timer.schedule_at(self._accounts_sent_s + _ACCOUNTS_INTERVAL_S)
+        self._cross_zone_timer.schedule_at(self._reported_s + ZONE_REPORT_INTERVAL_S)
         if self._hub.has_outcomes_to_resend() or any(one.draining for one in sections):
             self._cross_zone_timer.schedule_at(now_s + _CROSS_ZONE_RESEND_S)
 
@@ -267,11 +294,13 @@
     def _hubs(self, zone: str, now_s: float) -> Sequence[str]:
         hub = self._view.zones.hub(zone)
         heard_s = self._view.zones.last_received_s(zone)
-        if hub is not None and now_s - heard_s <= _HUB_KNOWN_S:
+        if hub is not None and now_s - heard_s <= ZONE_TIMEOUT_S:
             if not self._view.overload.services:
                 return [hub]
             return self._view.zones.hubs(zone, min(now_s - _PARTS_HEARD_S, heard_s))
-        return self._view.membership.hub_order(zone)[:_HUB_CANDIDATES]
+        order = self._view.membership.hub_order(zone)
+        further = self._rng.sample(order[1:], min(_HUB_CANDIDATES, len(order)) - 1) if order else []
+        return [*order[:1], *further]
 
 
 def is_urgent(section: Section) -> bool:
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from egretrail.cluster import (
+    FALLBACK_TARGETS,
     HEARTBEAT_INTERVAL_S,
     HUB_TIMEOUT_S,
     Heartbeat,
@@ -32,6 +33,8 @@
 
 #: Interval of the checks of the hub role and of whether a heartbeat is due.
 _TICK_S = 0.1
+#: A check for something that is due at a moment follows this much later.
+_DUE_MARGIN_S = 0.001
 #: Interval of the removal of silent instances; the silence that leads to removal takes whole
 #: seconds.
 _EXPIRE_S = 0.4
@@ -95,7 +98,8 @@
         self._loop = asyncio.get_running_loop()
         #: Fetches upstreams and configurations from peers.
         self.state_exchange = StateExchange(settings, view, log, rng)
-        self._election = HubElection(settings.ip, self._loop.time())
+        self._rng = rng
+        self._election = HubElection(settings.ip, self._loop.time(), rng=rng)
         self._hub: HubLinks | None = None
         #: How often this process became the hub; aggregates and their numbers restart each time.
         self._hub_terms = 0
@@ -129,9 +133,27 @@
             self._tick()
             first = self._heartbeats_sent < _FIRST_HEARTBEATS
             interval_s = _FIRST_INTERVAL_S if first else HEARTBEAT_INTERVAL_S
-            if self._loop.time() - self._heartbeat_sent_s >= interval_s:
+            is_due = self._loop.time() - self._heartbeat_sent_s >= interval_s
+            if is_due or self._has_just_lost_hub():
                 self.send_heartbeat()
-            await asyncio.sleep(_FIRST_INTERVAL_S if first else _TICK_S)
+            await asyncio.sleep(self._tick_interval_s(_FIRST_INTERVAL_S if first else _TICK_S))
+
+    def _tick_interval_s(self, interval_s: float) -> float:
+        """Return the time until the next check, which is earlier if the loss of the hub is due."""
+        if self._hub is not None:
+            return interval_s
+        now_s = self._loop.time()
+        due_s = [self._election.hub_lost_s, self._election.takeover_due_s(self._order())]
+        due_in_s = min((one_s - now_s for one_s in due_s if one_s > now_s), default=interval_s)
+        return min(due_in_s + _DUE_MARGIN_S, interval_s)
+
+    def _has_just_lost_hub(self) -> bool:
+        """Return whether the hub was lost after the last heartbeat was sent.
+
+        The next one goes to instances that may still receive sections of the hub, and relay them.
+        """
+        lost_s = self._election.hub_lost_s
+        return self._hub is None and self._heartbeat_sent_s < lost_s < self._loop.time()
 
     def add_seeds(self, addresses: list[str]) -> None:
         """Set the additional seeds: instances that the store lists."""
@@ -209,6 +231,7 @@
         self._ticked_s = now_s
         if pause_s > _PAUSE_S:
             self._view.membership.extend_deadlines(pause_s)
+            self._election.extend_deadlines(pause_s)
         if self._hub is not None:
             self._hub.expire(pause_s if pause_s > _PAUSE_S else 0.0)
         if now_s - self._expired_s >= _EXPIRE_S:
@@ -236,6 +259,7 @@
                 self._send_now,
                 self._apply_own_hub_section,
                 self.cross_zone_bytes,
+                self._rng,
             )
         elif not should_act and self._hub is not None:
             self._log.event("hub_stopped", follows=self._election.hub)
@@ -247,11 +271,15 @@
         return self._view.membership.hub_order(self._settings.availability_zone)
 
     def _peers_to_greet(self, order: Sequence[str]) -> Sequence[str]:
-        """Return the peers to which a hub announces itself: the rightful hub, or successors."""
+        """Return the peers to which a hub announces itself.
+
+        The first hub of the order does so to its successors, and any other to those before it: they
+        relay the sections of the rightful hub if only this instance has lost it.
+        """
         own = self._settings.ip
         rank = order.index(own) if own in order else 0
-        successors = order[:1] if rank else order[1 : 1 + _GREETED_PEERS]
-        return [*successors, *self._view.membership.unlisted_instances()[:_GREETED_PEERS]]
+        known = order[: min(rank, FALLBACK_TARGETS)] if rank else order[1 : 1 + _GREETED_PEERS]
+        return [*known, *self._view.membership.unlisted_instances()[:_GREETED_PEERS]]
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, hops: int, sender: str) -> None:
         if heartbeat.origin == self._settings.ip:
@@ -309,6 +337,8 @@
         order = self._order()
         if not self._election.accepts_hub(section.hub, order, now_s):
             self._view.apply_section(section, followed=False)
+            if self._hub is not None:
+                self._hub.answer_rival(section.hub)
             return False
         is_new = self._view.apply_section(section, followed=True)
         before = self._election.hub
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -49,10 +49,11 @@
 _START_DELAY_S = 0.8
 #: How often an instance checks whether it has to read the store.
 _CHECK_S = 0.1
-#: While no peer is in contact with the store, further instances of the zone try in time slots of
-#: this length: the store may refuse the hubs and some of those, and a change is due within seconds.
-_SLOT_S = 0.5
-_SLOTS = 8
+#: While no peer is in contact with the store, further instances try in time slots of this length:
+#: the store may refuse the hubs and some of those, and a change is due within seconds. The expected
+#: number in each slot and zone keeps a store that is down for all from being queried by all.
+_SLOT_S = 0.25
+_TRIES_PER_SLOT = 0.5
 #: An instance that has taken over from the readers goes on for at least this time, and for at most
 #: twice as long.
 _STAND_IN_S = 3.0
@@ -112,6 +113,8 @@
         self._liveness_timeout_s = _LIVENESS_TIMEOUT_S
         #: Until when this instance reads in place of others even if they read again.
         self._stands_in_until_s = float("-inf")
+        #: The last time slot, and whether this instance tries to read the store in it.
+        self._slot, self._tries_in_slot = -1, False
         #: The revision up to which the configuration was read; None if it has to be read again.
         self._config_revision: int | None = None
         #: The version of the configuration that the store last returned; 0 for an invalid one.
@@ -150,29 +153,45 @@
         """Return whether this instance reads the store itself.
 
         Each call costs money and the store's rate is shared, so the hubs of two zones read for all;
-        a zone whose reader is refused learns changes from the others. An instance reads for itself
-        while it knows no peer in contact with the store. It does so in time slots, since all
-        instances would otherwise query a store that is down. It also reads after its start if no
-        peer has sent it the configuration.
+        a zone whose reader is refused learns changes from the others. While no peer is known to be
+        in contact with the store, the other hubs read as well, and further instances in time slots:
+        all instances would otherwise query a store that is down. An instance also reads after its
+        start if no peer has sent it the configuration.
+
+        The hub is the instance that leads the zone now. After a loss of many instances, the first
+        ones of the hub order may be gone.
         """
         if self._view.leaving:
             return False
-        rank = self._view.membership.own_rank()
-        if rank == 0 and self._is_reading_zone():
+        is_first = self._view.membership.own_rank() == 0
+        leads = is_first or (self._peers.is_hub and self._view.ready)
+        if leads and self._is_reading_zone():
             return True
-        if not self._view.ready:
-            return rank == 0 or self._loop.time() - self._started_s > self._start_delay_s
         now_s = self._loop.time()
+        if not self._view.ready:
+            return is_first or now_s - self._started_s > self._start_delay_s
         if self._peer_reaches_store():
             # All that took over learn of each other. If they stopped at once, none would read.
             return self._view.store_contact and now_s < self._stands_in_until_s
-        has_slot = rank == 0 or rank == 1 + int(now_s / _SLOT_S) % _SLOTS
-        if not has_slot and not self._view.store_contact:
+        if not leads and not self._view.store_contact and not self._has_slot(now_s):
             return False
         if now_s >= self._stands_in_until_s:
             self._stands_in_until_s = now_s + _STAND_IN_S * (1.0 + self._rng.random())
         return True
 
+    def _has_slot(self, now_s: float) -> bool:
+        """Return whether this instance is one of those that try in the current time slot.
+
+        They are drawn at random: instances that are lost, or that the store refuses, may hold any
+        ranks of the zone.
+        """
+        slot = int(now_s / _SLOT_S)
+        if slot != self._slot:
+            size = self._view.zones.own_zone_size(now_s) or self._view.membership.zone_size()
+            self._slot = slot
+            self._tries_in_slot = self._rng.random() * size < _TRIES_PER_SLOT
+        return self._tries_in_slot
+
     def _is_reading_zone(self) -> bool:
         """Return whether the own zone is one of the reading zones."""
         zones = rendezvous_order("read the store", self._view.membership.zones())
--- a/src/egretrail/gateway/_zone_aggregates.py
+++ b/src/egretrail/gateway/_zone_aggregates.py
@@ -5,6 +5,8 @@
 from typing import TypeVar
 
 from egretrail.cluster import (
+    HUB_TIMEOUT_S,
+    ZONE_TIMEOUT_S,
     Heartbeat,
     HubTerm,
     HubTerms,
@@ -22,6 +24,8 @@
 #: ended. The hub of the own zone sends ten sections a second, those of other zones send two.
 _OWN_ZONE_SILENCE_S = 1.0
 _ZONE_SILENCE_S = 2.2
+#: All members of a new hub have sent it a heartbeat after this time.
+_MEMBERS_REPORT_S = 0.4
 #: The time after which a hub's next section is overdue: three times the sending interval, which
 #: grows with the size of the zone.
 _LATE_INSTANCE_S = 0.0065
@@ -88,7 +92,8 @@
     hub: str
     #: The hub's address and incarnation.
     lifetime: str
-    #: When the last section arrived.
+    #: When the first section of this lifetime arrived, and the last one.
+    since_s: float
     received_s: float
     #: The number of instances in the aggregates.
     instances: int
@@ -286,13 +291,27 @@
         return all(now_s - zone.received_s <= _ZONE_LATE_S for zone in self._zones.values())
 
     def store_readers(self, now_s: float) -> int:
-        """Return the number of instances in contact with the store, including this one."""
+        """Return the number of instances in contact with the store, including this one.
+
+        A zone's last report shows its readers for a shorter time than its loads: while nobody
+        reads the store, no instance learns of a change.
+        """
         return sum(
             zone.store_readers
-            for name, zone in self._zones.items()
-            if self._is_fresh(name, zone, now_s)
+            for zone in self._zones.values()
+            if now_s - zone.received_s <= ZONE_TIMEOUT_S
         )
 
+    def own_zone_size(self, now_s: float) -> int | None:
+        """Return the number of instances that report to the own zone's hub.
+
+        None means that there is no hub, or that its members have just begun to report to it.
+        """
+        zone = self._zones.get(self._own_zone)
+        if zone is None or now_s - zone.received_s > HUB_TIMEOUT_S:
+            return None
+        return zone.instances if now_s - zone.since_s > _MEMBERS_REPORT_S else None
+
     def _echo(self, hub: str, scope: Scope) -> SectionEcho | None:
         received = self._received.get((hub, scope))
         return (
@@ -318,7 +337,7 @@
             if name == self._own_zone:
                 self._reset_own_zone()
             loads = zone.loads if zone is not None else {}
-            zone = self._zones[name] = _Zone(section.hub, lifetime, now_s, 0, 0, loads)
+            zone = self._zones[name] = _Zone(section.hub, lifetime, now_s, now_s, 0, 0, loads)
         self._account_counts_heard_s[lifetime] = now_s
         self._zones_heard_s[name] = now_s
         self._hubs_heard_s[name, section.hub] = now_s
--- a/src/egretrail/gateway/tests/network.py
+++ b/src/egretrail/gateway/tests/network.py
@@ -38,8 +38,9 @@
     ) -> None:
         self._within_zone_delay_s = within_zone_delay_s
         self._cross_zone_delay_s = cross_zone_delay_s
-        #: The share of lost datagrams.
+        #: The share of lost datagrams and chunks of streams, and of further datagrams.
         self.loss = loss
+        self.datagram_loss = 0.0
         self._rng = random.Random(seed)
         self._link_free_s: dict[str, float] = {}
         #: The receivers by address.
@@ -76,7 +77,7 @@
             return
         if not self.reaches(sender, target) or sender in self.undelivered:
             return
-        if self.is_lost():
+        if self.is_lost() or self._rng.random() < self.datagram_loss:
             return
         if target in self.undelivered:
             self.undelivered[target].append((data, sender))
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -641,20 +641,32 @@
 
         self._run(2, act)
 
-    def test_time_slots_rotate_over_several_instances_before_a_change_is_due(self) -> None:
-        """The store refused three hubs and their successors, whose time slots lasted too long."""
+    @cases({"with the first ranks": 1, "with ranks behind many lost instances": 60})
+    def test_several_instances_of_any_rank_try_before_a_change_is_due(self, rank: int) -> None:
+        """The store refused three hubs and their successors, whose time slots lasted too long.
+
+        Time slots by rank also went to lost instances, so that for seconds nobody tried.
+        """
 
         async def act(
             sync: StoreSync, view: FleetView, send_sections: Callable[[int], None]
         ) -> None:
-            readers_seen: set[int] = set()
-            for _ in range(20):
-                await asyncio.sleep(0.1)
-                send_sections(0)
-                for rank in range(1, 20):
-                    with mock.patch.object(Membership, "own_rank", return_value=rank):
-                        readers_seen |= {rank} if sync.should_read() else set()
-            self.assertGreaterEqual(len(readers_seen), 4)
+            own, log, size = gateway_settings(), sync._log, 20
+            others = [
+                StoreSync(own, view, sync._store, sync._layout, sync._peers, log, random.Random(n))
+                for n in range(size)
+            ]
+            tried: set[int] = set()
+            with (
+                mock.patch.object(Membership, "own_rank", return_value=rank),
+                mock.patch.object(Membership, "zone_size", return_value=size),
+            ):
+                for _ in range(20):
+                    await asyncio.sleep(0.1)
+                    send_sections(0)
+                    tried |= {n for n, one in enumerate(others) if one.should_read()}
+            self.assertGreaterEqual(len(tried), 4)
+            self.assertLessEqual(len(tried), 10)
 
         self._run(2, act)
 
