Take vanished entries as expired only after an outage of the store

Change: an outage is what tells expired entries from removed ones. It is measured from the last contact of any instance to the next, if calls failed meanwhile, and instances whose calls fail report it, so that one that reads first after it knows it as well. Expired entries stay in use until 2.2 s after the outage, and a reader that begins later looks for those that nobody drops. Without evidence of an outage a removal counts: a refusal promises that a request has not run, and one that is cut off may have.

test_an_expired_entry_that_a_peer_lists_again_is_not_dropped removed three of four entries without an outage, which is a removal; it has an outage now. test_a_single_removal_is_applied_at_once is the first case of a table of removals.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -63,6 +63,7 @@
     Scope,
     Section,
 )
+from egretrail.cluster._store_outage import StoreOutage
 from egretrail.cluster._takeover import (
     CHANGE_IN_FORCE_S,
     HUB_TIMEOUT_S,
@@ -119,6 +120,7 @@
     "SectionEcho",
     "SectionsDatagram",
     "SendTimes",
+    "StoreOutage",
     "UpstreamsReply",
     "ZonePeers",
     "choose_relay",
--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -17,18 +17,19 @@
 from egretrail.cluster._section_codec import (
     address_number,
     decode_accounts,
+    decode_age,
     decode_echo,
-    decode_freshness_age,
     decode_instances,
     decode_key,
     decode_limits,
     decode_section,
     encode_accounts,
+    encode_age,
     encode_echo,
-    encode_freshness_age,
     encode_instances,
     encode_limits,
     encode_section,
+    optional_fields,
 )
 from egretrail.dispatch import Outcome, RequestDigest, RetryCounts
 from egretrail.overload import DemandReport
@@ -224,7 +225,7 @@
         [[drop.upstream_id, drop.revision] for drop in heartbeat.dropped],
         _retry_counts_row(heartbeat.known_retries),
         encode_limits(heartbeat.limits),
-        encode_freshness_age(heartbeat.config_freshness_age_s),
+        encode_age(heartbeat.config_freshness_age_s),
         None if heartbeat.last_section is None else encode_echo(heartbeat.last_section),
         encode_accounts(heartbeat.accounts),
         heartbeat.is_isolated,
@@ -234,10 +235,11 @@
 
 def _optional_fields(heartbeat: Heartbeat) -> list[Any]:
     """Return the last fields, which are left out where there is nothing to report."""
-    fields: list[Any] = [list(heartbeat.replaced)]
-    if not heartbeat.demand.is_empty:
-        fields.append(encode_demand(heartbeat.demand))
-    return fields if heartbeat.replaced or len(fields) > 1 else []
+    return optional_fields(
+        list(heartbeat.replaced) or None,
+        None if heartbeat.demand.is_empty else encode_demand(heartbeat.demand),
+        encode_age(heartbeat.store_away_s),
+    )
 
 
 def _retry_counts_row(counts: Mapping[str, RetryCounts]) -> dict[str, list[int]]:
@@ -299,11 +301,12 @@
         dropped=[DropReport(str(name), int(revision)) for name, revision in row[15]],
         known_retries=_decode_retry_counts(row[16]),
         limits=decode_limits(row[17]),
-        config_freshness_age_s=decode_freshness_age(row[18]),
+        config_freshness_age_s=decode_age(row[18]),
         last_section=None if row[19] is None else decode_echo(row[19]),
         accounts=decode_accounts(row[20]),
         # Earlier versions of the program do not send it.
         is_isolated=bool(row[21]) if len(row) > 21 else False,
-        replaced=[str(upstream_id) for upstream_id in row[22]] if len(row) > 22 else (),
-        demand=decode_demand(row[23]) if len(row) > 23 else DemandReport(),
+        replaced=[str(upstream_id) for upstream_id in row[22] or ()] if len(row) > 22 else (),
+        demand=decode_demand(row[23]) if len(row) > 23 and row[23] is not None else DemandReport(),
+        store_away_s=decode_age(row[24]) if len(row) > 24 else None,
     )
--- a/src/egretrail/cluster/_heartbeat.py
+++ b/src/egretrail/cluster/_heartbeat.py
@@ -116,6 +116,9 @@
     replaced: Sequence[str] = ()
     #: The demand for services that are watched for overload; empty if there is none.
     demand: DemandReport = field(default_factory=DemandReport)
+    #: For how long the store has answered no instance, as far as the instance knows, while its own
+    #: calls fail; None otherwise.
+    store_away_s: float | None = None
 
     def instance(self) -> Instance:
         """Return the roster entry of the heartbeat's origin."""
--- a/src/egretrail/cluster/_hub.py
+++ b/src/egretrail/cluster/_hub.py
@@ -235,6 +235,17 @@
         """Return the number of members in contact with the store."""
         return sum(member.reads_store for member in self._members.values())
 
+    def store_away_s(self, now_s: float) -> float | None:
+        """Return for how long the store has answered nobody, as the members report it."""
+        if self.store_readers():
+            return None
+        reports_s = [
+            member.heartbeat.store_away_s + now_s - member.received_s
+            for member in self._members.values()
+            if member.heartbeat.store_away_s is not None
+        ]
+        return max(reports_s, default=None)
+
     def isolated(self) -> Sequence[str]:
         """Return the addresses of the members that reach no upstream."""
         return [
@@ -266,6 +277,7 @@
             accounts=self._accounts_to_send(Scope.ZONE, now_s),
             draining=state.draining.get(Scope.ZONE, ()),
             demand=self._demand_to_send(Scope.ZONE, state, now_s),
+            store_away_s=self.store_away_s(now_s),
             **self._retry_fields(Scope.ZONE, now_s),
             **self._report_fields(Scope.ZONE, now_s),
         )
@@ -293,7 +305,14 @@
             if with_accounts:
                 counts["accounts"] = self._accounts_to_send(scope, now_s)
                 counts.update(self._retry_fields(scope, now_s))
-            yield self._section(scope, state, draining=draining, **counts, **report_fields)
+            yield self._section(
+                scope,
+                state,
+                draining=draining,
+                store_away_s=self.store_away_s(now_s),
+                **counts,
+                **report_fields,
+            )
         yield from self._roster_sections(scope, state, now_s)
 
     def cross_zone_sections(self, state: HubState, now_s: float) -> Iterator[Section]:
@@ -307,6 +326,7 @@
             accounts=self._accounts_to_send(Scope.CROSS_ZONE, now_s),
             draining=state.draining.get(Scope.CROSS_ZONE, ()),
             demand=self._demand_to_send(Scope.CROSS_ZONE, state, now_s),
+            store_away_s=self.store_away_s(now_s),
             **self._retry_fields(Scope.CROSS_ZONE, now_s),
             **self._report_fields(Scope.CROSS_ZONE, now_s),
         )
--- a/src/egretrail/cluster/_section.py
+++ b/src/egretrail/cluster/_section.py
@@ -148,3 +148,6 @@
     #: The zone's demand for services that are short of capacity. None leaves the demand that an
     #: earlier section reported; an empty report ends it. Rows without accounts leave the accounts.
     demand: DemandReport | None = None
+    #: For how long the store has answered no instance, as reported by those of the zone whose calls
+    #: fail; None if it answers one of them, or if none calls it.
+    store_away_s: float | None = None
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -113,15 +113,17 @@
             _encode_retries(section.retries),
             _encode_roster(section.roster),
             encode_limits(section.limits),
-            encode_freshness_age(section.config_freshness_age_s),
+            encode_age(section.config_freshness_age_s),
             [encode_echo(echo) for echo in section.received_sections],
             encode_accounts(section.accounts),
             _encode_retries(section.recent_retries),
             [_encode_term(term) for term in section.earlier_terms],
             list(section.draining),
             [address_number(address) for address in section.isolated],
-            # Without news of the demand, the field is left out.
-            *([] if section.demand is None else [encode_demand(section.demand)]),
+            *optional_fields(
+                None if section.demand is None else encode_demand(section.demand),
+                encode_age(section.store_away_s),
+            ),
         ]
     )
     return packed
@@ -152,7 +154,7 @@
         retries=_decode_retries(row[17]),
         roster=_decode_roster(row[18], zone),
         limits=decode_limits(row[19]),
-        config_freshness_age_s=decode_freshness_age(row[20]),
+        config_freshness_age_s=decode_age(row[20]),
         received_sections=[decode_echo(echo) for echo in row[21]],
         accounts=decode_accounts(row[22]),
         # Earlier versions of the program do not send these.
@@ -160,10 +162,19 @@
         earlier_terms=[_decode_term(term) for term in row[24]] if len(row) > 24 else (),
         draining=[str(upstream_id) for upstream_id in row[25]] if len(row) > 25 else (),
         isolated=[_address(number) for number in row[26]] if len(row) > 26 else (),
-        demand=decode_demand(row[27]) if len(row) > 27 else None,
+        demand=decode_demand(row[27]) if len(row) > 27 and row[27] is not None else None,
+        store_away_s=decode_age(row[28]) if len(row) > 28 else None,
     )
 
 
+def optional_fields(*fields: Any) -> list[Any]:
+    """Return the last fields of a message without those at the end that have nothing to report."""
+    kept = list(fields)
+    while kept and kept[-1] is None:
+        kept.pop()
+    return kept
+
+
 def _encode_retries(counts: Mapping[str, RetryCounts]) -> dict[str, list[int]]:
     return {name: [one.requests, one.retries] for name, one in counts.items()}
 
@@ -210,13 +221,13 @@
     }
 
 
-def encode_freshness_age(age_s: float | None) -> int | None:
-    """Return a freshness age in milliseconds, rounded up: it may look older, but never younger."""
+def encode_age(age_s: float | None) -> int | None:
+    """Return an age in milliseconds, rounded up: it may look older, but never younger."""
     return None if age_s is None or math.isinf(age_s) else math.ceil(age_s * 1000)
 
 
-def decode_freshness_age(value: Any) -> float | None:
-    """Return a freshness age in seconds; raises one of ``MALFORMED`` for an invalid value."""
+def decode_age(value: Any) -> float | None:
+    """Return an age in seconds; raises one of ``MALFORMED`` for an invalid value."""
     return None if value is None else _decode_age_s(value)
 
 
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -232,6 +232,7 @@
         if pause_s > _PAUSE_S:
             self._view.membership.extend_deadlines(pause_s)
             self._election.extend_deadlines(pause_s)
+            self._view.store_outage.extend_deadlines(pause_s)
         if self._hub is not None:
             self._hub.expire(pause_s if pause_s > _PAUSE_S else 0.0)
         if now_s - self._expired_s >= _EXPIRE_S:
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -57,14 +57,6 @@
 #: An instance that has taken over from the readers goes on for at least this time, and for at most
 #: twice as long.
 _STAND_IN_S = 3.0
-#: Upstreams whose entries expired during a store outage list themselves again within two seconds of
-#: its end. Entries that vanish right after the outage are kept for this grace period.
-_GRACE_S = 2.2
-#: No entry expires in a shorter outage: upstreams renew their entries every 1.5 s.
-_EXPIRY_OUTAGE_S = 1.0
-#: If more than this share of a service vanishes at once without draining, the entries are taken as
-#: expired and not as removed.
-_EXPIRY_SHARE = 0.5
 #: Upstreams and operators have written again what a restored store lacks within this time. Until
 #: then its answers confirm nothing that was written before.
 _RESTORE_SETTLE_S = 2.2
@@ -94,18 +86,15 @@
         self._started_s = self._loop.time()
         self._start_delay_s = _START_DELAY_S + rng.random() * 0.4
         self._last_success_s = float("-inf")
+        self._outage = view.store_outage
         #: Whether this instance was a reader when that was last checked.
         self._is_reader = False
-        #: When this instance began to read; while it does not read, no outage is measured.
+        #: When this instance began to read; while it does not read, its calls prove no outage.
         self._reading_since_s = self._loop.time()
-        #: Since when the store has not answered this instance; None outside an outage or a reading
-        #: period.
-        self._outage_since_s: float | None = None
-        #: Whether another instance was in contact with the store during the outage.
-        self._others_reach_store = False
-        #: Until when vanished entries are taken as expired during a store outage.
-        self._expiry_until_s = float("-inf")
-        #: Vanished entries in their grace period: when it ends, and their last revision.
+        #: When the whole list of upstreams was last compared with the store's.
+        self._compared_s = self._loop.time()
+        #: Upstreams that stay in use although their entries vanished: until when, and their last
+        #: revision.
         self._vanished: dict[str, tuple[float, int]] = {}
         self._listing = InstanceListing(settings, view, store, layout, peers, log)
         #: The tasks that read and watch a part of the store.
@@ -207,7 +196,6 @@
             self._log_role(reads)
             if not reads:
                 self._view.set_store_contact(False)
-                self._outage_since_s = None
                 self._reading_since_s = self._loop.time()
                 await asyncio.sleep(_CHECK_S)
                 continue
@@ -252,7 +240,9 @@
             )
             if isinstance(failure, HistoryLost):
                 self._restart_reads()
-            elif failure is not None and self._view.store_contact:
+            elif failure is None:
+                self._outage.record_contact(self._loop.time())
+            elif self._view.store_contact:
                 self._record_failure("liveness", failure)
                 self._restart_reads()
 
@@ -380,10 +370,32 @@
         caught_up = await self._catch_up(
             self._view.upstreams.revision, self._watch_upstreams, self._read_upstreams
         )
+        if isinstance(caught_up, Ok) and self._outage.ended_s >= self._compared_s:
+            failure = await self._find_expired()
+            if failure is not None:
+                return failure
         while isinstance(caught_up, Ok) and self.should_read():
             caught_up = await self._watch_upstreams(caught_up.ok_value, _WATCH_S)
         return caught_up.err_value if isinstance(caught_up, Err) else None
 
+    async def _find_expired(self) -> PlatformFailure | None:
+        """Compare the list of upstreams with the store's after an outage.
+
+        The reader that kept upstreams whose entries had expired may be gone. The changes that are
+        watched from now on name them only if they return.
+        """
+        read = await self._store.snapshot(self._layout.upstreams_prefix)
+        if isinstance(read, Err):
+            return read.err_value
+        self._record_success()
+        self._compared_s = self._loop.time()
+        stored = {self._name(entry) for entry in read.ok_value.entries}
+        for record in self._view.upstreams:
+            if record.name not in stored and record.revision <= read.ok_value.revision:
+                until_s = self._outage.expiry_until_s
+                self._vanished.setdefault(record.id, (until_s, record.revision))
+        return None
+
     async def _read_upstreams(self) -> Result[int, PlatformFailure]:
         read = await self._store.snapshot(self._layout.upstreams_prefix)
         if isinstance(read, Err):
@@ -491,28 +503,20 @@
         return entry.path.removeprefix(self._layout.upstreams_prefix)
 
     def _retain_vanished(self, gone: Set[str], records: dict[str, UpstreamRecord]) -> None:
-        """Keep ready upstreams whose entries expired in an outage for their grace period."""
+        """Keep ready upstreams whose entries expired in an outage until they should be back."""
         now_s = self._loop.time()
         for name in gone:
             record = self._view.upstreams.find_by_name(name)
             if record is None or record.state is not UpstreamState.READY:
                 continue
-            if self._is_expired(record, gone, now_s):
-                self._vanished.setdefault(record.id, (now_s + _GRACE_S, record.revision))
+            until_s, _ = self._vanished.get(record.id, (self._outage.expiry_until_s, 0))
+            if now_s < until_s:
+                self._vanished.setdefault(record.id, (until_s, record.revision))
                 records[name] = record
                 self._log.event("upstream_lapsed", upstream=record.id)
 
-    def _is_expired(self, record: UpstreamRecord, gone: Set[str], now_s: float) -> bool:
-        if record.id in self._vanished:
-            return self._vanished[record.id][0] > now_s
-        if now_s < self._expiry_until_s:
-            return True
-        same_service = self._view.upstreams.ready(record.service)
-        lost = sum(1 for other in same_service if other.name in gone)
-        return lost > 1 and lost > len(same_service) * _EXPIRY_SHARE
-
     async def _drop_vanished(self) -> None:
-        """Drop upstreams that did not list themselves again within their grace period."""
+        """Drop upstreams that did not list themselves again in time after an outage."""
         while True:
             await asyncio.sleep(_CHECK_S)
             now_s = self._loop.time()
@@ -552,7 +556,7 @@
         if before is None or era <= before:
             return
         self._log.event("store_restored", era=era, before=before)
-        self._expiry_until_s = self._loop.time() + _GRACE_S
+        self._outage.extend_expiry(self._loop.time())
         self._confirms_from_s = self._view.config_freshness.clock() + _RESTORE_SETTLE_S
         self._stored_version = 0
         self._listing.invalidate()
@@ -560,23 +564,16 @@
 
     def _record_success(self) -> None:
         now_s = self._loop.time()
-        away_s = now_s - self._outage_since_s if self._outage_since_s is not None else 0.0
-        self._outage_since_s = None
+        away_s = self._outage.record_contact(now_s)
         if not self._view.store_contact:
             self._log.event("store_contact", away_s=away_s)
-        if away_s > _EXPIRY_OUTAGE_S and not self._others_reach_store:
-            self._expiry_until_s = now_s + _GRACE_S
-        self._others_reach_store = False
         self._last_success_s = now_s
         self._view.set_store_contact(True)
 
     def _record_failure(self, name: str, failure: PlatformFailure) -> None:
         if self._view.store_contact:
             self._log.event("store_lost", part=name, cause=failure)
-        # A store that refuses only this instance has let no entry expire.
-        self._others_reach_store |= self._peer_reaches_store()
-        if self._outage_since_s is None:
-            self._outage_since_s = max(self._last_success_s, self._reading_since_s)
+        self._outage.record_failure(self._reading_since_s, self._loop.time())
         self._view.set_store_contact(False)
 
     def _peer_reaches_store(self) -> bool:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -23,6 +23,7 @@
     Scope,
     Section,
     SendTimes,
+    StoreOutage,
     short_incarnation,
 )
 from egretrail.dispatch import (
@@ -205,6 +206,8 @@
         self._peer_heard_s = float("-inf")
         #: Whether this instance's last call to the store was answered.
         self.store_contact = False
+        #: The present or last time in which the store answered no instance.
+        self.store_outage = StoreOutage()
         #: Whether this instance reaches no upstream.
         self.is_isolated = False
         #: Whether the instance has been told to stop.
@@ -388,6 +391,7 @@
             self._largest_fleet = max(self._largest_fleet, self.zones.instances(now_s))
             self._apply_roster(section, now_s)
             self._apply_demand(section, now_s)
+            self._record_store_reports(section, now_s)
             self.membership.set_isolated(section.availability_zone, section.isolated)
             if section.scope is Scope.ZONE:
                 heartbeat = self.zones.acknowledged_sequence()
@@ -518,6 +522,7 @@
             is_isolated=self.is_isolated,
             replaced=self._recently_replaced(now_s),
             demand=self.overload.own_report(now_s),
+            store_away_s=self.store_outage.reported_away_s(now_s),
         )
         self.zones.record_sent(heartbeat, now_s)
         return heartbeat
@@ -765,6 +770,15 @@
             if zone == self._settings.availability_zone:
                 self.zones.update_ack_index(section.roster, self._settings.ip)
 
+    def _record_store_reports(self, section: Section, now_s: float) -> None:
+        """Record whether the store answers other instances."""
+        if self.store_contact:
+            return
+        if self.others_reach_store():
+            self.store_outage.record_contact(now_s)
+        elif section.store_away_s is not None:
+            self.store_outage.record_report(section.store_away_s, now_s)
+
     def _trial_rank(self, record: UpstreamRecord) -> int:
         return self.membership.task_rank(f"trial {record.id}", record.availability_zone)
 
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -5,7 +5,7 @@
 import json
 import os
 import random
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import cast
 from unittest import mock
@@ -340,9 +340,12 @@
 
     def test_an_expired_entry_that_a_peer_lists_again_is_not_dropped(self) -> None:
         async def act(setup: _ReaderSetup) -> None:
+            setup.store.set_out(True)
+            await asyncio.sleep(4.0)
             for name in ("u1", "u2", "u3"):
                 setup.unlist(name)
-            await asyncio.sleep(0.5)
+            setup.store.set_out(False)
+            await asyncio.sleep(1.5)
             self.assertEqual({"u1", "u2", "u3", "u4"}, setup.ready())
             setup.sync.is_reader = False
             revision = setup.store.revision + 1
@@ -353,12 +356,51 @@
 
         self._run(act)
 
-    def test_a_single_removal_is_applied_at_once(self) -> None:
+    # Guards against removed entries that are taken as expired since many vanish together.
+    @cases(
+        {
+            "one of four": (["u1"], 0.0),
+            "two of four": (["u1", "u2"], 0.0),
+            "three of four": (["u1", "u2", "u3"], 0.0),
+            "all": (["u1", "u2", "u3", "u4"], 0.0),
+            "three of four, in several answers": (["u1", "u2", "u3"], 0.2),
+        }
+    )
+    def test_removals_are_applied_at_once_without_an_outage(
+        self, case: tuple[Sequence[str], float]
+    ) -> None:
+        removed, interval_s = case
+
         async def act(setup: _ReaderSetup) -> None:
             await asyncio.sleep(30.0)
-            setup.unlist("u1")
+            for name in removed:
+                setup.unlist(name)
+                if interval_s:
+                    await asyncio.sleep(interval_s)
             await asyncio.sleep(0.01)
-            self.assertEqual({"u2", "u3", "u4"}, setup.ready())
+            self.assertEqual({"u1", "u2", "u3", "u4"} - set(removed), setup.ready())
+
+        self._run(act)
+
+    # Guards against an outage that is too short for an entry to expire, or that nobody saw.
+    @cases({"a short outage": True, "nobody read the store": False})
+    def test_removals_are_applied_at_once_where_no_entry_can_have_expired(
+        self, is_outage: bool
+    ) -> None:
+        async def act(setup: _ReaderSetup) -> None:
+            await asyncio.sleep(10.0)
+            if is_outage:
+                setup.store.set_out(True)
+                await asyncio.sleep(0.5)
+                setup.store.set_out(False)
+            else:
+                setup.sync.is_reader = False
+                await asyncio.sleep(12.0)
+                setup.sync.is_reader = True
+            for name in ("u1", "u2", "u3"):
+                setup.unlist(name)
+            await asyncio.sleep(1.0)
+            self.assertEqual({"u4"}, setup.ready())
 
         self._run(act)
 
