Move the choice of store readers into a module of its own

ReaderRole decides which instances read the store, without I/O; StoreSync reads. The interval of its checks and the longest interval of a hub's sections are constants of the time budget, whose sum is computed from them. No behaviour changes.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -67,8 +67,10 @@
 from egretrail.cluster._takeover import (
     CHANGE_IN_FORCE_S,
     HUB_TIMEOUT_S,
+    READER_CHECK_S,
     TAKEOVER_STEPS_S,
     ZONE_REPORT_INTERVAL_S,
+    ZONE_SECTION_INTERVAL_MAX_S,
     ZONE_TIMEOUT_S,
 )
 from egretrail.cluster._zone_peers import ZonePeers, replace_slice
@@ -79,9 +81,11 @@
     "HEARTBEAT_INTERVAL_S",
     "HUB_TIMEOUT_S",
     "MALFORMED",
+    "READER_CHECK_S",
     "TAKEOVER_STEPS_S",
     "URGENT_OUTCOMES",
     "ZONE_REPORT_INTERVAL_S",
+    "ZONE_SECTION_INTERVAL_MAX_S",
     "ZONE_TIMEOUT_S",
     "ChangedRows",
     "ChunkCollection",
--- a/src/egretrail/cluster/_hub_election.py
+++ b/src/egretrail/cluster/_hub_election.py
@@ -94,11 +94,11 @@
 
     def takeover_due_s(self, order: Sequence[str]) -> float:
         """Return when this instance becomes the hub unless it receives a section before."""
-        is_first_successor = order[1:2] == [self.own_address]
-        if is_first_successor and self.hub is not None and self.hub not in order[:1]:
+        rank = _rank(self.own_address, order)
+        if rank == 1 and self.hub is not None and _rank(self.hub, order) > rank:
             # The followed hub comes later in the order.
             return self.started_s + HUB_TIMEOUT_S
-        if is_first_successor:
+        if rank == 1:
             return self.hub_lost_s
         if self._backoff_s is None:
             self._backoff_s = random_backoff_s(TAKEOVER_SPREAD_S, self.rng)
--- a/src/egretrail/cluster/_takeover.py
+++ b/src/egretrail/cluster/_takeover.py
@@ -11,10 +11,12 @@
 __all__ = [
     "CHANGE_IN_FORCE_S",
     "HUB_TIMEOUT_S",
+    "READER_CHECK_S",
     "SUCCESSOR_LEAD_S",
     "TAKEOVER_SPREAD_S",
     "TAKEOVER_STEPS_S",
     "ZONE_REPORT_INTERVAL_S",
+    "ZONE_SECTION_INTERVAL_MAX_S",
     "ZONE_TIMEOUT_S",
     "random_backoff_s",
 ]
@@ -23,8 +25,9 @@
 #: no more of them, this long after the store has confirmed the change.
 CHANGE_IN_FORCE_S = 2.0
 
-#: The hub of the own zone is taken as lost after this time without a section. It sends at least six
-#: a second.
+#: The maximum interval between two sections of a hub to its zone, and the time without a section
+#: after which it is taken as lost.
+ZONE_SECTION_INTERVAL_MAX_S = 0.15
 HUB_TIMEOUT_S = 0.35
 #: The second instance of the hub order takes over as soon as the hub is lost. The others leave it
 #: this time to announce itself, and then start after random delays.
@@ -37,14 +40,21 @@
 #: two of three reports may be lost, and the own hub relays them with its next section.
 ZONE_TIMEOUT_S = 0.8
 
+#: How often an instance checks whether it has to read the store.
+READER_CHECK_S = 0.1
+#: The time in which a store that works answers a read.
+_STORE_ANSWER_S = 0.25
+#: The time in which the members of a zone fetch a state that its hub has named.
+_FETCH_S = 0.25
+
 #: The time budget of a change after a loss of hubs and readers, step by step.
 TAKEOVER_STEPS_S = {
     # An instance has no hub any more, and in the same time all reports of readers are out of date.
     "loss noticed": max(HUB_TIMEOUT_S + SUCCESSOR_LEAD_S + TAKEOVER_SPREAD_S, ZONE_TIMEOUT_S),
     # The new hub checks whether it has to read, and the store answers its first call.
-    "store read": 0.1 + 0.25,
-    # The hub's next section names the new state; members fetch it, one after the other.
-    "members told": 0.15 + 0.25,
+    "store read": READER_CHECK_S + _STORE_ANSWER_S,
+    # The hub's next section names the new state, and members fetch it.
+    "members told": ZONE_SECTION_INTERVAL_MAX_S + _FETCH_S,
 }
 
 #: The group size for which random delays are laid out; in a larger group more members act at once.
--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -8,6 +8,7 @@
 
 from egretrail.cluster import (
     ZONE_REPORT_INTERVAL_S,
+    ZONE_SECTION_INTERVAL_MAX_S,
     ZONE_TIMEOUT_S,
     Heartbeat,
     Hub,
@@ -28,7 +29,7 @@
 #: hub is taken as failed.
 _ZONE_INTERVAL_S = 0.1
 _ZONE_INSTANCES = 48
-_ZONE_INTERVAL_MIN_S, _ZONE_INTERVAL_MAX_S = 0.03, 0.15
+_ZONE_INTERVAL_MIN_S = 0.03
 #: The interval of sections that bear on an upstream's health, since each request to a failing
 #: upstream fails meanwhile: at most 25 a second in a zone of that size, however many upstreams
 #: fail.
@@ -226,7 +227,7 @@
             self._schedule_urgent_cross_zone(now_s)
         if now_s >= self._zone_due_s - _TIMER_TOLERANCE_S:
             interval_s = _ZONE_INTERVAL_S * self._view.membership.zone_size() / _ZONE_INSTANCES
-            interval_s = min(max(interval_s, _ZONE_INTERVAL_MIN_S), _ZONE_INTERVAL_MAX_S)
+            interval_s = min(max(interval_s, _ZONE_INTERVAL_MIN_S), ZONE_SECTION_INTERVAL_MAX_S)
             self._zone_due_s = now_s + interval_s
             sections = list(self._hub.zone_sections(self._state(), now_s))
         else:
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -7,23 +7,19 @@
 
 from result import Err, Ok, Result
 
-from egretrail.cluster import split_config
+from egretrail.cluster import READER_CHECK_S, split_config
 from egretrail.gateway._instance_listing import InstanceListing
 from egretrail.gateway._interfaces import StartupSettings, StoreLayout
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
+from egretrail.gateway._reader_role import ReaderRole
 from egretrail.gateway._slices import run_in_slices
 from egretrail.gateway._view import FleetView
-from egretrail.identity import rendezvous_order
 from egretrail.store import Entry, HistoryLost, PlatformFailure, Store, StoreUnavailable
 from egretrail.traffic import UpstreamRecord, UpstreamState, revision_era
 
 _FollowTask = asyncio.Task[PlatformFailure | None]
 
-#: The number of zones whose hubs read the store for the fleet: one zone may be cut off from the
-#: store, or its reader refused. With five zones, each change of an upstream costs two calls instead
-#: of five.
-_READING_ZONES = 2
 #: The maximum duration of one watch.
 _WATCH_S = 8.0
 #: The duration of the first watch after a known revision: the changes up to now.
@@ -44,19 +40,8 @@
 #: costs money and loads a store in trouble, and changes arrive from peers meanwhile.
 _RETRY_FIRST_S = 0.2
 _RETRY_MAX_S = 1.0
-#: An instance that has just started leaves the store to the hubs for this long.
+#: An instance that has just started waits for this long before it reads.
 _START_WAIT_S = 0.15
-_START_DELAY_S = 0.8
-#: How often an instance checks whether it has to read the store.
-_CHECK_S = 0.1
-#: While no peer is in contact with the store, further instances try in time slots of this length:
-#: the store may refuse the hubs and some of those, and a change is due within seconds. The expected
-#: number in each slot and zone keeps a store that is down for all from being queried by all.
-_SLOT_S = 0.25
-_TRIES_PER_SLOT = 0.5
-#: An instance that has taken over from the readers goes on for at least this time, and for at most
-#: twice as long.
-_STAND_IN_S = 3.0
 #: Upstreams and operators have written again what a restored store lacks within this time. Until
 #: then its answers confirm nothing that was written before.
 _RESTORE_SETTLE_S = 2.2
@@ -83,8 +68,7 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._started_s = self._loop.time()
-        self._start_delay_s = _START_DELAY_S + rng.random() * 0.4
+        self._role = ReaderRole(view, lambda: peers.is_hub, self._loop.time, rng)
         self._last_success_s = float("-inf")
         self._outage = view.store_outage
         #: Whether this instance was a reader when that was last checked.
@@ -100,10 +84,6 @@
         #: The tasks that read and watch a part of the store.
         self._follow_tasks: set[_FollowTask] = set()
         self._liveness_timeout_s = _LIVENESS_TIMEOUT_S
-        #: Until when this instance reads in place of others even if they read again.
-        self._stands_in_until_s = float("-inf")
-        #: The last time slot, and whether this instance tries to read the store in it.
-        self._slot, self._tries_in_slot = -1, False
         #: The revision up to which the configuration was read; None if it has to be read again.
         self._config_revision: int | None = None
         #: The version of the configuration that the store last returned; 0 for an invalid one.
@@ -139,52 +119,8 @@
             task.cancel()
 
     def should_read(self) -> bool:
-        """Return whether this instance reads the store itself.
-
-        Each call costs money and the store's rate is shared, so the hubs of two zones read for all;
-        a zone whose reader is refused learns changes from the others. While no peer is known to be
-        in contact with the store, the other hubs read as well, and further instances in time slots:
-        all instances would otherwise query a store that is down. An instance also reads after its
-        start if no peer has sent it the configuration.
-
-        The hub is the instance that leads the zone now. After a loss of many instances, the first
-        ones of the hub order may be gone.
-        """
-        if self._view.leaving:
-            return False
-        is_first = self._view.membership.own_rank() == 0
-        leads = is_first or (self._peers.is_hub and self._view.ready)
-        if leads and self._is_reading_zone():
-            return True
-        now_s = self._loop.time()
-        if not self._view.ready:
-            return is_first or now_s - self._started_s > self._start_delay_s
-        if self._peer_reaches_store():
-            # All that took over learn of each other. If they stopped at once, none would read.
-            return self._view.store_contact and now_s < self._stands_in_until_s
-        if not leads and not self._view.store_contact and not self._has_slot(now_s):
-            return False
-        if now_s >= self._stands_in_until_s:
-            self._stands_in_until_s = now_s + _STAND_IN_S * (1.0 + self._rng.random())
-        return True
-
-    def _has_slot(self, now_s: float) -> bool:
-        """Return whether this instance is one of those that try in the current time slot.
-
-        They are drawn at random: instances that are lost, or that the store refuses, may hold any
-        ranks of the zone.
-        """
-        slot = int(now_s / _SLOT_S)
-        if slot != self._slot:
-            size = self._view.zones.own_zone_size(now_s) or self._view.membership.zone_size()
-            self._slot = slot
-            self._tries_in_slot = self._rng.random() * size < _TRIES_PER_SLOT
-        return self._tries_in_slot
-
-    def _is_reading_zone(self) -> bool:
-        """Return whether the own zone is one of the reading zones."""
-        zones = rendezvous_order("read the store", self._view.membership.zones())
-        return self._settings.availability_zone in zones[:_READING_ZONES]
+        """Return whether this instance reads the store now."""
+        return self._role.should_read()
 
     async def _follow_while_reader(
         self, name: str, follow: Callable[[], Coroutine[Any, Any, PlatformFailure | None]]
@@ -197,7 +133,7 @@
             if not reads:
                 self._view.set_store_contact(False)
                 self._reading_since_s = self._loop.time()
-                await asyncio.sleep(_CHECK_S)
+                await asyncio.sleep(READER_CHECK_S)
                 continue
             began_s = self._loop.time()
             failure = await self._run_cancellable(follow())
@@ -219,7 +155,7 @@
             "reader_started" if reads else "reader_stopped",
             rank=self._view.membership.own_rank(),
             is_hub=self._peers.is_hub,
-            others_read=self._peer_reaches_store(),
+            others_read=self._view.others_reach_store(),
         )
 
     async def _check_liveness(self) -> None:
@@ -518,7 +454,7 @@
     async def _drop_vanished(self) -> None:
         """Drop upstreams that did not list themselves again in time after an outage."""
         while True:
-            await asyncio.sleep(_CHECK_S)
+            await asyncio.sleep(READER_CHECK_S)
             now_s = self._loop.time()
             due = [
                 (upstream_id, revision)
@@ -575,6 +511,3 @@
             self._log.event("store_lost", part=name, cause=failure)
         self._outage.record_failure(self._reading_since_s, self._loop.time())
         self._view.set_store_contact(False)
-
-    def _peer_reaches_store(self) -> bool:
-        return self._view.others_reach_store()
