Send the last counts of a hub that gives up its role

Cause: the hub that gave up stopped without a last section. Its members do not report again what it has counted, so retries between its last section and its end are unknown for the window.

Change: the hub sends its last counts, as when it leaves.

--- a/src/egretrail/gateway/_hub_links.py
+++ b/src/egretrail/gateway/_hub_links.py
@@ -176,8 +176,10 @@
             self._schedule_urgent()
 
     def send_final(self) -> None:
-        """Announce that this instance is leaving, so that the next hub takes over at once."""
-        # Complete sections: the next hub continues from their counts.
+        """Send the last counts before this instance gives up the hub role or leaves.
+
+        The next hub continues from them: members do not report again what this one has counted.
+        """
         self._zone_due_s = self._cross_zone_due_s = float("-inf")
         self._send_to_zone()
         self._send_cross_zone()
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -264,7 +264,7 @@
             )
         elif not should_act and self._hub is not None:
             self._log.event("hub_stopped", follows=self._election.hub)
-            self._hub.stop()
+            self._hub.send_final()
             self._hub = None
             self.send_heartbeat()
 
