Let instances read the store at once if their hub hears none of them

What was seen: in a simulation of hubs that hear nothing, instances of their zones tried to read the store in random time slots, and by chance one of 22 acted on a change after 2.33 s (a trial).

Cause: the hub of the zone is heard, so nobody replaces it, and it counts only itself, so that its instances took half of the slots each.

Change: where the hub counts only itself, they try in the next slot.

--- a/src/egretrail/gateway/_reader_role.py
+++ b/src/egretrail/gateway/_reader_role.py
@@ -83,7 +83,8 @@
         if slot != self._slot:
             size = self._view.zones.own_zone_size(now_s) or self._view.membership.zone_size()
             self._slot = slot
-            self._tries_in_slot = self._rng.random() * size < _TRIES_PER_SLOT
+            # A hub that counts only itself hears no other instance, and tells them of no change.
+            self._tries_in_slot = size == 1 or self._rng.random() * size < _TRIES_PER_SLOT
         return self._tries_in_slot
 
     def _is_reading_zone(self) -> bool:
--- a/src/egretrail/gateway/tests/test_lost_readers.py
+++ b/src/egretrail/gateway/tests/test_lost_readers.py
@@ -83,6 +83,8 @@
     "half of a fleet freezes": _Loss(_MEDIUM, 0.5, kind="frozen"),
     "half of a fleet falls silent": _Loss(_MEDIUM, 0.5, kind="mute"),
     "half of a fleet hears nothing": _Loss(_MEDIUM, 0.5, kind="deaf"),
+    "the hubs of a fleet hear nothing": _Loss(_MEDIUM, 0.1, kind="deaf"),
+    "some of a small fleet hear nothing": _Loss(_SMALL, 0.5, hubs_first=False, kind="deaf", seed=6),
     "half of a fleet, while datagrams are lost": _Loss(_MEDIUM, 0.5, datagram_loss=0.1),
     "half of a fleet, while the store is slow": _Loss(_MEDIUM, 0.5, store_delay_s=0.2),
     "half of a fleet, while the store refuses some": _Loss(_MEDIUM, 0.5, refused=0.3),
