Show what callers get from upstreams that stutter

A caller on kept connections, which shares no code with the product, compares status, body, seal and id.

--- a/scaffolding/platform/backend.py
+++ b/scaffolding/platform/backend.py
@@ -4,9 +4,12 @@
 import contextlib
 import enum
 import itertools
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from scaffolding.platform.sent_answer import SentAnswer, next_seal
+from scaffolding.platform.stuttering import Stutterer
+
 _numbers = itertools.count(1)
 #: Added to the response to a request with ``large`` in its target: more than the receive buffer of
 #: a slow client holds. The send buffer of the gateway's kernel takes the rest.
@@ -59,6 +62,10 @@
     born: int = 0
     #: Number of runs by client attempt.
     runs: Counter[str] = field(default_factory=Counter)
+    #: Sends the answers instead, while the backend is healthy.
+    stutterer: Stutterer | None = None
+    #: The answers to the requests that ran, by client attempt.
+    answers: defaultdict[str, list[SentAnswer]] = field(default_factory=lambda: defaultdict(list))
     #: Method, target and body of the requests received, by client attempt.
     received: dict[str, tuple[str, str, bytes]] = field(default_factory=dict)
     #: Headers of the requests received, by client attempt; names are in lower case.
@@ -160,7 +167,10 @@
             self.cancelled.append(attempt)
             return False
         padding = "." * _LARGE_BYTES + " " if "large" in target else ""
-        return self._respond(writer, attempt, f"{self.id} {padding}{method} {target}".encode())
+        text = f"{self.id} {padding}{method} {target}".encode()
+        if self.stutterer is not None and self.behaviour is Behaviour.HEALTHY:
+            return await self.stutterer.respond(writer, attempt, text, self._record_answer)
+        return self._respond(writer, attempt, text)
 
     async def _wait_for_disconnect(self, reader: asyncio.StreamReader) -> None:
         while not reader.at_eof():
@@ -183,33 +193,49 @@
             self._slot_semaphore.release()
 
     def _respond(self, writer: asyncio.StreamWriter, attempt: str, body: bytes) -> bool:
+        seal, other_seal = {_SEAL: next_seal()}, {_SEAL: next_seal()}
         match self.behaviour:
             case Behaviour.FAILING:
-                self._write_response(writer, 500, b"failed", attempt, _SEAL_HEADER)
+                self._write_answer(writer, 500, b"failed", attempt, seal)
             case Behaviour.RESETTING:
                 writer.transport.abort()
                 return False
             case Behaviour.TRUNCATING:
-                message = self._encode_response(200, body, attempt, _SEAL_HEADER)
-                writer.write(message[:-3])
+                self._record_answer(attempt, SentAnswer(200, body, seal[_SEAL], is_whole=False))
+                writer.write(self._encode_response(200, body, attempt, seal)[:-3])
                 return False
             case Behaviour.EXTRA_RESPONSE:
-                self._write_response(writer, 200, body, attempt, _SEAL_HEADER)
-                self._write_response(writer, 200, b"of another", "other-attempt", _SEAL_HEADER)
+                self._write_answer(writer, 200, body, attempt, seal)
+                self._write_response(writer, 200, b"of another", "other-attempt", other_seal)
             case Behaviour.STALE_RESPONSE:
-                self._write_response(writer, 200, b"of another", "other-attempt", _SEAL_HEADER)
-                self._write_response(writer, 200, body, attempt, _SEAL_HEADER)
+                self._write_response(writer, 200, b"of another", "other-attempt", other_seal)
+                self._write_answer(writer, 200, body, attempt, seal)
             case Behaviour.MALFORMED:
                 writer.write(b"\x00\x01 this is not an answer\r\n\r\n")
             case Behaviour.UNSEALED:
-                self._write_response(writer, 200, body, attempt, {})
+                self._write_answer(writer, 200, body, attempt, {})
             case _:
                 load = f"{self._running + 1},{self._waiting},{self.slots}"
-                self._write_response(
-                    writer, 200, body, attempt, {**_SEAL_HEADER, "X-Egretrail-Backend-Load": load}
+                self._write_answer(
+                    writer, 200, body, attempt, {**seal, "X-Egretrail-Backend-Load": load}
                 )
         return True
 
+    def _record_answer(self, attempt: str, answer: SentAnswer) -> None:
+        self.answers[attempt].append(answer)
+
+    def _write_answer(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        body: bytes,
+        attempt: str,
+        fields: dict[str, str],
+    ) -> None:
+        """Write the answer to a request that ran."""
+        self._record_answer(attempt, SentAnswer(status, body, fields.get(_SEAL, "")))
+        self._write_response(writer, status, body, attempt, fields)
+
     def _write_response(
         self,
         writer: asyncio.StreamWriter,
@@ -236,7 +262,7 @@
         return _encode_response(status, body, attempt, fields)
 
 
-_SEAL_HEADER = {"X-Egretrail-Response-Seal": "1a.2b"}
+_SEAL = "X-Egretrail-Response-Seal"
 
 
 def _encode_response(status: int, body: bytes, attempt: str, fields: dict[str, str]) -> bytes:
--- a/scaffolding/platform/client.py
+++ b/scaffolding/platform/client.py
@@ -22,6 +22,10 @@
     body: bytes
     #: The value of Retry-After in seconds; None without this header.
     retry_after_s: float | None
+    #: The upstream's seal; None without one.
+    seal: str | None = None
+    #: The attempt's id as the response states it; None where it states none.
+    stated_attempt: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
