Log over which connection an answer came and what else was read

No record could tell whether a wrong status came from a connection that was reused inside a message, from two heads read together, or from an answer that was matched to another request on another hop.

answered and attempt_failed name the connection, the number of its exchange, the skipped responses and the bytes left over or refused, whether the attempt was relayed, and the status of its upstream. Bytes on an idle connection are logged with the upstream's id; what became of a relayed attempt is logged by the instance that sent it. No event more for a request that is not relayed.

--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -22,6 +22,7 @@
 from egretrail.gateway._upstream_paths import UpstreamPaths
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import (
+    ClientConnection,
     ConnectFailed,
     ExchangeBroken,
     ExchangeFailed,
@@ -70,6 +71,7 @@
         self._view = view
         self._contract = contract
         self._pool = pool
+        pool.on_idle_bytes = self._log_idle_bytes
         self._paths = paths
         self._log = log
         self._metrics = metrics
@@ -120,12 +122,25 @@
             path_failed = isinstance(error, ExchangeBroken) and error.path_failed
             outcome = Outcome.SILENT if path_failed else Outcome.BROKEN
             self._record_outcome(upstream_id, outcome, started_s, attempt.digest)
-            return AttemptResult(Disposition.FAILED, cause=str(error))
+            return AttemptResult(Disposition.FAILED, cause=str(error), trace=connection.trace())
         finally:
             overdue.cancel()
         self._pool.release(upstream_id, connection)
         self._count_cross_zone_bytes(upstream, "answers", len(received.body))
-        return self._interpret(attempt, upstream_id, received, started_s)
+        result = self._interpret(attempt, upstream_id, received, started_s)
+        return replace(result, trace=connection.trace())
+
+    def _log_idle_bytes(
+        self, upstream_id: str, connection: ClientConnection, size_bytes: int
+    ) -> None:
+        """Log bytes that belong to no request; they may be a late second response."""
+        self._log.event(
+            "idle_bytes",
+            upstream=upstream_id,
+            connection=connection.number,
+            exchanges=connection.exchange_count,
+            size_bytes=size_bytes,
+        )
 
     def _record_head(self, upstream_id: str, head: ReceivedResponse) -> None:
         self._paths.record_contact(upstream_id)
--- a/src/egretrail/gateway/_executor.py
+++ b/src/egretrail/gateway/_executor.py
@@ -85,7 +85,7 @@
                 await self._wait_for_attempts(pending, running)
                 for task in [task for task in running if task.done()]:
                     running.remove(task)
-                    result = task.result()
+                    result = pending.last_result = task.result()
                     if result.disposition is not Disposition.REFUSED:
                         self._charge_account(pending)
                     if result.disposition is Disposition.SERVED and result.received is not None:
@@ -304,6 +304,7 @@
             fate=result.disposition.value,
             status=result.received.status if result.received is not None else 0,
             cause=result.cause,
+            **result.exchange_fields(),
         )
 
     def _is_shed(self, result: AttemptResult) -> bool:
@@ -373,7 +374,7 @@
     ) -> None:
         duration_s = self._loop.time() - started_s
         self._metrics.count_request(pending.route.name, outcome, duration_s)
-        version = self._view.config_version
+        version, last = self._view.config_version, pending.last_result
         self._log.event(
             "answered",
             id=pending.metadata.attempt_id,
@@ -386,4 +387,7 @@
             left_s=pending.deadline_s - self._loop.time(),
             config_version=version,
             cause=pending.last_cause,
+            upstream=last.upstream_id if last is not None else "",
+            upstream_status=last.received.status if last is not None and last.received else 0,
+            **(last.exchange_fields() if last is not None else {}),
         )
--- a/src/egretrail/gateway/_pending_request.py
+++ b/src/egretrail/gateway/_pending_request.py
@@ -1,11 +1,12 @@
 """The state of a request from its admission to its final response."""
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from egretrail.dispatch import Refusal, RequestDigest
 from egretrail.gateway._interfaces import RequestMetadata
-from egretrail.http1 import ReceivedResponse, Request
+from egretrail.http1 import ExchangeTrace, ReceivedResponse, Request
 from egretrail.overload import Arrival
 from egretrail.traffic import ClientAccount, Route, RouteKind, request_priority
 
@@ -47,6 +48,20 @@
     upstream_id: str = ""
     #: Why another instance found no upstream; None for all other dispositions than REFUSED.
     refusal: Refusal | None = None
+    #: Where the exchange took place; None if nothing was sent from this instance.
+    trace: ExchangeTrace | None = None
+    #: Whether another instance sent it.
+    is_relayed: bool = False
+
+    def exchange_fields(self) -> Mapping[str, object]:
+        """Return the log fields that show how the response was matched to the request."""
+        fields: dict[str, object] = {"relayed": self.is_relayed}
+        if self.trace is not None:
+            fields["connection"] = self.trace.connection
+            fields["exchange"] = self.trace.exchange
+            fields["skipped"] = self.trace.skipped
+            fields["unused_bytes"] = self.trace.unused_bytes
+        return fields
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +114,8 @@
     may_have_run: bool = False
     #: The last response with which an upstream reported a failure.
     failure_response: ReceivedResponse | None = None
+    #: The result of the last attempt that ended; None before.
+    last_result: AttemptResult | None = None
     #: What went wrong last, for the log.
     last_cause: str = ""
 
--- a/src/egretrail/gateway/_pool.py
+++ b/src/egretrail/gateway/_pool.py
@@ -30,6 +30,10 @@
         #: Called with the id of an upstream to which a connection was opened.
         self.on_connected: Callable[[str], None] = lambda upstream_id: None
 
+        #: Called with an upstream's id, the connection and the number of bytes that arrived on it
+        #: while it was idle.
+        self.on_idle_bytes: Callable[[str, ClientConnection, int], None] = lambda *arguments: None
+
     def idle_upstreams(self) -> Collection[str]:
         """Return the ids of the upstreams to which an idle connection is open."""
         return self._idle.keys()
@@ -98,6 +102,9 @@
             self.failed_total += 1
             self.failed_in_a_row += 1
             raise
+        connection.on_idle_bytes = lambda size_bytes: self.on_idle_bytes(
+            upstream_id, connection, size_bytes
+        )
         self.failed_in_a_row = 0
         self.on_connected(upstream_id)
         return connection
--- a/src/egretrail/gateway/_relay.py
+++ b/src/egretrail/gateway/_relay.py
@@ -121,7 +121,7 @@
             cause = f"status {received.status}" if received.status != 200 else str(result.err())
             self._log.event("relay_failed", peer=address, cause=cause)
             return AttemptResult(Disposition.FAILED, cause=f"lost by instance {address}: {cause}")
-        return result.ok_value
+        return replace(result.ok_value, is_relayed=True)
 
 
 class RelayServer:
@@ -182,6 +182,16 @@
         )
         self._view.record_request_start(upstream_id, trial=choice.is_trial)
         try:
-            return await self._attempt_runner.run(attempt, choice.upstream)
+            result = await self._attempt_runner.run(attempt, choice.upstream)
         finally:
             self._view.record_request_end(upstream_id)
+        if is_relayed:
+            self._log.event(
+                "relay_answered",
+                id=attempt.attempt_id,
+                upstream=upstream_id,
+                fate=result.disposition.value,
+                status=result.received.status if result.received is not None else 0,
+                **result.exchange_fields(),
+            )
+        return result
--- a/src/egretrail/http1/__init__.py
+++ b/src/egretrail/http1/__init__.py
@@ -11,6 +11,7 @@
     ConnectFailed,
     ExchangeBroken,
     ExchangeFailed,
+    ExchangeTrace,
     MalformedResponse,
     open_connection,
 )
@@ -32,6 +33,7 @@
     "ConnectFailed",
     "ExchangeBroken",
     "ExchangeFailed",
+    "ExchangeTrace",
     "Handler",
     "Headers",
     "MalformedResponse",
--- a/src/egretrail/http1/_client.py
+++ b/src/egretrail/http1/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import itertools
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -72,6 +73,23 @@
         return f"malformed response: {self.cause}"
 
 
+@dataclass(frozen=True, slots=True)
+class ExchangeTrace:
+    """Where an exchange took place, and what else was received, for the log."""
+
+    #: The number of the connection, in the order in which the process opened them.
+    connection: int
+    #: The number of the exchange on its connection; 1 is the first.
+    exchange: int
+    #: How many responses to other requests were skipped.
+    skipped: int
+    #: How many received bytes were no part of the response and of those that were skipped.
+    unused_bytes: int
+
+
+#: Numbers connections.
+_CONNECTION_NUMBERS = itertools.count(1)
+
 ResponsePredicate = Callable[[ReceivedResponse], bool]
 HeadCallback = Callable[[ReceivedResponse], None]
 
@@ -104,6 +122,12 @@
         self.server_idle_timeout_s: float | None = None
         #: How many exchanges were started on this connection.
         self.exchange_count = 0
+        #: The number of this connection in the process.
+        self.number = next(_CONNECTION_NUMBERS)
+        self._skipped = 0
+        self._unused_bytes = 0
+        #: Called with the number of bytes that arrive while no exchange is active.
+        self.on_idle_bytes: Callable[[int], None] = lambda size_bytes: None
         #: Called when bytes of a response arrive.
         self.on_response_bytes: Callable[[], None] = lambda: None
 
@@ -126,6 +150,7 @@
         if self._transport is None or not self.is_reusable:
             raise ExchangeBroken("closed before it was used", response_started=False)
         self.exchange_count += 1
+        self._skipped = self._unused_bytes = 0
         self._accepts = accepts
         self._on_head = on_head
         self._without_body = without_body
@@ -145,6 +170,10 @@
             if not completed or unsent or not self.is_reusable or without_body:
                 self.abort()
 
+    def trace(self) -> ExchangeTrace:
+        """Return where the last exchange took place, and what else was received in it."""
+        return ExchangeTrace(self.number, self.exchange_count, self._skipped, self._unused_bytes)
+
     def abort(self) -> None:
         """Close the connection at once."""
         self.is_reusable = False
@@ -160,6 +189,8 @@
         """Parse received bytes; called by the event loop."""
         if not self._is_active():
             # These bytes belong to no request.
+            if self.is_reusable:
+                self.on_idle_bytes(len(data))
             self.abort()
             return
         self.on_response_bytes()
@@ -167,7 +198,11 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.is_reusable = False
+            self._unused_bytes = len(data)
             self._fail(MalformedResponse(repr(error)))
+        if self._response_started and not self._is_active():
+            # Another message begins in the read in which the response ended.
+            self._unused_bytes = len(data)
 
     def eof_received(self) -> bool:
         """Handle that the server closed its end of the stream; called by the event loop."""
@@ -258,9 +293,11 @@
             self.is_reusable = False
             return
         if self._accepts is not None and not self._accepts(response):
+            self._skipped += 1
             self.is_reusable = False
             return
         self._response.set_result(response)
+        self._response_started = False
 
     def _fail(self, failure: ExchangeFailed) -> None:
         if self._response is not None and not self._response.done():
