Read each response with a reader of its own

Callers got a success where the upstream had answered a failure: a connection was given back as reusable although its parser stood inside a message. An extra response that broke off in its head was continued by the next exchange's response: status of the broken one; id, seal and body of the right one. Broken off behind the id, nothing was answered until the deadline. An id in a trailer counted as the head's.

ResponseReader (no I/O) reads one exchange, with a parser of its own. An exchange begins only where nothing was received since the last response's end; the socket is asked, too. A status line may only stand where a message begins: within a head, a trailer or a skipped response one ends the exchange at once, and so does a response that begins within the body. Whose response it is is told by its head. Heads, header fields, leading bytes, trailers, framing, interim and skipped responses are bounded.

--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -114,7 +114,7 @@
         try:
             received = await connection.exchange(
                 data,
-                lambda response: self._contract.belongs_to_attempt(response, attempt.attempt_id),
+                lambda head: self._contract.response_owner(head, attempt.attempt_id),
                 on_head=lambda head: self._record_head(upstream_id, head),
                 without_body=request.method == b"HEAD",
             )
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -9,7 +9,7 @@
 
 from egretrail.cluster import run_to_completion
 from egretrail.dispatch import QuotaTerms
-from egretrail.http1 import ReceivedResponse, Request, Response
+from egretrail.http1 import ReceivedResponse, Request, Response, ResponseOwner
 from egretrail.store import Entry
 from egretrail.traffic import FleetConfig, UpstreamRecord
 
@@ -210,8 +210,8 @@
         """
 
     @abc.abstractmethod
-    def belongs_to_attempt(self, response: ReceivedResponse, attempt_id: str) -> bool:
-        """Return whether a response belongs to a client's attempt."""
+    def response_owner(self, head: ReceivedResponse, attempt_id: str) -> ResponseOwner:
+        """Return whether the head of a response belongs to a client's attempt."""
 
     @abc.abstractmethod
     def classify(self, response: ReceivedResponse) -> ResponseKind:
--- a/src/egretrail/gateway/_pool.py
+++ b/src/egretrail/gateway/_pool.py
@@ -44,10 +44,11 @@
         connection = None
         while idle and connection is None:
             candidate = idle.pop()
-            if self._is_usable(candidate):
-                connection = candidate
-            else:
+            if not self._is_current(candidate):
                 candidate.abort()
+            elif candidate.is_usable():
+                connection = candidate
+            # Else it holds unread bytes or is closed: it reports that and ends when it is read.
         if not idle:
             self._idle.pop(upstream_id, None)
         if connection is not None:
@@ -79,7 +80,7 @@
         for upstream_id in list(self._idle):
             kept = []
             for connection in self._idle[upstream_id]:
-                if self._is_usable(connection):
+                if self._is_current(connection):
                     kept.append(connection)
                 else:
                     connection.abort()
@@ -109,7 +110,7 @@
         self.on_connected(upstream_id)
         return connection
 
-    def _is_usable(self, connection: ClientConnection) -> bool:
+    def _is_current(self, connection: ClientConnection) -> bool:
         timeout_s = connection.server_idle_timeout_s or _DEFAULT_IDLE_TIMEOUT_S
         idle_s = asyncio.get_running_loop().time() - connection.idle_since_s
         return connection.is_reusable and idle_s < timeout_s * _IDLE_SHARE
--- a/src/egretrail/http1/__init__.py
+++ b/src/egretrail/http1/__init__.py
@@ -6,14 +6,12 @@
 client library take 20 MB.
 """
 
-from egretrail.http1._client import (
-    ClientConnection,
+from egretrail.http1._client import ClientConnection, ExchangeTrace, open_connection
+from egretrail.http1._failures import (
     ConnectFailed,
     ExchangeBroken,
     ExchangeFailed,
-    ExchangeTrace,
     MalformedResponse,
-    open_connection,
 )
 from egretrail.http1._messages import (
     Headers,
@@ -25,6 +23,7 @@
     header_value,
     header_values,
 )
+from egretrail.http1._response_reader import ResponseOwner
 from egretrail.http1._server import BodyBudget, Handler, ServerConnection, ServerLimits
 
 __all__ = [
@@ -40,6 +39,7 @@
     "ReceivedResponse",
     "Request",
     "Response",
+    "ResponseOwner",
     "ServerConnection",
     "ServerLimits",
     "encode_request",
--- a/src/egretrail/platform/_contract.py
+++ b/src/egretrail/platform/_contract.py
@@ -21,6 +21,7 @@
     ReceivedResponse,
     Request,
     Response,
+    ResponseOwner,
     end_to_end_headers,
     header_value,
     header_values,
@@ -95,13 +96,18 @@
             fields.append((_ACCOUNT, account.encode()))
         return fields
 
-    def belongs_to_attempt(self, response: ReceivedResponse, attempt_id: str) -> bool:
-        """Return whether a response belongs to a client attempt.
+    def response_owner(self, head: ReceivedResponse, attempt_id: str) -> ResponseOwner:
+        """Return whether the head of a response belongs to a client attempt.
 
-        A response without an attempt id is taken to belong to the attempt.
+        A response without an attempt id is taken to belong to the attempt. Ids that disagree tell
+        nothing.
         """
-        stated = response.header(_ATTEMPT_ID)
-        return stated is None or _decode_header(stated) == attempt_id
+        stated = {_decode_header(value) for value in header_values(head.headers, _ATTEMPT_ID)}
+        if len(stated) > 1:
+            return ResponseOwner.UNKNOWN
+        if not stated or attempt_id in stated:
+            return ResponseOwner.THIS_REQUEST
+        return ResponseOwner.ANOTHER_REQUEST
 
     def classify(self, response: ReceivedResponse) -> ResponseKind:
         """Classify an upstream's response."""
--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -272,8 +272,9 @@
     async def _connection(self) -> ClientConnection:
         while self._idle_connections:
             connection = self._idle_connections.pop()
-            if connection.is_reusable:
+            if connection.is_usable():
                 return connection
+            connection.abort()
         # A watch waits for seconds, in which the network path may fail without any notice.
         return await open_connection(self._address, _CONNECT_TIMEOUT_S, keepalive=True)
 
