Failing tests of responses that are taken for another request's

Callers, the store's clients and relaying instances can take a response, a result or a status for another request's, or a cut one for whole.

The table of whose response it is gets stricter: a response without an id or with two different ones is not the request's, since upstreams repeat the id.

--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -152,12 +152,29 @@
             stated = (notices.is_draining, notices.backoff_s, len(notices.invalid))
             self.assertEqual(expected, stated)
 
-    @cases({"own": (b"a1", True), "another's": (b"a2", False), "none": (None, True)})
-    def test_response_belongs_to_attempt(self, case: tuple[bytes | None, bool]) -> None:
+    @cases(
+        {
+            "own": ([b"a1"], True),
+            "own, stated twice": ([b"a1", b"a1"], True),
+            "another's": ([b"a2"], False),
+            "own and another's": ([b"a1", b"a2"], False),
+            "none": ([], False),
+        }
+    )
+    def test_response_belongs_to_attempt(self, case: tuple[list[bytes], bool]) -> None:
+        """Upstreams repeat the id, so a response without it may be another request's."""
         stated, expected = case
-        headers = [] if stated is None else [(b"X-Egretrail-Attempt-Id", stated)]
+        headers = [(b"X-Egretrail-Attempt-Id", value) for value in stated]
         self.assertIs(expected, _CONTRACT.belongs_to_attempt(_response(200, *headers), "a1"))
 
+    @cases({"none": ([], True), "another's": ([b"a2"], False)})
+    def test_a_request_without_an_id_gets_a_response_without_one(
+        self, case: tuple[list[bytes], bool]
+    ) -> None:
+        stated, expected = case
+        headers = [(b"X-Egretrail-Attempt-Id", value) for value in stated]
+        self.assertIs(expected, _CONTRACT.belongs_to_attempt(_response(400, *headers), ""))
+
 
 class RequestTest(EgretrailTestCase):
     def _request(self, *headers: tuple[bytes, bytes], target: bytes = b"/p") -> Request:
