Answer a request whose handler was cancelled from within

A caller with several requests on one connection got the response of its second request as that of its first when the first one's handler ended as cancelled: the response was left out, and the next one took its place.

The handler ends so when something that it awaits is cancelled by others. No place in the gateway is known to do that today; nothing kept it from happening.

It counts as a failed handler: a 500 that closes the connection, and a log line.

Measured: two cases of test_server_responses failed before ("HTTP/1.1 200 OK" with the body "/2" for the request "/1") and pass.

--- a/src/egretrail/http1/_server.py
+++ b/src/egretrail/http1/_server.py
@@ -262,11 +262,10 @@
     def _write_ready_responses(self) -> None:
         while self._exchanges and self._exchanges[0].task.done() and not self._is_closing:
             exchange = self._exchanges.popleft()
-            if exchange.task.cancelled():
-                continue
-            error = exchange.task.exception()
+            error = _task_error(exchange.task)
             if error is not None:
                 # Handlers turn expected failures into responses, so this is a programming error.
+                # Without a response, the caller would take the next one for this request's.
                 self._loop.call_exception_handler(
                     {"message": "request handler failed", "exception": error}
                 )
@@ -324,5 +323,10 @@
         self._idle_timer = self._loop.call_later(left_s, self._check_idle)
 
 
+def _task_error(task: asyncio.Task[Response]) -> BaseException | None:
+    """Return why a handler has no response; one that was cancelled from within has none either."""
+    return asyncio.CancelledError() if task.cancelled() else task.exception()
+
+
 async def _completed(response: Response) -> Response:
     return response
