Run no request behind a rejected one

A caller that sent further requests behind one that was rejected (too long a head or body) while an earlier one still ran had these requests started at upstreams and then cancelled. Callers take what stands behind a closing response as not read and send it again, so such a request could run twice.

The mark of the rejection was cleared when the next request began.

It now stays for the connection, and what follows is not parsed.

Measured: two cases of test_server_responses failed before (the request behind was run) and pass.

--- a/src/egretrail/http1/_server.py
+++ b/src/egretrail/http1/_server.py
@@ -99,6 +99,8 @@
         self._idle_since_s = self._loop.time()
         self._body_bytes = 0
         self._body: list[bytes] = []
+        #: Whether a request was rejected. Clients send what is behind it again, so none of it runs.
+        self._is_rejected = False
         self._reset_message()
 
     @property
@@ -144,7 +146,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; called by the event loop."""
-        if self._is_closing:
+        if self._is_closing or self._is_rejected:
             return
         try:
             self._parser.feed_data(data)
@@ -157,6 +159,8 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
+        if self._is_rejected:
+            return
         self._reset_message()
         self._in_message = True
         self._received_s = self._loop.time()
@@ -226,7 +230,6 @@
 
     def _reset_message(self) -> None:
         self._in_message = False
-        self._is_rejected = False
         self._received_s = 0.0
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
