Send only responses that callers can parse

A reason phrase with a NUL or another control character was passed on to the caller, whose parser may refuse the whole response: "bytes that are no answer in the protocol". A 204 was passed on with the length that the upstream stated, for which a caller may wait.

The parser of responses accepts control characters in the reason. It refuses those in field names and values, and a bare CR or LF anywhere, so these can't arrive from an upstream (tried with each).

Such a reason is replaced by the status's standard one; a 204 states no length.

--- a/src/egretrail/http1/_messages.py
+++ b/src/egretrail/http1/_messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses, and their encoding."""
 
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -21,6 +22,9 @@
     }
 )
 
+#: Reason phrases (RFC 9112, section 4). The parser of responses accepts other bytes, which callers
+#: reject.
+_REASON = re.compile(rb"[\t\x20-\x7e\x80-\xff]+")
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -117,11 +121,15 @@
 
 def encode_response(response: Response, method: bytes, close: bool) -> bytes:
     """Encode a response, framed by its length."""
-    reason = response.reason or _REASONS.get(response.status, b"Status")
+    reason = response.reason
+    if not reason or not _REASON.fullmatch(reason):
+        reason = _REASONS.get(response.status, b"Status")
     lines = [b"HTTP/1.1 %d %b" % (response.status, reason)]
     without_body = response.status in (204, 304) or method == b"HEAD"
+    # The length of the body that a HEAD response or a 304 leaves out; a 204 may state none.
+    states_length = without_body and response.status != 204
     for name, value in response.headers:
-        if name.lower() != b"content-length" or without_body:
+        if name.lower() != b"content-length" or states_length:
             lines.append(name + b": " + value)
     if not without_body:
         lines.append(b"Content-Length: %d" % len(response.body))
