Take a reply of the store only where it fits its call

A write whose reply was cut or unreadable was reported as StoreUnavailable, which promises that it had no effect, and one with an unreadable 412 as a conflict with a path that does not exist. A list or a number as reply raised an untyped error. A read took the item, page or events of any path as its own, and a 404 of whatever answered at the store's address as the absence of the path.

A write with such a reply is now WriteUnknown. Items must be of the path or prefix that was asked for; a conflict must name the written path at another revision than expected. Once the store has stated its era, a reply without one is not the store's; the platform puts it into all replies.

A reply without these marks can still not be told from another call's: writes and leases are answered with a number alone.

--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -59,7 +59,7 @@
     #: The HTTP status.
     status: int
     #: The decoded JSON body.
-    document: Any
+    document: dict[str, Any]
     #: The era of the store; 0 if the response does not name one.
     era: int
 
@@ -97,7 +97,7 @@
             return Ok(None)
         if response.status != 200:
             return Err(_refused(call, response.status))
-        return _decode(call, lambda: _decode_entry(response.document, response.era))
+        return _decode(call, lambda: _decode_entry(response.document, response.era, path))
 
     async def put(
         self, path: str, value: str, expected_revision: int, lease_id: str | None = None
@@ -139,7 +139,7 @@
             if response.status != 200:
                 return Err(_refused(call, response.status))
             page = _decode(
-                call, functools.partial(_decode_snapshot, response.document, response.era)
+                call, functools.partial(_decode_snapshot, response.document, response.era, prefix)
             )
             if isinstance(page, Err):
                 return page
@@ -172,7 +172,7 @@
             return Err(HistoryLost(prefix, after_revision))
         if response.status != 200:
             return Err(_refused(call, response.status))
-        return _decode(call, lambda: _decode_events(response.document, response.era))
+        return _decode(call, lambda: _decode_events(response.document, response.era, prefix))
 
     async def grant_lease(self, ttl_s: float) -> Result[str, PlatformFailure]:
         """Open a lease; paths written under it are deleted if it is not renewed in time."""
@@ -207,15 +207,13 @@
             return reply
         response = reply.ok_value
         if response.status == 412:
-            document = {**response.document, "currentRev": 0}
-            conflict = _decode(call, lambda: _decode_snapshot(document, response.era))
-            actual = conflict.ok_value.entries if isinstance(conflict, Ok) else ()
-            revision = actual[0].revision if actual else 0
-            return Err(RevisionConflict(path, expected_revision, revision))
+            return Err(_decode_conflict(call, path, expected_revision, response))
         if response.status != 200:
             return Err(_refused(call, response.status))
         return _decode(
-            call, lambda: store_revision(response.era, int(response.document["revision"]))
+            call,
+            lambda: store_revision(response.era, int(response.document["revision"])),
+            written_path=path,
         )
 
     async def _call(
@@ -251,23 +249,29 @@
         except (TimeoutError, ExchangeFailed) as error:
             if isinstance(error, TimeoutError):
                 self._call_timeout_s = min(self._call_timeout_s * 2, _CALL_TIMEOUT_MAX_S)
-            cause = f"{error!r}"
-            if written_path is not None:
-                return Err(WriteUnknown(written_path, cause))
-            return Err(StoreUnavailable(call, cause))
+            return Err(_failure(call, written_path, repr(error)))
         if connection.is_reusable and len(self._idle_connections) < self._idle_connections_max:
             self._idle_connections.append(connection)
         else:
             connection.abort()
         if response.status in _UNAVAILABLE_STATUSES:
             return Err(StoreUnavailable(call, f"status {response.status}"))
+        reply = self._read_reply(response)
+        return Ok(reply) if isinstance(reply, _Reply) else Err(_failure(call, written_path, reply))
+
+    def _read_reply(self, response: ReceivedResponse) -> _Reply | str:
+        """Decode a response; return why it can't be one of the store."""
         try:
             era = int(response.header(_ERA_HEADER) or 0)
-            self._era = max(self._era, era)
             document = json.loads(response.body) if response.body else {}
-            return Ok(_Reply(response.status, document, era))
         except ValueError as error:
-            return Err(StoreUnavailable(call, f"unreadable reply: {error}"))
+            return f"unreadable reply: {error}"
+        if not isinstance(document, dict):
+            return "unreadable reply: not an object"
+        if self._era and not era:
+            return "a reply without the era that the store states"
+        self._era = max(self._era, era)
+        return _Reply(response.status, document, era)
 
     async def _connection(self) -> ClientConnection:
         while self._idle_connections:
@@ -301,16 +305,57 @@
     return StoreRefused(call, status)
 
 
-def _decode(call: str, read: Callable[[], T]) -> Result[T, PlatformFailure]:
+def _failure(call: str, written_path: str | None, cause: str) -> PlatformFailure:
+    """Return the failure of a call that got no usable response: a write may have been applied."""
+    if written_path is not None:
+        return WriteUnknown(written_path, cause)
+    return StoreUnavailable(call, cause)
+
+
+def _decode(
+    call: str, read: Callable[[], T], *, written_path: str | None = None
+) -> Result[T, PlatformFailure]:
     try:
         return Ok(read())
     except (KeyError, TypeError, ValueError) as error:
-        return Err(StoreUnavailable(call, f"unreadable reply: {error!r}"))
+        return Err(_failure(call, written_path, f"unreadable reply: {error!r}"))
 
 
-def _decode_entry(row: dict[str, Any], era: int) -> Entry:
+def _decode_conflict(
+    call: str, path: str, expected_revision: int, reply: _Reply
+) -> PlatformFailure:
+    """Return the conflict that a reply to a write states.
+
+    The write is unknown if the reply does not show a conflict of this path: it may belong to
+    another write.
+    """
+
+    def read() -> RevisionConflict:
+        rows = [row for row in reply.document["items"] if row["key"] == path]
+        if len(rows) != len(reply.document["items"]):
+            raise ValueError("a conflict of another path")
+        actual = store_revision(reply.era, int(rows[0]["revision"])) if rows else 0
+        if actual == expected_revision:
+            raise ValueError("a conflict at the expected revision")
+        return RevisionConflict(path, expected_revision, actual)
+
+    return _decode(call, read, written_path=path).unwrap_or_else(lambda failure: failure)
+
+
+def _decode_entry(row: dict[str, Any], era: int, path: str) -> Entry:
+    """Decode the item of a path; another path's would be the response to another call."""
+    if row["key"] != path:
+        raise ValueError(f"an item of {row['key']!r}")
     revision = store_revision(era, int(row["revision"]))
-    return Entry(str(row["key"]), None if row.get("removed") else _decode_value(row), revision)
+    return Entry(path, None if row.get("removed") else _decode_value(row), revision)
+
+
+def _decode_entries(rows: list[dict[str, Any]], era: int, prefix: str) -> list[Entry]:
+    """Decode the items under a prefix; others would be the response to another call."""
+    for row in rows:
+        if not str(row["key"]).startswith(prefix):
+            raise ValueError(f"an item of {row['key']!r}")
+    return [_decode_entry(row, era, str(row["key"])) for row in rows]
 
 
 def _decode_value(row: dict[str, Any]) -> str:
@@ -325,11 +370,11 @@
         return ""
 
 
-def _decode_snapshot(document: dict[str, Any], era: int) -> Snapshot:
-    entries = [_decode_entry(row, era) for row in document["items"]]
+def _decode_snapshot(document: dict[str, Any], era: int, prefix: str) -> Snapshot:
+    entries = _decode_entries(document["items"], era, prefix)
     return Snapshot(entries, store_revision(era, int(document["currentRev"])))
 
 
-def _decode_events(document: dict[str, Any], era: int) -> WatchEvents:
-    entries = [_decode_entry(row, era) for row in document["events"]]
+def _decode_events(document: dict[str, Any], era: int, prefix: str) -> WatchEvents:
+    entries = _decode_entries(document["events"], era, prefix)
     return WatchEvents(entries, store_revision(era, int(document["currentRev"])))
