Match the result of a relayed attempt by its number

A caller could get the response to another caller's request through an instance that sends requests on: results carried no id and were matched by the order on the connection. A late second result there was given to the next attempt, and a late "not taken" let an attempt that may have run be sent again.

Each attempt has a number in a header now, which the response repeats, also one that refuses the message (limits, memory). A result of another number is skipped and the connection closed.

An instance of an earlier version repeats nothing. Its response is accepted on a connection that carried no other attempt, and this connection is not kept; so builds may be mixed, at a connection for each attempt. Without a number behind one with a number, the attempt fails.

The result itself was found to carry status, reason, fields and body unchanged, and whole: it is one msgpack value in a body with a length.

--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -25,7 +25,7 @@
 from egretrail.gateway._metrics import GatewayMetrics
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._pool import UpstreamConnectionPool
-from egretrail.gateway._relay import RELAY_LIMITS
+from egretrail.gateway._relay import RELAY_ID_FIELD, RELAY_LIMITS
 from egretrail.gateway._settings_change import compare_settings
 from egretrail.gateway._settings_file import SettingsFile, SettingsFileWatcher
 from egretrail.gateway._store_sync import StoreSync
@@ -114,7 +114,9 @@
         await self._listen(metrics_address, self._handle_metrics)
         relay_address = f"{self._settings.ip}:{self._settings.relay_port}"
         relay_server = self._executor.relay_server
-        await self._listen(relay_address, relay_server.handle, lambda: RELAY_LIMITS)
+        await self._listen(
+            relay_address, relay_server.handle, lambda: RELAY_LIMITS, repeated_field=RELAY_ID_FIELD
+        )
         # Objects created so far live as long as the process; scanning them would only cost time.
         gc.collect()
         gc.freeze()
@@ -148,12 +150,21 @@
             os._exit(1)
 
     async def _listen(
-        self, address: str, handler: Handler, limits: Callable[[], ServerLimits] | None = None
+        self,
+        address: str,
+        handler: Handler,
+        limits: Callable[[], ServerLimits] | None = None,
+        *,
+        repeated_field: bytes | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         server = await self._loop.create_server(
             lambda: ServerConnection(
-                handler, limits or self._limits, self._connections, self._body_budget
+                handler,
+                limits or self._limits,
+                self._connections,
+                self._body_budget,
+                repeated_field=repeated_field,
             ),
             host,
             int(port),
--- a/src/egretrail/gateway/_relay.py
+++ b/src/egretrail/gateway/_relay.py
@@ -1,6 +1,7 @@
 """Sends requests through another instance that reaches upstreams, and serves such requests."""
 
 import asyncio
+import itertools
 import random
 from collections import Counter
 from dataclasses import replace
@@ -24,8 +25,11 @@
 from egretrail.gateway._upstream_paths import UpstreamPaths
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import (
+    ClientConnection,
     ConnectFailed,
     ExchangeFailed,
+    MalformedResponse,
+    ReceivedResponse,
     Request,
     Response,
     ServerLimits,
@@ -37,6 +41,9 @@
 RELAY_LIMITS = ServerLimits(
     header_bytes=1_024, body_bytes=64 * 1024 * 1024, header_timeout_s=2.0, idle_timeout_s=10.0
 )
+#: The header that numbers a relayed attempt. Its response repeats it, so that the response to
+#: another attempt on the same connection is not taken for it.
+RELAY_ID_FIELD = b"exchange-id"
 #: The status with which an instance says that it did not take an attempt: it reaches no upstream of
 #: the service itself, or lacks memory for the request (``BodyBudget``). Results of attempts have
 #: status 200.
@@ -64,6 +71,7 @@
         self._rng = rng
         self._pool = UpstreamConnectionPool(keepalive=True)
         self._in_flight: Counter[str] = Counter()
+        self._exchange_ids = itertools.count(1)
 
     async def run(self, attempt: AttemptRequest, query: PlacementQuery) -> AttemptResult:
         """Run one attempt; cancel to abandon it."""
@@ -104,7 +112,7 @@
         self._in_flight[address] += 1
         try:
             connection = await self._pool.acquire(address, f"{address}:{self._port}")
-            received = await connection.exchange(encode_request(b"POST", b"/", (), data))
+            received = await self._exchange(connection, data)
         except ConnectFailed as error:
             self._log.event("relay_failed", peer=address, cause=str(error))
             return None
@@ -123,6 +131,24 @@
             return AttemptResult(Disposition.FAILED, cause=f"lost by instance {address}: {cause}")
         return result.ok_value
 
+    async def _exchange(self, connection: ClientConnection, data: bytes) -> ReceivedResponse:
+        """Send an attempt and return its own response.
+
+        An instance of an earlier version repeats no id. Its response is certain only on a
+        connection that carried no other attempt, so such a connection is not kept.
+        """
+        is_first = connection.exchange_count == 0
+        exchange_id = b"%d" % next(self._exchange_ids)
+        request = encode_request(b"POST", b"/", [(RELAY_ID_FIELD, exchange_id)], data)
+        received = await connection.exchange(
+            request, lambda response: response.header(RELAY_ID_FIELD) in (None, exchange_id)
+        )
+        if received.header(RELAY_ID_FIELD) is None:
+            connection.abort()
+            if not is_first:
+                raise MalformedResponse("it may be the response to another attempt")
+        return received
+
 
 class RelayServer:
     """Sends the attempts of instances that reach no upstream, of any or of one service."""
--- a/src/egretrail/http1/_server.py
+++ b/src/egretrail/http1/_server.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import httptools
 
@@ -82,8 +82,12 @@
         limits: Callable[[], ServerLimits],
         connections: set["ServerConnection"],
         bodies: BodyBudget,
+        *,
+        repeated_field: bytes | None = None,
     ) -> None:
+        """``repeated_field`` names a request header, in lower case, that each response repeats."""
         self._bodies = bodies
+        self._repeated_field = repeated_field
         self._loop = asyncio.get_running_loop()
         self._handler = handler
         self._limits = limits
@@ -256,7 +260,7 @@
         self._is_rejected = True
         self._in_message = False
         self._discard_body()
-        request = Request(b"GET", self._target, (), b"", self._loop.time())
+        request = Request(b"GET", self._target, self._headers, b"", self._loop.time())
         headers = [(b"Retry-After", _BUDGET_RETRY_AFTER)] if status == 503 else []
         task = self._loop.create_task(_completed(Response(status, headers=headers, close=True)))
         task.add_done_callback(lambda _: self._write_ready_responses())
@@ -273,6 +277,7 @@
                     {"message": "request handler failed", "exception": error}
                 )
             response = Response(500, close=True) if error is not None else exchange.task.result()
+            response = self._with_repeated_field(response, exchange.request)
             # Requests behind this one may have been forwarded already and get their responses.
             is_last = self._close_when_done and not self._exchanges
             close = response.close or not exchange.keep_alive or is_last
@@ -288,6 +293,13 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
+    def _with_repeated_field(self, response: Response, request: Request) -> Response:
+        name = self._repeated_field
+        value = None if name is None else request.header(name)
+        if name is None or value is None:
+            return response
+        return replace(response, headers=[*response.headers, (name, value)])
+
     def _half_close(self) -> None:
         self._is_closing = True
         # Requests behind the last response are treated as if they had not been read.
--- a/src/egretrail/http1/tests/test_server_responses.py
+++ b/src/egretrail/http1/tests/test_server_responses.py
@@ -15,11 +15,17 @@
 _LIMITS = ServerLimits(header_bytes=1000, body_bytes=2000, header_timeout_s=0.2, idle_timeout_s=0.5)
 
 
-async def _exchange(handler: Handler, data: bytes) -> bytes:
+async def _exchange(handler: Handler, data: bytes, *, repeated_field: bytes | None = None) -> bytes:
     """Send bytes to a server and return all that it sends until it closes."""
     connections: set[ServerConnection] = set()
     server = await asyncio.get_running_loop().create_server(
-        lambda: ServerConnection(handler, lambda: _LIMITS, connections, BodyBudget(3000)),
+        lambda: ServerConnection(
+            handler,
+            lambda: _LIMITS,
+            connections,
+            BodyBudget(1500),
+            repeated_field=repeated_field,
+        ),
         "127.0.0.1",
         0,
     )
@@ -71,6 +77,36 @@
         self.assertEqual([b"/first"], run)
         self.assertEqual(2, received.count(b"HTTP/1.1 "), repr(received))
 
+    @cases(
+        {
+            "handled": (b"Content-Length: 1\r\n\r\nx", b"200"),
+            "failed": (b"X-Fail: 1\r\nContent-Length: 1\r\n\r\nx", b"500"),
+            "too long": (b"Content-Length: 3000\r\n\r\n", b"413"),
+            "out of memory": (b"Content-Length: 1800\r\n\r\n" + b"x" * 1800, b"503"),
+        }
+    )
+    def test_a_response_repeats_the_id_of_its_request(self, case: tuple[bytes, bytes]) -> None:
+        """Guards against a peer that can't tell whose response it reads."""
+        rest, status = case
+
+        async def handle(request: Request) -> Response:
+            if request.header(b"x-fail") is not None:
+                raise ValueError
+            return Response(200, headers=[(b"X", b"1")], close=True)
+
+        request = b"POST / HTTP/1.1\r\nExchange-ID: 7\r\n" + rest
+        received = self.run_real(_exchange(handle, request, repeated_field=b"exchange-id"))
+        self.assertTrue(received.startswith(b"HTTP/1.1 " + status), received)
+        self.assertEqual(1, received.lower().count(b"exchange-id: 7\r\n"), repr(received))
+
+    def test_a_response_repeats_no_id_that_its_request_has_not(self) -> None:
+        async def handle(request: Request) -> Response:
+            return Response(200, close=True)
+
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        received = self.run_real(_exchange(handle, request, repeated_field=b"exchange-id"))
+        self.assertNotIn(b"exchange-id", received)
+
 
 class ResponseFramingTest(EgretrailTestCase):
     def _response_to(self, response: Response, method: bytes = b"GET") -> bytes:
