--- a/src/egretrail/http1/_server.py
+++ b/src/egretrail/http1/_server.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import httptools
 
@@ -82,8 +82,12 @@
         limits: Callable[[], ServerLimits],
         connections: set["ServerConnection"],
         bodies: BodyBudget,
+        *,
+        repeated_field: bytes | None = None,
     ) -> None:
+        """``repeated_field`` names a request header, in lower case, that each response repeats."""
         self._bodies = bodies
+        self._repeated_field = repeated_field
         self._loop = asyncio.get_running_loop()
         self._handler = handler
         self._limits = limits
@@ -99,6 +103,8 @@
         self._idle_since_s = self._loop.time()
         self._body_bytes = 0
         self._body: list[bytes] = []
+        #: Whether a request was rejected. Clients send what is behind it again, so none of it runs.
+        self._is_rejected = False
         self._reset_message()
 
     @property
@@ -144,7 +150,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; called by the event loop."""
-        if self._is_closing:
+        if self._is_closing or self._is_rejected:
             return
         try:
             self._parser.feed_data(data)
@@ -157,6 +163,8 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
+        if self._is_rejected:
+            return
         self._reset_message()
         self._in_message = True
         self._received_s = self._loop.time()
@@ -226,7 +234,6 @@
 
     def _reset_message(self) -> None:
         self._in_message = False
-        self._is_rejected = False
         self._received_s = 0.0
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
@@ -253,7 +260,7 @@
         self._is_rejected = True
         self._in_message = False
         self._discard_body()
-        request = Request(b"GET", self._target, (), b"", self._loop.time())
+        request = Request(b"GET", self._target, self._headers, b"", self._loop.time())
         headers = [(b"Retry-After", _BUDGET_RETRY_AFTER)] if status == 503 else []
         task = self._loop.create_task(_completed(Response(status, headers=headers, close=True)))
         task.add_done_callback(lambda _: self._write_ready_responses())
@@ -262,15 +269,15 @@
     def _write_ready_responses(self) -> None:
         while self._exchanges and self._exchanges[0].task.done() and not self._is_closing:
             exchange = self._exchanges.popleft()
-            if exchange.task.cancelled():
-                continue
-            error = exchange.task.exception()
+            error = _task_error(exchange.task)
             if error is not None:
                 # Handlers turn expected failures into responses, so this is a programming error.
+                # Without a response, the caller would take the next one for this request's.
                 self._loop.call_exception_handler(
                     {"message": "request handler failed", "exception": error}
                 )
             response = Response(500, close=True) if error is not None else exchange.task.result()
+            response = self._with_repeated_field(response, exchange.request)
             # Requests behind this one may have been forwarded already and get their responses.
             is_last = self._close_when_done and not self._exchanges
             close = response.close or not exchange.keep_alive or is_last
@@ -286,6 +293,13 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
+    def _with_repeated_field(self, response: Response, request: Request) -> Response:
+        name = self._repeated_field
+        value = None if name is None else request.header(name)
+        if name is None or value is None:
+            return response
+        return replace(response, headers=[*response.headers, (name, value)])
+
     def _half_close(self) -> None:
         self._is_closing = True
         # Requests behind the last response are treated as if they had not been read.
@@ -324,5 +338,10 @@
         self._idle_timer = self._loop.call_later(left_s, self._check_idle)
 
 
+def _task_error(task: asyncio.Task[Response]) -> BaseException | None:
+    """Return why a handler has no response; one that was cancelled from within has none either."""
+    return asyncio.CancelledError() if task.cancelled() else task.exception()
+
+
 async def _completed(response: Response) -> Response:
     return response
--- a/src/egretrail/platform/_contract.py
+++ b/src/egretrail/platform/_contract.py
@@ -99,11 +99,11 @@
     def response_owner(self, head: ReceivedResponse, attempt_id: str) -> ResponseOwner:
         """Return whether the head of a response belongs to a client attempt.
 
-        A response without an attempt id is taken to belong to the attempt. Ids that disagree tell
-        nothing.
+        Upstreams repeat the id, so a response without it, or with several that differ, does not
+        tell whose it is. A request without an id gets a response without one.
         """
         stated = {_decode_header(value) for value in header_values(head.headers, _ATTEMPT_ID)}
-        if len(stated) > 1:
+        if len(stated) > 1 or (not stated and attempt_id):
             return ResponseOwner.UNKNOWN
         if not stated or attempt_id in stated:
             return ResponseOwner.THIS_REQUEST
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -155,19 +155,33 @@
     @cases(
         {
             "own": ([b"a1"], ResponseOwner.THIS_REQUEST),
-            "own, twice": ([b"a1", b"a1"], ResponseOwner.THIS_REQUEST),
+            "own, stated twice": ([b"a1", b"a1"], ResponseOwner.THIS_REQUEST),
             "another's": ([b"a2"], ResponseOwner.ANOTHER_REQUEST),
-            "none": ([], ResponseOwner.THIS_REQUEST),
+            "none": ([], ResponseOwner.UNKNOWN),
             "own first": ([b"a1", b"a2"], ResponseOwner.UNKNOWN),
             "another's first": ([b"a2", b"a1"], ResponseOwner.UNKNOWN),
         }
     )
     def test_owner_of_a_response(self, case: tuple[list[bytes], ResponseOwner]) -> None:
-        """Guards against a response that is given to another request than its own."""
+        """Upstreams repeat the id, so a response without it may be another request's."""
         stated, expected = case
         headers = [(b"X-Egretrail-Attempt-Id", value) for value in stated]
         self.assertIs(expected, _CONTRACT.response_owner(_response(200, *headers), "a1"))
 
+    @cases(
+        {
+            "none": ([], ResponseOwner.THIS_REQUEST),
+            "empty": ([b""], ResponseOwner.THIS_REQUEST),
+            "another's": ([b"a2"], ResponseOwner.ANOTHER_REQUEST),
+        }
+    )
+    def test_a_request_without_an_id_gets_a_response_without_one(
+        self, case: tuple[list[bytes], ResponseOwner]
+    ) -> None:
+        stated, expected = case
+        headers = [(b"X-Egretrail-Attempt-Id", value) for value in stated]
+        self.assertIs(expected, _CONTRACT.response_owner(_response(400, *headers), ""))
+
 
 class RequestTest(EgretrailTestCase):
     def _request(self, *headers: tuple[bytes, bytes], target: bytes = b"/p") -> Request:
