--- a/scaffolding/platform/__init__.py
+++ b/scaffolding/platform/__init__.py
@@ -5,6 +5,7 @@
 from scaffolding.platform.cut_gateway import BackendCut
 from scaffolding.platform.fleet import GatewayFleet
 from scaffolding.platform.link import LinkFault, LinkProxy
+from scaffolding.platform.raw_server import RawExchange, RawServer
 from scaffolding.platform.store import StandInStore
 
 __all__ = [
@@ -15,6 +16,8 @@
     "GatewayFleet",
     "LinkFault",
     "LinkProxy",
+    "RawExchange",
+    "RawServer",
     "StandInBackend",
     "StandInStore",
 ]
