--- a/src/egretrail/http1/_response_reader.py
+++ b/src/egretrail/http1/_response_reader.py
@@ -252,7 +252,7 @@
             self._begin_message()
 
     def _take_message(self) -> ReceivedResponse:
-        return ReceivedResponse(self._status, self._reason, self._headers, b"".join(self._body))
+        return ReceivedResponse(self._status, self._reason, self._headers, bytes(self._body))
 
     def _begin_message(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -267,7 +267,7 @@
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._trailer_count = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._body_left = None
         self._body_tail = b""
@@ -326,7 +326,7 @@
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
         if self._is_own:
-            self._body.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         self._message_complete = True
