Reject responses that aiohttp read together with a broken one

A client of egretraild could get a success where the upstream had answered a failure: an extra response that broke off in its reason or in a field's value on a kept connection gave its status to the next response, whose id, length and body were right.

aiohttp parses what arrives as one head until an empty line.

A head that contains the beginning of a status line is refused as a response of another request, and the connection closed. The two middlewares of the client form a package, since the store's client has the same need.

Not examined: a body that is cut and followed by another response within its length.

--- a/src/egretrail/runtime/_upstream_client.py
+++ b/src/egretrail/runtime/_upstream_client.py
@@ -13,6 +13,7 @@
 import yarl
 from multidict import CIMultiDict
 
+from egretrail.client_http import ResponseRunTogetherError, never_resend, reject_run_together
 from egretrail.store import Endpoint
 from egretrail.upstream import AttemptOutcome
 
@@ -148,6 +149,8 @@
         except TimeoutError:
             outcome = AttemptOutcome.TIMED_OUT if sent.sent else AttemptOutcome.REFUSED
             return UpstreamResult(outcome)
+        except ResponseRunTogetherError:
+            return UpstreamResult(AttemptOutcome.CROSSED)
         except aiohttp.ClientPayloadError:
             return UpstreamResult(AttemptOutcome.TRUNCATED)
         except (aiohttp.ClientError, OSError, ValueError):
@@ -191,30 +194,10 @@
             auto_decompress=False,
             skip_auto_headers=_AUTOMATIC,
             trace_configs=[tracing],
-            middlewares=(_never_resend,),
+            middlewares=(never_resend, reject_run_together),
         )
 
 
-class _ConnectionLostError(aiohttp.ClientError):
-    """The connection was lost after the request may have been sent."""
-
-
-async def _never_resend(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keep aiohttp from resending a request after a lost connection.
-
-    aiohttp sends PUT and DELETE again on another connection after such a loss. Requests that the
-    route does not declare idempotent would then run twice.
-    """
-    try:
-        return await handler(request)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _ConnectionLostError from error
-
-
 async def _record_sent(
     _session: aiohttp.ClientSession,
     context: SimpleNamespace,
