Take a reply of the HTTP store only where it fits its call

The store's client of egretraild reported a refused write as applied behind an extra response that broke off in its head, and a write that had been applied as a conflict with itself: aiohttp sends a PUT again after a lost connection. A reply without a revision or lease raised an untyped error; a read took the entry of another path as its own.

Heads with a status line inside are refused, and writes are not sent again. A write with an unreadable reply is WriteUnknown, as is one whose kept connection was lost. An entry must be of the path that was asked for.

--- a/src/egretrail/store/http/_instance_list.py
+++ b/src/egretrail/store/http/_instance_list.py
@@ -6,6 +6,7 @@
 from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
+from egretrail.client_http import reject_run_together
 from egretrail.store import InstanceList, ListedInstance, StoreUnavailable
 
 _ROWS = TypeAdapter(list[ListedInstance])
@@ -23,7 +24,9 @@
         """Return all listed instances; their states may be out of date."""
         timeout = aiohttp.ClientTimeout(total=self._timeout_s)
         try:
-            async with self._session.get(self._url, timeout=timeout) as response:
+            async with self._session.get(
+                self._url, timeout=timeout, middlewares=(reject_run_together,)
+            ) as response:
                 if response.status != 200:
                     return Err(StoreUnavailable("instance list", f"status {response.status}"))
                 return Ok(_ROWS.validate_json(await response.read()))
--- a/src/egretrail/store/http/_store.py
+++ b/src/egretrail/store/http/_store.py
@@ -1,11 +1,13 @@
 """The settings store over HTTP/JSON."""
 
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import aiohttp
 from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
+from egretrail.client_http import never_resend, reject_run_together
 from egretrail.store import (
     Entry,
     PlatformFailure,
@@ -45,7 +47,10 @@
         status, body = result.ok_value
         if status == 404:
             return Ok(None)
-        return _parse_response(_ENTRY, f"get {path}", status, body)
+        entry = _parse_response(_ENTRY, f"get {path}", status, body)
+        if isinstance(entry, Ok) and entry.ok_value.path != path:
+            return Err(StoreUnavailable(f"get {path}", f"an entry of {entry.ok_value.path}"))
+        return entry
 
     async def put(
         self, path: str, value: str, expected_revision: int, lease_id: str | None = None
@@ -88,7 +93,9 @@
         if isinstance(result, Err):
             return result
         status, body = result.ok_value
-        return Ok(str(body["lease"])) if status == 200 else Err(StoreRefused("lease", status))
+        if status != 200:
+            return Err(StoreRefused("lease", status))
+        return _decode_write("/v1/lease", lambda: str(body["lease"]))
 
     async def renew_lease(self, lease_id: str) -> Result[None, PlatformFailure]:
         """Renew a lease for its full TTL."""
@@ -104,7 +111,10 @@
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self._session.get(
-                self._base_url + path, params=query, timeout=timeout
+                self._base_url + path,
+                params=query,
+                timeout=timeout,
+                middlewares=(reject_run_together,),
             ) as response:
                 return Ok((response.status, await response.json()))
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
@@ -116,7 +126,12 @@
         timeout = aiohttp.ClientTimeout(total=self._timeout_s)
         try:
             async with self._session.request(
-                method, self._base_url + path, params=query, data=body, timeout=timeout
+                method,
+                self._base_url + path,
+                params=query,
+                data=body,
+                timeout=timeout,
+                middlewares=(never_resend, reject_run_together),
             ) as response:
                 return Ok((response.status, await response.json()))
         except aiohttp.ClientConnectorError as error:
@@ -133,12 +148,23 @@
             return result
         status, document = result.ok_value
         if status == 409:
-            return Err(RevisionConflict(path, expected, int(document["revision"])))
+            actual = _decode_write(path, lambda: int(document["revision"]))
+            if isinstance(actual, Err):
+                return actual
+            return Err(RevisionConflict(path, expected, actual.ok_value))
         if status == 503:
             return Err(StoreUnavailable(call, "status 503"))
         if status != 200:
             return Err(StoreRefused(call, status))
-        return Ok(int(document["revision"]))
+        return _decode_write(path, lambda: int(document["revision"]))
+
+
+def _decode_write(path: str, read: Callable[[], T]) -> Result[T, WriteUnknown]:
+    """Decode the response to a write, which may have been applied if this fails."""
+    try:
+        return Ok(read())
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(WriteUnknown(path, f"unreadable answer: {error!r}"))
 
 
 def _parse_response(
