Tell whose relayed result is read by its head

A relaying instance could take the result of another attempt whose number stood in a trailer, and one without a number was refused only when it was complete. The head decides now: the number of the exchange, or none on a connection that carried no other attempt.

--- a/src/egretrail/gateway/_relay.py
+++ b/src/egretrail/gateway/_relay.py
@@ -28,13 +28,13 @@
     ClientConnection,
     ConnectFailed,
     ExchangeFailed,
-    MalformedResponse,
     ReceivedResponse,
     Request,
     Response,
     ResponseOwner,
     ServerLimits,
     encode_request,
+    header_values,
 )
 
 #: The limits of connections between instances. A body holds a client's request, whose size is
@@ -55,11 +55,16 @@
 _ISOLATED_RETRY_S = 0.5
 
 
-def _owner(head: ReceivedResponse, exchange_id: bytes) -> ResponseOwner:
-    """Return whether a head belongs to an exchange; one without an id is taken to belong to it."""
-    if head.header(RELAY_ID_FIELD) in (None, exchange_id):
+def _owner(head: ReceivedResponse, exchange_id: bytes, *, is_first: bool) -> ResponseOwner:
+    """Return whose response a head begins.
+
+    An instance of an earlier version repeats no id. Its response is certain only on a connection
+    that carried no other attempt.
+    """
+    stated = set(header_values(head.headers, RELAY_ID_FIELD))
+    if stated == {exchange_id} or (not stated and is_first):
         return ResponseOwner.THIS_REQUEST
-    return ResponseOwner.ANOTHER_REQUEST
+    return ResponseOwner.ANOTHER_REQUEST if len(stated) == 1 else ResponseOwner.UNKNOWN
 
 
 class RelayClient:
@@ -142,17 +147,16 @@
     async def _exchange(self, connection: ClientConnection, data: bytes) -> ReceivedResponse:
         """Send an attempt and return its own response.
 
-        An instance of an earlier version repeats no id. Its response is certain only on a
-        connection that carried no other attempt, so such a connection is not kept.
+        A connection to an instance that repeats no id is not kept.
         """
         is_first = connection.exchange_count == 0
         exchange_id = b"%d" % next(self._exchange_ids)
         request = encode_request(b"POST", b"/", [(RELAY_ID_FIELD, exchange_id)], data)
-        received = await connection.exchange(request, lambda head: _owner(head, exchange_id))
+        received = await connection.exchange(
+            request, lambda head: _owner(head, exchange_id, is_first=is_first)
+        )
         if received.header(RELAY_ID_FIELD) is None:
             connection.abort()
-            if not is_first:
-                raise MalformedResponse("it may be the response to another attempt")
         return received
 
 
