--- a/src/egretrail/http1/_response_reader.py
+++ b/src/egretrail/http1/_response_reader.py
@@ -190,6 +190,8 @@
 
     def _end_head(self) -> None:
         self._head.clear()
+        if self._status < 100:
+            raise MalformedResponse(f"status {self._status}")
         if self._status < 200:
             self._interim_count += 1
             self._limit("interim responses", self._interim_count, _INTERIM_MAX)
