Look at the end of a body alone, and bound the work on it

Found by review: a cut body that a fragment of another response completed was given as whole where more bytes followed in the same segment, since the end was looked for behind them. A body of many status lines blocked the process for 3.3 s for each 260 KB: each candidate read all the rest before their number was limited. Bodies in chunks of one to four bytes were refused by the bound on framing, and a length of thousands of digits raised an untyped error. A reset within the 50 ms for which a response is held lost it.

The end of the body is looked at by itself; candidates are limited as they are found; framing may have 512 KiB beyond the body; lengths have 16 digits; a held response is given when the connection ends.

151 tests of http1 and of answers without end pass. The new rows are of the review's cases, which it ran against the code before.

--- a/src/egretrail/http1/_client.py
+++ b/src/egretrail/http1/_client.py
@@ -185,6 +185,8 @@
         self.is_reusable = False
         self._transport = None
         path_failed = isinstance(exc, OSError) and exc.errno in _PATH_FAILURE_ERRORS
+        if self._reader.is_held:
+            self._release(self._reader)
         cause = repr(exc) if exc else "closed"
         self._fail(ExchangeBroken(cause, self._reader.has_started, path_failed))
 
--- a/src/egretrail/http1/_response_reader.py
+++ b/src/egretrail/http1/_response_reader.py
@@ -29,9 +29,11 @@
 _SKIPPED_MAX = 4
 #: Bytes of chunk sizes, chunk extensions and trailers in a row. No field of them reaches a client.
 _FRAMING_BYTES_MAX = 16 * 1024
-#: Bytes of such framing in addition to as many as the body has: senders of small chunks use about
-#: one byte of it for each byte of the body.
-_FRAMING_ALLOWANCE_BYTES = 64 * 1024
+#: Bytes of such framing in addition to as many as the body has. Chunks of one byte have five, so a
+#: text that is sent character by character may have 128 KiB.
+_FRAMING_ALLOWANCE_BYTES = 512 * 1024
+#: Digits of a length; more than a body may have.
+_LENGTH_DIGITS_MAX = 16
 
 _HEAD_END = b"\r\n\r\n"
 _VERSION_PREFIX = b"HTTP/"
@@ -203,6 +205,7 @@
             raise MalformedResponse("a response that names no request, or several")
         self._is_own = owner is ResponseOwner.THIS_REQUEST
         length = header_value(self._headers, b"content-length")
+        self._limit("digits of a length", len(length or b""), _LENGTH_DIGITS_MAX)
         self._body_left = int(length) if length is not None else None
         if self._body_left is not None and not self._without_body:
             self._limit("bytes of a body", self._body_left, _BODY_BYTES_MAX)
--- a/src/egretrail/http1/_run_together.py
+++ b/src/egretrail/http1/_run_together.py
@@ -64,9 +64,14 @@
             candidate = _Candidate()
             if candidate.continues(window[found.start() :]):
                 self._candidates.append(candidate)
+            # Each candidate reads all that follows it, so their number is limited at once.
+            self._check_candidates()
+        self._check_candidates()
+        self._tail = window[max(body_end + 1 - STATUS_LINE_BYTES, 0) : body_end]
+
+    def _check_candidates(self) -> None:
         if len(self._candidates) > _CANDIDATES_MAX or any(one.has_head for one in self._candidates):
             raise MalformedResponse("a response begins within the body")
-        self._tail = window[1 - STATUS_LINE_BYTES :]
 
     def check_end(self, behind: bytes = b"") -> bool:
         """Return whether the body may have ended too early if further bytes follow.
@@ -77,8 +82,12 @@
         if self._candidates:
             raise MalformedResponse("the body ends within a response")
         partial = _PARTIAL_STATUS_LINE.search(self._tail)
-        if partial is None or len(partial[0]) <= len(behind):
+        if partial is None:
+            return False
+        size = len(partial[0])
+        # A response that begins where the body ends shows that the body is whole.
+        if size < _TELLING_BYTES and behind.startswith(b"HTTP/"):
             return False
-        if behind or len(partial[0]) >= _TELLING_BYTES:
+        if behind or size >= _TELLING_BYTES:
             raise MalformedResponse("the body ends within a status line")
         return True
--- a/src/egretrail/http1/tests/test_response_reader.py
+++ b/src/egretrail/http1/tests/test_response_reader.py
@@ -8,7 +8,7 @@
 _CHUNKED = _STATUS + b"Id: B\r\nTransfer-Encoding: chunked\r\n\r\n"
 _OTHER = _STATUS + b"Id: A\r\nContent-Length: 2\r\n\r\nab"
 #: More than any bound on what is no body.
-_ENDLESS_BYTES = 256 * 1024
+_ENDLESS_BYTES = 1024 * 1024
 
 
 def _owner(head: ReceivedResponse) -> ResponseOwner:
@@ -52,7 +52,13 @@
         self.assertRaises(MalformedResponse, feed_all)
         self.assertIsNone(reader.response)
 
-    @cases({"no status": b"HTTP/1.1 099 Odd\r\nId: B\r\n\r\n", "no version": b"hello\r\n\r\n"})
+    @cases(
+        {
+            "no status": b"HTTP/1.1 099 Odd\r\nId: B\r\n\r\n",
+            "no version": b"hello\r\n\r\n",
+            "long length": _STATUS + b"Id: B\r\nContent-Length: " + b"0" * 4_400 + b"5\r\n\r\n",
+        }
+    )
     def test_what_is_no_response_is_refused_at_once(self, data: bytes) -> None:
         """Guards against a request that waits until its deadline for a response that is lost."""
         self.assertRaises(ExchangeFailed, ResponseReader(_owner).feed, data)
@@ -75,6 +81,24 @@
         self.assertEqual(body, reader.response.body)
         self.assertTrue(reader.may_reuse)
 
+    @cases({"H": b"H", "HTT": b"HTT", "HTTP/": b"HTTP/", "HTTP/1.1 2": b"HTTP/1.1 2"})
+    def test_a_body_that_is_continued_by_a_broken_response_is_refused(self, end: bytes) -> None:
+        """Guards against a body whose last bytes are another response's, in one segment."""
+        reader = ResponseReader(_owner)
+        self.assertRaises(MalformedResponse, reader.feed, _own(b"text" + end) + b"yyyyyyyyyy")
+
+    def test_many_mentions_of_status_lines_do_not_block_the_process(self) -> None:
+        """Guards against time that grows with the square of a body."""
+        reader = ResponseReader(_owner)
+        self.assertRaises(MalformedResponse, reader.feed, _own(b"HTTP/1.1 200 " * 2_000_000))
+
+    def test_chunks_of_one_byte_are_served(self) -> None:
+        """Guards against a bound on framing that refuses streams of single characters."""
+        reader = ResponseReader(_owner)
+        reader.feed(_CHUNKED + b"1\r\na\r\n" * 100_000 + b"0\r\n\r\n")
+        assert reader.response is not None
+        self.assertEqual(100_000, len(reader.response.body))
+
     @cases({"one segment": True, "byte by byte": False})
     def test_a_whole_response_of_another_request_is_skipped(self, in_one: bool) -> None:
         """Guards against an order that fails because an earlier one was answered twice."""
