Test whole processes beside odd entries of another writer

Callers of a fleet got no answer at all once one entry among the upstreams' had, say, a port of 5,000 digits or 2^31 slots: every process reads the same list, so all ended or were busy, and a process started again beside the entry did the same.

--- a/scaffolding/tests/gateway_harness.py
+++ b/scaffolding/tests/gateway_harness.py
@@ -67,7 +67,10 @@
         backends: int = 3,
         *,
         with_backend_cuts: bool = False,
+        prepare: Callable[[FleetHarness], None] = lambda harness: None,
     ) -> None:
+        """Run a scenario; ``prepare`` is called before the gateways start."""
+
         async def run() -> None:
             fleet = GatewayFleet(count, with_backend_cuts=with_backend_cuts)
             harness = FleetHarness(fleet)
@@ -75,6 +78,7 @@
                 fleet.store.write("op/config", config(2, ROUTES))
                 await fleet.add_backends("catalogue", backends)
                 await fleet.add_backends("orders", backends)
+                prepare(harness)
                 await fleet.start()
                 for number in range(count):
                     await harness.wait_until_ready(number)
