Judge configuration, drains and starts from outside while the store is in trouble

A caller gets a 404 on a route that is there, or an order goes to an upstream that has left, where a process follows the store late or not at all. How late the last of a fleet is was measured by hand only; cuts of processes from each other, restored stores and starts beside trouble were not tried.

The store stand-in delays its responses, fails a share of its calls, cuts watches, forgets its history or answers with nonsense, as set from outside.

With nonsense of all kinds processes end (RecursionError, OverflowError), which fails.

--- a/scaffolding/platform/cut_gateway.py
+++ b/scaffolding/platform/cut_gateway.py
@@ -1,9 +1,10 @@
-"""Runs a gateway whose network paths to backends can be cut from outside the process.
+"""Runs a gateway whose network paths to backends and peers can be cut from outside the process.
 
 Backends cannot tell gateways apart by their loopback addresses, so a proxy before a backend cannot
 refuse the connections of one gateway only. The cut is therefore injected below the gateway's code,
 where it opens connections. A file next to the gateway's settings names the cut in force, and the
-ports of the backends that are cut; without ports it is all of them.
+ports of the backends that are cut; without ports it is all of them. A second line names the IPs of
+the peers that the gateway is cut from: datagrams are dropped, and streams carry no bytes.
 """
 
 import asyncio
@@ -50,8 +51,9 @@
 class _Connection:
     """An open connection to a backend, whose bytes are held back while it is silent."""
 
-    def __init__(self, transport: Any, protocol: asyncio.Protocol, port: int) -> None:
+    def __init__(self, transport: Any, protocol: asyncio.Protocol, host: str, port: int) -> None:
         self.transport = transport
+        self.host = host
         self.port = port
         self._protocol = protocol
         self._write: Callable[[bytes], None] = transport.write
@@ -100,6 +102,7 @@
         self._control = control
         self._cut = BackendCut.NONE
         self._ports: frozenset[int] = frozenset()
+        self._peers: frozenset[str] = frozenset()
         self._connections: list[_Connection] = []
         self._is_polling = False
 
@@ -113,41 +116,52 @@
             if not self._is_polling:
                 self._is_polling = True
                 self._poll(loop)
-            if host != BACKEND_HOST:
-                return await create_connection(loop, factory, host, port, **kw)
-            cut = self._cut_of(port)
+            cut = self._cut_of(host, port)
             if cut is BackendCut.HANGING:
                 await asyncio.Event().wait()
             if cut is not BackendCut.NONE:
                 raise ConnectionRefusedError(errno.ECONNREFUSED, "cut from the backends")
             transport, protocol = await create_connection(loop, factory, host, port, **kw)
-            connection = _Connection(transport, protocol, port)
-            connection.set_silent(self._cut_of(port) in _SILENT_CUTS)
+            connection = _Connection(transport, protocol, host, port)
+            connection.set_silent(self._cut_of(host, port) in _SILENT_CUTS)
             self._connections.append(connection)
             return transport, protocol
 
         asyncio.BaseEventLoop.create_connection = create  # type: ignore[method-assign,assignment]
+        datagrams: Any = asyncio.selector_events._SelectorDatagramTransport  # type: ignore[attr-defined]
+        send_to = datagrams.sendto
+
+        def send_unless_cut(transport: Any, data: bytes, addr: Any = None) -> None:
+            if addr is None or addr[0] not in self._peers:
+                send_to(transport, data, addr)
+
+        datagrams.sendto = send_unless_cut
 
     def _poll(self, loop: asyncio.BaseEventLoop) -> None:
         try:
             text = self._control.read_text()
         except FileNotFoundError:
             text = BackendCut.NONE.value
-        name, *ports = text.split()
+        first, _, second = text.partition("\n")
+        name, *ports = first.split()
         cut, cut_ports = BackendCut(name), frozenset(int(port) for port in ports)
-        if (cut, cut_ports) != (self._cut, self._ports):
-            self._apply(cut, cut_ports)
+        peers = frozenset(second.split())
+        if (cut, cut_ports, peers) != (self._cut, self._ports, self._peers):
+            self._cut, self._ports, self._peers = cut, cut_ports, peers
+            self._apply()
         loop.call_later(_POLL_S, self._poll, loop)
 
-    def _cut_of(self, port: int) -> BackendCut:
-        """Return the cut in force for the backend with a port."""
-        return self._cut if not self._ports or port in self._ports else BackendCut.NONE
+    def _cut_of(self, host: str, port: int) -> BackendCut:
+        """Return the cut in force for an address."""
+        if host in self._peers:
+            return BackendCut.HANGING
+        is_cut = host == BACKEND_HOST and (not self._ports or port in self._ports)
+        return self._cut if is_cut else BackendCut.NONE
 
-    def _apply(self, cut: BackendCut, ports: frozenset[int]) -> None:
-        self._cut, self._ports = cut, ports
+    def _apply(self) -> None:
         self._connections = [one for one in self._connections if not one.transport.is_closing()]
         for connection in self._connections:
-            cut = self._cut_of(connection.port)
+            cut = self._cut_of(connection.host, connection.port)
             if cut is BackendCut.RESET:
                 connection.reset()
             else:
--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 import tempfile
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 from pathlib import Path
 
@@ -117,16 +117,22 @@
     """Gateways ``0 .. count-1``, spread round-robin over the zones, each on its own address."""
 
     def __init__(self, count: int, *, with_backend_cuts: bool = False) -> None:
-        """Prepare a fleet; ``with_backend_cuts`` lets gateways be cut from all backends."""
+        """Prepare a fleet; ``with_backend_cuts`` lets gateways be cut from backends and peers."""
         self._with_backend_cuts = with_backend_cuts
         self.store = StandInStore()
         self.backends: list[StandInBackend] = []
+        self._backend_cuts: dict[int, str] = {}
+        self._peer_cuts: defaultdict[int, set[str]] = defaultdict(set)
         self._ips = [f"127.{_NETWORK}.{10 + n // 200}.{1 + n % 200}" for n in range(count)]
         hosts = [_STORE_HOST, *self._ips, *(self.store_host(n) for n in range(count))]
         self._ports = free_ports(7, hosts)
         #: The link of each gateway to the store, on which faults are injected.
         self.store_links = [LinkProxy(self.store_address) for _ in self._ips]
         self._processes: dict[int, asyncio.subprocess.Process] = {}
+        #: Processes that were stopping when their gateway was started again.
+        self._predecessors: list[asyncio.subprocess.Process] = []
+        #: Gateways that start with the settings file that is there, instead of a whole new one.
+        self.keeps_settings_file: set[int] = set()
         #: Gateways whose process is being started.
         self._starting: set[int] = set()
         #: Number of processes started, by gateway.
@@ -191,6 +197,14 @@
         """
         if self.is_running(number) or number in self._starting:
             return
+        await self._start_tracked(number)
+
+    async def start_successor(self, number: int) -> None:
+        """Start another process of a gateway whose process is stopping and still has its ports."""
+        self._predecessors.append(self._processes[number])
+        await self._start_tracked(number)
+
+    async def _start_tracked(self, number: int) -> None:
         self._starting.add(number)
         try:
             await self._start_process(number)
@@ -200,7 +214,8 @@
     async def _start_process(self, number: int) -> None:
         self.start_counts[number] += 1
         path = self.settings_path(number)
-        path.write_text(self.settings_text(number))
+        if number not in self.keeps_settings_file:
+            path.write_text(self.settings_text(number))
         module = (
             "scaffolding.platform.cut_gateway" if self._with_backend_cuts else "egretrail.start"
         )
@@ -232,11 +247,31 @@
         Without ports, all backends are cut.
         """
         for number in numbers:
-            path = control_path(self.settings_path(number))
-            # The gateway must never read a partial name.
-            partial = path.with_suffix(".partial")
-            partial.write_text(" ".join([cut.value, *map(str, ports)]))
-            partial.rename(path)
+            self._backend_cuts[number] = " ".join([cut.value, *map(str, ports)])
+            self._write_cuts(number)
+
+    def cut_peers(self, ones: Iterable[int], others: Iterable[int]) -> None:
+        """Cut gateways from other gateways in both directions; lasts over restarts."""
+        for one, other in itertools.product(ones, others):
+            if one != other:
+                self._peer_cuts[one].add(self._ips[other])
+                self._peer_cuts[other].add(self._ips[one])
+        for number in list(self._peer_cuts):
+            self._write_cuts(number)
+
+    def restore_peers(self) -> None:
+        """Restore all paths between gateways."""
+        for number, peers in self._peer_cuts.items():
+            peers.clear()
+            self._write_cuts(number)
+
+    def _write_cuts(self, number: int) -> None:
+        path = control_path(self.settings_path(number))
+        # The gateway must never read a partial name.
+        partial = path.with_suffix(".partial")
+        backends = self._backend_cuts.get(number, BackendCut.NONE.value)
+        partial.write_text(f"{backends}\n{' '.join(sorted(self._peer_cuts[number]))}\n")
+        partial.rename(path)
 
     def is_running(self, number: int) -> bool:
         """Return whether a gateway's process is running."""
@@ -257,10 +292,11 @@
 
     async def stop(self) -> None:
         """Stop all processes, backends, links and the store."""
-        for process in self._processes.values():
+        processes = [*self._predecessors, *self._processes.values()]
+        for process in processes:
             if process.returncode is None:
                 process.kill()
-        for process in self._processes.values():
+        for process in processes:
             await process.wait()
         for backend in self.backends:
             await backend.stop()
--- a/scaffolding/platform/store.py
+++ b/scaffolding/platform/store.py
@@ -4,12 +4,16 @@
 import base64
 import enum
 import json
+import random
 from collections import Counter
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from aiohttp import web
 
+from scaffolding.platform.nonsense import NonsenseReply, nonsense_reply
+
 
 class StoreMode(enum.Enum):
     """How the store responds to some or all callers."""
@@ -21,6 +25,18 @@
     UNRESPONSIVE = "silent"
     #: Writes are applied, but get no response.
     LOSING_REPLIES = "losing replies"
+    #: The connection of every call is reset.
+    RESETTING = "resetting"
+    #: Watches are cut while they wait.
+    CUTTING_WATCHES = "cutting watches"
+    #: Watches after an earlier revision than the current one get 410.
+    FORGETFUL = "forgetful"
+    #: Replies are nonsense.
+    TALKING_NONSENSE = "talking nonsense"
+
+
+#: The longest time until a waiting watch is cut.
+_CUT_WITHIN_S = 0.5
 
 
 @dataclass(slots=True)
@@ -48,6 +64,14 @@
     mode: StoreMode = StoreMode.SERVING
     #: Modes of single instances, by the IP on which they reach the store.
     mode_overrides: dict[str, StoreMode] = field(default_factory=dict)
+    #: Modes that apply to a share of the calls; a call gets the first one that is drawn for it.
+    mode_shares: Mapping[StoreMode, float] = field(default_factory=dict)
+    #: The shortest and the longest time by which responses are delayed, in seconds.
+    delay_s: tuple[float, float] = (0.0, 0.0)
+    #: The replies of a store that talks nonsense.
+    nonsense: Sequence[NonsenseReply] = tuple(NonsenseReply)
+    #: Draws the modes of calls, their delays and their nonsense.
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
     #: Number of calls by path.
     call_counts: Counter[str] = field(default_factory=Counter)
     #: The revision of the last change.
@@ -109,24 +133,56 @@
     async def _count_call(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.call_counts[request.path] += 1
         response = await self._apply_mode(request, handler)
-        response.headers["Store-Era"] = str(self.era)
+        if self.delay_s[1]:
+            await asyncio.sleep(self.rng.uniform(*self.delay_s))
+        response.headers.setdefault("Store-Era", str(self.era))
         return response
 
+    def _mode(self, request: web.Request) -> StoreMode:
+        drawn = (mode for mode, share in self.mode_shares.items() if self.rng.random() < share)
+        mode = next(drawn, self.mode)
+        return self.mode_overrides.get(request.host.partition(":")[0], mode)
+
     async def _apply_mode(self, request: web.Request, handler: Any) -> web.StreamResponse:
-        mode = self.mode_overrides.get(request.host.partition(":")[0], self.mode)
-        if mode is StoreMode.UNAVAILABLE:
-            return web.Response(status=503)
-        if mode is StoreMode.UNRESPONSIVE:
-            await asyncio.sleep(3600)
-        response: web.StreamResponse = await handler(request)
-        # The mode may have changed while a watch waited; the watch is then rejected as well.
-        mode = self.mode_overrides.get(request.host.partition(":")[0], self.mode)
-        if mode is StoreMode.UNAVAILABLE:
-            return web.Response(status=503)
+        mode = self._mode(request)
+        is_watch = request.path.endswith("-watch")
+        match mode:
+            case StoreMode.UNAVAILABLE:
+                return web.Response(status=503)
+            case StoreMode.UNRESPONSIVE:
+                await asyncio.sleep(3600)
+            case StoreMode.RESETTING:
+                return _reset(request)
+            case StoreMode.FORGETFUL if is_watch:
+                if int(request.query["after"]) < self.revision or self.rng.random() < 0.5:
+                    return web.json_response({}, status=410)
+            case StoreMode.CUTTING_WATCHES if is_watch:
+                try:
+                    async with asyncio.timeout(self.rng.uniform(0, _CUT_WITHIN_S)):
+                        return await handler(request)  # type: ignore[no-any-return]
+                except TimeoutError:
+                    return _reset(request)
+        response: web.Response = await handler(request)
+        # The mode may have changed while a watch waited, which then fails as well.
+        match self.mode_overrides.get(request.host.partition(":")[0], self.mode):
+            case StoreMode.UNAVAILABLE:
+                return web.Response(status=503)
+            case StoreMode.UNRESPONSIVE:
+                await asyncio.sleep(3600)
+            case StoreMode.RESETTING:
+                return _reset(request)
         if mode is StoreMode.LOSING_REPLIES and request.method == "POST":
             await asyncio.sleep(3600)
+        if mode is StoreMode.TALKING_NONSENSE:
+            return self._nonsense(response)
         return response
 
+    def _nonsense(self, response: web.Response) -> web.StreamResponse:
+        kind = self.rng.choice(self.nonsense)
+        document = json.loads(response.text or "{}")
+        status, body, headers = nonsense_reply(kind, document, self.era, self.rng)
+        return web.Response(status=status, body=body, headers=headers)
+
     async def _key(self, request: web.Request) -> web.Response:
         key = request.query["key"]
         item = self._items.get(key)
@@ -188,6 +244,13 @@
         self._changed = asyncio.Event()
 
 
+def _reset(request: web.Request) -> web.Response:
+    """Reset the connection of a call; the response that is returned reaches nobody."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=503)
+
+
 def _row(key: str, item: _Item) -> dict[str, Any]:
     return {
         "key": key,
