Let odd writers and nonsense of the store into the soak's plan

A fleet that ends on one odd entry is not found by a soak in which all writers are well. A process that ends by itself, a 404 for a route that is there and too many other 4xx violate a guarantee.

The store's faults have moved into a module of their own.

--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -129,8 +129,10 @@
         #: The link of each gateway to the store, on which faults are injected.
         self.store_links = [LinkProxy(self.store_address) for _ in self._ips]
         self._processes: dict[int, asyncio.subprocess.Process] = {}
-        #: Processes that were stopping when their gateway was started again.
-        self._predecessors: list[asyncio.subprocess.Process] = []
+        #: All processes, with their gateways.
+        self._started: list[tuple[int, asyncio.subprocess.Process]] = []
+        #: Ids of the processes that were told to end.
+        self._told_to_end: set[int] = set()
         #: Gateways that start with the settings file that is there, instead of a whole new one.
         self.keeps_settings_file: set[int] = set()
         #: Gateways whose process is being started.
@@ -201,7 +203,6 @@
 
     async def start_successor(self, number: int) -> None:
         """Start another process of a gateway whose process is stopping and still has its ports."""
-        self._predecessors.append(self._processes[number])
         await self._start_tracked(number)
 
     async def _start_tracked(self, number: int) -> None:
@@ -228,6 +229,7 @@
         self._processes[number] = await asyncio.create_subprocess_exec(
             sys.executable, "-m", module, env=environment, stdout=log, stderr=log
         )
+        self._started.append((number, self._processes[number]))
         log.close()
 
     async def add_backends(self, service: str, count: int, **fields: object) -> None:
@@ -280,8 +282,20 @@
 
     def signal_gateway(self, number: int, signal_number: signal.Signals = signal.SIGKILL) -> None:
         """Send a signal to a gateway's process."""
+        if signal_number in (signal.SIGKILL, signal.SIGTERM):
+            self._told_to_end.add(self._processes[number].pid)
         self._processes[number].send_signal(signal_number)
 
+    def ended_by_themselves(self) -> list[str]:
+        """Return which processes have ended though they were not told to, or with an error."""
+        told = (0, -signal.SIGTERM, -signal.SIGKILL)
+        return [
+            f"a process of gateway {number} ended with {process.returncode}"
+            for number, process in self._started
+            if process.returncode is not None
+            and (process.pid not in self._told_to_end or process.returncode not in told)
+        ]
+
     def process_id(self, number: int) -> int:
         """Return the id of a gateway's process."""
         return self._processes[number].pid
@@ -292,11 +306,10 @@
 
     async def stop(self) -> None:
         """Stop all processes, backends, links and the store."""
-        processes = [*self._predecessors, *self._processes.values()]
-        for process in processes:
+        for _, process in self._started:
             if process.returncode is None:
                 process.kill()
-        for process in processes:
+        for _, process in self._started:
             await process.wait()
         for backend in self.backends:
             await backend.stop()
--- a/scaffolding/platform/odd_entries.py
+++ b/scaffolding/platform/odd_entries.py
@@ -1,6 +1,7 @@
 """Odd entries and configurations, as another writer may leave them in the platform's store."""
 
 import json
+import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -130,6 +131,17 @@
 }
 
 
+def random_odd_entry(rng: random.Random) -> OddEntry:
+    """Return one of the tables' entries, or one with odd values in several fields."""
+    if rng.random() < 0.5:
+        return rng.choice([*HARMFUL_ENTRIES.values(), *ODD_ENTRIES.values()])
+    values = [*_WRONG_TYPES.values(), None, 2**31, 2**62, 10**400, -(2**63), "9" * 400, "0" * 6_000]
+    fields = {name: rng.choice(values) for name in rng.sample(_FIELDS, rng.randint(1, 3))}
+    data = entry(**fields)
+    # A writer that broke off.
+    return OddEntry(data[: rng.randrange(len(data))] if rng.random() < 0.2 else data)
+
+
 def odd_configs(
     version: int, routes: Sequence[dict[str, object]]
 ) -> Mapping[str, Mapping[str, object] | bytes]:
--- a/scaffolding/platform/store.py
+++ b/scaffolding/platform/store.py
@@ -72,6 +72,8 @@
     nonsense: Sequence[NonsenseReply] = tuple(NonsenseReply)
     #: Draws the modes of calls, their delays and their nonsense.
     rng: random.Random = field(default_factory=lambda: random.Random(1))
+    #: The most items of a page; the platform's store returns about 500.
+    page_items: int = 20
     #: Number of calls by path.
     call_counts: Counter[str] = field(default_factory=Counter)
     #: The revision of the last change.
@@ -193,8 +195,12 @@
     async def _range(self, request: web.Request) -> web.Response:
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
-        page = [_row(key, self._items[key]) for key in keys[:20]]
-        document = {"items": page, "hasMore": len(keys) > 20, "currentRev": self.revision}
+        page = [_row(key, self._items[key]) for key in keys[: self.page_items]]
+        document = {
+            "items": page,
+            "hasMore": len(keys) > self.page_items,
+            "currentRev": self.revision,
+        }
         return web.json_response(document)
 
     async def _watch(self, request: web.Request) -> web.Response:
--- a/scaffolding/soak/_fault_driver.py
+++ b/scaffolding/soak/_fault_driver.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import signal
-from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 
 from scaffolding.platform import (
@@ -16,12 +15,12 @@
     StandInBackend,
 )
 from scaffolding.platform.fleet import ZONES
-from scaffolding.platform.store import StoreMode
 from scaffolding.soak._disturbances import DisturbanceLog
 from scaffolding.soak._guarantees import GuaranteeChecker
 from scaffolding.soak._loads import LoadDriver
 from scaffolding.soak._path_cuts import PathCutter
 from scaffolding.soak._plan import Fault, FaultKind
+from scaffolding.soak._store_faults import StoreFaults
 
 #: Number of backends by service. The moving route rotates over three of the services.
 _SERVICES = {"catalogue": 5, "orders": 6, "moving-0": 2, "moving-1": 2, "moving-2": 2}
@@ -62,14 +61,7 @@
 )
 #: Values of Retry-After in refusals; None leaves it out, and the last ones have no meaning.
 _RETRY_AFTER_VALUES = ("1", "2.5", "4", None, "", "-1", "soon")
-_LINK_FAULTS = (
-    LinkFault.DELAYED,
-    LinkFault.RESET,
-    LinkFault.CUT_TO_SERVER,
-    LinkFault.CUT_TO_CLIENT,
-    LinkFault.BLACKHOLED,
-)
-_STORE_MODES = (StoreMode.UNAVAILABLE, StoreMode.UNRESPONSIVE, StoreMode.LOSING_REPLIES)
+_LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
 
 class FaultDriver:
@@ -82,7 +74,7 @@
         self._all_links: list[LinkProxy] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._version = 1
-        self._active_outages: Counter[str] = Counter()
+        self._routes: Callable[[str], Sequence[dict[str, object]]] = lambda service: []
         self._write_config: Callable[[int, str], None] = lambda version, service: None
         #: All backends that were started.
         self.all_backends: list[StandInBackend] = []
@@ -90,14 +82,24 @@
         self.disturbances = checker.disturbances
         self._paths = PathCutter(fleet, self._links, self.disturbances)
         self._loads = loads
+        self._store_faults = StoreFaults(
+            fleet, self.disturbances, self._change_config, self._next_version, self._config_routes
+        )
         #: Time spans of planned gateway stops and reloads.
         self.stops = DisturbanceLog()
         #: Draining backends, each with the time of its draining entry and the bound in seconds.
         self.drains: list[tuple[StandInBackend, float, float]] = []
 
-    async def start(self, write_config: Callable[[int, str], None]) -> None:
-        """Write the first configuration and start the backends."""
-        self._write_config = write_config
+    async def start(
+        self,
+        write_config: Callable[[int, str], None],
+        routes: Callable[[str], Sequence[dict[str, object]]],
+    ) -> None:
+        """Write the first configuration and start the backends.
+
+        ``routes`` returns the routes of a configuration by the service of its moving route.
+        """
+        self._write_config, self._routes = write_config, routes
         self._change_config()
         for service, count in _SERVICES.items():
             for number in range(count):
@@ -116,9 +118,8 @@
 
     async def clear_faults(self) -> None:
         """Clear all faults and restart gateways that are not running."""
-        self._fleet.store.mode = StoreMode.SERVING
-        self._fleet.store.mode_overrides.clear()
-        for link in [*self._fleet.store_links, *self._links.values()]:
+        self._store_faults.clear()
+        for link in self._links.values():
             link.fault = LinkFault.NONE
         self._fleet.cut_from_backends(range(len(self._fleet.store_links)), BackendCut.NONE)
         for backend in self._fleet.backends:
@@ -150,13 +151,10 @@
             FaultKind.BACKEND_CRASHES: self._crash,
             FaultKind.BACKEND_REPLACED: self._replace,
             FaultKind.BACKEND_LINK: self._fault_backend_link,
-            FaultKind.STORE_UNAVAILABLE: self._disable_store,
-            FaultKind.STORE_REJECTS_GATEWAYS: self._reject_gateways_at_store,
-            FaultKind.STORE_LINK: self._fault_store_link,
-            FaultKind.STORE_HISTORY_DISCARDED: self._discard_store_history,
             FaultKind.CONFIG_CHANGE: self._config_change,
             FaultKind.CONFIG_SERIES: self._config_series,
             FaultKind.PATHS_CUT_HUB_KILLED: self._cut_and_kill_hub,
+            **self._store_faults.handlers(),
             **self._loads.handlers(),
         }
         await handlers[fault.kind](fault, rng)
@@ -352,38 +350,7 @@
         record = {**backend.store_entry(), "address": link.address}
         self._fleet.store.write(f"servers/{backend.id}", record)
 
-    # The store and the configuration
-
-    async def _disable_store(self, fault: Fault, rng: random.Random) -> None:
-        self._record_disturbance("store", fault.duration_s)
-        self._active_outages["store"] += 1
-        self._fleet.store.mode = rng.choice(_STORE_MODES)
-        await asyncio.sleep(fault.duration_s)
-        self._active_outages["store"] -= 1
-        if not self._active_outages["store"]:
-            self._fleet.store.mode = StoreMode.SERVING
-
-    async def _reject_gateways_at_store(self, fault: Fault, rng: random.Random) -> None:
-        numbers = [n for n in range(len(self._fleet.store_links)) if rng.random() < 0.4]
-        hosts = [self._fleet.store_host(number) for number in numbers]
-        for number, host in zip(numbers, hosts, strict=True):
-            self._record_disturbance(f"gateway-{number}", fault.duration_s)
-            self._fleet.store.mode_overrides[host] = rng.choice(_STORE_MODES)
-        await asyncio.sleep(fault.duration_s)
-        for host in hosts:
-            self._fleet.store.mode_overrides.pop(host, None)
-
-    async def _fault_store_link(self, fault: Fault, rng: random.Random) -> None:
-        number = self._any_gateway(rng)
-        self._record_disturbance(f"gateway-{number}", fault.duration_s)
-        link = self._fleet.store_links[number]
-        link.fault = rng.choice(_LINK_FAULTS)
-        await asyncio.sleep(fault.duration_s)
-        link.fault = LinkFault.NONE
-
-    async def _discard_store_history(self, fault: Fault, rng: random.Random) -> None:
-        self._record_disturbance("store", 0.1)
-        self._fleet.store.discard_history()
+    # The configuration
 
     async def _config_change(self, fault: Fault, rng: random.Random) -> None:
         self._change_config()
@@ -400,6 +367,14 @@
         self._write_config(self._version, service)
         self._checker.config_changes.append((asyncio.get_running_loop().time(), service))
 
+    def _next_version(self) -> int:
+        self._version += 1
+        return self._version
+
+    def _config_routes(self) -> Sequence[dict[str, object]]:
+        """Return the routes of the last configuration."""
+        return self._routes(self._checker.config_changes[-1][1])
+
     # Bookkeeping
 
     def _record_disturbance(self, subject: str, duration_s: float) -> None:
--- a/scaffolding/soak/_guarantees.py
+++ b/scaffolding/soak/_guarantees.py
@@ -12,6 +12,10 @@
 
 #: Statuses that guarantee that a request was not executed and never will be.
 _NOT_RUN = frozenset({408, 421, 429, 503})
+#: Statuses that deny a request, and how many may be denied. A route that is in all configurations
+#: is never denied.
+_DENIALS = (400, 401, 403, 404, 413, 431)
+_DENIED_MAX, _DENIED_SHARE = 5, 1 / 500
 #: The retry budget in the settings files that the fleet writes.
 _RATIO, _SLACK, _WINDOW_S = 0.2, 60, 10.0
 
@@ -28,6 +32,8 @@
     cut_at_shutdown: list[str] = field(default_factory=list)
     #: Requests that reached a draining backend after the time bound.
     late_to_draining: list[str] = field(default_factory=list)
+    #: Processes that ended though they were not told to.
+    ended: Sequence[str] = ()
     #: When faults were active.
     disturbances: DisturbanceLog = field(default_factory=DisturbanceLog)
 
@@ -39,12 +45,14 @@
             runs.update(backend.runs)
             for attempt in backend.runs:
                 backends_by_attempt[attempt].append(backend)
-        found = [f"cut at a planned stop: {one}" for one in self.cut_at_shutdown]
+        found = list(self.ended)
+        found += [f"cut at a planned stop: {one}" for one in self.cut_at_shutdown]
         found += [f"sent to a leaving backend: {one}" for one in self.late_to_draining]
         for one in self.sent:
             found += self._attempt_violations(
                 one, runs[one.result.attempt], backends_by_attempt[one.result.attempt]
             )
+        found += self._denials()
         found += self._configuration_violations(backends_by_attempt)
         found += self._retry_budget_violations(backends)
         found += urgency_violations(self.sent)
@@ -69,6 +77,17 @@
             found.append(f"{attempt} ran at another service")
         return found
 
+    def _denials(self) -> list[str]:
+        """Return statuses that deny requests, which all configurations allow, too often."""
+        counts = Counter(one.result.status for one in self.sent)
+        denied = {status: counts[status] for status in _DENIALS if counts[status]}
+        bound = _DENIED_MAX + _DENIED_SHARE * len(self.sent)
+        return [
+            f"{count} requests were denied with {status}"
+            for status, count in denied.items()
+            if status == 404 or sum(denied.values()) > bound
+        ]
+
     def _configuration_violations(
         self, backends_by_attempt: dict[str, list[StandInBackend]]
     ) -> list[str]:
--- a/scaffolding/soak/_plan.py
+++ b/scaffolding/soak/_plan.py
@@ -33,6 +33,12 @@
     CLIENTS_READ_SLOWLY = "clients_read_slowly"
     BACKENDS_UNEQUAL = "backends_unequal"
     PATHS_CUT_HUB_KILLED = "paths_cut_hub_killed"
+    ODD_ENTRIES = "odd_entries"
+    ODD_CONFIG = "odd_config"
+    STORE_NONSENSE = "store_nonsense"
+    STORE_PARTIAL = "store_partial"
+    STORE_RESTORED = "store_restored"
+    PEERS_CUT = "peers_cut"
 
 
 #: Relative frequency of each kind.
@@ -66,12 +72,23 @@
     FaultKind.BACKENDS_UNEQUAL: 2,
     FaultKind.PATHS_CUT_HUB_KILLED: 2,
 }
+#: Relative frequency of each kind of trouble with what the store holds and says, drawn apart too.
+_ODD_WEIGHTS = {
+    FaultKind.ODD_ENTRIES: 4,
+    FaultKind.ODD_CONFIG: 2,
+    FaultKind.STORE_NONSENSE: 2,
+    FaultKind.STORE_PARTIAL: 2,
+    FaultKind.STORE_RESTORED: 1,
+    FaultKind.PEERS_CUT: 2,
+}
 #: Bounds of the duration of a fault.
 _DURATION_MIN_S, _DURATION_MAX_S = 0.3, 4.0
 #: Mean time between the starts of faults.
 _INTERVAL_S = 0.7
 #: Mean time between the starts of load patterns, which last longer than this on average.
 _LOAD_INTERVAL_S = 1.8
+#: Mean time between the starts of trouble with what the store holds and says.
+_ODD_INTERVAL_S = 1.2
 #: Probability that the next fault, of any kind, follows within 0.05 s.
 _IMMEDIATE_NEXT_SHARE = 0.25
 
@@ -94,7 +111,8 @@
     """Return the faults and load patterns of a run, ordered by start time."""
     faults = _draw(random.Random(seed), _WEIGHTS, _INTERVAL_S, length_s)
     loads = _draw(random.Random(f"load {seed}"), _LOAD_WEIGHTS, _LOAD_INTERVAL_S, length_s)
-    return sorted([*faults, *loads], key=lambda fault: fault.at_s)
+    odd = _draw(random.Random(f"odd {seed}"), _ODD_WEIGHTS, _ODD_INTERVAL_S, length_s)
+    return sorted([*faults, *loads, *odd], key=lambda fault: fault.at_s)
 
 
 def _draw(
--- a/scaffolding/soak/_run.py
+++ b/scaffolding/soak/_run.py
@@ -48,6 +48,15 @@
         return "\n".join(lines)
 
 
+def _routes(moving_service: str) -> Sequence[dict[str, object]]:
+    return [
+        (route if not kind.is_at_most_once else at_most_once_route)(
+            name, f"/{name}/", kind.service or moving_service, priority=kind.priority
+        )
+        for name, kind in KINDS.items()
+    ]
+
+
 class SoakRun:
     """Runs the plan of one seed."""
 
@@ -73,6 +82,7 @@
             recovered = await self._wait_for_recovery()
         finally:
             await self._driver.close()
+            self._checker.ended = self._fleet.ended_by_themselves()
             await self._fleet.stop()
         self._check_stops_and_drains()
         violations = self._checker.violations(self._driver.all_backends)
@@ -83,7 +93,7 @@
         return SoakReport(self._seed, statuses, kinds, violations, self._fleet.logs)
 
     async def _start(self) -> None:
-        await self._driver.start(self._write_config)
+        await self._driver.start(self._write_config, _routes)
         await self._fleet.start()
         async with asyncio.timeout(_RECOVERY_S):
             for number in range(self._gateways):
@@ -91,15 +101,9 @@
                     await asyncio.sleep(0.05)
 
     def _write_config(self, version: int, moving_service: str) -> None:
-        rows = [
-            (route if not kind.is_at_most_once else at_most_once_route)(
-                name, f"/{name}/", kind.service or moving_service, priority=kind.priority
-            )
-            for name, kind in KINDS.items()
-        ]
         names = [account_name(number) for number in range(ACCOUNTS)]
         accounts = [account(name, name) for name in names]
-        self._fleet.store.write("op/config", config(version, rows, accounts))
+        self._fleet.store.write("op/config", config(version, _routes(moving_service), accounts))
 
     async def _run_plan(self, faults: Sequence[object]) -> None:
         end = asyncio.Event()
--- a/scaffolding/tests/test_gateway_store_trouble.py
+++ b/scaffolding/tests/test_gateway_store_trouble.py
@@ -26,6 +26,9 @@
 #: How long the store is away, and how soon upstreams whose entries expired have written them again.
 _OUTAGE_S, _RETURN_S = 3.0, 1.8
 
+#: As the platform's store: with shorter pages, a slow store takes long to list odd entries.
+_PAGE_ITEMS = 500
+
 Change = Callable[[GatewayFleet], None]
 
 
@@ -139,6 +142,7 @@
     def test_changes_are_acted_on_in_time(self, trouble: _Trouble) -> None:
         async def scenario(harness: FleetHarness) -> None:
             fleet, judge = harness.fleet, FleetJudge(harness, _GATEWAYS)
+            fleet.store.page_items = _PAGE_ITEMS
             async with judge.watching():
                 await asyncio.sleep(_SETTLE_S)
                 trouble.begin(fleet)
