Tell when a reader waits ahead of the store, and the memory of a gateway

A reader whose position is ahead of the store sees no change and logs nothing, so a fleet that misses changes without an ended process could not be told from one that is up to date. store_position_ahead and store_answer_age_seconds tell the hypotheses of docs/incidents/odd-entries.md apart; resident_memory_bytes tells a process near its limit.

--- a/src/egretrail/gateway/_metrics.py
+++ b/src/egretrail/gateway/_metrics.py
@@ -2,10 +2,23 @@
 
 from bisect import bisect_left
 from collections import Counter
+from pathlib import Path
 
 #: Upper bounds of the latency histograms' buckets, in seconds.
 _BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
 
+_STATUS_PATH = Path("/proc/self/status")
+
+
+def resident_memory_bytes() -> float:
+    """Return the resident memory of this process; 0 where the system does not tell it."""
+    try:
+        lines = _STATUS_PATH.read_text().splitlines()
+    except OSError:
+        return 0.0
+    sizes_kib = [int(line.split()[1]) for line in lines if line.startswith("VmRSS:")]
+    return 1024.0 * sum(sizes_kib)
+
 
 class _Histogram:
     __slots__ = ("counts", "total_s")
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -22,7 +22,7 @@
     StoreLayout,
 )
 from egretrail.gateway._log import EventLog
-from egretrail.gateway._metrics import GatewayMetrics
+from egretrail.gateway._metrics import GatewayMetrics, resident_memory_bytes
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._pool import UpstreamConnectionPool
 from egretrail.gateway._relay import RELAY_ID_FIELD, RELAY_LIMITS
@@ -234,10 +234,12 @@
             "upstream_connections_failed_total": float(self._pool.failed_total),
             "upstreams_suspect": float(by_health[UpstreamHealth.SUSPECT]),
             "upstreams_unreached": float(by_health[UpstreamHealth.UNREACHABLE_FROM_HERE]),
+            "resident_memory_bytes": resident_memory_bytes(),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
         }
         for kind, size_bytes in self._peers.cross_zone_bytes.items():
             gauges[f'peer_bytes_across_zones_total{{kind="{kind}"}}'] = float(size_bytes)
+        gauges.update(self._sync.progress.gauges())
         known_share = self._view.known_share()
         for service, use in self._view.retry_budget.usage(self._loop.time(), known_share).items():
             gauges[f'repeats_in_window{{service="{service}"}}'] = float(use.retries)
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -15,7 +15,14 @@
 from egretrail.gateway._reader_role import ReaderRole
 from egretrail.gateway._slices import run_in_slices
 from egretrail.gateway._view import FleetView
-from egretrail.store import Entry, HistoryLost, PlatformFailure, Store, StoreUnavailable
+from egretrail.store import (
+    Entry,
+    FollowProgress,
+    HistoryLost,
+    PlatformFailure,
+    Store,
+    StoreUnavailable,
+)
 from egretrail.traffic import UpstreamRecord, UpstreamState, revision_era
 
 _FollowTask = asyncio.Task[PlatformFailure | None]
@@ -68,6 +75,8 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        #: How far the parts of the store are followed.
+        self.progress = FollowProgress(self._loop.time)
         self._role = ReaderRole(view, lambda: peers.is_hub, self._loop.time, rng)
         self._last_success_s = float("-inf")
         self._outage = view.store_outage
@@ -272,6 +281,7 @@
             return read
         self._record_success()
         revision = read.ok_value.revision
+        self._record_answer("config", 0, revision)
         self._check_era(revision)
         await self._apply_config_answer(read.ok_value.entries, revision, sent_s)
         return Ok(revision)
@@ -283,6 +293,7 @@
         if isinstance(watched, Err):
             return watched
         self._record_success()
+        self._record_answer("config", after, watched.ok_value.revision)
         revision = max(after, watched.ok_value.revision)
         await self._apply_config_answer(watched.ok_value.entries, revision, sent_s)
         await self._batch_changes(watched.ok_value.entries)
@@ -338,6 +349,7 @@
             return read
         self._record_success()
         revision = read.ok_value.revision
+        self._record_answer("upstreams", 0, revision)
         self._check_era(revision)
         self._log.event(
             "upstreams_read",
@@ -362,6 +374,7 @@
             return watched
         self._record_success()
         changes = watched.ok_value
+        self._record_answer("upstreams", after, changes.revision)
         if changes.entries:
             self._log.event(
                 "upstreams_watched",
@@ -498,6 +511,11 @@
         self._listing.invalidate()
         self._restart_reads()
 
+    def _record_answer(self, part: str, position: int, stated: int) -> None:
+        """Record an answer to a call after a position, and log when that is ahead of the store."""
+        if self.progress.record_answer(part, position, stated):
+            self._log.event("store_position_ahead", part=part, position=position, stated=stated)
+
     def _record_success(self) -> None:
         now_s = self._loop.time()
         away_s = self._outage.record_contact(now_s)
--- a/src/egretrail/store/__init__.py
+++ b/src/egretrail/store/__init__.py
@@ -8,6 +8,7 @@
     StoreUnavailable,
     WriteUnknown,
 )
+from egretrail.store._follow_progress import FollowProgress
 from egretrail.store._instance_list import (
     Endpoint,
     InstanceList,
@@ -19,6 +20,7 @@
 __all__ = [
     "Endpoint",
     "Entry",
+    "FollowProgress",
     "HistoryLost",
     "InstanceList",
     "ListedInstance",
