--- a/scaffolding/tests/test_gateway_settings.py
+++ b/scaffolding/tests/test_gateway_settings.py
@@ -214,6 +214,26 @@
 
         self.run_real(run())
 
+    @cases({"while_it_is_loaded": True, "while_it_reads_its_settings": False})
+    def test_a_stop_before_the_start_is_no_failure(self, loading: bool) -> None:
+        # The default action of the signal ended the process with an error.
+        async def run() -> None:
+            with tempfile.TemporaryDirectory() as name:
+                folder = Path(name)
+                process = await _start_blocked_gateway(folder, loading)
+                try:
+                    descriptor = await asyncio.to_thread(os.open, folder / "pipe", os.O_WRONLY)
+                    process.send_signal(signal.SIGTERM)
+                    async with asyncio.timeout(_HANG_TIMEOUT_S):
+                        self.assertEqual(0, await process.wait())
+                    os.close(descriptor)
+                finally:
+                    if process.returncode is None:
+                        process.kill()
+                        await process.wait()
+
+        self.run_real(run())
+
     async def _signal_and_unblock(self, process: asyncio.subprocess.Process, folder: Path) -> None:
         """Send the signal while the process is blocked at the pipe, then unblock the process."""
         pipe = folder / "pipe"
--- a/src/egretrail/gateway/tests/test_log.py
+++ b/src/egretrail/gateway/tests/test_log.py
@@ -5,7 +5,12 @@
 from egretrail.diagnosis import parse_lines
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._metrics import GatewayMetrics
-from egretrail.testing import EgretrailTestCase
+from egretrail.testing import EgretrailTestCase, cases
+
+
+class _Unprintable:
+    def __str__(self) -> str:
+        raise ValueError("no text")
 
 
 class EventLogTest(EgretrailTestCase):
@@ -63,6 +68,42 @@
         self.assertGreater(log.suppressed_total + written, 4_999)
         self.assertGreater(log.suppressed_total, 0)
 
+    @cases(
+        {
+            "a_lone_surrogate": "u\udc80",
+            "terminal_escapes": "\x1b[2J\r\0\x07\x85\u2028\u202e",
+            "a_line_of_its_own": "a\ntime=1 instance=n2 event=stop",
+            "a_value_without_text": _Unprintable(),
+            "bytes_of_a_peer": b"\xff\n",
+        }
+    )
+    def test_any_value_takes_one_printable_line(self, value: object) -> None:
+        # A line that could not be encoded ended the process; others wrote lines of their own.
+        log = EventLog("n1", self._write_end)
+        log.event("refused", cause=value, after=1)
+        log.flush()
+        [text, end] = self._read_output().split("\n")
+        self.assertEqual("", end)
+        self.assertTrue(text.isprintable(), text)
+        [line] = parse_lines([text])
+        self.assertEqual(("n1", "refused", "1"), (line.instance, line.event, line.fields["after"]))
+
+    def test_a_long_value_is_cut(self) -> None:
+        # A cause may hold a whole entry of the store.
+        log = EventLog("n1", self._write_end)
+        log.event("refused", cause="x" * 1_000_000)
+        log.flush()
+        [line] = parse_lines(self._read_output().splitlines())
+        self.assertLess(len(line.fields["cause"]), 1_100)
+        self.assertIn("999000", line.fields["cause"])
+
+    def test_a_value_without_text_is_logged_as_its_type(self) -> None:
+        # The text of an error may itself fail.
+        log = EventLog("n1", self._write_end)
+        log.event("refused", cause=_Unprintable())
+        log.flush()
+        self.assertIn("_Unprintable", self._read_output())
+
 
 class MetricsTest(EgretrailTestCase):
     def test_text_format(self) -> None:
