Never let a log line raise, forge another or grow without bound

A line was encoded as strict UTF-8: an upstream whose id had a lone surrogate raised UnicodeEncodeError out of whoever logged it, which ended the process (and all others, since all read the same list). A value whose text can't be made raised likewise. Control characters went to the terminal as they were, a value could write what the reader takes for a line of its own, and a value of a megabyte was logged whole.

Characters that aren't printable are escaped, a value is cut at 1,000 characters with the number left out, a value without text is logged as its type, and encoding can't fail.

--- a/src/egretrail/gateway/_log.py
+++ b/src/egretrail/gateway/_log.py
@@ -1,6 +1,7 @@
 """Writes log lines of key=value pairs to standard output, rate-limited and without blocking."""
 
 import os
+import re
 import time
 from collections import deque
 
@@ -9,6 +10,10 @@
 _LINES_PER_S_MAX = 250
 #: The largest number of buffered lines while the reader is slow, about 200 bytes each.
 _BUFFERED_LINES_MAX = 2_000
+#: A value is cut to this many characters; it may hold a whole entry of the store.
+_VALUE_CHARACTERS_MAX = 1_000
+#: A value that contains one of these characters, or none at all, is quoted.
+_QUOTED = re.compile(r'[ "=\n]|^$')
 #: Buffered lines are written in chunks of at most this size, which a pipe writes atomically.
 _CHUNK_BYTES = 4_096
 
@@ -18,7 +23,7 @@
 
     A blocking write to a slow reader would stall every request of the process. While the pipe is
     full, lines stay in the buffer; those beyond its limit, and all lines after the reader closed
-    the pipe, are dropped and counted.
+    the pipe, are dropped and counted. No value makes a line fail: values come from outside.
     """
 
     def __init__(self, instance: str, descriptor: int = 1) -> None:
@@ -80,14 +85,35 @@
     def _format_line(self, name: str, now_s: float, fields: dict[str, object]) -> bytes:
         parts = [f"time={now_s:.3f}", f"instance={self._instance}", f"event={name}"]
         parts += [f"{key}={_format_value(value)}" for key, value in fields.items()]
-        return (" ".join(parts) + "\n").encode()
+        return (" ".join(parts) + "\n").encode(errors="backslashreplace")
 
 
 def _format_value(value: object) -> str:
     if isinstance(value, float):
         return f"{value:.4g}"
-    text = str(value)
-    if not text or any(character in text for character in ' "=\n'):
-        escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
-        return f'"{escaped}"'
-    return text
+    text = _printable(value)
+    if not _QUOTED.search(text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    if " instance=" in escaped:
+        # A reader takes it for the start of a line behind one that a killed process cut off.
+        escaped = escaped.replace("=", "\\=")
+    return f'"{escaped}"'
+
+
+def _printable(value: object) -> str:
+    """Return a value's text: bounded, and with escapes for what is not printable but newlines."""
+    try:
+        text = str(value)
+    except Exception:
+        return f"<{type(value).__name__} without text>"
+    left_out = len(text) - _VALUE_CHARACTERS_MAX
+    if left_out > 0:
+        text = f"{text[:_VALUE_CHARACTERS_MAX]}... ({left_out} more characters)"
+    if text.isprintable():
+        return text
+    return "".join(one if one.isprintable() or one == "\n" else _escape(one) for one in text)
+
+
+def _escape(character: str) -> str:
+    return character.encode("unicode_escape").decode()
