--- a/src/egretrail/cluster/tests/messages.py
+++ b/src/egretrail/cluster/tests/messages.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import msgpack
+
 from egretrail.cluster import Heartbeat, Instance, InstanceState, Scope, Section
 
 
@@ -44,3 +46,44 @@
         "instances": 11,
     }
     return Section(**{**defaults, **fields})
+
+
+#: Values that other fields of a message may hold instead of their own.
+ODD_VALUES: list[Any] = [
+    None,
+    True,
+    -1,
+    2**63,
+    2**64 - 1,
+    -(2**63),
+    1e300,
+    float("nan"),
+    float("inf"),
+    "",
+    "x" * 300,
+    "\ud800",
+    b"\xff" * 7,
+    [],
+    {},
+    [[1]],
+]
+
+
+def pack_odd(document: object) -> bytes:
+    """Pack a document whose texts may be no valid Unicode."""
+    packed: bytes = msgpack.packb(document, unicode_errors="surrogatepass")
+    return packed
+
+
+def mutations(document: Any) -> list[Any]:
+    """Return a document with each value in it replaced by each odd one."""
+    found = list(ODD_VALUES)
+    if isinstance(document, list):
+        for place, value in enumerate(document):
+            found += [
+                [*document[:place], other, *document[place + 1 :]] for other in mutations(value)
+            ]
+    if isinstance(document, dict):
+        for key, value in document.items():
+            found += [{**document, key: other} for other in mutations(value)]
+    return found
--- a/src/egretrail/platform/tests/test_store_responses.py
+++ b/src/egretrail/platform/tests/test_store_responses.py
@@ -61,6 +61,10 @@
     return store.watch("op/", 0, 0.1)
 
 
+def _lease(store: PlatformStore) -> Awaitable[Result[object, PlatformFailure]]:
+    return store.grant_lease(1.0)
+
+
 class StoreResponseTest(EgretrailTestCase):
     def _call(
         self, calls: Sequence[Call], script: Sequence[bytes], *, close: bool = False
@@ -182,3 +186,51 @@
         first, second = self._call([_put, _put], [_WRITTEN * 2, _json(403, {})])
         self.assertIsInstance(first, Ok)
         self.assertIsInstance(second, Err)
+
+    @cases(
+        {
+            "nested deep": b"[" * 100_000 + b"]" * 100_000,
+            "nested deep in an object": b'{"a":' * 100_000,
+            "a number of 5,000 digits": b'{"currentRev": 0, "items": [' + b"9" * 5_000 + b"]}",
+            "a revision that is infinite": b'{"currentRev": 1e400, "items": []}',
+            "a revision of 80 bits": b'{"currentRev": 1208925819614629174706176, "items": []}',
+            "a revision below 0": b'{"currentRev": -5, "items": []}',
+            "a revision in a text": b'{"currentRev": "5", "items": []}',
+            "items that are no rows": b'{"currentRev": 5, "items": [7]}',
+            "items in a table": b'{"currentRev": 5, "items": {"op/a": 1}}',
+            "a key that is no text": b'{"currentRev": 5, "items": [{"key": 7, "revision": 1}]}',
+            "an era of 5,000 digits": _response(
+                200, b"{}", b"Store-Era: " + b"9" * 5_000, era=None
+            ),
+            "an era of 40 digits": _response(
+                200,
+                b'{"currentRev": 5, "items": []}',
+                b"Store-Era: " + b"9" * 40,
+                era=None,
+            ),
+            "an era below 0": _response(
+                200, b'{"currentRev": 5, "items": []}', b"Store-Era: -1", era=None
+            ),
+        }
+    )
+    def test_an_odd_response_fails_the_call_alone(self, response: bytes) -> None:
+        """Guards against one response that ends the task that reads the store."""
+        if not response.startswith(b"HTTP"):
+            response = _response(200, response)
+        sound = _json(200, {"items": [], "currentRev": 9})
+        odd, after = self._call([_list, _list], [response, sound])
+        self.assertIsInstance(odd.err(), StoreUnavailable)
+        self.assertIsInstance(after, Ok)
+
+    def test_pages_that_repeat_their_last_key_end_a_read(self) -> None:
+        """Guards against a list that is read for ever."""
+        page = _json(200, {"items": [_item("op/b")], "currentRev": 9, "hasMore": True})
+        last = _json(200, {"items": [], "currentRev": 9})
+        (result,) = self._call([_list], [page, page, last])
+        self.assertIsInstance(result.err(), StoreUnavailable)
+
+    def test_a_lease_that_is_no_number_fails_the_call(self) -> None:
+        """Guards against text of a response in the path of the next call."""
+        for lease in ("7 HTTP/1.1", "٣", -1, 2**70, [1], None):
+            (result,) = self._call([_lease], [_json(200, {"lease": lease, "ttl_time": "1s"})])
+            self.assertIsInstance(result, Err)
