Read a part of the store in pages where its changes fit into no reply

Callers' requests reached upstreams that had said that they leave (DRAIN), although no process had ended: with 30 entries of 1 MB from another writer the changes since the known revision make a reply above 32 MiB, which the client refuses. The reader asked for the same changes again and again, and nothing behind them was seen until the store had forgotten its history.

An unusable reply is now a failure of its own, ReplyUnusable. A reader that catches up and gets one reads the part in full, which the store splits into pages.

Four processes with 30 such entries, then an upstream that drains: not known to any reader after 4 s before; now known (upstreams_read 1.8 s after the first refused reply). The new test failed without the change in _store_sync.py.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -20,6 +20,7 @@
     FollowProgress,
     HistoryLost,
     PlatformFailure,
+    ReplyUnusable,
     Store,
     StoreUnavailable,
 )
@@ -263,11 +264,14 @@
 
         A complete read shows only the last write to each path: a late write of an upstream's
         earlier lifetime, or an invalid configuration, hides the write before it. So all that has
-        been written since a known revision is watched, as far as the store still has it.
+        been written since a known revision is watched, as far as the store still has it. A reply
+        with all these changes may be too large, and would be so again; a complete read has pages.
         """
         if known_revision:
             watched = await watch(known_revision, _CATCH_UP_WAIT_S)
-            if isinstance(watched, Ok) or not isinstance(watched.err_value, HistoryLost):
+            if isinstance(watched, Ok):
+                return watched
+            if not isinstance(watched.err_value, HistoryLost | ReplyUnusable):
                 return watched
         return await read()
 
--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -15,6 +15,7 @@
     ClientConnection,
     ConnectFailed,
     ExchangeFailed,
+    MalformedResponse,
     ReceivedResponse,
     encode_request,
     open_connection,
@@ -23,6 +24,7 @@
     Entry,
     HistoryLost,
     PlatformFailure,
+    ReplyUnusable,
     RevisionConflict,
     Snapshot,
     Store,
@@ -249,7 +251,8 @@
         except (TimeoutError, ExchangeFailed) as error:
             if isinstance(error, TimeoutError):
                 self._call_timeout_s = min(self._call_timeout_s * 2, _CALL_TIMEOUT_MAX_S)
-            return Err(_failure(call, written_path, repr(error)))
+            is_reply = isinstance(error, MalformedResponse)
+            return Err(_failure(call, written_path, repr(error), is_reply=is_reply))
         if connection.is_reusable and len(self._idle_connections) < self._idle_connections_max:
             self._idle_connections.append(connection)
         else:
@@ -257,7 +260,9 @@
         if response.status in _UNAVAILABLE_STATUSES:
             return Err(StoreUnavailable(call, f"status {response.status}"))
         reply = self._read_reply(response)
-        return Ok(reply) if isinstance(reply, _Reply) else Err(_failure(call, written_path, reply))
+        if isinstance(reply, _Reply):
+            return Ok(reply)
+        return Err(_failure(call, written_path, reply, is_reply=True))
 
     def _read_reply(self, response: ReceivedResponse) -> _Reply | str:
         """Decode a response; return why it can't be one of the store."""
@@ -306,11 +311,11 @@
     return StoreRefused(call, status)
 
 
-def _failure(call: str, written_path: str | None, cause: str) -> PlatformFailure:
+def _failure(call: str, written_path: str | None, cause: str, *, is_reply: bool) -> PlatformFailure:
     """Return the failure of a call that got no usable response: a write may have been applied."""
     if written_path is not None:
         return WriteUnknown(written_path, cause)
-    return StoreUnavailable(call, cause)
+    return ReplyUnusable(call, cause) if is_reply else StoreUnavailable(call, cause)
 
 
 def _decode(
@@ -319,7 +324,7 @@
     try:
         return Ok(read())
     except (KeyError, TypeError, ValueError) as error:
-        return Err(_failure(call, written_path, f"unreadable reply: {error!r}"))
+        return Err(_failure(call, written_path, f"unreadable reply: {error!r}", is_reply=True))
 
 
 def _decode_conflict(
--- a/src/egretrail/store/__init__.py
+++ b/src/egretrail/store/__init__.py
@@ -3,6 +3,7 @@
 from egretrail.store._errors import (
     HistoryLost,
     PlatformFailure,
+    ReplyUnusable,
     RevisionConflict,
     StoreRefused,
     StoreUnavailable,
@@ -26,6 +27,7 @@
     "ListedInstance",
     "ListedState",
     "PlatformFailure",
+    "ReplyUnusable",
     "RevisionConflict",
     "Snapshot",
     "Store",
--- a/src/egretrail/store/_errors.py
+++ b/src/egretrail/store/_errors.py
@@ -16,6 +16,11 @@
         return f"the store is unavailable for {self.call}: {self.cause}"
 
 
+@dataclass(frozen=True, slots=True)
+class ReplyUnusable(StoreUnavailable):
+    """The store responded with something that the call cannot use, such as too large a reply."""
+
+
 @dataclass(frozen=True, slots=True)
 class WriteUnknown:
     """The response to a write was lost: the write may or may not have taken effect."""
