--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -15,7 +15,15 @@
 from egretrail.gateway._reader_role import ReaderRole
 from egretrail.gateway._slices import run_in_slices
 from egretrail.gateway._view import FleetView
-from egretrail.store import Entry, HistoryLost, PlatformFailure, Store, StoreUnavailable
+from egretrail.store import (
+    Entry,
+    FollowProgress,
+    HistoryLost,
+    PlatformFailure,
+    ReplyUnusable,
+    Store,
+    StoreUnavailable,
+)
 from egretrail.traffic import UpstreamRecord, UpstreamState, revision_era
 
 _FollowTask = asyncio.Task[PlatformFailure | None]
@@ -68,6 +76,8 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        #: How far the parts of the store are followed.
+        self.progress = FollowProgress(self._loop.time)
         self._role = ReaderRole(view, lambda: peers.is_hub, self._loop.time, rng)
         self._last_success_s = float("-inf")
         self._outage = view.store_outage
@@ -254,11 +264,14 @@
 
         A complete read shows only the last write to each path: a late write of an upstream's
         earlier lifetime, or an invalid configuration, hides the write before it. So all that has
-        been written since a known revision is watched, as far as the store still has it.
+        been written since a known revision is watched, as far as the store still has it. A reply
+        with all these changes may be too large, and would be so again; a complete read has pages.
         """
         if known_revision:
             watched = await watch(known_revision, _CATCH_UP_WAIT_S)
-            if isinstance(watched, Ok) or not isinstance(watched.err_value, HistoryLost):
+            if isinstance(watched, Ok):
+                return watched
+            if not isinstance(watched.err_value, HistoryLost | ReplyUnusable):
                 return watched
         return await read()
 
@@ -272,6 +285,7 @@
             return read
         self._record_success()
         revision = read.ok_value.revision
+        self._record_answer("config", 0, revision)
         self._check_era(revision)
         await self._apply_config_answer(read.ok_value.entries, revision, sent_s)
         return Ok(revision)
@@ -283,6 +297,7 @@
         if isinstance(watched, Err):
             return watched
         self._record_success()
+        self._record_answer("config", after, watched.ok_value.revision)
         revision = max(after, watched.ok_value.revision)
         await self._apply_config_answer(watched.ok_value.entries, revision, sent_s)
         await self._batch_changes(watched.ok_value.entries)
@@ -338,6 +353,7 @@
             return read
         self._record_success()
         revision = read.ok_value.revision
+        self._record_answer("upstreams", 0, revision)
         self._check_era(revision)
         self._log.event(
             "upstreams_read",
@@ -362,6 +378,7 @@
             return watched
         self._record_success()
         changes = watched.ok_value
+        self._record_answer("upstreams", after, changes.revision)
         if changes.entries:
             self._log.event(
                 "upstreams_watched",
@@ -498,6 +515,11 @@
         self._listing.invalidate()
         self._restart_reads()
 
+    def _record_answer(self, part: str, position: int, stated: int) -> None:
+        """Record an answer to a call after a position, and log when that is ahead of the store."""
+        if self.progress.record_answer(part, position, stated):
+            self._log.event("store_position_ahead", part=part, position=position, stated=stated)
+
     def _record_success(self) -> None:
         now_s = self._loop.time()
         away_s = self._outage.record_contact(now_s)
--- a/src/egretrail/store/__init__.py
+++ b/src/egretrail/store/__init__.py
@@ -3,11 +3,13 @@
 from egretrail.store._errors import (
     HistoryLost,
     PlatformFailure,
+    ReplyUnusable,
     RevisionConflict,
     StoreRefused,
     StoreUnavailable,
     WriteUnknown,
 )
+from egretrail.store._follow_progress import FollowProgress
 from egretrail.store._instance_list import (
     Endpoint,
     InstanceList,
@@ -19,11 +21,13 @@
 __all__ = [
     "Endpoint",
     "Entry",
+    "FollowProgress",
     "HistoryLost",
     "InstanceList",
     "ListedInstance",
     "ListedState",
     "PlatformFailure",
+    "ReplyUnusable",
     "RevisionConflict",
     "Snapshot",
     "Store",
