Free the body of a response at the end of its exchange

A process that reads a long list was killed for its memory (FAULT): the reader of a response and its parser refer to each other, so each body stayed until a garbage collection, and the last one of an idle connection for as long as the connection was kept. Since the objects of a start are frozen and large bodies count as one object, hundreds of pages were held at once.

The reader drops what it received when its exchange ends.

--- a/src/egretrail/http1/_client.py
+++ b/src/egretrail/http1/_client.py
@@ -120,6 +120,7 @@
             unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
             if not completed or unsent or not self._reader.may_reuse or not self.is_reusable:
                 self.abort()
+            self._reader.discard()
 
     def is_usable(self) -> bool:
         """Return whether an exchange may begin now: nothing was received since the last one.
@@ -173,11 +174,12 @@
     def eof_received(self) -> bool:
         """Handle that the server closed its end of the stream; called by the event loop."""
         self.is_reusable = False
-        try:
-            self._reader.feed_eof()
-        except ExchangeFailed as failure:
-            self._fail(failure)
-        self._give_response()
+        if self._is_active():
+            try:
+                self._reader.feed_eof()
+            except ExchangeFailed as failure:
+                self._fail(failure)
+            self._give_response()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/egretrail/http1/_response_reader.py
+++ b/src/egretrail/http1/_response_reader.py
@@ -128,6 +128,18 @@
             self.unused_bytes = len(data)
             raise
 
+    def discard(self) -> None:
+        """Drop what was received but its counts; nothing may be fed afterwards.
+
+        The parser refers back to this reader. Without this, bodies would stay in memory until a
+        garbage collection, and the last one of an idle connection for as long as that is kept.
+        """
+        self.is_held = False
+        self.response = self._received = None
+        self._body = bytearray()
+        self._embedded = EmbeddedResponses()
+        del self._parser
+
     def feed_eof(self) -> None:
         """End the stream; raises ExchangeBroken or MalformedResponse for an incomplete response."""
         if self.is_held:
