Hold a value of the store up to the size that is read of it

400 entries of 1 MB from another writer took the reader to 650 MiB (300 are allowed): all pages of the list were held before the first entry was decoded. Each instance that took over read the same list.

A value is cut behind the size that its decoder takes, so that the decoder still refuses it for its size. An upstream's entry may have 8 KB, where it had 64 KB since the bounds were introduced: real ones have 200 to 300 bytes, and a list of ten thousand odd ones must fit, too.

--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -20,6 +20,7 @@
     encode_request,
     open_connection,
 )
+from egretrail.platform import _store_fields as store_fields
 from egretrail.store import (
     Entry,
     HistoryLost,
@@ -353,7 +354,7 @@
     if row["key"] != path:
         raise ValueError(f"an item of {row['key']!r}")
     revision = store_revision(era, int(row["revision"]))
-    return Entry(path, None if row.get("removed") else _decode_value(row), revision)
+    return Entry(path, None if row.get("removed") else _decode_value(row, path), revision)
 
 
 def _decode_entries(rows: list[dict[str, Any]], era: int, prefix: str) -> list[Entry]:
@@ -364,14 +365,21 @@
     return [_decode_entry(row, era, str(row["key"])) for row in rows]
 
 
-def _decode_value(row: dict[str, Any]) -> str:
+def _decode_value(row: dict[str, Any], path: str) -> str:
     """Return an entry's text; an undecodable entry must not hide the others of its page.
 
     Bytes that are not UTF-8 become lone surrogates, and a value that is not valid base64 becomes an
-    empty text. The decoder of the entry rejects both and logs the rejection.
+    empty text. A value beyond the size of its kind is cut behind that size, since a list of such
+    values would not fit into memory. The decoder of the entry rejects all of these and logs the
+    rejection.
     """
+    is_upstream = path.startswith(store_fields.UPSTREAMS_PREFIX)
+    max_bytes = store_fields.UPSTREAM_BYTES_MAX if is_upstream else store_fields.CONFIG_BYTES_MAX
+    # Four characters hold three bytes.
+    max_characters = 4 * (max_bytes // 3 + 1)
     try:
-        return base64.b64decode(row["value"], validate=True).decode(errors="surrogateescape")
+        value = base64.b64decode(row["value"][:max_characters], validate=True)
+        return value.decode(errors="surrogateescape")
     except (KeyError, TypeError, ValueError):
         return ""
 
--- a/src/egretrail/platform/_store_fields.py
+++ b/src/egretrail/platform/_store_fields.py
@@ -36,7 +36,7 @@
 _CLIENT_TIME_MIN_S = 0.05
 
 #: An entry has some hundred bytes; unknown fields may add to them.
-UPSTREAM_BYTES_MAX = 64 * 1024
+UPSTREAM_BYTES_MAX = 8 * 1024
 #: Four times the largest value that stores usually take: in memory, a document of small lists is
 #: twenty times as large.
 CONFIG_BYTES_MAX = 4 * 1024 * 1024
