Drop an upstream whose entry became invalid while the store was away

It stayed in use until 2.2 s after the outage, as an upstream does whose entry expired meanwhile: a refused entry and a removed one were told apart nowhere. Now only names without any entry count as expired; in a change, also none whose last entry before the removal was refused. The three cases of test_an_upstream_whose_entry_became_odd_in_an_outage_is_not_kept failed before.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -349,7 +349,9 @@
         vanished = self._view.upstreams.absent_since_before(revision_era(revision))
         entries = [one for one in read.ok_value.entries if self._name(one) not in vanished]
         records = {record.name: record for record in self._decode(entries)}
-        gone = {record.name for record in self._view.upstreams} - records.keys()
+        # The entry of a name that is listed and refused has not expired.
+        stored = {self._name(entry) for entry in entries}
+        gone = {record.name for record in self._view.upstreams} - stored
         if revision >= self._view.upstreams.revision:
             self._retain_vanished(gone, records)
         self._view.replace_upstreams(records.values(), revision, "store")
@@ -411,29 +413,37 @@
             self._stored_version = stored_version
 
     def _apply_changes(self, entries: Sequence[Entry], revision: int) -> None:
-        latest = self._latest_records(entries)
-        removed = {name for name, record in latest.items() if record is None}
+        latest, refused = self._latest_records(entries)
+        removed = {name for name, record in latest.items() if record is None} - refused
         kept: dict[str, UpstreamRecord] = {}
         # A peer may have sent newer records; an upstream that it lists has not expired.
         if revision > self._view.upstreams.revision:
             self._retain_vanished(removed, kept)
         self._view.apply_upstream_changes({**latest, **kept}, revision, "store")
 
-    def _latest_records(self, entries: Sequence[Entry]) -> dict[str, UpstreamRecord | None]:
+    def _latest_records(
+        self, entries: Sequence[Entry]
+    ) -> tuple[dict[str, UpstreamRecord | None], set[str]]:
         """Return the record that holds for each name after changes; None if removed or invalid.
 
         An invalid entry replaces the valid one before it. A valid entry of an older lifetime does
-        not, since it was stored late.
+        not, since it was stored late. Also returns the names of which no valid entry came after an
+        invalid one: what was there before has not expired.
         """
         latest: dict[str, UpstreamRecord | None] = {}
+        refused: set[str] = set()
         for entry in entries:
             name = self._name(entry)
             decoded = self._decode([entry]) if entry.value is not None else []
             record = decoded[0] if decoded else None
+            if record is not None:
+                refused.discard(name)
+            elif entry.value is not None:
+                refused.add(name)
             before = latest.get(name)
             if record is None or before is None or record.started_ms >= before.started_ms:
                 latest[name] = record
-        return latest
+        return latest, refused
 
     def _name(self, entry: Entry) -> str:
         return entry.path.removeprefix(self._layout.upstreams_prefix)
