Take a configuration of version 0 as valid, and older than any other

The bounds of versions refused it, and test_the_version_in_force_never_decreases failed: such a version is decoded and never put in force, as before.

--- a/src/egretrail/platform/_field_kinds.py
+++ b/src/egretrail/platform/_field_kinds.py
@@ -109,9 +109,9 @@
 
 
 class HexInteger(FieldKind[int]):
-    """An integer above 0, written as hexadecimal digits only."""
+    """An integer that is written as hexadecimal digits only."""
 
-    empty = 1
+    empty = 0
 
     def __init__(self, max_digits: int) -> None:
         self._max_digits = max_digits
@@ -122,10 +122,7 @@
             raise _wrong_type(value)
         if not 1 <= len(value) <= self._max_digits or not _HEXADECIMAL.fullmatch(value):
             raise ValueError(f"{shown(value)} is not 1 to {self._max_digits} hexadecimal digits")
-        number = int(value, 16)
-        if number == 0:
-            raise ValueError("not above 0")
-        return number
+        return int(value, 16)
 
 
 class Number(FieldKind[float]):
--- a/src/egretrail/platform/_store_fields.py
+++ b/src/egretrail/platform/_store_fields.py
@@ -58,7 +58,7 @@
 #: Unix time in milliseconds.
 START_TIME_MS = Integer(0, _TIME_MAX_MS)
 
-#: Eight digits; 0 stands for no configuration.
+#: Eight digits; 0 is older than any that is in force.
 CONFIG_VERSION = HexInteger(max_digits=8)
 ROWS = Rows(_SHORT_MAX)
 
