Tell a refused entry once, and count the refused entries

Operators saw a line for every refused entry at each complete read, and no number that says whether odd entries are there now. An instance that stops reading forgets them. An upstream that writes the same odd entry at each heartbeat is told once.

--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -236,6 +236,12 @@
             "upstreams_unreached": float(by_health[UpstreamHealth.UNREACHABLE_FROM_HERE]),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
         }
+        for part, refused in (
+            ("config", self._sync.refused_configs),
+            ("upstreams", self._sync.refused_upstreams),
+        ):
+            gauges[f'store_entries_refused{{part="{part}"}}'] = float(refused.present)
+            gauges[f'store_entries_refused_total{{part="{part}"}}'] = float(refused.total)
         for kind, size_bytes in self._peers.cross_zone_bytes.items():
             gauges[f'peer_bytes_across_zones_total{{kind="{kind}"}}'] = float(size_bytes)
         known_share = self._view.known_share()
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -15,7 +15,14 @@
 from egretrail.gateway._reader_role import ReaderRole
 from egretrail.gateway._slices import run_in_slices
 from egretrail.gateway._view import FleetView
-from egretrail.store import Entry, HistoryLost, PlatformFailure, Store, StoreUnavailable
+from egretrail.store import (
+    Entry,
+    HistoryLost,
+    PlatformFailure,
+    RefusedEntries,
+    Store,
+    StoreUnavailable,
+)
 from egretrail.traffic import UpstreamRecord, UpstreamState, revision_era
 
 _FollowTask = asyncio.Task[PlatformFailure | None]
@@ -88,6 +95,9 @@
         self._config_revision: int | None = None
         #: The version of the configuration that the store last returned; 0 for an invalid one.
         self._stored_version = 0
+        #: The refused entries, as this instance last read them.
+        self.refused_configs = RefusedEntries()
+        self.refused_upstreams = RefusedEntries()
         #: The newest era of the store, None before the first answer, and from when on its answers
         #: confirm the configuration.
         self._era: int | None = None
@@ -151,6 +161,9 @@
         if reads == self._is_reader:
             return
         self._is_reader = reads
+        if not reads:
+            self.refused_configs.clear()
+            self.refused_upstreams.clear()
         self._log.event(
             "reader_started" if reads else "reader_stopped",
             rank=self._view.membership.own_rank(),
@@ -273,6 +286,7 @@
         self._record_success()
         revision = read.ok_value.revision
         self._check_era(revision)
+        self.refused_configs.retain(entry.path for entry in read.ok_value.entries)
         await self._apply_config_answer(read.ok_value.entries, revision, sent_s)
         return Ok(revision)
 
@@ -349,6 +363,7 @@
         vanished = self._view.upstreams.absent_since_before(revision_era(revision))
         entries = [one for one in read.ok_value.entries if self._name(one) not in vanished]
         records = {record.name: record for record in self._decode(entries)}
+        self.refused_upstreams.retain(entry.path for entry in read.ok_value.entries)
         # The entry of a name that is listed and refused has not expired.
         stored = {self._name(entry) for entry in entries}
         gone = {record.name for record in self._view.upstreams} - stored
@@ -384,14 +399,16 @@
     async def _apply_config(self, entries: Sequence[Entry]) -> None:
         """Put the last valid version among some entries in force; it replaces those before it."""
         stored_version = None
+        refusals: list[tuple[Entry, str]] = []
+        entries = [entry for entry in entries if entry.path == self._layout.config_path]
         for entry in reversed(entries):
-            if entry.path != self._layout.config_path or entry.value is None:
+            if entry.value is None:
                 continue
             arrived_s = self._loop.time()
             value = entry.value.encode(errors="surrogateescape")
             decoded = await run_in_slices(self._layout.decode_config_in_slices(value))
             if isinstance(decoded, Err):
-                self._log.event("config_refused", revision=entry.revision, cause=decoded.err_value)
+                refusals.append((entry, str(decoded.err_value)))
                 stored_version = 0
                 continue
             if stored_version is None:
@@ -409,6 +426,11 @@
                 )
                 self._view.apply_config(chunked, "store")
             break
+        for entry, cause in reversed(refusals):
+            if self.refused_configs.record_refused(entry.path, cause):
+                self._log.event("config_refused", revision=entry.revision, cause=cause)
+        if entries and not (refusals and refusals[0][0] is entries[-1]):
+            self.refused_configs.record_ended(self._layout.config_path)
         if stored_version is not None:
             self._stored_version = stored_version
 
@@ -440,6 +462,8 @@
                 refused.discard(name)
             elif entry.value is not None:
                 refused.add(name)
+            else:
+                self.refused_upstreams.record_ended(entry.path)
             before = latest.get(name)
             if record is None or before is None or record.started_ms >= before.started_ms:
                 latest[name] = record
@@ -486,8 +510,11 @@
         for entry in entries:
             decoded = self._layout.decode_upstream(entry)
             if isinstance(decoded, Err):
-                self._log.event("upstream_refused", cause=decoded.err_value)
+                cause = str(decoded.err_value)
+                if self.refused_upstreams.record_refused(entry.path, cause):
+                    self._log.event("upstream_refused", cause=cause)
                 continue
+            self.refused_upstreams.record_ended(entry.path)
             record = decoded.ok_value
             self._vanished.pop(record.id, None)
             records.append(record)
--- a/src/egretrail/store/__init__.py
+++ b/src/egretrail/store/__init__.py
@@ -14,6 +14,7 @@
     ListedInstance,
     ListedState,
 )
+from egretrail.store._refused_entries import RefusedEntries
 from egretrail.store._store import Entry, Snapshot, Store, WatchEvents
 
 __all__ = [
@@ -24,6 +25,7 @@
     "ListedInstance",
     "ListedState",
     "PlatformFailure",
+    "RefusedEntries",
     "RevisionConflict",
     "Snapshot",
     "Store",
