Give no two lifetimes of upstreams one id

An entry whose key is another upstream's name, ~ and the hexadecimal start had the same id as that upstream's lifetime, and took its place in the list, its health and its connections. A name with the separator now always has its start behind it. Names without it have the ids that they had. 24 lifetimes of a test had 20 ids before.

--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -64,7 +64,9 @@
 
     def __post_init__(self) -> None:
         """Derive the lifetime's id from the name and the start time."""
-        lifetime = f"{self.name}~{self.started_ms:x}" if self.started_ms else self.name
+        # A name that contains the separator must not read as a lifetime of another name.
+        is_plain = not self.started_ms and "~" not in self.name
+        lifetime = self.name if is_plain else f"{self.name}~{self.started_ms:x}"
         object.__setattr__(self, "id", lifetime)
 
 
--- a/src/egretrail/traffic/tests/test_traffic.py
+++ b/src/egretrail/traffic/tests/test_traffic.py
@@ -123,6 +123,14 @@
     return UpstreamRecord(name, "s", "10.0.0.1:1", "a", 4, state, started_ms=started_ms)
 
 
+class LifetimeIdTest(EgretrailTestCase):
+    def test_no_two_lifetimes_share_an_id(self) -> None:
+        """An entry named like another's lifetime took its place in the list."""
+        names = ("", "a", "a~1", "a~1~1", "~", "~1", "a~", "a~~1")
+        ids = [_record(name, started_ms=n).id for name in names for n in (0, 1, 0x11)]
+        self.assertEqual(len(ids), len(set(ids)))
+
+
 class UpstreamTableTest(EgretrailTestCase):
     def _ready(self, table: UpstreamTable) -> set[str]:
         return {record.id for record in table.ready("s")}
