--- a/src/egretrail/platform/_field_kinds.py
+++ b/src/egretrail/platform/_field_kinds.py
@@ -232,7 +232,10 @@
     """Return a value as it is shown in a fault; of a long one, the start."""
     if isinstance(value, int) and value.bit_length() > _SHOWN_BITS_MAX:
         return f"an integer of {value.bit_length()} bits"
-    return f"'{escaped(value, _SHOWN_CHARACTERS_MAX)}'" if isinstance(value, str) else repr(value)
+    if not isinstance(value, str):
+        return repr(value)
+    rest = "..." if len(value) > _SHOWN_CHARACTERS_MAX else ""
+    return f"'{escaped(value, _SHOWN_CHARACTERS_MAX)}{rest}'"
 
 
 def escaped(text: str, max_characters: int) -> str:
--- a/src/egretrail/platform/tests/test_odd_documents.py
+++ b/src/egretrail/platform/tests/test_odd_documents.py
@@ -10,10 +10,14 @@
 from result import Err, Ok, Result
 
 from egretrail.cluster import (
+    Scope,
+    Section,
     UpstreamsReply,
     decode_chunks,
+    decode_datagram,
     decode_upstreams,
     encode_chunks,
+    encode_sections,
     encode_upstreams,
     run_to_completion,
     split_config,
@@ -301,6 +305,9 @@
     def _assert_usable_upstream(self, record: UpstreamRecord) -> None:
         reply = decode_upstreams(encode_upstreams(UpstreamsReply(1, [record]))).unwrap()
         self.assertEqual([record], list(reply.upstreams or ()))
+        section = Section(Scope.ZONE, "a", "10.0.0.1", 7, 1, 3, 40, 1, 11, draining=[record.id])
+        [datagram] = encode_sections([section], cross_zone=True)
+        assert isinstance(decode_datagram(datagram), Ok)
         request = Request(b"GET", b"/", [], b"", 0.0)
         headers = PlatformContract().upstream_headers(request, record.name, 1.0)
         encoded = encode_request(b"GET", b"/", headers, b"")
