Let one failed part of the store's reader end no other part

What read the store was one task group: the first unforeseen error of any part cancelled all, and the process ended. Since all instances read the same entries, one entry ended the fleet.

Each part runs under the supervisor by itself. An error in decoding an entry or preparing a configuration refuses that entry alone; the others of the same answer are followed. A part that follows the store and failed is read anew as a whole, since a change may be applied half-way. Until it has caught up, this instance reports no contact with the store, so that others read in its place, and doesn't count its configuration as current: it answers 503 rather than 404 for an unknown route, also on the word of peers that may fail alike, unless one of them follows the store. What is known stays in force, and an instance that serves stays ready even if all fail, as while the store is down: nobody would be served otherwise.

A hub that could apply no configuration at all would still keep its zone behind; that isn't changed here.

--- a/src/egretrail/gateway/_config_state.py
+++ b/src/egretrail/gateway/_config_state.py
@@ -30,6 +30,8 @@
         self.manifests = ManifestHistory()
         #: Whether the last read of the configuration from the store succeeded.
         self.reaches_store = False
+        #: Whether this instance fails to follow the store's configuration.
+        self._is_failing = False
         #: The newest version that a peer reported, and when it was last reported.
         self._newest_version = 0
         self._newest_s = float("-inf")
@@ -54,21 +56,30 @@
         self._expire_newest()
         return 0.0 if self._behind_since_s is None else self._clock() - self._behind_since_s
 
-    def is_current(self, *, fleet_reachable: bool) -> bool:
+    def is_current(self, others_read: bool, *, fleet_reachable: bool) -> bool:
         """Return whether no newer version is known, and one would have been learned of.
 
         A configuration of thousands of routes takes a moment to reach all instances. An instance
         that denies a newly added route in that time tells its client that the route does not exist.
+        ``others_read`` is True if another instance is in contact with the store.
         ``fleet_reachable`` is False if the peers whose reports arrive may be as cut off as this
-        instance.
+        instance. If it fails to apply what it reads, the others may fail alike, so that their
+        reports count only if another instance is known to follow the store.
         """
         self._expire_newest()
         if self._newest_version > self.version:
             return False
+        others_know = others_read or (fleet_reachable and not self._is_failing)
         return self.reaches_store or (
-            fleet_reachable and self._clock() - self._reported_s < _REPORT_TIMEOUT_S
+            others_know and self._clock() - self._reported_s < _REPORT_TIMEOUT_S
         )
 
+    def record_failing(self, is_failing: bool) -> None:
+        """Record whether this instance fails to follow the store's configuration."""
+        self._is_failing = is_failing
+        if is_failing:
+            self.reaches_store = False
+
     def record_peer_version(self, version: int) -> None:
         """Record a peer's version; 0 means that it has none."""
         if version == 0:
--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -5,12 +5,13 @@
 from collections.abc import Generator, Sequence
 from dataclasses import dataclass, field
 
-from result import Result
+from result import Err, Result
 
 from egretrail.cluster import run_to_completion
 from egretrail.dispatch import QuotaTerms
 from egretrail.http1 import ReceivedResponse, Request, Response, ResponseOwner
 from egretrail.store import Entry
+from egretrail.supervision import describe_error
 from egretrail.traffic import FleetConfig, UpstreamRecord
 
 
@@ -88,6 +89,11 @@
         return f"{self.path} is invalid: {'; '.join(self.faults)}"
 
 
+def unforeseen(path: str, error: Exception) -> InvalidDocument:
+    """Describe a document at which decoding failed where no check had refused it."""
+    return InvalidDocument(path, [f"unforeseen: {describe_error(error)}"])
+
+
 class StoreLayout(abc.ABC):
     """The paths of the store's entries that gateways read, and how they are decoded."""
 
@@ -115,6 +121,13 @@
     def decode_upstream(self, entry: Entry) -> Result[UpstreamRecord, InvalidDocument]:
         """Decode an upstream's entry."""
 
+    def decode_or_refuse_upstream(self, entry: Entry) -> Result[UpstreamRecord, InvalidDocument]:
+        """Decode an upstream's entry; an error in decoding it costs only the entry."""
+        try:
+            return self.decode_upstream(entry)
+        except Exception as error:
+            return Err(unforeseen(entry.path, error))
+
 
 class ResponseKind(enum.Enum):
     """What an upstream's response says about the request."""
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -2,24 +2,24 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence, Set
+from collections.abc import Awaitable, Callable, Coroutine, Sequence, Set
+from functools import partial
 from typing import Any
 
 from result import Err, Ok, Result
 
-from egretrail.cluster import READER_CHECK_S, split_config
+from egretrail.cluster import READER_CHECK_S
 from egretrail.gateway._instance_listing import InstanceListing
 from egretrail.gateway._interfaces import StartupSettings, StoreLayout
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._reader_role import ReaderRole
-from egretrail.gateway._slices import run_in_slices
+from egretrail.gateway._slices import prepare_config
 from egretrail.gateway._view import FleetView
 from egretrail.store import Entry, HistoryLost, PlatformFailure, Store, StoreUnavailable
+from egretrail.supervision import AdaptiveTimeout, CancellableCalls, Supervisor
 from egretrail.traffic import UpstreamRecord, UpstreamState, revision_era
 
-_FollowTask = asyncio.Task[PlatformFailure | None]
-
 #: The maximum duration of one watch.
 _WATCH_S = 8.0
 #: The duration of the first watch after a known revision: the changes up to now.
@@ -45,6 +45,8 @@
 #: Upstreams and operators have written again what a restored store lacks within this time. Until
 #: then its answers confirm nothing that was written before.
 _RESTORE_SETTLE_S = 2.2
+#: The parts that follow the store. While one of them fails, this instance is not current.
+_CONFIG, _UPSTREAMS = "config", "upstreams"
 
 
 class StoreSync:
@@ -59,6 +61,7 @@
         peers: PeerLinks,
         log: EventLog,
         rng: random.Random,
+        supervisor: Supervisor | None = None,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -68,6 +71,9 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self._supervisor = supervisor or Supervisor(log.event, rng)
+        #: The parts that failed and have not caught up since.
+        self._failing: set[str] = set()
         self._role = ReaderRole(view, lambda: peers.is_hub, self._loop.time, rng)
         self._last_success_s = float("-inf")
         self._outage = view.store_outage
@@ -81,9 +87,9 @@
         #: revision.
         self._vanished: dict[str, tuple[float, int]] = {}
         self._listing = InstanceListing(settings, view, store, layout, peers, log)
-        #: The tasks that read and watch a part of the store.
-        self._follow_tasks: set[_FollowTask] = set()
-        self._liveness_timeout_s = _LIVENESS_TIMEOUT_S
+        #: The calls that read and watch a part of the store.
+        self._calls: CancellableCalls[PlatformFailure] = CancellableCalls()
+        self._liveness_timeout = AdaptiveTimeout(_LIVENESS_TIMEOUT_S, _LIVENESS_TIMEOUT_MAX_S)
         #: The revision up to which the configuration was read; None if it has to be read again.
         self._config_revision: int | None = None
         #: The version of the configuration that the store last returned; 0 for an invalid one.
@@ -96,12 +102,18 @@
     async def run(self) -> None:
         """Run until cancelled."""
         await asyncio.sleep(_START_WAIT_S)
+        follow = self._follow_while_reader
+        parts: dict[str, Callable[[], Awaitable[None]]] = {
+            _CONFIG: partial(follow, _CONFIG, self._follow_config),
+            _UPSTREAMS: partial(follow, _UPSTREAMS, self._follow_upstreams),
+            "liveness": self._check_liveness,
+            "listing": self._listing.run,
+            "vanished": self._drop_vanished,
+        }
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._follow_while_reader("config", self._follow_config))
-            tasks.create_task(self._follow_while_reader("upstreams", self._follow_upstreams))
-            tasks.create_task(self._check_liveness())
-            tasks.create_task(self._listing.run())
-            tasks.create_task(self._drop_vanished())
+            for name, work in parts.items():
+                on_failure = partial(self._record_failed_part, name)
+                tasks.create_task(self._supervisor.run(name, work, on_failure))
 
     def use_store(self, store: Store) -> None:
         """Send the next calls to another address of the store.
@@ -111,12 +123,7 @@
         """
         self._store = store
         self._listing.use_store(store)
-        self._restart_reads()
-
-    def _restart_reads(self) -> None:
-        """Cancel the pending calls, so that each part of the store is read again."""
-        for task in self._follow_tasks:
-            task.cancel()
+        self._calls.cancel()
 
     def should_read(self) -> bool:
         """Return whether this instance reads the store now."""
@@ -136,7 +143,7 @@
                 await asyncio.sleep(READER_CHECK_S)
                 continue
             began_s = self._loop.time()
-            failure = await self._run_cancellable(follow())
+            failure = await self._calls.run(follow())
             if isinstance(failure, HistoryLost):
                 self._log.event("store_history_lost", part=name, cause=failure)
             elif failure is not None:
@@ -171,16 +178,19 @@
                 continue
             check += 1
             confirms = self._view.requires_fresh_config and check % _CONFIRM_EVERY == 0
-            failure = await self._with_liveness_timeout(
-                self._confirm_config() if confirms else self._read_stale()
-            )
+            try:
+                failure = await self._liveness_timeout.run(
+                    self._confirm_config() if confirms else self._read_stale()
+                )
+            except TimeoutError as error:
+                failure = StoreUnavailable("liveness", str(error))
             if isinstance(failure, HistoryLost):
-                self._restart_reads()
+                self._calls.cancel()
             elif failure is None:
                 self._outage.record_contact(self._loop.time())
             elif self._view.store_contact:
                 self._record_failure("liveness", failure)
-                self._restart_reads()
+                self._calls.cancel()
 
     async def _read_stale(self) -> PlatformFailure | None:
         path = self._layout.instances_prefix + self._settings.availability_zone
@@ -202,35 +212,6 @@
         await self._apply_config_answer(watched.ok_value.entries, watched.ok_value.revision, sent_s)
         return None
 
-    async def _with_liveness_timeout(
-        self, call: Coroutine[Any, Any, PlatformFailure | None]
-    ) -> PlatformFailure | None:
-        """Make a call that fails if the store does not answer within the liveness time-out."""
-        sent_s = self._loop.time()
-        timeout_s = self._liveness_timeout_s
-        try:
-            async with asyncio.timeout(timeout_s):
-                failure = await call
-        except TimeoutError:
-            self._liveness_timeout_s = min(timeout_s * 2, _LIVENESS_TIMEOUT_MAX_S)
-            return StoreUnavailable("liveness", f"no answer within {timeout_s} s")
-        if self._loop.time() - sent_s < timeout_s / 4:
-            self._liveness_timeout_s = max(timeout_s / 2, _LIVENESS_TIMEOUT_S)
-        return failure
-
-    async def _run_cancellable(
-        self, follow: Coroutine[Any, Any, PlatformFailure | None]
-    ) -> PlatformFailure | None:
-        """Run a task that follows a part of the store until a call fails or reads restart."""
-        task = self._loop.create_task(follow)
-        self._follow_tasks.add(task)
-        try:
-            await asyncio.wait([task])
-        finally:
-            self._follow_tasks.discard(task)
-            task.cancel()
-        return None if task.cancelled() else task.result()
-
     async def _follow_config(self) -> PlatformFailure | None:
         """Follow the changes of the configuration until a call fails."""
         configs = self._view.configs
@@ -238,6 +219,8 @@
         caught_up = await self._catch_up(
             self._config_revision or 0, self._watch_config, self._read_config
         )
+        if isinstance(caught_up, Ok):
+            self._record_caught_up(_CONFIG)
         while isinstance(caught_up, Ok) and self.should_read():
             configs.reaches_store = True
             caught_up = await self._watch_config(caught_up.ok_value, _WATCH_S)
@@ -303,9 +286,10 @@
 
     async def _follow_upstreams(self) -> PlatformFailure | None:
         """Follow the changes of the upstreams until a call fails."""
-        caught_up = await self._catch_up(
-            self._view.upstreams.revision, self._watch_upstreams, self._read_upstreams
-        )
+        known = 0 if _UPSTREAMS in self._failing else self._view.upstreams.revision
+        caught_up = await self._catch_up(known, self._watch_upstreams, self._read_upstreams)
+        if isinstance(caught_up, Ok):
+            self._record_caught_up(_UPSTREAMS)
         if isinstance(caught_up, Ok) and self._outage.ended_s >= self._compared_s:
             failure = await self._find_expired()
             if failure is not None:
@@ -386,23 +370,22 @@
             if entry.path != self._layout.config_path or entry.value is None:
                 continue
             arrived_s = self._loop.time()
-            value = entry.value.encode(errors="surrogateescape")
-            decoded = await run_in_slices(self._layout.decode_config_in_slices(value))
-            if isinstance(decoded, Err):
-                self._log.event("config_refused", revision=entry.revision, cause=decoded.err_value)
+            prepared = await prepare_config(
+                self._layout, entry.path, entry.value, self._view.configs
+            )
+            if isinstance(prepared, Err):
+                self._log.event("config_refused", revision=entry.revision, cause=prepared.err_value)
                 stored_version = 0
                 continue
+            version, chunked = prepared.ok_value
             if stored_version is None:
-                stored_version = decoded.ok_value.version
-            if decoded.ok_value.version > self._view.config_version:
-                chunked = await run_in_slices(
-                    split_config(decoded.ok_value, self._view.configs.chunked)
-                )
+                stored_version = version
+            if chunked is not None:
                 self._log.event(
                     "config_read",
-                    version=decoded.ok_value.version,
+                    version=version,
                     revision=entry.revision,
-                    size_bytes=len(value),
+                    size_bytes=len(entry.value.encode(errors="surrogateescape")),
                     prepare_s=self._loop.time() - arrived_s,
                 )
                 self._view.apply_config(chunked, "store")
@@ -474,7 +457,7 @@
     def _decode(self, entries: Sequence[Entry]) -> list[UpstreamRecord]:
         records = []
         for entry in entries:
-            decoded = self._layout.decode_upstream(entry)
+            decoded = self._layout.decode_or_refuse_upstream(entry)
             if isinstance(decoded, Err):
                 self._log.event("upstream_refused", cause=decoded.err_value)
                 continue
@@ -496,18 +479,35 @@
         self._confirms_from_s = self._view.config_freshness.clock() + _RESTORE_SETTLE_S
         self._stored_version = 0
         self._listing.invalidate()
-        self._restart_reads()
+        self._calls.cancel()
 
     def _record_success(self) -> None:
         now_s = self._loop.time()
         away_s = self._outage.record_contact(now_s)
-        if not self._view.store_contact:
-            self._log.event("store_contact", away_s=away_s)
         self._last_success_s = now_s
-        self._view.set_store_contact(True)
+        if not self._view.store_contact and not self._failing:
+            self._log.event("store_contact", away_s=away_s)
+            self._view.set_store_contact(True)
 
     def _record_failure(self, name: str, failure: PlatformFailure) -> None:
         if self._view.store_contact:
             self._log.event("store_lost", part=name, cause=failure)
         self._outage.record_failure(self._reading_since_s, self._loop.time())
         self._view.set_store_contact(False)
+
+    def _record_failed_part(self, name: str) -> None:
+        """Have a part read anew, and let others read meanwhile: it may have failed half-way."""
+        if name not in (_CONFIG, _UPSTREAMS):
+            return
+        self._failing.add(name)
+        if name == _CONFIG:
+            self._config_revision = None
+            self._view.configs.record_failing(True)
+        self._view.set_store_contact(False)
+
+    def _record_caught_up(self, name: str) -> None:
+        if name in self._failing:
+            self._failing.discard(name)
+            if name == _CONFIG:
+                self._view.configs.record_failing(False)
+            self._record_success()
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -256,8 +256,8 @@
     @property
     def is_config_current(self) -> bool:
         """Whether no newer configuration is known, and this instance would have learned of one."""
-        fleet_reachable = self.others_reach_store() or self.known_share() > _FLEET_SHARE
-        return self.configs.is_current(fleet_reachable=fleet_reachable)
+        reachable = self.known_share() > _FLEET_SHARE
+        return self.configs.is_current(self.others_reach_store(), fleet_reachable=reachable)
 
     @property
     def has_accounts(self) -> bool:
--- a/src/egretrail/supervision/__init__.py
+++ b/src/egretrail/supervision/__init__.py
@@ -2,12 +2,14 @@
 
 from egretrail.supervision._adaptive_timeout import AdaptiveTimeout
 from egretrail.supervision._backoff import RestartBackoff
+from egretrail.supervision._cancellable_calls import CancellableCalls
 from egretrail.supervision._errors import describe_error, error_place
 from egretrail.supervision._loop_errors import LoopErrors
 from egretrail.supervision._supervisor import Supervisor, TaskEnded
 
 __all__ = [
     "AdaptiveTimeout",
+    "CancellableCalls",
     "LoopErrors",
     "RestartBackoff",
     "Supervisor",
