Make a timer's call again after it failed

A hub schedules its next sections while it sends some. One error in between and it never sent again until something urgent came up; its zone took it as lost. The error goes to the loop's handler, and the call is made again after half a second.

--- a/src/egretrail/gateway/_timer.py
+++ b/src/egretrail/gateway/_timer.py
@@ -1,11 +1,14 @@
-"""A timer that can be rescheduled to an earlier time."""
+"""A timer that can be rescheduled to an earlier time, and goes on after errors."""
 
 import asyncio
 from collections.abc import Callable
 
+#: A call that failed is made again after this time, since it may have to schedule the next one.
+_RETRY_S = 0.5
+
 
 class Timer:
-    """Calls a function once, at the earliest of the scheduled times."""
+    """Calls a function once, at the earliest of the scheduled times; again if it fails."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, callback: Callable[[], None]) -> None:
         self._loop = loop
@@ -30,4 +33,8 @@
 
     def _run(self) -> None:
         self._handle = None
-        self._callback()
+        try:
+            self._callback()
+        except Exception as error:
+            self._loop.call_exception_handler({"message": "a timer failed", "exception": error})
+            self.schedule_at(self._loop.time() + _RETRY_S)
