End cleanly on a termination signal before the start or after the end

A SIGTERM during the imports, or while the settings file was read, met the default action: exit status -15, which counts as a failure. So did a second one after the event loop had closed. Nothing is open before the start, so the process ends with 0 at once; after the end the signals are blocked, as SIGHUP was.

Both cases of test_a_stop_before_the_start_is_no_failure pass (red before).

--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -137,8 +137,8 @@
             connections_opened=self._pool.opened_total,
         )
         self.log.flush()
-        # Once the event loop is closed, SIGHUP would kill the process as if it had failed.
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+        # Once the event loop is closed, a signal would kill the process as if it had failed.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
 
     async def _run_guarded(self, name: str, awaitable: object) -> None:
         """Run a long-lived task; if it fails, log the error and end the process."""
--- a/src/egretrail/start.py
+++ b/src/egretrail/start.py
@@ -1,14 +1,24 @@
 """Runs a gateway on an instance: ``python -m egretrail.start``."""
 
+import os
 import signal
 import sys
+from types import FrameType
+
+
+def _stop_before_start(number: int, frame: FrameType | None) -> None:
+    """End the process; it has neither connections nor anything to write yet."""
+    os._exit(0)
 
 
 def main() -> int:
     """Run the gateway until a signal stops it."""
-    # The imports below take a second on a slow machine. Until then the default action of SIGHUP,
-    # which asks for a reload of the settings, would end the process.
+    # The imports below take a second on a slow machine. Until the gateway handles signals, the
+    # default action of SIGHUP, which asks for a reload of the settings, would end the process, and
+    # that of the others would count as a failure.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _stop_before_start)
     from egretrail import gateway, platform
 
     return gateway.run_gateway(
