Wait some seconds for a settings file at the start

It reads again for five seconds, ten times a second, and ends with 2 only then: a deployment has written its file by then, and a wrong path isn't to look like a slow start.

The three cases of test_a_process_waits_for_its_settings pass (red before); a file that stays empty still ends the process with 2.

--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -27,7 +27,7 @@
 from egretrail.gateway._pool import UpstreamConnectionPool
 from egretrail.gateway._relay import RELAY_ID_FIELD, RELAY_LIMITS
 from egretrail.gateway._settings_change import compare_settings
-from egretrail.gateway._settings_file import SettingsFile, SettingsFileWatcher
+from egretrail.gateway._settings_file import SettingsFile, SettingsFileWatcher, read_at_start
 from egretrail.gateway._store_sync import StoreSync
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import BodyBudget, Handler, Request, Response, ServerConnection, ServerLimits
@@ -353,7 +353,7 @@
 
 def run_gateway(platform: Platform) -> int:
     """Run a gateway until a termination signal; return the process's exit code."""
-    read = platform.settings_file.read()
+    read = read_at_start(platform.settings_file)
     if isinstance(read, Err):
         os.write(2, f"event=settings_refused cause={str(read.err_value)!r}\n".encode())
         return 2
--- a/src/egretrail/gateway/_settings_file.py
+++ b/src/egretrail/gateway/_settings_file.py
@@ -1,6 +1,7 @@
 """Detects changes of the settings file, by a signal and by polling."""
 
 import abc
+import time
 from collections.abc import Hashable
 
 from result import Err, Ok, Result
@@ -12,6 +13,9 @@
 #: Contents are accepted only if they are the same when read again after this time. A half-written
 #: file may be valid, and its missing fields would get their defaults.
 _STABLE_S = 0.1
+#: A process that starts beside a deployment may find the file missing or half-written. It reads
+#: again for this long, at this interval. Longer, a wrong path would look like a slow start.
+_START_WAIT_S, _START_RETRY_S = 5.0, 0.1
 
 SettingsResult = Result[GatewaySettings, InvalidDocument]
 
@@ -28,6 +32,14 @@
         """Return a value that differs after nearly every change, without reading the file."""
 
 
+def read_at_start(file: SettingsFile) -> SettingsResult:
+    """Read the file; wait for a while if it cannot be used."""
+    end_s = time.monotonic() + _START_WAIT_S
+    while isinstance(read := file.read(), Err) and time.monotonic() < end_s:
+        time.sleep(_START_RETRY_S)
+    return read
+
+
 class SettingsFileWatcher:
     """Reads the file after a signal, when its fingerprint changes, and while it is invalid."""
 
