Keep the process when a long-lived task fails

_run_guarded logged the first unforeseen error of a task and ended the process, with every request on it. Peers, store and housekeeping run under the supervisor instead. task_failed names the cause, the innermost calls and the time until the restart; the metrics have task_restarts_total by task and tasks_failing. Errors that reach the event loop go to the log as loop_error and are counted (loop_errors_total): the loop's own handler writes to standard error, where a slow reader blocks the process.

Housekeeping writes the log before anything else, so that what fails behind it is seen. Settings that could not be applied are read and applied again; the watcher had taken them as accepted.

--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -6,7 +6,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -32,6 +32,7 @@
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import BodyBudget, Handler, Request, Response, ServerConnection, ServerLimits
 from egretrail.store import Store
+from egretrail.supervision import LoopErrors, Supervisor
 from egretrail.traffic import ClientLimits
 
 #: Backlog of a listener. A full backlog drops a client's SYN, which is resent after a second.
@@ -81,10 +82,13 @@
         self._connections: set[ServerConnection] = set()
         self._body_budget = BodyBudget(_body_budget_bytes(settings))
         self._servers: list[asyncio.Server] = []
+        self._expired_s = loop.time()
         self._stop_requested = asyncio.Event()
         self._stopping_since_s: float | None = None
         self._settings_watcher = SettingsFileWatcher(platform.settings_file, settings, loop.time())
         self.log = EventLog(settings.name)
+        self._supervisor = Supervisor(self.log.event, rng)
+        self._loop_errors = LoopErrors(self.log.event)
         self._metrics = GatewayMetrics()
         self._view = FleetView(settings, incarnation, loop.time, self.log, rng, _elapsed_s)
         self._pool = UpstreamConnectionPool()
@@ -92,7 +96,14 @@
         self._store = platform.open_store(settings)
         self._peers = PeerLinks(settings, self._view, self.log, rng)
         self._sync = StoreSync(
-            settings, self._view, self._store, platform.layout, self._peers, self.log, rng
+            settings,
+            self._view,
+            self._store,
+            platform.layout,
+            self._peers,
+            self.log,
+            rng,
+            self._supervisor,
         )
         self._executor = RequestExecutor(
             self._view, platform.contract, self._pool, self.log, self._metrics, rng, settings
@@ -106,6 +117,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop_requested.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._settings_watcher.request_read)
+        self._loop.set_exception_handler(self._loop_errors.handle)
         await self._peers.open()
         await self._listen(self._settings.traffic_address, self._handle_request)
         await self._listen(self._settings.ready_address, self._handle_readiness)
@@ -121,9 +133,9 @@
         gc.collect()
         gc.freeze()
         tasks = [
-            self._loop.create_task(self._run_guarded("peers", self._peers.run())),
-            self._loop.create_task(self._run_guarded("store", self._sync.run())),
-            self._loop.create_task(self._run_guarded("housekeeping", self._run_housekeeping())),
+            self._supervise("peers", self._peers.run),
+            self._supervise("store", self._sync.run),
+            self._supervise("housekeeping", self._run_housekeeping),
         ]
         await self._stop_requested.wait()
         await self._shut_down()
@@ -140,14 +152,8 @@
         # Once the event loop is closed, a signal would kill the process as if it had failed.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
 
-    async def _run_guarded(self, name: str, awaitable: object) -> None:
-        """Run a long-lived task; if it fails, log the error and end the process."""
-        try:
-            await awaitable  # type: ignore[misc]
-        except Exception as error:
-            self.log.event("task_failed", task=name, cause=repr(error))
-            self.log.flush()
-            os._exit(1)
+    def _supervise(self, name: str, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+        return self._loop.create_task(self._supervisor.run(name, work))
 
     async def _listen(
         self,
@@ -235,7 +241,11 @@
             "upstreams_suspect": float(by_health[UpstreamHealth.SUSPECT]),
             "upstreams_unreached": float(by_health[UpstreamHealth.UNREACHABLE_FROM_HERE]),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
+            "tasks_failing": float(self._supervisor.failing_count()),
+            "loop_errors_total": float(self._loop_errors.total),
         }
+        for task, count in self._supervisor.restart_counts().items():
+            gauges[f'task_restarts_total{{task="{task}"}}'] = float(count)
         for kind, size_bytes in self._peers.cross_zone_bytes.items():
             gauges[f'peer_bytes_across_zones_total{{kind="{kind}"}}'] = float(size_bytes)
         known_share = self._view.known_share()
@@ -266,25 +276,27 @@
         return [*candidates, own]
 
     async def _run_housekeeping(self) -> None:
-        last_expiry_s = self._loop.time()
         while True:
             await asyncio.sleep(_HOUSEKEEPING_S)
-            self._poll_settings()
             self.log.flush()
-            if self._loop.time() - last_expiry_s >= _POOL_EXPIRY_S:
-                last_expiry_s = self._loop.time()
+            now_s = self._loop.time()
+            if now_s - self._expired_s >= _POOL_EXPIRY_S:
+                self._expired_s = now_s
                 self._pool.close_expired()
                 self._executor.relay_client.close_expired()
-
-    def _poll_settings(self) -> None:
-        read = self._settings_watcher.poll(self._loop.time())
-        if read is None:
-            return
-        if isinstance(read, Err):
-            self.log.event("settings_refused", cause=read.err_value)
-            return
-        change = compare_settings(self._settings, read.ok_value)
-        self._apply_settings(change.settings)
+            read = self._settings_watcher.poll(now_s)
+            if isinstance(read, Err):
+                self.log.event("settings_refused", cause=read.err_value)
+            elif read is not None:
+                self._change_settings(read.ok_value)
+
+    def _change_settings(self, settings: GatewaySettings) -> None:
+        change = compare_settings(self._settings, settings)
+        try:
+            self._apply_settings(change.settings)
+        except Exception:
+            self._settings_watcher.withdraw(self._settings)
+            raise
         self.log.event(
             "reload", taken=",".join(change.applied), waiting=",".join(change.pending_restart)
         )
@@ -296,7 +308,6 @@
             # It is not known which of the two grace periods the kill follows.
             shorter_grace_s = min(before.stop_grace_s, settings.stop_grace_s)
             settings = replace(settings, stop_grace_s=shorter_grace_s)
-        self._settings = settings
         self._body_budget.set_limit(_body_budget_bytes(settings))
         self._view.apply_settings(settings)
         self._peers.apply_settings(settings)
@@ -305,6 +316,7 @@
             self._store.calls_total = old.calls_total
             self._sync.use_store(self._store)
             old.close()
+        self._settings = settings
 
     async def _shut_down(self) -> None:
         """Leave the directory at once, serve remaining requests, then close all connections."""
--- a/src/egretrail/gateway/_settings_file.py
+++ b/src/egretrail/gateway/_settings_file.py
@@ -58,6 +58,11 @@
         """Read the file at the next poll, whatever its fingerprint."""
         self._read_requested = True
 
+    def withdraw(self, settings: GatewaySettings) -> None:
+        """Return to earlier settings, since the accepted ones could not be applied; try again."""
+        self._accepted = Ok(settings)
+        self._read_requested = True
+
     def poll(self, now_s: float) -> SettingsResult | None:
         """Check the file if a check is due; return new contents once they are stable, else None."""
         if self._unstable is not None:
