Refuse an upstream whose id has no key, and name it to no peer

An id with a lone surrogate was listed: every view that names upstreams by key to peers failed half-way, and 8 of 40 orders got 500. With the entry refused, its name still stood among the changes that peers fetch, and the reply could not be encoded: all instances but the readers stayed behind from there on (fetch_failed, EOFError).

Such an id is a refusal like others, and a name that can't be encoded isn't passed on.

--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -5,14 +5,14 @@
 from collections.abc import Generator, Sequence
 from dataclasses import dataclass, field
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from egretrail.cluster import run_to_completion
 from egretrail.dispatch import QuotaTerms
 from egretrail.http1 import ReceivedResponse, Request, Response, ResponseOwner
 from egretrail.store import Entry
 from egretrail.supervision import describe_error
-from egretrail.traffic import FleetConfig, UpstreamRecord
+from egretrail.traffic import FleetConfig, UpstreamRecord, upstream_key
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,9 +124,13 @@
     def decode_or_refuse_upstream(self, entry: Entry) -> Result[UpstreamRecord, InvalidDocument]:
         """Decode an upstream's entry; an error in decoding it costs only the entry."""
         try:
-            return self.decode_upstream(entry)
+            decoded = self.decode_upstream(entry)
+            if isinstance(decoded, Ok):
+                # Peers name it by this key, which not every text has.
+                upstream_key(decoded.ok_value.id)
         except Exception as error:
             return Err(unforeseen(entry.path, error))
+        return decoded
 
 
 class ResponseKind(enum.Enum):
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -102,10 +102,9 @@
     async def run(self) -> None:
         """Run until cancelled."""
         await asyncio.sleep(_START_WAIT_S)
-        follow = self._follow_while_reader
         parts: dict[str, Callable[[], Awaitable[None]]] = {
-            _CONFIG: partial(follow, _CONFIG, self._follow_config),
-            _UPSTREAMS: partial(follow, _UPSTREAMS, self._follow_upstreams),
+            _CONFIG: partial(self._follow_while_reader, _CONFIG, self._follow_config),
+            _UPSTREAMS: partial(self._follow_while_reader, _UPSTREAMS, self._follow_upstreams),
             "liveness": self._check_liveness,
             "listing": self._listing.run,
             "vanished": self._drop_vanished,
@@ -400,7 +399,9 @@
         # A peer may have sent newer records; an upstream that it lists has not expired.
         if revision > self._view.upstreams.revision:
             self._retain_vanished(removed, kept)
-        self._view.apply_upstream_changes({**latest, **kept}, revision, "store")
+        # Peers cannot be told of a name with lone surrogates, and nobody lists it.
+        changes = {name: one for name, one in {**latest, **kept}.items() if _is_text(name)}
+        self._view.apply_upstream_changes(changes, revision, "store")
 
     def _latest_records(self, entries: Sequence[Entry]) -> dict[str, UpstreamRecord | None]:
         """Return the record that holds for each name after changes; None if removed or invalid.
@@ -508,6 +509,9 @@
     def _record_caught_up(self, name: str) -> None:
         if name in self._failing:
             self._failing.discard(name)
-            if name == _CONFIG:
-                self._view.configs.record_failing(False)
+            self._view.configs.record_failing(_CONFIG in self._failing)
             self._record_success()
+
+
+def _is_text(name: str) -> bool:
+    return name.encode(errors="ignore").decode() == name
--- a/src/egretrail/gateway/tests/test_failing_parts.py
+++ b/src/egretrail/gateway/tests/test_failing_parts.py
@@ -10,10 +10,11 @@
 
 from result import Result
 
-from egretrail.cluster import ChunkedConfig
+from egretrail.cluster import ChunkedConfig, FetchUpstreams, decode_upstreams
 from egretrail.gateway import InvalidDocument
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
+from egretrail.gateway._state_answers import StateAnswers
 from egretrail.gateway._store_sync import StoreSync
 from egretrail.gateway._view import FleetView
 from egretrail.gateway.tests.settings import gateway_settings
@@ -117,6 +118,7 @@
     @cases(
         {
             "upstreams": lambda reader: reader.list("odd"),
+            "an_id_without_key": lambda reader: reader.list("\udc80"),
             "configuration": lambda reader: reader.configure(7),
         }
     )
@@ -136,6 +138,20 @@
 
         self._run(act)
 
+    def test_a_refused_name_does_not_keep_changes_from_peers(self) -> None:
+        # Peers fetch the names of changed upstreams, and one that cannot be encoded ended the
+        # fetch: all instances but the readers would have stayed behind.
+        async def act(reader: _Reader) -> None:
+            known = reader.view.upstreams.revision
+            reader.list("\udc80")
+            reader.list("u2")
+            await asyncio.sleep(0.1)
+            fetch = FetchUpstreams(known, with_suspicions=False)
+            reply = decode_upstreams(StateAnswers(reader.view).upstreams_reply(fetch))
+            self.assertEqual({"u2"}, set(reply.unwrap().changes or {}))
+
+        self._run(act)
+
     @cases({"upstreams": lambda r: r.list("odd"), "configuration": lambda r: r.configure(7)})
     def test_an_unforeseen_entry_at_the_start(self, write: Callable[[_Reader], None]) -> None:
         # No process could start beside the entry.
