Count proposed slots in place of listing them

An upstream's entry of 1,000,000 slots or more, all else in order, stopped all instances: the even assignment of slots built a list with an item for each slot, and handled each of them alone. 20,000 slots took 1.3 MB for nine other upstreams.

Slots are proposed in counted rounds now: each instance that may still accept is proposed the same number. The work is bounded by the upstreams and instances.

--- a/src/egretrail/balancing/_even_assignment.py
+++ b/src/egretrail/balancing/_even_assignment.py
@@ -2,6 +2,7 @@
 
 import sys
 from array import array
+from bisect import insort
 from collections.abc import Collection, Iterable, Sequence
 
 import xxhash
@@ -106,35 +107,115 @@
         quotas = [base] * count
         for place in range(extras):
             quotas[self._extra_order[(extras_before + place) % count]] += 1
-        # For each instance, the score and the upstream of each proposal that it holds.
-        held: list[list[tuple[int, int]]] = [[] for _ in range(count)]
-        orders = [self._preference(owner.upstream_id) for owner in owners]
-        # An upstream proposes once to each instance, and again only if it has slots left then.
-        places = [0] * len(owners)
-        proposals = [number for number, owner in enumerate(owners) for _ in range(owner.slots)]
-        while proposals:
-            number = proposals.pop()
-            score = orders[number][places[number]]
-            index = score & _INDEX_MASK
-            places[number] = (places[number] + 1) % count
-            mine = held[index]
-            if len(mine) < quotas[index]:
-                mine.append((score, number))
-                mine.sort(reverse=True)
-            elif mine and mine[-1] < (score, number):
-                proposals.append(mine[-1][1])
-                mine[-1] = (score, number)
-                mine.sort(reverse=True)
-            else:
-                proposals.append(number)
-        for index, mine in enumerate(held):
-            name = self._instances[index]
-            for _, number in mine:
-                shares = self._shares.setdefault(owners[number].upstream_id, {})
-                shares[name] = shares.get(name, 0) + 1
+        holders = [_Holder(quota) for quota in quotas]
+        proposers = [
+            _Proposer(number, owner.slots, self._preference(owner.upstream_id))
+            for number, owner in enumerate(owners)
+        ]
+        pending = [proposer for proposer in proposers if proposer.free]
+        while pending:
+            pending.pop().place(holders, proposers, pending)
+        for name, holder in zip(self._instances, holders, strict=True):
+            for number, slots in holder.slots.items():
+                self._shares.setdefault(owners[number].upstream_id, {})[name] = slots
         return extras
 
 
+class _Holder:
+    """An instance and the proposed slots that it holds, with their number for each upstream."""
+
+    __slots__ = ("proposals", "room", "slots")
+
+    def __init__(self, room: int) -> None:
+        #: How many more slots it accepts without declining others.
+        self.room = room
+        #: The score and the upstream of the proposals that it holds, the lowest first.
+        self.proposals: list[tuple[int, int]] = []
+        #: The number of slots that it holds, by upstream.
+        self.slots: dict[int, int] = {}
+
+    def declines(self, proposal: tuple[int, int]) -> bool:
+        """Return whether it declines a proposal, and so all later ones of the same upstream."""
+        return not self.room and not (self.proposals and self.proposals[0] < proposal)
+
+    def hold(self, proposal: tuple[int, int], slots: int) -> None:
+        """Hold more slots of an upstream."""
+        known = self.slots.get(proposal[1], 0)
+        self.slots[proposal[1]] = known + slots
+        if not known:
+            insort(self.proposals, proposal)
+
+    def give_up(self, slots: int) -> tuple[int, int]:
+        """Give up slots of the lowest proposal; return its upstream and how many there were."""
+        number = self.proposals[0][1]
+        held = self.slots[number]
+        if held > slots:
+            self.slots[number] = held - slots
+            return number, slots
+        del self.proposals[0], self.slots[number]
+        return number, held
+
+
+class _Proposer:
+    """An upstream and its slots that no instance holds.
+
+    It proposes to the instances in turn. Slots are counted, so that the work does not grow with
+    their number: in each round, every instance that may still accept is proposed the same number.
+    """
+
+    __slots__ = ("_order", "_place", "_slots", "free", "number")
+
+    def __init__(self, number: int, slots: int, order: list[int]) -> None:
+        self.number = number
+        #: The slots that no instance holds.
+        self.free = slots
+        #: The instances of this round by falling score, and the place of the next one.
+        self._order = order
+        self._place = 0
+        #: The number of slots that each of them is proposed in this round.
+        self._slots = 1
+
+    def place(
+        self,
+        holders: Sequence[_Holder],
+        proposers: Sequence["_Proposer"],
+        pending: list["_Proposer"],
+    ) -> None:
+        """Propose the free slots until all are held; add upstreams that lose slots to pending."""
+        number = self.number
+        while self.free:
+            if self._place == len(self._order):
+                self._start_round(holders)
+            score = self._order[self._place]
+            self._place += 1
+            holder = holders[score & _INDEX_MASK]
+            proposal = (score, number)
+            left = self._slots
+            if holder.room:
+                taken = min(holder.room, left)
+                holder.room -= taken
+                left -= taken
+            held = holder.proposals
+            while left and held and held[0] < proposal:
+                loser, given_up = holder.give_up(left)
+                left -= given_up
+                proposers[loser].free += given_up
+                pending.append(proposers[loser])
+            if left < self._slots:
+                self.free -= self._slots - left
+                holder.hold(proposal, self._slots - left)
+
+    def _start_round(self, holders: Sequence[_Holder]) -> None:
+        """Start at the first instance again, without those that decline all further slots."""
+        self._order = [
+            score
+            for score in self._order
+            if not holders[score & _INDEX_MASK].declines((score, self.number))
+        ]
+        self._place = 0
+        self._slots = max(self.free // len(self._order), 1)
+
+
 def _pack(values: Iterable[int]) -> int:
     """Return an integer that holds some values in 64 bits each."""
     return int.from_bytes(array("Q", values).tobytes(), sys.byteorder)
