Bound the slots that an upstream counts for

An entry that stated 20,000 slots beside nine upstreams of 4 got 43 of 52 requests: costs, queues and shares were weighed by the stated number.

The index of the table of upstreams bounds it once for all readers: four times the lower median of the service's listed upstreams, and no more than the service's limit of connections. Other instances get the stated number. Nothing is learned from answers: a larger upstream gets four medians.

--- a/src/egretrail/gateway/_state_answers.py
+++ b/src/egretrail/gateway/_state_answers.py
@@ -107,7 +107,7 @@
             changes = view.upstreams.changes_since(message.revision) if newer else None
             reply = UpstreamsReply(
                 revision,
-                upstreams=list(view.upstreams) if newer and changes is None else None,
+                upstreams=view.upstreams.stated() if newer and changes is None else None,
                 changes=changes,
                 suspicions=view.suspicions() if message.with_suspicions else (),
             )
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -332,6 +332,7 @@
         if not self.configs.apply(chunked):
             return False
         self.quotas.set_accounts(chunked.config.accounts or (), self._clock())
+        self.upstreams.set_services(chunked.config.services.values())
         self._configure_overload()
         self._log.event(
             "config_in_force",
@@ -365,10 +366,9 @@
 
     def drop_upstreams(self, upstream_ids: Iterable[str]) -> None:
         """Drop upstreams that stayed unlisted for their grace period, and report the drops."""
-        now_s = self._clock()
         known = self.upstreams.records
         reports = [DropReport(name, known[name].revision) for name in upstream_ids if name in known]
-        self._reports.record_drops(reports, now_s)
+        self._reports.record_drops(reports, self._clock())
         self._apply_drop_reports(reports, "lapse")
         if reports:
             self.on_update(True)
--- a/src/egretrail/traffic/__init__.py
+++ b/src/egretrail/traffic/__init__.py
@@ -12,6 +12,7 @@
 from egretrail.traffic._objectives import ObjectiveTable, request_priority
 from egretrail.traffic._revision import revision_era, revision_number, store_revision
 from egretrail.traffic._routing import RouteTable, choose_service
+from egretrail.traffic._slot_bounds import SLOTS_MULTIPLE, slot_bound
 from egretrail.traffic._upstreams import (
     UpstreamRecord,
     UpstreamState,
@@ -20,6 +21,7 @@
 )
 
 __all__ = [
+    "SLOTS_MULTIPLE",
     "AccountTable",
     "ClientAccount",
     "ClientLimits",
@@ -38,6 +40,7 @@
     "request_priority",
     "revision_era",
     "revision_number",
+    "slot_bound",
     "store_revision",
     "upstream_key",
 ]
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -8,7 +8,9 @@
 
 import xxhash
 
+from egretrail.traffic._config import Service
 from egretrail.traffic._revision import revision_era
+from egretrail.traffic._slot_bounds import SLOTS_MAX, slot_bound
 
 #: Number of keys that are cached, about 150 bytes each; an instance's services have fewer
 #: upstreams.
@@ -96,7 +98,8 @@
     its successor.
     """
 
-    #: The upstreams of the newest known state of the store, by lifetime id.
+    #: The upstreams of the newest known state of the store, by lifetime id. Those that accept work
+    #: have the slots that count; the stated ones may be more than any machine has.
     records: dict[str, UpstreamRecord] = field(default_factory=dict)
     #: The store's revision up to which changes are known.
     revision: int = 0
@@ -112,6 +115,8 @@
     #: The latest changes, oldest first, and the revision since which they are complete.
     _changes: deque[_Change] = field(default_factory=deque)
     _changes_since: int = 0
+    #: The maximum connections of each upstream, by service.
+    _max_connections: dict[str, int] = field(default_factory=dict)
 
     def ready(self, service: str) -> list[UpstreamRecord]:
         """Return the upstreams of a service that accept new work."""
@@ -145,6 +150,15 @@
         """Iterate over all listed upstreams."""
         return iter(self.records.values())
 
+    def stated(self) -> list[UpstreamRecord]:
+        """Return all listed upstreams as they describe themselves, for other instances."""
+        return list(self._by_name.values())
+
+    def set_services(self, services: Iterable[Service]) -> None:
+        """Set the services, whose limits of connections bound the slots that count."""
+        self._max_connections = {one.name: one.max_connections for one in services}
+        self._rebuild_indexes()
+
     def replace(self, records: Iterable[UpstreamRecord], revision: int) -> bool:
         """Replace the list by a complete state of the store; return False if it is an older one."""
         if revision < self.revision:
@@ -216,9 +230,9 @@
         if upstream_id in self._drained:
             return False
         self._remember_drained(upstream_id)
-        record = self.records.get(upstream_id)
-        if record is not None:
-            self._by_name[record.name] = self._with_known_state(record)
+        if upstream_id in self.records:
+            name = self.records[upstream_id].name
+            self._by_name[name] = self._with_known_state(self._by_name[name])
             self._rebuild_indexes()
         return True
 
@@ -282,9 +296,23 @@
 
     def _rebuild_indexes(self) -> None:
         self.edition += 1
-        self.records = {record.id: record for record in self._by_name.values()}
-        by_service: dict[str, list[UpstreamRecord]] = {}
-        for record in self.records.values():
+        bounds = self._slot_bounds()
+        self.records = {}
+        self._by_service = {}
+        for record in self._by_name.values():
+            counted = record
             if record.state is UpstreamState.READY:
-                by_service.setdefault(record.service, []).append(record)
-        self._by_service = by_service
+                if record.slots > bounds[record.service]:
+                    counted = replace(record, slots=bounds[record.service])
+                self._by_service.setdefault(record.service, []).append(counted)
+            self.records[record.id] = counted
+
+    def _slot_bounds(self) -> dict[str, int]:
+        """Return how many slots an upstream counts for at most, by service."""
+        stated: dict[str, list[int]] = {}
+        for record in self._by_name.values():
+            stated.setdefault(record.service, []).append(record.slots)
+        return {
+            service: slot_bound(slots, self._max_connections.get(service, SLOTS_MAX))
+            for service, slots in stated.items()
+        }
