--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -5,13 +5,14 @@
 from collections.abc import Generator, Sequence
 from dataclasses import dataclass, field
 
-from result import Result
+from result import Err, Ok, Result
 
 from egretrail.cluster import run_to_completion
 from egretrail.dispatch import QuotaTerms
 from egretrail.http1 import ReceivedResponse, Request, Response, ResponseOwner
 from egretrail.store import Entry
-from egretrail.traffic import FleetConfig, UpstreamRecord
+from egretrail.supervision import describe_error
+from egretrail.traffic import FleetConfig, UpstreamRecord, upstream_key
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +89,11 @@
         return f"{self.path} is invalid: {'; '.join(self.faults)}"
 
 
+def unforeseen(path: str, error: Exception) -> InvalidDocument:
+    """Describe a document at which decoding failed where no check had refused it."""
+    return InvalidDocument(path, [f"unforeseen: {describe_error(error)}"])
+
+
 class StoreLayout(abc.ABC):
     """The paths of the store's entries that gateways read, and how they are decoded."""
 
@@ -115,6 +121,17 @@
     def decode_upstream(self, entry: Entry) -> Result[UpstreamRecord, InvalidDocument]:
         """Decode an upstream's entry."""
 
+    def decode_or_refuse_upstream(self, entry: Entry) -> Result[UpstreamRecord, InvalidDocument]:
+        """Decode an upstream's entry; an error in decoding it costs only the entry."""
+        try:
+            decoded = self.decode_upstream(entry)
+            if isinstance(decoded, Ok):
+                # Peers name it by this key, which not every text has.
+                upstream_key(decoded.ok_value.id)
+        except Exception as error:
+            return Err(unforeseen(entry.path, error))
+        return decoded
+
 
 class ResponseKind(enum.Enum):
     """What an upstream's response says about the request."""
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -2,32 +2,33 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence, Set
+from collections.abc import Awaitable, Callable, Coroutine, Sequence, Set
+from functools import partial
 from typing import Any
 
 from result import Err, Ok, Result
 
-from egretrail.cluster import READER_CHECK_S, split_config
+from egretrail.cluster import READER_CHECK_S
 from egretrail.gateway._instance_listing import InstanceListing
 from egretrail.gateway._interfaces import StartupSettings, StoreLayout
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._reader_role import ReaderRole
-from egretrail.gateway._slices import run_in_slices
+from egretrail.gateway._slices import prepare_config
 from egretrail.gateway._view import FleetView
 from egretrail.store import (
     Entry,
     FollowProgress,
     HistoryLost,
     PlatformFailure,
+    RefusedEntries,
     ReplyUnusable,
     Store,
     StoreUnavailable,
 )
+from egretrail.supervision import AdaptiveTimeout, CancellableCalls, Supervisor
 from egretrail.traffic import UpstreamRecord, UpstreamState, revision_era
 
-_FollowTask = asyncio.Task[PlatformFailure | None]
-
 #: The maximum duration of one watch.
 _WATCH_S = 8.0
 #: The duration of the first watch after a known revision: the changes up to now.
@@ -53,6 +54,8 @@
 #: Upstreams and operators have written again what a restored store lacks within this time. Until
 #: then its answers confirm nothing that was written before.
 _RESTORE_SETTLE_S = 2.2
+#: The parts that follow the store. While one of them fails, this instance is not current.
+_CONFIG, _UPSTREAMS = "config", "upstreams"
 
 
 class StoreSync:
@@ -67,6 +70,7 @@
         peers: PeerLinks,
         log: EventLog,
         rng: random.Random,
+        supervisor: Supervisor | None = None,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -78,6 +82,9 @@
         self._loop = asyncio.get_running_loop()
         #: How far the parts of the store are followed.
         self.progress = FollowProgress(self._loop.time)
+        self._supervisor = supervisor or Supervisor(log.event, rng)
+        #: The parts that failed and have not caught up since.
+        self._failing: set[str] = set()
         self._role = ReaderRole(view, lambda: peers.is_hub, self._loop.time, rng)
         self._last_success_s = float("-inf")
         self._outage = view.store_outage
@@ -91,13 +98,16 @@
         #: revision.
         self._vanished: dict[str, tuple[float, int]] = {}
         self._listing = InstanceListing(settings, view, store, layout, peers, log)
-        #: The tasks that read and watch a part of the store.
-        self._follow_tasks: set[_FollowTask] = set()
-        self._liveness_timeout_s = _LIVENESS_TIMEOUT_S
+        #: The calls that read and watch a part of the store.
+        self._calls: CancellableCalls[PlatformFailure] = CancellableCalls()
+        self._liveness_timeout = AdaptiveTimeout(_LIVENESS_TIMEOUT_S, _LIVENESS_TIMEOUT_MAX_S)
         #: The revision up to which the configuration was read; None if it has to be read again.
         self._config_revision: int | None = None
         #: The version of the configuration that the store last returned; 0 for an invalid one.
         self._stored_version = 0
+        #: The refused entries, as this instance last read them.
+        self.refused_configs = RefusedEntries()
+        self.refused_upstreams = RefusedEntries()
         #: The newest era of the store, None before the first answer, and from when on its answers
         #: confirm the configuration.
         self._era: int | None = None
@@ -106,12 +116,17 @@
     async def run(self) -> None:
         """Run until cancelled."""
         await asyncio.sleep(_START_WAIT_S)
+        parts: dict[str, Callable[[], Awaitable[None]]] = {
+            _CONFIG: partial(self._follow_while_reader, _CONFIG, self._follow_config),
+            _UPSTREAMS: partial(self._follow_while_reader, _UPSTREAMS, self._follow_upstreams),
+            "liveness": self._check_liveness,
+            "listing": self._listing.run,
+            "vanished": self._drop_vanished,
+        }
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._follow_while_reader("config", self._follow_config))
-            tasks.create_task(self._follow_while_reader("upstreams", self._follow_upstreams))
-            tasks.create_task(self._check_liveness())
-            tasks.create_task(self._listing.run())
-            tasks.create_task(self._drop_vanished())
+            for name, work in parts.items():
+                on_failure = partial(self._record_failed_part, name)
+                tasks.create_task(self._supervisor.run(name, work, on_failure))
 
     def use_store(self, store: Store) -> None:
         """Send the next calls to another address of the store.
@@ -121,12 +136,7 @@
         """
         self._store = store
         self._listing.use_store(store)
-        self._restart_reads()
-
-    def _restart_reads(self) -> None:
-        """Cancel the pending calls, so that each part of the store is read again."""
-        for task in self._follow_tasks:
-            task.cancel()
+        self._calls.cancel()
 
     def should_read(self) -> bool:
         """Return whether this instance reads the store now."""
@@ -146,7 +156,7 @@
                 await asyncio.sleep(READER_CHECK_S)
                 continue
             began_s = self._loop.time()
-            failure = await self._run_cancellable(follow())
+            failure = await self._calls.run(follow())
             if isinstance(failure, HistoryLost):
                 self._log.event("store_history_lost", part=name, cause=failure)
             elif failure is not None:
@@ -161,6 +171,9 @@
         if reads == self._is_reader:
             return
         self._is_reader = reads
+        if not reads:
+            self.refused_configs.clear()
+            self.refused_upstreams.clear()
         self._log.event(
             "reader_started" if reads else "reader_stopped",
             rank=self._view.membership.own_rank(),
@@ -181,16 +194,19 @@
                 continue
             check += 1
             confirms = self._view.requires_fresh_config and check % _CONFIRM_EVERY == 0
-            failure = await self._with_liveness_timeout(
-                self._confirm_config() if confirms else self._read_stale()
-            )
+            try:
+                failure = await self._liveness_timeout.run(
+                    self._confirm_config() if confirms else self._read_stale()
+                )
+            except TimeoutError as error:
+                failure = StoreUnavailable("liveness", str(error))
             if isinstance(failure, HistoryLost):
-                self._restart_reads()
+                self._calls.cancel()
             elif failure is None:
                 self._outage.record_contact(self._loop.time())
             elif self._view.store_contact:
                 self._record_failure("liveness", failure)
-                self._restart_reads()
+                self._calls.cancel()
 
     async def _read_stale(self) -> PlatformFailure | None:
         path = self._layout.instances_prefix + self._settings.availability_zone
@@ -212,35 +228,6 @@
         await self._apply_config_answer(watched.ok_value.entries, watched.ok_value.revision, sent_s)
         return None
 
-    async def _with_liveness_timeout(
-        self, call: Coroutine[Any, Any, PlatformFailure | None]
-    ) -> PlatformFailure | None:
-        """Make a call that fails if the store does not answer within the liveness time-out."""
-        sent_s = self._loop.time()
-        timeout_s = self._liveness_timeout_s
-        try:
-            async with asyncio.timeout(timeout_s):
-                failure = await call
-        except TimeoutError:
-            self._liveness_timeout_s = min(timeout_s * 2, _LIVENESS_TIMEOUT_MAX_S)
-            return StoreUnavailable("liveness", f"no answer within {timeout_s} s")
-        if self._loop.time() - sent_s < timeout_s / 4:
-            self._liveness_timeout_s = max(timeout_s / 2, _LIVENESS_TIMEOUT_S)
-        return failure
-
-    async def _run_cancellable(
-        self, follow: Coroutine[Any, Any, PlatformFailure | None]
-    ) -> PlatformFailure | None:
-        """Run a task that follows a part of the store until a call fails or reads restart."""
-        task = self._loop.create_task(follow)
-        self._follow_tasks.add(task)
-        try:
-            await asyncio.wait([task])
-        finally:
-            self._follow_tasks.discard(task)
-            task.cancel()
-        return None if task.cancelled() else task.result()
-
     async def _follow_config(self) -> PlatformFailure | None:
         """Follow the changes of the configuration until a call fails."""
         configs = self._view.configs
@@ -248,6 +235,8 @@
         caught_up = await self._catch_up(
             self._config_revision or 0, self._watch_config, self._read_config
         )
+        if isinstance(caught_up, Ok):
+            self._record_caught_up(_CONFIG)
         while isinstance(caught_up, Ok) and self.should_read():
             configs.reaches_store = True
             caught_up = await self._watch_config(caught_up.ok_value, _WATCH_S)
@@ -287,6 +276,7 @@
         revision = read.ok_value.revision
         self._record_answer("config", 0, revision)
         self._check_era(revision)
+        self.refused_configs.retain(entry.path for entry in read.ok_value.entries)
         await self._apply_config_answer(read.ok_value.entries, revision, sent_s)
         return Ok(revision)
 
@@ -318,9 +308,10 @@
 
     async def _follow_upstreams(self) -> PlatformFailure | None:
         """Follow the changes of the upstreams until a call fails."""
-        caught_up = await self._catch_up(
-            self._view.upstreams.revision, self._watch_upstreams, self._read_upstreams
-        )
+        known = 0 if _UPSTREAMS in self._failing else self._view.upstreams.revision
+        caught_up = await self._catch_up(known, self._watch_upstreams, self._read_upstreams)
+        if isinstance(caught_up, Ok):
+            self._record_caught_up(_UPSTREAMS)
         if isinstance(caught_up, Ok) and self._outage.ended_s >= self._compared_s:
             failure = await self._find_expired()
             if failure is not None:
@@ -365,7 +356,10 @@
         vanished = self._view.upstreams.absent_since_before(revision_era(revision))
         entries = [one for one in read.ok_value.entries if self._name(one) not in vanished]
         records = {record.name: record for record in self._decode(entries)}
-        gone = {record.name for record in self._view.upstreams} - records.keys()
+        self.refused_upstreams.retain(entry.path for entry in read.ok_value.entries)
+        # The entry of a name that is listed and refused has not expired.
+        stored = {self._name(entry) for entry in entries}
+        gone = {record.name for record in self._view.upstreams} - stored
         if revision >= self._view.upstreams.revision:
             self._retain_vanished(gone, records)
         self._view.replace_upstreams(records.values(), revision, "store")
@@ -399,58 +393,76 @@
     async def _apply_config(self, entries: Sequence[Entry]) -> None:
         """Put the last valid version among some entries in force; it replaces those before it."""
         stored_version = None
+        refusals: list[tuple[Entry, str]] = []
+        entries = [entry for entry in entries if entry.path == self._layout.config_path]
         for entry in reversed(entries):
-            if entry.path != self._layout.config_path or entry.value is None:
+            if entry.value is None:
                 continue
             arrived_s = self._loop.time()
-            value = entry.value.encode(errors="surrogateescape")
-            decoded = await run_in_slices(self._layout.decode_config_in_slices(value))
-            if isinstance(decoded, Err):
-                self._log.event("config_refused", revision=entry.revision, cause=decoded.err_value)
+            prepared = await prepare_config(
+                self._layout, entry.path, entry.value, self._view.configs
+            )
+            if isinstance(prepared, Err):
+                refusals.append((entry, str(prepared.err_value)))
                 stored_version = 0
                 continue
+            version, chunked = prepared.ok_value
             if stored_version is None:
-                stored_version = decoded.ok_value.version
-            if decoded.ok_value.version > self._view.config_version:
-                chunked = await run_in_slices(
-                    split_config(decoded.ok_value, self._view.configs.chunked)
-                )
+                stored_version = version
+            if chunked is not None:
                 self._log.event(
                     "config_read",
-                    version=decoded.ok_value.version,
+                    version=version,
                     revision=entry.revision,
-                    size_bytes=len(value),
+                    size_bytes=len(entry.value.encode(errors="surrogateescape")),
                     prepare_s=self._loop.time() - arrived_s,
                 )
                 self._view.apply_config(chunked, "store")
             break
+        for entry, cause in reversed(refusals):
+            if self.refused_configs.record_refused(entry.path, cause):
+                self._log.event("config_refused", revision=entry.revision, cause=cause)
+        if entries and not (refusals and refusals[0][0] is entries[-1]):
+            self.refused_configs.record_ended(self._layout.config_path)
         if stored_version is not None:
             self._stored_version = stored_version
 
     def _apply_changes(self, entries: Sequence[Entry], revision: int) -> None:
-        latest = self._latest_records(entries)
-        removed = {name for name, record in latest.items() if record is None}
+        latest, refused = self._latest_records(entries)
+        removed = {name for name, record in latest.items() if record is None} - refused
         kept: dict[str, UpstreamRecord] = {}
         # A peer may have sent newer records; an upstream that it lists has not expired.
         if revision > self._view.upstreams.revision:
             self._retain_vanished(removed, kept)
-        self._view.apply_upstream_changes({**latest, **kept}, revision, "store")
+        # Peers cannot be told of a name with lone surrogates, and nobody lists it.
+        changes = {name: one for name, one in {**latest, **kept}.items() if _is_text(name)}
+        self._view.apply_upstream_changes(changes, revision, "store")
 
-    def _latest_records(self, entries: Sequence[Entry]) -> dict[str, UpstreamRecord | None]:
+    def _latest_records(
+        self, entries: Sequence[Entry]
+    ) -> tuple[dict[str, UpstreamRecord | None], set[str]]:
         """Return the record that holds for each name after changes; None if removed or invalid.
 
         An invalid entry replaces the valid one before it. A valid entry of an older lifetime does
-        not, since it was stored late.
+        not, since it was stored late. Also returns the names of which no valid entry came after an
+        invalid one: what was there before has not expired.
         """
         latest: dict[str, UpstreamRecord | None] = {}
+        refused: set[str] = set()
         for entry in entries:
             name = self._name(entry)
             decoded = self._decode([entry]) if entry.value is not None else []
             record = decoded[0] if decoded else None
+            if record is not None:
+                refused.discard(name)
+            elif entry.value is not None:
+                refused.add(name)
+            else:
+                self.refused_upstreams.record_ended(entry.path)
             before = latest.get(name)
             if record is None or before is None or record.started_ms >= before.started_ms:
                 latest[name] = record
-        return latest
+        return latest, refused
 
     def _name(self, entry: Entry) -> str:
         return entry.path.removeprefix(self._layout.upstreams_prefix)
@@ -491,10 +503,13 @@
     def _decode(self, entries: Sequence[Entry]) -> list[UpstreamRecord]:
         records = []
         for entry in entries:
-            decoded = self._layout.decode_upstream(entry)
+            decoded = self._layout.decode_or_refuse_upstream(entry)
             if isinstance(decoded, Err):
-                self._log.event("upstream_refused", cause=decoded.err_value)
+                cause = str(decoded.err_value)
+                if self.refused_upstreams.record_refused(entry.path, cause):
+                    self._log.event("upstream_refused", cause=cause)
                 continue
+            self.refused_upstreams.record_ended(entry.path)
             record = decoded.ok_value
             self._vanished.pop(record.id, None)
             records.append(record)
@@ -513,7 +528,7 @@
         self._confirms_from_s = self._view.config_freshness.clock() + _RESTORE_SETTLE_S
         self._stored_version = 0
         self._listing.invalidate()
-        self._restart_reads()
+        self._calls.cancel()
 
     def _record_answer(self, part: str, position: int, stated: int) -> None:
         """Record an answer to a call after a position, and log when that is ahead of the store."""
@@ -523,13 +538,33 @@
     def _record_success(self) -> None:
         now_s = self._loop.time()
         away_s = self._outage.record_contact(now_s)
-        if not self._view.store_contact:
-            self._log.event("store_contact", away_s=away_s)
         self._last_success_s = now_s
-        self._view.set_store_contact(True)
+        if not self._view.store_contact and not self._failing:
+            self._log.event("store_contact", away_s=away_s)
+            self._view.set_store_contact(True)
 
     def _record_failure(self, name: str, failure: PlatformFailure) -> None:
         if self._view.store_contact:
             self._log.event("store_lost", part=name, cause=failure)
         self._outage.record_failure(self._reading_since_s, self._loop.time())
         self._view.set_store_contact(False)
+
+    def _record_failed_part(self, name: str) -> None:
+        """Have a part read anew, and let others read meanwhile: it may have failed half-way."""
+        if name not in (_CONFIG, _UPSTREAMS):
+            return
+        self._failing.add(name)
+        if name == _CONFIG:
+            self._config_revision = None
+            self._view.configs.record_failing(True)
+        self._view.set_store_contact(False)
+
+    def _record_caught_up(self, name: str) -> None:
+        if name in self._failing:
+            self._failing.discard(name)
+            self._view.configs.record_failing(_CONFIG in self._failing)
+            self._record_success()
+
+
+def _is_text(name: str) -> bool:
+    return name.encode(errors="ignore").decode() == name
--- a/src/egretrail/gateway/tests/test_store_position.py
+++ b/src/egretrail/gateway/tests/test_store_position.py
@@ -49,7 +49,7 @@
         async def act(setup: readers._ReaderSetup) -> None:
             store.ahead = ahead
             if restarts:
-                setup.sync._restart_reads()
+                setup.sync._calls.cancel()
             setup.list("u5")
             setup.configure(config(2, readers._ROUTES))
             await asyncio.sleep(0.3)
--- a/src/egretrail/platform/_store_fields.py
+++ b/src/egretrail/platform/_store_fields.py
@@ -36,7 +36,7 @@
 _CLIENT_TIME_MIN_S = 0.05
 
 #: An entry has some hundred bytes; unknown fields may add to them.
-UPSTREAM_BYTES_MAX = 64 * 1024
+UPSTREAM_BYTES_MAX = 8 * 1024
 #: Four times the largest value that stores usually take: in memory, a document of small lists is
 #: twenty times as large.
 CONFIG_BYTES_MAX = 4 * 1024 * 1024
@@ -58,7 +58,7 @@
 #: Unix time in milliseconds.
 START_TIME_MS = Integer(0, _TIME_MAX_MS)
 
-#: Eight digits; 0 stands for no configuration.
+#: Eight digits; 0 is older than any that is in force.
 CONFIG_VERSION = HexInteger(max_digits=8)
 ROWS = Rows(_SHORT_MAX)
 
