Bound how long one document or many entries keep a process from its other tasks

Within the bounds of size, odd rows still held a process: 20 accounts of 65,535 keys that are no text for 3.9 s, 65,535 routes with an empty split for 1.2 s, both in one slice; hubs count as failed after 0.65 s. Decoding now ends once no further fault would be told, slices count parts and keys, and an account has 4,096 keys at most: 0.20 s and 0.08 s, nearly all of it the JSON decoder. Upstreams' entries are decoded 50 at a time, and an entry has 16 KB at most: 64 KB of small lists take the JSON decoder 8 ms (computed from 0.5 s for 4 MiB), and a list may hold hundreds of such.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence, Set
+from collections.abc import Callable, Coroutine, Iterable, Sequence, Set
 from typing import Any
 
 from result import Err, Ok, Result
@@ -49,6 +49,9 @@
 _RETRY_MAX_S = 1.0
 #: An instance that has just started waits for this long before it reads.
 _START_WAIT_S = 0.15
+#: Entries that are decoded before other tasks run: a millisecond, or a tenth of a second for odd
+#: entries of the largest size. Another writer may create any number.
+_ENTRIES_PER_SLICE = 50
 #: Upstreams and operators have written again what a restored store lacks within this time. Until
 #: then its answers confirm nothing that was written before.
 _RESTORE_SETTLE_S = 2.2
@@ -362,7 +365,8 @@
         # Upstreams that are alive write their entry again, and a watch returns it.
         vanished = self._view.upstreams.absent_since_before(revision_era(revision))
         entries = [one for one in read.ok_value.entries if self._name(one) not in vanished]
-        records = {record.name: record for record in self._decode(entries)}
+        decoded = await self._decode(entries)
+        records = {record.name: record for _, record in decoded if record is not None}
         self.refused_upstreams.retain(entry.path for entry in read.ok_value.entries)
         # The entry of a name that is listed and refused has not expired.
         stored = {self._name(entry) for entry in entries}
@@ -387,7 +391,7 @@
                 known=self._view.upstreams.revision,
                 entries=len(changes.entries),
             )
-            self._apply_changes(changes.entries, changes.revision)
+            await self._apply_changes(changes.entries, changes.revision)
         await self._batch_changes(changes.entries)
         return Ok(max(after, changes.revision))
 
@@ -434,8 +438,8 @@
         if stored_version is not None:
             self._stored_version = stored_version
 
-    def _apply_changes(self, entries: Sequence[Entry], revision: int) -> None:
-        latest, refused = self._latest_records(entries)
+    async def _apply_changes(self, entries: Sequence[Entry], revision: int) -> None:
+        latest, refused = self._latest_records(await self._decode(entries))
         removed = {name for name, record in latest.items() if record is None} - refused
         kept: dict[str, UpstreamRecord] = {}
         # A peer may have sent newer records; an upstream that it lists has not expired.
@@ -444,7 +448,7 @@
         self._view.apply_upstream_changes({**latest, **kept}, revision, "store")
 
     def _latest_records(
-        self, entries: Sequence[Entry]
+        self, decoded: Iterable[tuple[Entry, UpstreamRecord | None]]
     ) -> tuple[dict[str, UpstreamRecord | None], set[str]]:
         """Return the record that holds for each name after changes; None if removed or invalid.
 
@@ -454,16 +458,12 @@
         """
         latest: dict[str, UpstreamRecord | None] = {}
         refused: set[str] = set()
-        for entry in entries:
+        for entry, record in decoded:
             name = self._name(entry)
-            decoded = self._decode([entry]) if entry.value is not None else []
-            record = decoded[0] if decoded else None
             if record is not None:
                 refused.discard(name)
             elif entry.value is not None:
                 refused.add(name)
-            else:
-                self.refused_upstreams.record_ended(entry.path)
             before = latest.get(name)
             if record is None or before is None or record.started_ms >= before.started_ms:
                 latest[name] = record
@@ -505,20 +505,30 @@
                 if upstream_id in listed and listed[upstream_id].revision == revision
             )
 
-    def _decode(self, entries: Sequence[Entry]) -> list[UpstreamRecord]:
-        records = []
-        for entry in entries:
-            decoded = self._layout.decode_upstream(entry)
-            if isinstance(decoded, Err):
-                cause = str(decoded.err_value)
-                if self.refused_upstreams.record_refused(entry.path, cause):
-                    self._log.event("upstream_refused", cause=cause)
-                continue
+    async def _decode(
+        self, entries: Sequence[Entry]
+    ) -> Sequence[tuple[Entry, UpstreamRecord | None]]:
+        """Return the records of entries; None for a removed or refused one."""
+        decoded = []
+        for number, entry in enumerate(entries, 1):
+            decoded.append((entry, self._decode_entry(entry)))
+            if number % _ENTRIES_PER_SLICE == 0:
+                await asyncio.sleep(0)
+        return decoded
+
+    def _decode_entry(self, entry: Entry) -> UpstreamRecord | None:
+        if entry.value is None:
             self.refused_upstreams.record_ended(entry.path)
-            record = decoded.ok_value
-            self._vanished.pop(record.id, None)
-            records.append(record)
-        return records
+            return None
+        decoded = self._layout.decode_upstream(entry)
+        if isinstance(decoded, Err):
+            cause = str(decoded.err_value)
+            if self.refused_upstreams.record_refused(entry.path, cause):
+                self._log.event("upstream_refused", cause=cause)
+            return None
+        self.refused_upstreams.record_ended(entry.path)
+        self._vanished.pop(decoded.ok_value.id, None)
+        return decoded.ok_value
 
     def _check_era(self, revision: int) -> None:
         """Read everything again if the store's era shows that it was restored from a copy."""
--- a/src/egretrail/platform/_layout.py
+++ b/src/egretrail/platform/_layout.py
@@ -84,6 +84,8 @@
     for number, row in enumerate(fields.read("services", store_fields.ROWS)):
         service = _decode_service(TableReader(row, f"services[{number}]", faults))
         services[service.name] = service
+        if fields.has_enough_faults:
+            break
         if number % _ROWS_PER_SLICE == 0:
             yield
     routes = yield from _decode_routes(fields, services.keys(), faults)
@@ -108,7 +110,9 @@
             if part.service not in services:
                 reader.add_fault("service", f"unknown service {shown(part.service)}")
         routes.append(route)
-        rows_in_slice += len(route.parts)
+        if fields.has_enough_faults:
+            break
+        rows_in_slice += 1 + len(route.parts)
         if rows_in_slice >= _ROWS_PER_SLICE:
             rows_in_slice = 0
             yield
@@ -129,6 +133,8 @@
             if holders.setdefault(digest, account.name) != account.name:
                 reader.add_fault("apiKeys", f"a key of {shown(holders[digest])} too")
         accounts.append(account)
+        if fields.has_enough_faults:
+            break
         rows_in_slice += 1 + len(account.key_digests)
         if rows_in_slice >= _ROWS_PER_SLICE:
             rows_in_slice = 0
@@ -139,15 +145,15 @@
 
 
 def _decode_account(fields: TableReader) -> ClientAccount:
-    keys = fields.read("apiKeys", store_fields.ROWS)
-    usable = [key for key in keys if _is_api_key(key)]
-    if len(usable) < len(keys):
+    keys = fields.read("apiKeys", store_fields.API_KEYS)
+    if not all(_is_api_key(key) for key in keys):
         # The key itself must not appear in a log.
         fields.add_fault("apiKeys", "a key that no header field can hold")
+        keys = ()
     has_priority = fields.is_present("priority")
     return ClientAccount(
         name=fields.read("name", store_fields.ACCOUNT_NAME),
-        key_digests=tuple(dict.fromkeys(key_digest(key.encode()) for key in usable)),
+        key_digests=tuple(dict.fromkeys(key_digest(key.encode()) for key in keys)),
         priority=fields.read("priority", store_fields.PRIORITY) if has_priority else None,
         rate_per_s=fields.read("ratePerS", store_fields.RATE_PER_S, 0.0),
         burst=fields.read("burst", store_fields.BURST, 0.0),
--- a/src/egretrail/platform/_store_fields.py
+++ b/src/egretrail/platform/_store_fields.py
@@ -35,8 +35,9 @@
 #: In less time, no client at a distance sends a head or its next request.
 _CLIENT_TIME_MIN_S = 0.05
 
-#: An entry has some hundred bytes; unknown fields may add to them.
-UPSTREAM_BYTES_MAX = 64 * 1024
+#: An entry has some hundred bytes; unknown fields may add to them. At this size, one of many small
+#: lists takes two milliseconds.
+UPSTREAM_BYTES_MAX = 16 * 1024
 #: Four times the largest value that stores usually take: in memory, a document of small lists is
 #: twenty times as large.
 CONFIG_BYTES_MAX = 4 * 1024 * 1024
@@ -93,6 +94,7 @@
 
 #: Sent as a header field.
 ACCOUNT_NAME = HeaderText(_NAME_BYTES_MAX)
+API_KEYS = Rows(4_096)
 API_KEY = HeaderText(_PATH_BYTES_MAX)
 RATE_PER_S = Number(0.0, _NUMBER_MAX)
 BURST = Number(0.0, _NUMBER_MAX)
--- a/src/egretrail/platform/_table_reader.py
+++ b/src/egretrail/platform/_table_reader.py
@@ -101,6 +101,11 @@
         if not is_valid and not has_fault:
             self.add_fault(name, fault)
 
+    @property
+    def has_enough_faults(self) -> bool:
+        """Whether no further fault of the document would be reported."""
+        return len(self._faults) > _FAULTS_MAX
+
     def add_fault(self, name: str, fault: str) -> None:
         """Add a fault of a field."""
         self._append_fault(f"{self.path}.{name}: {fault}")
--- a/src/egretrail/platform/tests/test_odd_documents.py
+++ b/src/egretrail/platform/tests/test_odd_documents.py
@@ -268,6 +268,26 @@
     def test_a_configuration_within_the_bounds_is_used(self, value: str) -> None:
         self._assert_usable_config(_LAYOUT.decode_config(value.encode()).unwrap())
 
+    @cases(
+        {
+            "routes that are no tables": {"routes": [[]] * 60_000},
+            "routes without parts": {"routes": [{**_ROUTE, "trafficSplit": []}] * 10_000},
+            "services that are no tables": {"services": [0] * 60_000},
+            "keys that are no texts": {"tenants": [{**_ACCOUNT, "apiKeys": [0] * 4_000}] * 500},
+        }
+    )
+    def test_no_more_rows_are_decoded_than_faults_are_told(self, changes: dict[str, Any]) -> None:
+        """The rows of one odd document blocked a process for seconds."""
+        slices = _LAYOUT.decode_config_in_slices(json.dumps({**_CONFIG, **changes}).encode())
+        self.assertLess(len(list(slices)), 5)
+
+    def test_other_tasks_run_between_rows_of_many_parts(self) -> None:
+        """A slice that was counted in routes held 6,400 parts."""
+        split = [{"service": "s", "weight": 1}] * 64
+        document = {**_CONFIG, "routes": [{**_ROUTE, "trafficSplit": split}] * 100}
+        slices = _LAYOUT.decode_config_in_slices(json.dumps(document).encode())
+        self.assertGreater(len(list(slices)), 40)
+
     @settings(max_examples=400, deadline=None, derandomize=True)
     @given(_tables(_ENTRY), st.text(max_size=8) | st.sampled_from(_ODD_TEXTS))
     def test_any_entry_is_usable_or_refused(self, document: dict[str, Any], name: str) -> None:
