Escape names of routes and services in metrics

A name with a quote or a backslash is printable and valid, and made the whole page of metrics unreadable for its readers; only names of accounts were escaped.

--- a/src/egretrail/gateway/_metrics.py
+++ b/src/egretrail/gateway/_metrics.py
@@ -7,6 +7,11 @@
 _BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
 
 
+def label_value(text: str) -> str:
+    """Return a text as the value of a metric's label."""
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
 class _Histogram:
     __slots__ = ("counts", "total_s")
 
@@ -53,7 +58,7 @@
         """Return all metrics as text; ``gauges`` holds current values by name, with labels."""
         lines = [f"egretrail_{name} {value:g}" for name, value in sorted(gauges.items())]
         for (route, outcome), count in sorted(self._answers.items()):
-            labels = f'route="{route}",outcome="{outcome}"'
+            labels = f'route="{label_value(route)}",outcome="{outcome}"'
             lines.append(f"egretrail_answers_total{{{labels}}} {count}")
         for reason, count in sorted(self._refusals.items()):
             lines.append(f'egretrail_refusals_total{{reason="{reason}"}} {count}')
--- a/src/egretrail/gateway/_overload_control.py
+++ b/src/egretrail/gateway/_overload_control.py
@@ -7,6 +7,7 @@
 from egretrail.cluster import Section
 from egretrail.dispatch import Placement
 from egretrail.gateway._log import EventLog
+from egretrail.gateway._metrics import label_value
 from egretrail.overload import (
     AccountDemandKey,
     Arrival,
@@ -266,15 +267,15 @@
         gauges: dict[str, float] = {}
         for service, snapshot in self.snapshots(now_s).items():
             for state in ServiceState:
-                labels = f'service="{service}",state="{state.value}"'
+                labels = f'service="{label_value(service)}",state="{state.value}"'
                 gauges[f"service_state{{{labels}}}"] = float(state is snapshot.state)
             for priority, (offered, refused, shed) in snapshot.by_priority.items():
-                labels = f'{{service="{service}",priority="{priority}"}}'
+                labels = f'{{service="{label_value(service)}",priority="{priority}"}}'
                 gauges[f"demand_offered{labels}"] = float(offered)
                 gauges[f"demand_refused{labels}"] = float(refused)
                 gauges[f"demand_shed{labels}"] = float(shed)
             for account, offered in snapshot.accounts[:_METRIC_ACCOUNTS_MAX]:
-                labels = f'service="{service}",account="{_label(account)}"'
+                labels = f'service="{label_value(service)}",account="{label_value(account)}"'
                 gauges[f"account_offered{{{labels}}}"] = float(offered)
         return gauges
 
@@ -287,8 +288,3 @@
             return {}
         services = {key.service for key in report.rows}
         return {key: n for key, n in known.report.accounts.items() if key.service in services}
-
-
-def _label(text: str) -> str:
-    """Return a text as the value of a metric's label."""
-    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -22,7 +22,7 @@
     StoreLayout,
 )
 from egretrail.gateway._log import EventLog
-from egretrail.gateway._metrics import GatewayMetrics
+from egretrail.gateway._metrics import GatewayMetrics, label_value
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._pool import UpstreamConnectionPool
 from egretrail.gateway._relay import RELAY_ID_FIELD, RELAY_LIMITS
@@ -246,8 +246,9 @@
             gauges[f'peer_bytes_across_zones_total{{kind="{kind}"}}'] = float(size_bytes)
         known_share = self._view.known_share()
         for service, use in self._view.retry_budget.usage(self._loop.time(), known_share).items():
-            gauges[f'repeats_in_window{{service="{service}"}}'] = float(use.retries)
-            gauges[f'repeats_allowed{{service="{service}"}}'] = use.allowed
+            labels = f'{{service="{label_value(service)}"}}'
+            gauges[f"repeats_in_window{labels}"] = float(use.retries)
+            gauges[f"repeats_allowed{labels}"] = use.allowed
         gauges.update(self._view.overload.metrics(self._loop.time()))
         return Response(200, self._metrics.render(gauges), [(b"Content-Type", b"text/plain")])
 
--- a/src/egretrail/gateway/tests/test_log.py
+++ b/src/egretrail/gateway/tests/test_log.py
@@ -83,3 +83,9 @@
             'egretrail_attempt_seconds_count{outcome="success"} 1',
         ):
             self.assertIn(line + "\n", text)
+
+    def test_quotes_in_names_are_escaped(self) -> None:
+        """One route whose name has a quote made the whole page unreadable."""
+        metrics = GatewayMetrics()
+        metrics.count_request('a"b\\', "served", 0.3)
+        self.assertIn(rb'{route="a\"b\\",outcome="served"} 1', metrics.render({}))
