--- a/src/egretrail/gateway/_metrics.py
+++ b/src/egretrail/gateway/_metrics.py
@@ -20,6 +20,11 @@
     return 1024.0 * sum(sizes_kib)
 
 
+def label_value(text: str) -> str:
+    """Return a text as the value of a metric's label."""
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
 class _Histogram:
     __slots__ = ("counts", "total_s")
 
@@ -66,7 +71,7 @@
         """Return all metrics as text; ``gauges`` holds current values by name, with labels."""
         lines = [f"egretrail_{name} {value:g}" for name, value in sorted(gauges.items())]
         for (route, outcome), count in sorted(self._answers.items()):
-            labels = f'route="{route}",outcome="{outcome}"'
+            labels = f'route="{label_value(route)}",outcome="{outcome}"'
             lines.append(f"egretrail_answers_total{{{labels}}} {count}")
         for reason, count in sorted(self._refusals.items()):
             lines.append(f'egretrail_refusals_total{{reason="{reason}"}} {count}')
