Wait for ports that are still taken at the start

A port that the process before still held, or that an outgoing connection had been given, raised out of the start and ended the process; started again, it ended again. The peers' port comes last, since what peers send makes the instance ready; the metrics' port keeps nothing waiting. A termination signal meanwhile ends the process with 0.

--- a/src/egretrail/gateway/_interfaces.py
+++ b/src/egretrail/gateway/_interfaces.py
@@ -94,6 +94,11 @@
     return InvalidDocument(path, [f"unforeseen: {describe_error(error)}"])
 
 
+def is_text(name: str) -> bool:
+    """Return whether a name can be encoded: one from the store may hold lone surrogates."""
+    return name.encode(errors="ignore").decode() == name
+
+
 class StoreLayout(abc.ABC):
     """The paths of the store's entries that gateways read, and how they are decoded."""
 
--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -119,12 +119,12 @@
         view.on_update = self._schedule_heartbeat
 
     async def open(self) -> None:
-        """Listen for datagrams and for fetch requests of peers."""
+        """Listen for datagrams and for fetch requests of peers; may be repeated if it fails."""
         address = (self._settings.ip, self._settings.peer_port)
-        transport, _ = await self._loop.create_datagram_endpoint(
-            lambda: _Datagrams(self), local_addr=address
-        )
-        self._transport = transport
+        if self._transport is None:
+            self._transport, _ = await self._loop.create_datagram_endpoint(
+                lambda: _Datagrams(self), local_addr=address
+            )
         await self.state_exchange.open()
 
     async def run(self) -> None:
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -32,7 +32,7 @@
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import BodyBudget, Handler, Request, Response, ServerConnection, ServerLimits
 from egretrail.store import Store
-from egretrail.supervision import LoopErrors, Supervisor
+from egretrail.supervision import LoopErrors, Supervisor, open_when_free
 from egretrail.traffic import ClientLimits
 
 #: Backlog of a listener. A full backlog drops a client's SYN, which is resent after a second.
@@ -87,6 +87,7 @@
         self._stopping_since_s: float | None = None
         self._settings_watcher = SettingsFileWatcher(platform.settings_file, settings, loop.time())
         self.log = EventLog(settings.name)
+        self._rng = rng
         self._supervisor = Supervisor(self.log.event, rng)
         self._loop_errors = LoopErrors(self.log.event)
         self._metrics = GatewayMetrics()
@@ -118,27 +119,19 @@
             self._loop.add_signal_handler(number, self._stop_requested.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._settings_watcher.request_read)
         self._loop.set_exception_handler(self._loop_errors.handle)
-        await self._peers.open()
-        await self._listen(self._settings.traffic_address, self._handle_request)
-        await self._listen(self._settings.ready_address, self._handle_readiness)
-        await self._listen(self._settings.directory_address, self._handle_directory)
         metrics_address = f"{self._settings.ip}:{self._settings.metrics_port}"
-        await self._listen(metrics_address, self._handle_metrics)
-        relay_address = f"{self._settings.ip}:{self._settings.relay_port}"
-        relay_server = self._executor.relay_server
-        await self._listen(
-            relay_address, relay_server.handle, lambda: RELAY_LIMITS, repeated_field=RELAY_ID_FIELD
-        )
-        # Objects created so far live as long as the process; scanning them would only cost time.
-        gc.collect()
-        gc.freeze()
         tasks = [
-            self._supervise("peers", self._peers.run),
-            self._supervise("store", self._sync.run),
             self._supervise("housekeeping", self._run_housekeeping),
+            self._loop.create_task(self._listen(metrics_address, self._handle_metrics)),
         ]
-        await self._stop_requested.wait()
-        await self._shut_down()
+        if await self._has_opened():
+            # Objects created so far live as long as the process; scanning them costs time.
+            gc.collect()
+            gc.freeze()
+            tasks.append(self._supervise("peers", self._peers.run))
+            tasks.append(self._supervise("store", self._sync.run))
+            await self._stop_requested.wait()
+            await self._shut_down()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -155,6 +148,33 @@
     def _supervise(self, name: str, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
         return self._loop.create_task(self._supervisor.run(name, work))
 
+    async def _has_opened(self) -> bool:
+        """Open all listeners that requests need; return False if the process is to stop before.
+
+        The peers come last: what they send makes this instance ready.
+        """
+        opening = self._loop.create_task(self._open())
+        stopping = self._loop.create_task(self._stop_requested.wait())
+        await asyncio.wait([opening, stopping], return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        if not opening.done():
+            opening.cancel()
+            return False
+        await opening
+        return True
+
+    async def _open(self) -> None:
+        relay_address = f"{self._settings.ip}:{self._settings.relay_port}"
+        relay = self._executor.relay_server.handle
+        await asyncio.gather(
+            self._listen(self._settings.traffic_address, self._handle_request),
+            self._listen(self._settings.ready_address, self._handle_readiness),
+            self._listen(self._settings.directory_address, self._handle_directory),
+            self._listen(relay_address, relay, lambda: RELAY_LIMITS, repeated_field=RELAY_ID_FIELD),
+        )
+        peer_address = f"{self._settings.ip}:{self._settings.peer_port}"
+        await open_when_free(peer_address, self._peers.open, self.log.event, self._rng)
+
     async def _listen(
         self,
         address: str,
@@ -164,19 +184,20 @@
         repeated_field: bytes | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
-        server = await self._loop.create_server(
-            lambda: ServerConnection(
+
+        def connection() -> ServerConnection:
+            return ServerConnection(
                 handler,
                 limits or self._limits,
                 self._connections,
                 self._body_budget,
                 repeated_field=repeated_field,
-            ),
-            host,
-            int(port),
-            backlog=_BACKLOG,
-        )
-        self._servers.append(server)
+            )
+
+        def listen() -> Awaitable[asyncio.Server]:
+            return self._loop.create_server(connection, host, int(port), backlog=_BACKLOG)
+
+        self._servers.append(await open_when_free(address, listen, self.log.event, self._rng))
 
     def _limits(self) -> ServerLimits:
         config = self._view.config
@@ -241,11 +262,9 @@
             "upstreams_suspect": float(by_health[UpstreamHealth.SUSPECT]),
             "upstreams_unreached": float(by_health[UpstreamHealth.UNREACHABLE_FROM_HERE]),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
-            "tasks_failing": float(self._supervisor.failing_count()),
             "loop_errors_total": float(self._loop_errors.total),
+            **self._supervisor.gauges(),
         }
-        for task, count in self._supervisor.restart_counts().items():
-            gauges[f'task_restarts_total{{task="{task}"}}'] = float(count)
         for kind, size_bytes in self._peers.cross_zone_bytes.items():
             gauges[f'peer_bytes_across_zones_total{{kind="{kind}"}}'] = float(size_bytes)
         known_share = self._view.known_share()
--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -10,7 +10,7 @@
 
 from egretrail.cluster import READER_CHECK_S
 from egretrail.gateway._instance_listing import InstanceListing
-from egretrail.gateway._interfaces import StartupSettings, StoreLayout
+from egretrail.gateway._interfaces import StartupSettings, StoreLayout, is_text
 from egretrail.gateway._log import EventLog
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._reader_role import ReaderRole
@@ -400,7 +400,7 @@
         if revision > self._view.upstreams.revision:
             self._retain_vanished(removed, kept)
         # Peers cannot be told of a name with lone surrogates, and nobody lists it.
-        changes = {name: one for name, one in {**latest, **kept}.items() if _is_text(name)}
+        changes = {name: one for name, one in {**latest, **kept}.items() if is_text(name)}
         self._view.apply_upstream_changes(changes, revision, "store")
 
     def _latest_records(self, entries: Sequence[Entry]) -> dict[str, UpstreamRecord | None]:
@@ -511,7 +511,3 @@
             self._failing.discard(name)
             self._view.configs.record_failing(_CONFIG in self._failing)
             self._record_success()
-
-
-def _is_text(name: str) -> bool:
-    return name.encode(errors="ignore").decode() == name
--- a/src/egretrail/supervision/__init__.py
+++ b/src/egretrail/supervision/__init__.py
@@ -4,6 +4,7 @@
 from egretrail.supervision._backoff import RestartBackoff
 from egretrail.supervision._cancellable_calls import CancellableCalls
 from egretrail.supervision._errors import describe_error, error_place
+from egretrail.supervision._listening import open_when_free
 from egretrail.supervision._loop_errors import LoopErrors
 from egretrail.supervision._supervisor import Supervisor, TaskEnded
 
@@ -16,4 +17,5 @@
     "TaskEnded",
     "describe_error",
     "error_place",
+    "open_when_free",
 ]
--- a/src/egretrail/supervision/_backoff.py
+++ b/src/egretrail/supervision/_backoff.py
@@ -15,8 +15,9 @@
 class RestartBackoff:
     """Decides how long to wait before a failed task is started again."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, max_s: float = _MAX_S) -> None:
         self._rng = rng
+        self._max_s = max_s
         self._delay_s = _FIRST_S
 
     def next_delay_s(self, ran_s: float) -> float:
@@ -24,5 +25,5 @@
         if ran_s >= STEADY_S:
             self._delay_s = _FIRST_S
         delay_s = self._delay_s
-        self._delay_s = min(delay_s * 2, _MAX_S)
+        self._delay_s = min(delay_s * 2, self._max_s)
         return delay_s * self._rng.uniform(1.0 - _JITTER, 1.0 + _JITTER)
--- a/src/egretrail/supervision/_supervisor.py
+++ b/src/egretrail/supervision/_supervisor.py
@@ -74,6 +74,11 @@
         """Return how often each task was started again."""
         return {name: task.restarts for name, task in self._tasks.items()}
 
+    def gauges(self) -> Mapping[str, float]:
+        """Return the metrics of the tasks by name, with labels."""
+        counts = {f'task_restarts_total{{task="{t}"}}': n for t, n in self.restart_counts().items()}
+        return {"tasks_failing": self.failing_count(), **counts}
+
     def failing_count(self) -> int:
         """Return how many tasks are not sound: they wait, or failed only a while ago."""
         steady_since_s = self._loop.time() - STEADY_S
--- a/src/egretrail/supervision/tests/test_supervisor.py
+++ b/src/egretrail/supervision/tests/test_supervisor.py
@@ -105,7 +105,8 @@
             self.assertEqual({cause}, {line["cause"] for line in lines})
             self.assertEqual({"failing"}, {line["task"] for line in lines})
             self.assertEqual({"failing": len(lines), "sound": 0}, supervisor.restart_counts())
-            self.assertEqual(1, supervisor.failing_count())
+            gauges = {"tasks_failing": 1, 'task_restarts_total{task="sound"}': 0}
+            self.assertEqual(gauges, {k: supervisor.gauges()[k] for k in gauges})
             await self._stop(tasks)
 
         self._run(act)
