Answer with 500 what cannot be encoded, and give its place to no other

An error in encoding a response left its request without one, and the response to the next request on the connection was written in its place: the caller took it for its own. It is answered with 500 and the connection closes, as after an error of the handler.

test_a_response_that_cannot_be_encoded_does_not_lend_its_place failed so before (200 with the body of the next request) and passes.

--- a/src/egretrail/http1/_server.py
+++ b/src/egretrail/http1/_server.py
@@ -273,15 +273,18 @@
             if error is not None:
                 # Handlers turn expected failures into responses, so this is a programming error.
                 # Without a response, the caller would take the next one for this request's.
-                self._loop.call_exception_handler(
-                    {"message": "request handler failed", "exception": error}
-                )
+                self._report(error)
             response = Response(500, close=True) if error is not None else exchange.task.result()
             response = self._with_repeated_field(response, exchange.request)
             # Requests behind this one may have been forwarded already and get their responses.
             is_last = self._close_when_done and not self._exchanges
             close = response.close or not exchange.keep_alive or is_last
-            self._write(encode_response(response, exchange.request.method, close))
+            try:
+                data = encode_response(response, exchange.request.method, close)
+            except Exception as failure:
+                self._report(failure)
+                close, data = True, encode_response(Response(500), exchange.request.method, True)
+            self._write(data)
             self._idle_since_s = self._loop.time()
             if close:
                 self._half_close()
@@ -293,6 +296,9 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
+    def _report(self, error: BaseException) -> None:
+        self._loop.call_exception_handler({"message": "request handler failed", "exception": error})
+
     def _with_repeated_field(self, response: Response, request: Request) -> Response:
         name = self._repeated_field
         value = None if name is None else request.header(name)
--- a/src/egretrail/http1/tests/test_server_responses.py
+++ b/src/egretrail/http1/tests/test_server_responses.py
@@ -40,6 +40,19 @@
 
 
 class ResponseOrderTest(EgretrailTestCase):
+    def test_a_response_that_cannot_be_encoded_does_not_lend_its_place(self) -> None:
+        """Guards against a caller that waits for ever, or gets the response of its next request."""
+
+        async def handle(request: Request) -> Response:
+            if request.target == b"/1":
+                return Response(200, headers=[("no bytes", b"")])  # type: ignore[list-item]
+            return Response(200, request.target)
+
+        sent = b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"
+        received = self.run_real(_exchange(handle, sent))
+        self.assertTrue(received.startswith(b"HTTP/1.1 500 "), received)
+        self.assertEqual(1, received.count(b"HTTP/1.1 "), repr(received))
+
     @cases({"at once": 0.0, "later": 0.05})
     def test_a_cancelled_handler_does_not_lend_its_place_to_the_next_response(
         self, delay_s: float
