End the isolation of an instance whose probing failed

An error while an isolated instance probed ended the probing, and nothing else ended the isolation: it sent every request through others until its end, and the next try failed at the future that was resolved already. It counts as reaching upstreams again, and finds out anew from the next failure.

The new test timed out before (5 s) and passes.

--- a/src/egretrail/gateway/_upstream_paths.py
+++ b/src/egretrail/gateway/_upstream_paths.py
@@ -119,6 +119,10 @@
     def _end_probing(self, task: asyncio.Task[None]) -> None:
         self._probing = None
         self._report_error(task)
+        if self._check.is_isolated and not task.cancelled():
+            # Probing failed. Nobody else would find out that upstreams are reached again.
+            self._check.record_recovery()
+            self._end_isolation()
 
     def _report_error(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -163,6 +167,9 @@
             reached = len(order) - len(await self._unreached(order))
             if reached >= min(_RECOVERED_QUORUM, len(order)):
                 self._check.record_recovery()
+        self._end_isolation()
+
+    def _end_isolation(self) -> None:
         self.isolation = self._loop.create_future()
         self._view.set_isolated(False)
         self._log.event("isolation_ended", isolated_s=self._loop.time() - self._isolated_since_s)
--- a/src/egretrail/gateway/tests/test_upstream_paths.py
+++ b/src/egretrail/gateway/tests/test_upstream_paths.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from unittest import mock
 
 from egretrail.dispatch import Observation, Outcome, UpstreamHealth
 from egretrail.gateway._executor import RequestExecutor
@@ -93,3 +94,24 @@
             self.assertEqual([], _reported(view))
 
         self.run_with_backends(3, scenario)
+
+
+class FailingProbesTest(ExecutorTestCase):
+    def test_an_instance_whose_probes_fail_is_not_isolated_for_good(self) -> None:
+        """Guards against an instance that sends everything through others until it ends."""
+
+        async def scenario(
+            executor: RequestExecutor, view: FleetView, backends: Sequence[StandInBackend]
+        ) -> None:
+            for backend in backends:
+                await backend.stop()
+            executor.paths.record_failure(Observation(backends[0].id, Outcome.UNREACHABLE, 0.1))
+            await _wait_until(lambda: view.is_isolated)
+            with mock.patch.object(executor.paths, "_choose_probes", side_effect=RuntimeError("x")):
+                await _wait_until(lambda: not view.is_isolated)
+            self.assertFalse(executor.paths.isolation.done())
+            # It finds out again.
+            executor.paths.record_failure(Observation(backends[0].id, Outcome.UNREACHABLE, 0.1))
+            await _wait_until(lambda: view.is_isolated)
+
+        self.run_with_backends(3, scenario)
