Open the peers' socket again, and survive three faults of a process

* The loop closes a datagram socket at an error that is none of the network's (an address that can't be encoded).
The instance then neither sent nor heard anything for good; it is opened again at the next check.
* A connection to a port above 65535 raised OverflowError where ConnectFailed was due: the caller got 500 in place of another upstream.
* An error in the farewell to peers ended a stopping process at once, with the requests that it was to finish.

--- a/src/egretrail/gateway/_peers.py
+++ b/src/egretrail/gateway/_peers.py
@@ -119,9 +119,9 @@
         view.on_update = self._schedule_heartbeat
 
     async def open(self) -> None:
-        """Listen for datagrams and for fetch requests of peers; may be repeated if it fails."""
-        address = (self._settings.ip, self._settings.peer_port)
-        if self._transport is None:
+        """Listen for datagrams and for fetch requests of peers; what is open stays open."""
+        if self._transport is None or self._transport.is_closing():
+            address = (self._settings.ip, self._settings.peer_port)
             self._transport, _ = await self._loop.create_datagram_endpoint(
                 lambda: _Datagrams(self), local_addr=address
             )
@@ -130,6 +130,9 @@
     async def run(self) -> None:
         """Send heartbeats, remove silent instances, and take or give up the hub role."""
         while True:
+            if self._transport is not None and self._transport.is_closing():
+                # The loop closes it at an error that is none of the network's.
+                await self.open()
             self._tick()
             first = self._heartbeats_sent < _FIRST_HEARTBEATS
             interval_s = _FIRST_INTERVAL_S if first else HEARTBEAT_INTERVAL_S
@@ -363,11 +366,10 @@
         return self._view.apply_section(section, followed=True)
 
     def _handle_cross_zone_sections(self, datagram: SectionsDatagram) -> None:
-        now_s = self._loop.time()
         if self._hub is None:
             if datagram.hops < _HOPS_MAX:
                 data = encode_relayed(datagram)
-                for target in self._next_hops(now_s):
+                for target in self._next_hops(self._loop.time()):
                     self._send(data, target)
             return
         for section, encoded in zip(datagram.sections, datagram.encoded, strict=True):
@@ -409,10 +411,9 @@
                 self._send(data, client)
 
     def _handle_introduction(self, introduction: Introduction) -> None:
-        now_s = self._loop.time()
         sender = introduction.sender
         for instance in [sender, *introduction.instances]:
-            self._introduce(instance, now_s)
+            self._introduce(instance, self._loop.time())
         offer = StateOffer(
             sender.address,
             sender.availability_zone,
@@ -438,8 +439,7 @@
                     self._introducer.introduce([instance], target)
 
     def _seeds_to_contact(self) -> list[str]:
-        all_seeds = [*self._settings.seeds, *self._extra_seeds]
-        seeds = [seed for seed in all_seeds if seed != self._settings.ip]
+        seeds = [s for s in (*self._settings.seeds, *self._extra_seeds) if s != self._settings.ip]
         needs_seeds = self._view.membership.size() <= _SEEDED_PEERS or self._election.hub is None
         if needs_seeds or self._heartbeats_sent <= _FIRST_HEARTBEATS:
             return seeds
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -88,7 +88,7 @@
         self._settings_watcher = SettingsFileWatcher(platform.settings_file, settings, loop.time())
         self.log = EventLog(settings.name)
         self._rng = rng
-        self._supervisor = Supervisor(self.log.event, rng)
+        self._supervisor = tasks = Supervisor(self.log.event, rng)
         self._loop_errors = LoopErrors(self.log.event)
         self._metrics = GatewayMetrics()
         self._view = FleetView(settings, incarnation, loop.time, self.log, rng, _elapsed_s)
@@ -97,14 +97,7 @@
         self._store = platform.open_store(settings)
         self._peers = PeerLinks(settings, self._view, self.log, rng)
         self._sync = StoreSync(
-            settings,
-            self._view,
-            self._store,
-            platform.layout,
-            self._peers,
-            self.log,
-            rng,
-            self._supervisor,
+            settings, self._view, self._store, platform.layout, self._peers, self.log, rng, tasks
         )
         self._executor = RequestExecutor(
             self._view, platform.contract, self._pool, self.log, self._metrics, rng, settings
@@ -172,8 +165,8 @@
             self._listen(self._settings.directory_address, self._handle_directory),
             self._listen(relay_address, relay, lambda: RELAY_LIMITS, repeated_field=RELAY_ID_FIELD),
         )
-        peer_address = f"{self._settings.ip}:{self._settings.peer_port}"
-        await open_when_free(peer_address, self._peers.open, self.log.event, self._rng)
+        address = f"{self._settings.ip}:{self._settings.peer_port}"
+        await open_when_free(address, self._peers.open, self.log.event, self._rng)
 
     async def _listen(
         self,
@@ -342,7 +335,11 @@
         self._stopping_since_s = self._loop.time()
         self.log.event("stopping", connections=len(self._connections))
         self._view.leaving = True
-        self._peers.leave()
+        try:
+            self._peers.leave()
+        except Exception as error:
+            # Peers notice the silence; what remains to be served comes first.
+            self._loop_errors.handle(self._loop, {"exception": error})
         for connection in self._connections:
             connection.close_after_responses()
         directory_cache_s = DIRECTORY_TTL_S * _DIRECTORY_CACHE_TTLS
--- a/src/egretrail/gateway/_state_exchange.py
+++ b/src/egretrail/gateway/_state_exchange.py
@@ -38,9 +38,11 @@
         self._server: asyncio.Server | None = None
 
     async def open(self) -> None:
-        """Listen for the fetches of peers."""
+        """Listen for the fetches of peers, unless this instance does already."""
         address = (self._settings.ip, self._settings.peer_port)
-        self._server = await asyncio.start_server(self.answers.serve, *address, backlog=_BACKLOG)
+        if self._server is None:
+            serve = self.answers.serve
+            self._server = await asyncio.start_server(serve, *address, backlog=_BACKLOG)
 
     def fetch_if_newer(self, offer: StateOffer, *, at_once: bool = False) -> None:
         """Fetch a peer's state if it is newer; without delay if other instances depend on it."""
--- a/src/egretrail/http1/_client.py
+++ b/src/egretrail/http1/_client.py
@@ -233,7 +233,7 @@
             transport, connection = await loop.create_connection(ClientConnection, host, int(port))
     except TimeoutError as error:
         raise ConnectFailed(address, f"timed out after {timeout_s} s") from error
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, OverflowError) as error:
         raise ConnectFailed(address, repr(error)) from error
     sock = transport.get_extra_info("socket")
     if sock is not None:
