Decode the store's responses within bounds

A response nested 100,000 deep raised a RecursionError, and a revision of 1e400 an OverflowError, in the task that reads the store, which ended the process. A revision of 80 bits or below 0, an era of 40 digits or below 0, and a lease in other digits were taken; a page that repeated its last key was read again for as long as the store sent it.

Revisions have 40 bits, eras 23 (so that both fit into messages between instances), leases 64; pages must go on after the last key. An era counts as the store's while one of its last eight responses states it, so that a single one cannot fail all later writes.

--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -4,6 +4,7 @@
 import base64
 import functools
 import json
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -19,6 +20,15 @@
     encode_request,
     open_connection,
 )
+from egretrail.platform._store_codec import (
+    LEASE_MAX,
+    decode_entry,
+    decode_era,
+    decode_events,
+    decode_integer,
+    decode_revision,
+    decode_snapshot,
+)
 from egretrail.store import (
     Entry,
     HistoryLost,
@@ -31,7 +41,7 @@
     WatchEvents,
     WriteUnknown,
 )
-from egretrail.traffic import revision_era, revision_number, store_revision
+from egretrail.traffic import revision_era, revision_number
 
 T = TypeVar("T")
 
@@ -48,6 +58,9 @@
 _CONNECT_TIMEOUT_S = 0.5
 #: Idle connections kept open for later calls.
 _IDLE_CONNECTIONS_MAX = 2
+#: Responses whose newest era counts as the store's: a single one that states another era is
+#: forgotten.
+_ERAS_KEPT = 8
 #: Statuses with which the store reports that it did not apply the call.
 _UNAVAILABLE_STATUSES = frozenset({429, 503})
 
@@ -75,8 +88,8 @@
         self._address = address
         self._idle_connections: list[ClientConnection] = []
         self._idle_connections_max = _IDLE_CONNECTIONS_MAX
-        #: The newest era seen in a response.
-        self._era = 0
+        #: The eras that the last responses stated.
+        self._eras: deque[int] = deque(maxlen=_ERAS_KEPT)
         #: The current time-out for the first bytes of a response and for each further piece.
         self._call_timeout_s = _CALL_TIMEOUT_S
 
@@ -97,7 +110,7 @@
             return Ok(None)
         if response.status != 200:
             return Err(_refused(call, response.status))
-        return _decode(call, lambda: _decode_entry(response.document, response.era, path))
+        return _decode(call, lambda: decode_entry(response.document, response.era, path))
 
     async def put(
         self, path: str, value: str, expected_revision: int, lease_id: str | None = None
@@ -139,7 +152,7 @@
             if response.status != 200:
                 return Err(_refused(call, response.status))
             page = _decode(
-                call, functools.partial(_decode_snapshot, response.document, response.era, prefix)
+                call, functools.partial(decode_snapshot, response.document, response.era, prefix)
             )
             if isinstance(page, Err):
                 return page
@@ -152,7 +165,9 @@
             entries.extend(page.ok_value.entries)
             if not response.document.get("hasMore") or not page.ok_value.entries:
                 return Ok(Snapshot(entries, revision))
-            after = page.ok_value.entries[-1].path
+            before, after = after, page.ok_value.entries[-1].path
+            if after <= before:
+                return Err(StoreUnavailable(call, "a page that does not begin after the last one"))
 
     async def watch(
         self, prefix: str, after_revision: int, wait_s: float
@@ -172,7 +187,7 @@
             return Err(HistoryLost(prefix, after_revision))
         if response.status != 200:
             return Err(_refused(call, response.status))
-        return _decode(call, lambda: _decode_events(response.document, response.era, prefix))
+        return _decode(call, lambda: decode_events(response.document, response.era, prefix))
 
     async def grant_lease(self, ttl_s: float) -> Result[str, PlatformFailure]:
         """Open a lease; paths written under it are deleted if it is not renewed in time."""
@@ -183,7 +198,7 @@
         response = reply.ok_value
         if response.status != 200:
             return Err(_refused("lease", response.status))
-        return _decode("lease", lambda: str(int(response.document["lease"])))
+        return _decode("lease", lambda: str(decode_integer(response.document["lease"], LEASE_MAX)))
 
     async def renew_lease(self, lease_id: str) -> Result[None, PlatformFailure]:
         """Renew a lease for its full time."""
@@ -197,7 +212,7 @@
         self, path: str, expected_revision: int, change: dict[str, Any]
     ) -> Result[int, PlatformFailure]:
         call = f"write {path}"
-        if expected_revision and revision_era(expected_revision) != self._era:
+        if expected_revision and revision_era(expected_revision) != max(self._eras, default=0):
             # In the current era the same revision number may stand for another change.
             return Err(RevisionConflict(path, expected_revision, 0))
         number = revision_number(expected_revision)
@@ -212,7 +227,7 @@
             return Err(_refused(call, response.status))
         return _decode(
             call,
-            lambda: store_revision(response.era, int(response.document["revision"])),
+            lambda: decode_revision(response.era, response.document["revision"]),
             written_path=path,
         )
 
@@ -262,15 +277,16 @@
     def _read_reply(self, response: ReceivedResponse) -> _Reply | str:
         """Decode a response; return why it can't be one of the store."""
         try:
-            era = int(response.header(_ERA_HEADER) or 0)
+            era = decode_era(response.header(_ERA_HEADER) or b"0")
             document = json.loads(response.body) if response.body else {}
-        except ValueError as error:
-            return f"unreadable reply: {error}"
+        except (ValueError, RecursionError) as error:
+            # The text of an error may repeat all of a long value.
+            return f"unreadable reply: {str(error)[:200]}"
         if not isinstance(document, dict):
             return "unreadable reply: not an object"
-        if self._era and not era:
+        if any(self._eras) and not era:
             return "a reply without the era that the store states"
-        self._era = max(self._era, era)
+        self._eras.append(era)
         return _Reply(response.status, document, era)
 
     async def _connection(self) -> ClientConnection:
@@ -319,7 +335,7 @@
     try:
         return Ok(read())
     except (KeyError, TypeError, ValueError) as error:
-        return Err(_failure(call, written_path, f"unreadable reply: {error!r}"))
+        return Err(_failure(call, written_path, f"unreadable reply: {repr(error)[:200]}"))
 
 
 def _decode_conflict(
@@ -335,47 +351,9 @@
         rows = [row for row in reply.document["items"] if row["key"] == path]
         if len(rows) != len(reply.document["items"]):
             raise ValueError("a conflict of another path")
-        actual = store_revision(reply.era, int(rows[0]["revision"])) if rows else 0
+        actual = decode_revision(reply.era, rows[0]["revision"]) if rows else 0
         if actual == expected_revision:
             raise ValueError("a conflict at the expected revision")
         return RevisionConflict(path, expected_revision, actual)
 
     return _decode(call, read, written_path=path).unwrap_or_else(lambda failure: failure)
-
-
-def _decode_entry(row: dict[str, Any], era: int, path: str) -> Entry:
-    """Decode the item of a path; another path's would be the response to another call."""
-    if row["key"] != path:
-        raise ValueError(f"an item of {row['key']!r}")
-    revision = store_revision(era, int(row["revision"]))
-    return Entry(path, None if row.get("removed") else _decode_value(row), revision)
-
-
-def _decode_entries(rows: list[dict[str, Any]], era: int, prefix: str) -> list[Entry]:
-    """Decode the items under a prefix; others would be the response to another call."""
-    for row in rows:
-        if not str(row["key"]).startswith(prefix):
-            raise ValueError(f"an item of {row['key']!r}")
-    return [_decode_entry(row, era, str(row["key"])) for row in rows]
-
-
-def _decode_value(row: dict[str, Any]) -> str:
-    """Return an entry's text; an undecodable entry must not hide the others of its page.
-
-    Bytes that are not UTF-8 become lone surrogates, and a value that is not valid base64 becomes an
-    empty text. The decoder of the entry rejects both and logs the rejection.
-    """
-    try:
-        return base64.b64decode(row["value"], validate=True).decode(errors="surrogateescape")
-    except (KeyError, TypeError, ValueError):
-        return ""
-
-
-def _decode_snapshot(document: dict[str, Any], era: int, prefix: str) -> Snapshot:
-    entries = _decode_entries(document["items"], era, prefix)
-    return Snapshot(entries, store_revision(era, int(document["currentRev"])))
-
-
-def _decode_events(document: dict[str, Any], era: int, prefix: str) -> WatchEvents:
-    entries = _decode_entries(document["events"], era, prefix)
-    return WatchEvents(entries, store_revision(era, int(document["currentRev"])))
