Bound the counts that headers of clients and upstreams state

A deadline of 400 digits raised an OverflowError, one of 5,000 digits and a load of 5,000 digits a ValueError, where the request or the response was read; a load of 2^62 was taken.

Counts are converted up to 18 digits.

--- a/src/egretrail/platform/_contract.py
+++ b/src/egretrail/platform/_contract.py
@@ -30,11 +30,17 @@
 _ATTEMPT_ID = b"x-egretrail-attempt-id"
 #: The remaining time in milliseconds, counted from the arrival of the message; not a point in time.
 _DEADLINE = b"x-egretrail-request-deadline"
+#: Longer times that a client would wait count as this: routes end requests far sooner.
+_WAIT_MAX_S = 86_400.0
 #: The seal with which an upstream marks a complete response as its own.
 _RESPONSE_SEAL = b"x-egretrail-response-seal"
 _EXPECTED_INSTANCE = b"x-egretrail-expected-instance"
 #: Comma-separated counts: running requests, queued requests, slots.
 _BACKEND_LOAD = b"x-egretrail-backend-load"
+#: Upstreams have no more requests than connections, whose ports have 16 bits.
+_LOAD_MAX = 65_535
+#: Numbers with more digits than any that a header may hold are not converted.
+_DIGITS_MAX = 18
 #: Requests per second, a decimal number, that the upstream accepts from all instances together.
 _RATE_LIMIT = b"server-limit"
 #: ``1`` in each response of an upstream that is draining.
@@ -71,9 +77,8 @@
     def request_metadata(self, request: Request) -> RequestMetadata:
         """Return the attempt id, host, wait time and API key of a client's request."""
         stated = request.header(_DEADLINE)
-        wait_s = None
-        if stated is not None and stated.strip().isdigit():
-            wait_s = int(stated) / 1000
+        wait_ms = None if stated is None else _parse_count(stated)
+        wait_s = None if wait_ms is None else min(wait_ms / 1000, _WAIT_MAX_S)
         return RequestMetadata(
             attempt_id=_decode_header(request.header(_ATTEMPT_ID)),
             host=_decode_header(request.header(b"host")),
@@ -133,10 +138,14 @@
 
     def reported_load(self, response: ReceivedResponse) -> ReportedLoad | None:
         """Return the load that a response reports; None if it reports none or is malformed."""
-        parts = (response.header(_BACKEND_LOAD) or b"").split(b",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-            return None
-        return ReportedLoad(running=int(parts[0]), waiting=int(parts[1]))
+        counts = [
+            _parse_count(part) for part in (response.header(_BACKEND_LOAD) or b"").split(b",")
+        ]
+        match counts:
+            case [int() as running, int() as waiting, int()] if max(running, waiting) <= _LOAD_MAX:
+                return ReportedLoad(running, waiting)
+            case _:
+                return None
 
     def advertised_limit(self, response: ReceivedResponse) -> Result[float | None, InvalidLimit]:
         """Return the requests per second that the upstream accepts from all instances together.
@@ -241,6 +250,15 @@
     return [value.strip(b" \t") for field in fields for value in field.split(b",")]
 
 
+def _parse_count(value: bytes) -> int | None:
+    """Return a number of decimal digits, at most 10^18; None for anything else."""
+    digits = value.strip()
+    if not digits.isdigit():
+        return None
+    significant = digits.lstrip(b"0") or b"0"
+    return int(significant) if len(significant) <= _DIGITS_MAX else 10**_DIGITS_MAX
+
+
 def _parse_seconds(value: bytes) -> float | None:
     """Return a finite time from decimal digits; None for anything else."""
     seconds = float(value) if _SECONDS.fullmatch(value) else math.inf
