Check the fields of peers' messages when they are decoded

A heartbeat with a number beyond 64 bits (1e300 for a sequence, an age of 2^64) was decoded, and raised an OverflowError in the hub or the instance that relayed it. Upstreams of a peer's list were taken with slots of 0 or 2^62, a warm-up of nan, a port of 5,000 digits or starts of 2^62.

Counts, texts, durations and addresses are read by one module with bounds that every later message holds. An odd upstream costs that upstream alone: it is left out of the list.

--- a/src/egretrail/cluster/_datagrams.py
+++ b/src/egretrail/cluster/_datagrams.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from egretrail.cluster._demand_codec import decode_demand, encode_demand
+from egretrail.cluster._fields import decode_count, decode_ratio, decode_seconds, decode_text
 from egretrail.cluster._heartbeat import DropReport, Heartbeat, LossReport, OutcomeReport
 from egretrail.cluster._instance import Instance, InstanceState
 from egretrail.cluster._malformed import MALFORMED, MalformedMessage
@@ -22,6 +23,7 @@
     decode_instances,
     decode_key,
     decode_limits,
+    decode_retries,
     decode_section,
     encode_accounts,
     encode_age,
@@ -46,6 +48,8 @@
 _COMPRESSED = b"\x78"
 #: The largest digest of a request.
 _DIGEST_MAX = 2**64 - 1
+#: The largest capacity, as rosters hold it.
+_CAPACITY_MAX = 12.75
 #: Instances of an introduction in one datagram: 12 bytes each.
 _INTRODUCTION_ROWS_MAX = 90
 
@@ -170,7 +174,7 @@
         version, kind, hops, payload = msgpack.unpackb(_decompressed(data), strict_map_key=False)
         if version != _VERSION:
             return Err(MalformedMessage(f"unsupported version {version!r}"))
-        return Ok(_decode_payload(_Kind(kind), int(hops), payload))
+        return Ok(_decode_payload(_Kind(kind), decode_count(hops), payload))
     except MALFORMED as error:
         return Err(MalformedMessage(repr(error)))
 
@@ -186,13 +190,15 @@
 
 def _decode_introduction(payload: Any) -> Introduction:
     own_zone, own_row, config_version, upstreams_revision, zones = payload
-    [(sender, _)] = decode_instances(own_row, str(own_zone))
+    [(sender, _)] = decode_instances(own_row, decode_text(own_zone))
     instances = [
         instance
         for zone, rows in zones.items()
-        for instance, _ in decode_instances(rows, str(zone))
+        for instance, _ in decode_instances(rows, decode_text(zone))
     ]
-    return Introduction(sender, int(config_version), int(upstreams_revision), instances)
+    return Introduction(
+        sender, decode_count(config_version), decode_count(upstreams_revision), instances
+    )
 
 
 def _decompressed(data: bytes) -> bytes:
@@ -249,10 +255,6 @@
     }
 
 
-def _decode_retry_counts(row: Mapping[Any, Sequence[int]]) -> dict[str, RetryCounts]:
-    return {str(service): RetryCounts(int(a), int(b)) for service, (a, b) in row.items()}
-
-
 def _outcome_row(report: OutcomeReport) -> list[int]:
     """Return the row of an outcome report, without the observer: the heartbeat's origin."""
     return [report.upstream_key, int(report.outcome), round(report.duration_s * 1000)]
@@ -260,53 +262,46 @@
 
 def _decode_outcome(row: Sequence[Any], observer: str) -> OutcomeReport:
     upstream_key, outcome, duration_ms = row
-    return OutcomeReport(decode_key(upstream_key), Outcome(outcome), duration_ms / 1000, observer)
-
-
-def _decode_digest(value: Any) -> RequestDigest:
-    digest = int(value)
-    if not 0 <= digest <= _DIGEST_MAX:
-        raise ValueError(f"request digest out of range: {digest}")
-    return RequestDigest(digest)
-
-
-def _decode_capacity(value: Any) -> float:
-    capacity = float(value)
-    if not 0.0 <= capacity < float("inf"):
-        raise ValueError(f"invalid capacity {capacity}")
-    return capacity
+    return OutcomeReport(
+        decode_key(upstream_key), Outcome(outcome), decode_seconds(duration_ms, 0.001), observer
+    )
 
 
 def _decode_heartbeat(row: Sequence[Any]) -> Heartbeat:
-    origin = str(row[0])
+    origin = decode_text(row[0])
     # The hub packs these values into fixed widths: an invalid value would fail its sections for the
     # whole zone.
     address_number(origin)
     return Heartbeat(
         origin=origin,
-        availability_zone=str(row[1]),
-        incarnation=int(row[2]),
-        sequence=int(row[3]),
+        availability_zone=decode_text(row[1]),
+        incarnation=decode_count(row[2]),
+        sequence=decode_count(row[3]),
         state=InstanceState(row[4]),
-        capacity=_decode_capacity(row[5]),
-        config_version=int(row[6]),
-        upstreams_revision=int(row[7]),
+        capacity=decode_ratio(row[5], _CAPACITY_MAX),
+        config_version=decode_count(row[6]),
+        upstreams_revision=decode_count(row[7]),
         store_contact=bool(row[8]),
-        loads={decode_key(key): max(int(count), 0) for key, count in row[9].items()},
-        first_outcome=int(row[10]),
+        loads={decode_key(key): decode_count(count) for key, count in row[9].items()},
+        first_outcome=decode_count(row[10]),
         outcomes=[_decode_outcome(entry, origin) for entry in row[11]],
-        losses=[LossReport(_decode_digest(digest), decode_key(key)) for digest, key in row[12]],
-        retries=_decode_retry_counts(row[13]),
+        losses=[
+            LossReport(RequestDigest(decode_count(digest, _DIGEST_MAX)), decode_key(key))
+            for digest, key in row[12]
+        ],
+        retries=decode_retries(row[13]),
         successes=[_decode_outcome(entry, origin) for entry in row[14]],
-        dropped=[DropReport(str(name), int(revision)) for name, revision in row[15]],
-        known_retries=_decode_retry_counts(row[16]),
+        dropped=[
+            DropReport(decode_text(name), decode_count(revision)) for name, revision in row[15]
+        ],
+        known_retries=decode_retries(row[16]),
         limits=decode_limits(row[17]),
         config_freshness_age_s=decode_age(row[18]),
         last_section=None if row[19] is None else decode_echo(row[19]),
         accounts=decode_accounts(row[20]),
         # Earlier versions of the program do not send it.
         is_isolated=bool(row[21]) if len(row) > 21 else False,
-        replaced=[str(upstream_id) for upstream_id in row[22] or ()] if len(row) > 22 else (),
+        replaced=[decode_text(name) for name in row[22] or ()] if len(row) > 22 else (),
         demand=decode_demand(row[23]) if len(row) > 23 and row[23] is not None else DemandReport(),
         store_away_s=decode_age(row[24]) if len(row) > 24 else None,
     )
--- a/src/egretrail/cluster/_fetch_codec.py
+++ b/src/egretrail/cluster/_fetch_codec.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from egretrail.cluster._config_chunks import CHUNK_COUNT, ConfigChunk, ConfigManifest
+from egretrail.cluster._fields import decode_address, decode_count, decode_seconds, decode_text
 from egretrail.cluster._malformed import MALFORMED, MalformedMessage
 from egretrail.dispatch import SuspicionRecord
 from egretrail.traffic import UpstreamRecord, UpstreamState
@@ -22,6 +23,10 @@
 #: The maximum decompressed size of a reply of chunks; a single chunk may exceed the reply size
 #: above.
 _CHUNKS_BYTES_MAX = 16 * 1024 * 1024
+#: Bounds of an upstream's fields: the store's keys have at most 200 bytes, an upstream has no more
+#: slots than connections, and starts lie before the year 2248.
+_NAME_MAX, _SLOTS_MAX, _STARTED_MAX_MS = 200, 65_535, 2**43
+_DIGEST_MAX = 2**64 - 1
 #: Routes of one customer are similar: the fastest level compresses them to a fifth.
 _COMPRESSION_LEVEL = 1
 
@@ -106,9 +111,13 @@
             return Err(MalformedMessage(f"unsupported version {version!r}"))
         match kind, rest:
             case 0, [revision, with_suspicions]:
-                return Ok(FetchUpstreams(int(revision), bool(with_suspicions)))
+                return Ok(FetchUpstreams(decode_count(revision), bool(with_suspicions)))
             case 1, [base_digest, requester, is_hub]:
-                return Ok(FetchManifest(int(base_digest), str(requester), bool(is_hub)))
+                return Ok(
+                    FetchManifest(
+                        decode_count(base_digest, _DIGEST_MAX), decode_text(requester), bool(is_hub)
+                    )
+                )
             case 2, [wanted]:
                 return Ok(FetchChunks(_decode_digests(wanted)))
             case _:
@@ -143,10 +152,15 @@
         if version != _VERSION:
             return Err(MalformedMessage(f"unsupported version {version!r}"))
         if len(rest) == 1:
-            return Ok(Referral(str(rest[0])))
+            return Ok(Referral(decode_text(rest[0])))
         head, digest, base_digest, changed = rest
         return Ok(
-            ConfigManifest(bytes(head), int(digest), int(base_digest), _decode_digests(changed))
+            ConfigManifest(
+                _decode_bytes(head),
+                decode_count(digest, _DIGEST_MAX),
+                decode_count(base_digest, _DIGEST_MAX),
+                _decode_digests(changed),
+            )
         )
     except MALFORMED as error:
         return Err(MalformedMessage(repr(error)))
@@ -204,29 +218,50 @@
         version, revision, rows, changed, suspicion_rows = msgpack.unpackb(data)
         if version != _VERSION:
             return Err(MalformedMessage(f"unsupported version {version!r}"))
-        upstreams = None if rows is None else [_decode_upstream(row) for row in rows]
+        upstreams = None
+        if rows is not None:
+            # An upstream with an odd field is not listed; the others are.
+            decoded = [_decode_upstream(row) for row in rows]
+            upstreams = [record for record in decoded if record is not None]
         suspicions = [
-            SuspicionRecord(str(name), float(age_s), float(pause_s), int(successes))
+            SuspicionRecord(
+                decode_text(name),
+                decode_seconds(age_s),
+                decode_seconds(pause_s),
+                decode_count(successes),
+            )
             for name, age_s, pause_s, successes in suspicion_rows
         ]
         changes = None
         if changed is not None:
             changes = {
-                str(name): None if row is None else _decode_upstream(row)
+                decode_text(name): None if row is None else _decode_upstream(row)
                 for name, row in changed.items()
             }
-        return Ok(UpstreamsReply(int(revision), upstreams, suspicions, changes))
+        return Ok(UpstreamsReply(decode_count(revision), upstreams, suspicions, changes))
     except MALFORMED as error:
         return Err(MalformedMessage(repr(error)))
 
 
 def _decode_digests(table: Mapping[Any, Any]) -> Mapping[int, int]:
-    digests = {int(number): int(digest) for number, digest in table.items()}
-    if any(not 0 <= number < CHUNK_COUNT for number in digests):
-        raise ValueError("chunk number out of range")
-    if any(not 0 <= digest < 2**64 for digest in digests.values()):
-        raise ValueError("chunk digest does not fit into 64 bits")
-    return digests
+    return {
+        decode_count(number, CHUNK_COUNT - 1): decode_count(digest, _DIGEST_MAX)
+        for number, digest in table.items()
+    }
+
+
+def _decode_name(value: Any) -> str:
+    name = decode_text(value, _NAME_MAX)
+    if not name.isprintable():
+        raise ValueError("a name that no header field can hold")
+    return name
+
+
+def _decode_bytes(value: Any) -> bytes:
+    # ``bytes`` of a number would be as many zeros.
+    if not isinstance(value, bytes):
+        raise TypeError("no bytes")
+    return value
 
 
 def _upstream_row(record: UpstreamRecord) -> list[Any]:
@@ -243,16 +278,20 @@
     ]
 
 
-def _decode_upstream(row: Sequence[Any]) -> UpstreamRecord:
+def _decode_upstream(row: Sequence[Any]) -> UpstreamRecord | None:
+    """Decode an upstream; None if a field is odd: the readers of the store refuse such entries."""
     name, service, address, zone, slots, state, warmup_s, revision, started_ms = row
-    return UpstreamRecord(
-        name=str(name),
-        service=str(service),
-        address=str(address),
-        availability_zone=str(zone),
-        slots=int(slots),
-        state=UpstreamState(state),
-        warmup_s=float(warmup_s),
-        revision=int(revision),
-        started_ms=int(started_ms),
-    )
+    try:
+        return UpstreamRecord(
+            name=_decode_name(name),
+            service=decode_text(service),
+            address=decode_address(address),
+            availability_zone=decode_text(zone),
+            slots=decode_count(slots - 1, _SLOTS_MAX - 1) + 1,
+            state=UpstreamState(state),
+            warmup_s=decode_seconds(warmup_s),
+            revision=decode_count(revision),
+            started_ms=decode_count(started_ms, _STARTED_MAX_MS),
+        )
+    except MALFORMED:
+        return None
--- /dev/null
+++ b/src/egretrail/cluster/_fields.py
@@ -0,0 +1,58 @@
+"""Checked values of the fields of peers' messages; each raises one of ``MALFORMED`` if invalid.
+
+A value that is decoded must fit into every message in which it may be passed on: a hub that failed
+to pack one would send nothing to its zone.
+"""
+
+import ipaddress
+import math
+from typing import Any
+
+#: Numbers have at most this value, which msgpack and later sums can hold.
+_COUNT_MAX = 2**62
+#: Texts are names, zones and addresses.
+_TEXT_MAX = 1_000
+#: Longer durations and ages say nothing more.
+_SECONDS_MAX = 86_400.0 * 365
+_PORT_DIGITS_MAX, _PORT_MAX = 5, 65_535
+
+
+def decode_count(value: Any, maximum: int = _COUNT_MAX) -> int:
+    """Return an integer from 0 to a maximum."""
+    if type(value) is not int or not 0 <= value <= maximum:
+        raise ValueError(f"no number up to {maximum}")
+    return value
+
+
+def decode_text(value: Any, max_characters: int = _TEXT_MAX) -> str:
+    """Return a text of bounded length that can be encoded."""
+    if type(value) is not str or len(value) > max_characters:
+        raise ValueError(f"no text up to {max_characters} characters")
+    value.encode()
+    return value
+
+
+def decode_seconds(value: Any, factor: float = 1.0) -> float:
+    """Return a duration in seconds, from a number in units of a factor; a longer one is cut off."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
+        raise ValueError("no duration")
+    return min(value, _SECONDS_MAX / factor) * factor
+
+
+def decode_ratio(value: Any, maximum: float) -> float:
+    """Return a finite number from 0 on; a larger one than the maximum is cut off."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError("no number")
+    if not 0 <= value < math.inf:
+        raise ValueError("not finite, or below 0")
+    return float(min(value, maximum))
+
+
+def decode_address(value: Any) -> str:
+    """Return an address, ``IP:PORT``."""
+    host, _, port = decode_text(value).rpartition(":")
+    ipaddress.ip_address(host)
+    is_number = port.isascii() and port.isdigit() and len(port) <= _PORT_DIGITS_MAX
+    if not is_number or not 0 < int(port) <= _PORT_MAX:
+        raise ValueError("no port")
+    return str(value)
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -11,6 +11,7 @@
 
 from egretrail.cluster._config_freshness import SectionEcho
 from egretrail.cluster._demand_codec import decode_demand, encode_demand
+from egretrail.cluster._fields import decode_count, decode_ratio, decode_seconds, decode_text
 from egretrail.cluster._heartbeat import DropReport, LimitReport, LossReport, OutcomeReport
 from egretrail.cluster._hub_terms import HubTerm
 from egretrail.cluster._instance import Instance, InstanceState
@@ -40,6 +41,8 @@
 #: 12.7 cores.
 _CAPACITY_STEP = 0.05
 _BYTE_MAX, _SHORT_MAX, _WORD_MAX = 0xFF, 0xFFFF, 0xFFFF_FFFF
+#: The largest request digest, and the largest limit that an upstream can mean.
+_DIGEST_MAX, _RATE_MAX_PER_S = 2**64 - 1, 1e9
 #: Durations in one byte: from a millisecond to a minute, to within 2.2%.
 _SHORTEST_S = 0.001
 _STEPS_PER_DOUBLING = 16
@@ -132,35 +135,40 @@
 def decode_section(data: bytes) -> Section:
     """Decode a section; raises one of ``MALFORMED`` for invalid bytes."""
     row = msgpack.unpackb(data)
-    zone = str(row[1])
+    zone = decode_text(row[1])
     return Section(
         scope=Scope(row[0]),
         availability_zone=zone,
         hub=_address(row[2]),
-        incarnation=int(row[3]),
-        sequence=int(row[4]),
-        config_version=int(row[5]),
-        upstreams_revision=int(row[6]),
-        store_readers=int(row[7]),
-        instances=int(row[8]),
+        incarnation=decode_count(row[3]),
+        sequence=decode_count(row[4]),
+        config_version=decode_count(row[5]),
+        upstreams_revision=decode_count(row[6]),
+        store_readers=decode_count(row[7]),
+        instances=decode_count(row[8]),
         acknowledged=bytes(row[9]),
         changed=_decode_changed(row[10]),
         loads=_decode_slice(row[11]),
         refusals=_unpack_words(row[12]),
-        first_outcome=int(row[13]),
+        first_outcome=decode_count(row[13]),
         outcomes=_decode_outcomes(row[14]),
-        losses=[LossReport(RequestDigest(int(digest)), int(key)) for digest, key in row[15]],
-        dropped=[DropReport(str(name), int(revision)) for name, revision in row[16]],
-        retries=_decode_retries(row[17]),
+        losses=[
+            LossReport(RequestDigest(decode_count(digest, _DIGEST_MAX)), decode_key(key))
+            for digest, key in row[15]
+        ],
+        dropped=[
+            DropReport(decode_text(name), decode_count(revision)) for name, revision in row[16]
+        ],
+        retries=decode_retries(row[17]),
         roster=_decode_roster(row[18], zone),
         limits=decode_limits(row[19]),
         config_freshness_age_s=decode_age(row[20]),
         received_sections=[decode_echo(echo) for echo in row[21]],
         accounts=decode_accounts(row[22]),
         # Earlier versions of the program do not send these.
-        recent_retries=_decode_retries(row[23]) if len(row) > 23 else {},
+        recent_retries=decode_retries(row[23]) if len(row) > 23 else {},
         earlier_terms=[_decode_term(term) for term in row[24]] if len(row) > 24 else (),
-        draining=[str(upstream_id) for upstream_id in row[25]] if len(row) > 25 else (),
+        draining=[decode_text(name) for name in row[25]] if len(row) > 25 else (),
         isolated=[_address(number) for number in row[26]] if len(row) > 26 else (),
         demand=decode_demand(row[27]) if len(row) > 27 and row[27] is not None else None,
         store_away_s=decode_age(row[28]) if len(row) > 28 else None,
@@ -179,8 +187,12 @@
     return {name: [one.requests, one.retries] for name, one in counts.items()}
 
 
-def _decode_retries(row: Mapping[Any, Sequence[Any]]) -> dict[str, RetryCounts]:
-    return {str(name): RetryCounts(int(a), int(b)) for name, (a, b) in row.items()}
+def decode_retries(row: Mapping[Any, Sequence[Any]]) -> dict[str, RetryCounts]:
+    """Return the request and retry counts of services; raises one of ``MALFORMED`` if invalid."""
+    return {
+        decode_text(name): RetryCounts(decode_count(requests), decode_count(retries))
+        for name, (requests, retries) in row.items()
+    }
 
 
 def _encode_term(term: HubTerm) -> list[Any]:
@@ -195,7 +207,10 @@
 def _decode_term(row: Sequence[Any]) -> HubTerm:
     hub, incarnation, retries, recent = row
     return HubTerm(
-        _address(int(hub)), int(incarnation), _decode_retries(retries), _decode_retries(recent)
+        _address(int(hub)),
+        decode_count(incarnation),
+        decode_retries(retries),
+        decode_retries(recent),
     )
 
 
@@ -228,7 +243,7 @@
 
 def decode_age(value: Any) -> float | None:
     """Return an age in seconds; raises one of ``MALFORMED`` for an invalid value."""
-    return None if value is None else _decode_age_s(value)
+    return None if value is None else decode_seconds(value, 0.001)
 
 
 def encode_echo(echo: SectionEcho) -> list[int]:
@@ -239,7 +254,7 @@
 def decode_echo(row: Sequence[Any]) -> SectionEcho:
     """Return the echo of a row; raises one of ``MALFORMED`` for invalid values."""
     hub, incarnation, sequence = row
-    return SectionEcho(_address(int(hub)), int(incarnation), int(sequence))
+    return SectionEcho(_address(int(hub)), decode_count(incarnation), decode_count(sequence))
 
 
 def encode_limits(limits: Iterable[LimitReport]) -> list[list[Any]]:
@@ -251,7 +266,9 @@
     """Return the limits of rows; raises one of ``MALFORMED`` for invalid numbers."""
     return [
         LimitReport(
-            decode_key(key), None if limit is None else _decode_rate(limit), _decode_age_s(age_ms)
+            decode_key(key),
+            None if limit is None else decode_ratio(limit, _RATE_MAX_PER_S),
+            decode_seconds(age_ms, 0.001),
         )
         for key, limit, age_ms in rows
     ]
@@ -259,24 +276,7 @@
 
 def decode_key(value: Any) -> int:
     """Return an upstream's key, verified to fit into the 32 bits in which hubs pack it."""
-    key = int(value)
-    if not 0 <= key <= _WORD_MAX:
-        raise ValueError(f"upstream key out of range: {key}")
-    return key
-
-
-def _decode_rate(value: Any) -> float:
-    rate = float(value)
-    if not 0.0 <= rate < math.inf:
-        raise ValueError(f"invalid limit {rate}")
-    return rate
-
-
-def _decode_age_s(value: Any) -> float:
-    age_ms = int(value)
-    if age_ms < 0:
-        raise ValueError(f"negative age {age_ms} ms")
-    return age_ms / 1000
+    return decode_count(value, _WORD_MAX)
 
 
 def _pack_words(numbers: Sequence[int]) -> bytes:
