--- a/src/egretrail/platform/tests/test_large_entries.py
+++ b/src/egretrail/platform/tests/test_large_entries.py
@@ -8,7 +8,7 @@
 
 from egretrail.platform import PlatformLayout
 from egretrail.platform import _store_fields as store_fields
-from egretrail.platform._store import _decode_entry
+from egretrail.platform._store_codec import decode_entry
 from egretrail.testing import EgretrailTestCase, cases
 
 
@@ -27,9 +27,9 @@
         """A list of values of a megabyte each took a process beyond its memory."""
         path, max_bytes = case
         document = json.dumps({}).encode()
-        exact = _decode_entry(_row(path, document.ljust(max_bytes)), 1, path)
+        exact = decode_entry(_row(path, document.ljust(max_bytes)), 1, path)
         self.assertEqual(max_bytes, len(exact.value or ""))
-        larger = _decode_entry(_row(path, document.ljust(max_bytes * 2)), 1, path)
+        larger = decode_entry(_row(path, document.ljust(max_bytes * 2)), 1, path)
         self.assertTrue(max_bytes < len(larger.value or "") <= max_bytes + 3)
 
     def test_a_cut_value_is_refused(self) -> None:
@@ -45,8 +45,8 @@
         document = json.dumps(entry).encode()
         layout = PlatformLayout()
         path = "servers/i-1"
-        sound = layout.decode_upstream(_decode_entry(_row(path, document), 1, path))
+        sound = layout.decode_upstream(decode_entry(_row(path, document), 1, path))
         self.assertIsInstance(sound, Ok)
         padded = document.ljust(store_fields.UPSTREAM_BYTES_MAX * 4)
-        refused = layout.decode_upstream(_decode_entry(_row(path, padded), 1, path))
+        refused = layout.decode_upstream(decode_entry(_row(path, padded), 1, path))
         self.assertIsInstance(refused, Err)
