Open the standard streams that a process was started without

The log is written to the number 1. In a process that was started without standard output, the number belonged to another file of the process, which may be a caller's socket. Streams that are missing are opened at the null device before anything else is.

test_a_closed_standard_output_is_no_place_for_the_log failed before (the three numbers were other files) and passes.

--- a/scaffolding/tests/test_gateway_settings.py
+++ b/scaffolding/tests/test_gateway_settings.py
@@ -234,6 +234,34 @@
 
         self.run_real(run())
 
+    def test_a_closed_standard_output_is_no_place_for_the_log(self) -> None:
+        # A socket or file that was given the number 1 got the log lines.
+        async def run() -> None:
+            with tempfile.TemporaryDirectory() as name:
+                settings = Path(name) / "settings"
+                settings.write_text(GatewayFleet(2).settings_text(0))
+                process = await asyncio.create_subprocess_exec(
+                    *("sh", "-c", f'exec "{sys.executable}" -m {_entry_point()} >&- 2>&- <&-'),
+                    env={
+                        "PATH": os.environ.get("PATH", ""),
+                        "PYTHONPATH": str(_ROOT / "src"),
+                        "EGRETRAIL_NODE_FILE": str(settings),
+                    },
+                )
+                try:
+                    await asyncio.sleep(2.0)
+                    self.assertIsNone(process.returncode)
+                    opened = [os.readlink(f"/proc/{process.pid}/fd/{n}") for n in range(3)]
+                    self.assertEqual([os.devnull] * 3, opened)
+                    process.send_signal(signal.SIGTERM)
+                    self.assertEqual(0, await process.wait())
+                finally:
+                    if process.returncode is None:
+                        process.kill()
+                        await process.wait()
+
+        self.run_real(run())
+
     async def _signal_and_unblock(self, process: asyncio.subprocess.Process, folder: Path) -> None:
         """Send the signal while the process is blocked at the pipe, then unblock the process."""
         pipe = folder / "pipe"
--- a/src/egretrail/start.py
+++ b/src/egretrail/start.py
@@ -11,6 +11,18 @@
     os._exit(0)
 
 
+def _open_standard_streams() -> None:
+    """Open streams that the process was started without, so that no socket gets their numbers.
+
+    The log is written to the number of standard output.
+    """
+    for descriptor in range(3):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
+
+
 def main() -> int:
     """Run the gateway until a signal stops it."""
     # The imports below take a second on a slow machine. Until the gateway handles signals, the
@@ -19,6 +31,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, _stop_before_start)
+    _open_standard_streams()
     from egretrail import gateway, platform
 
     return gateway.run_gateway(
