--- a/scaffolding/tests/test_gateway_odd_entries.py
+++ b/scaffolding/tests/test_gateway_odd_entries.py
@@ -77,6 +77,8 @@
         await judge.kill_and_start(_GATEWAYS - 1)
         await asyncio.sleep(max(CONFIG_APPLY_S, DRAIN_S + _LINGER_S))
         self.assertEqual([], judge.findings())
+        times = " ".join(f"{version}:{s:.2f}" for version, s in judge.apply_times_s().items())
+        print(f"known everywhere after, s: {times}; served {judge.served_share(written_s):.3f}")
         self.assertLessEqual(max(judge.apply_times_s().values()), CONFIG_APPLY_S)
         self.assertEqual(0, judge.unanswered(written_s))
         self.assertGreaterEqual(judge.served_share(written_s), _SERVED_MIN)
