--- a/scaffolding/platform/odd_entries.py
+++ b/scaffolding/platform/odd_entries.py
@@ -156,11 +156,19 @@
     def with_routes(**fields: object) -> Mapping[str, object]:
         return config(version, [{**row, **fields} for row in routes])
 
+    def with_a_route(**fields: object) -> Mapping[str, object]:
+        return config(version, [{**routes[0], **fields}, *routes[1:]])
+
     def with_services(**fields: object) -> Mapping[str, object]:
         services = ordinary["services"]
         assert isinstance(services, list)
         return {**ordinary, "services": [{**row, **fields} for row in services]}
 
+    def with_a_service(**fields: object) -> Mapping[str, object]:
+        services = ordinary["services"]
+        assert isinstance(services, list)
+        return {**ordinary, "services": [{**services[0], **fields}, *services[1:]]}
+
     def split(weight: object) -> Mapping[str, object]:
         parts = [{"service": name, "weight": weight} for name in ("orders", "catalogue")]
         rows = [{k: v for k, v in row.items() if k != "service"} for row in routes]
@@ -180,9 +188,9 @@
         "weights 0": split(0),
         "weights negative": split(-1),
         "weights 10^400": split(10**400),
-        "names of 1 MB": with_services(name=_LONG_TEXT),
-        "route names of 1 MB": with_routes(name=_LONG_TEXT),
-        "prefix of 1 MB": with_routes(prefix=f"/{_LONG_TEXT}/"),
+        "a service's name of 1 MB": with_a_service(name=_LONG_TEXT),
+        "a route's name of 1 MB": with_a_route(name=_LONG_TEXT),
+        "prefix of 1 MB": with_a_route(prefix=f"/{_LONG_TEXT}/"),
         "host with control characters": with_routes(host=f"{HOST}\r\nX: y"),
         "prefix with a surrogate": with_routes(prefix="/\udc80/"),
         "timeout 0": with_routes(timeout="0ms"),
--- a/scaffolding/tests/fleet_judge.py
+++ b/scaffolding/tests/fleet_judge.py
@@ -180,6 +180,16 @@
         statuses = [one.result.status for one in self._judged(since_s, excluded)]
         return statuses.count(200) / len(statuses) if statuses else 0.0
 
+    def served_share_of_routes(self) -> float:
+        """Return the share of requests on added routes that were served, after their bounds."""
+        statuses = [
+            one.status
+            for one in self._polls
+            if one.sent_s > self._versions[one.version].confirmed_s + CONFIG_APPLY_S
+            and not self._is_excused(one.gateway, one.sent_s)
+        ]
+        return statuses.count(200) / len(statuses) if statuses else 1.0
+
     def unanswered(self, since_s: float = 0.0, *, excluded: Sequence[int] = ()) -> int:
         """Return how many orders sent since a time got no answer."""
         return sum(one.result.status == 0 for one in self._judged(since_s, excluded))
