--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -22,7 +22,7 @@
     StoreLayout,
 )
 from egretrail.gateway._log import EventLog
-from egretrail.gateway._metrics import GatewayMetrics, resident_memory_bytes
+from egretrail.gateway._metrics import GatewayMetrics, label_value, resident_memory_bytes
 from egretrail.gateway._peers import PeerLinks
 from egretrail.gateway._pool import UpstreamConnectionPool
 from egretrail.gateway._relay import RELAY_ID_FIELD, RELAY_LIMITS
@@ -32,7 +32,7 @@
 from egretrail.gateway._view import FleetView
 from egretrail.http1 import BodyBudget, Handler, Request, Response, ServerConnection, ServerLimits
 from egretrail.store import Store
-from egretrail.supervision import LoopErrors, Supervisor
+from egretrail.supervision import LoopErrors, Supervisor, open_when_free
 from egretrail.traffic import ClientLimits
 
 #: Backlog of a listener. A full backlog drops a client's SYN, which is resent after a second.
@@ -87,7 +87,8 @@
         self._stopping_since_s: float | None = None
         self._settings_watcher = SettingsFileWatcher(platform.settings_file, settings, loop.time())
         self.log = EventLog(settings.name)
-        self._supervisor = Supervisor(self.log.event, rng)
+        self._rng = rng
+        self._supervisor = tasks = Supervisor(self.log.event, rng)
         self._loop_errors = LoopErrors(self.log.event)
         self._metrics = GatewayMetrics()
         self._view = FleetView(settings, incarnation, loop.time, self.log, rng, _elapsed_s)
@@ -96,14 +97,7 @@
         self._store = platform.open_store(settings)
         self._peers = PeerLinks(settings, self._view, self.log, rng)
         self._sync = StoreSync(
-            settings,
-            self._view,
-            self._store,
-            platform.layout,
-            self._peers,
-            self.log,
-            rng,
-            self._supervisor,
+            settings, self._view, self._store, platform.layout, self._peers, self.log, rng, tasks
         )
         self._executor = RequestExecutor(
             self._view, platform.contract, self._pool, self.log, self._metrics, rng, settings
@@ -118,27 +112,19 @@
             self._loop.add_signal_handler(number, self._stop_requested.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._settings_watcher.request_read)
         self._loop.set_exception_handler(self._loop_errors.handle)
-        await self._peers.open()
-        await self._listen(self._settings.traffic_address, self._handle_request)
-        await self._listen(self._settings.ready_address, self._handle_readiness)
-        await self._listen(self._settings.directory_address, self._handle_directory)
         metrics_address = f"{self._settings.ip}:{self._settings.metrics_port}"
-        await self._listen(metrics_address, self._handle_metrics)
-        relay_address = f"{self._settings.ip}:{self._settings.relay_port}"
-        relay_server = self._executor.relay_server
-        await self._listen(
-            relay_address, relay_server.handle, lambda: RELAY_LIMITS, repeated_field=RELAY_ID_FIELD
-        )
-        # Objects created so far live as long as the process; scanning them would only cost time.
-        gc.collect()
-        gc.freeze()
         tasks = [
-            self._supervise("peers", self._peers.run),
-            self._supervise("store", self._sync.run),
             self._supervise("housekeeping", self._run_housekeeping),
+            self._loop.create_task(self._listen(metrics_address, self._handle_metrics)),
         ]
-        await self._stop_requested.wait()
-        await self._shut_down()
+        if await self._has_opened():
+            # Objects created so far live as long as the process; scanning them costs time.
+            gc.collect()
+            gc.freeze()
+            tasks.append(self._supervise("peers", self._peers.run))
+            tasks.append(self._supervise("store", self._sync.run))
+            await self._stop_requested.wait()
+            await self._shut_down()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -155,6 +141,33 @@
     def _supervise(self, name: str, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
         return self._loop.create_task(self._supervisor.run(name, work))
 
+    async def _has_opened(self) -> bool:
+        """Open all listeners that requests need; return False if the process is to stop before.
+
+        The peers come last: what they send makes this instance ready.
+        """
+        opening = self._loop.create_task(self._open())
+        stopping = self._loop.create_task(self._stop_requested.wait())
+        await asyncio.wait([opening, stopping], return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        if not opening.done():
+            opening.cancel()
+            return False
+        await opening
+        return True
+
+    async def _open(self) -> None:
+        relay_address = f"{self._settings.ip}:{self._settings.relay_port}"
+        relay = self._executor.relay_server.handle
+        await asyncio.gather(
+            self._listen(self._settings.traffic_address, self._handle_request),
+            self._listen(self._settings.ready_address, self._handle_readiness),
+            self._listen(self._settings.directory_address, self._handle_directory),
+            self._listen(relay_address, relay, lambda: RELAY_LIMITS, repeated_field=RELAY_ID_FIELD),
+        )
+        address = f"{self._settings.ip}:{self._settings.peer_port}"
+        await open_when_free(address, self._peers.open, self.log.event, self._rng)
+
     async def _listen(
         self,
         address: str,
@@ -164,19 +177,20 @@
         repeated_field: bytes | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
-        server = await self._loop.create_server(
-            lambda: ServerConnection(
+
+        def connection() -> ServerConnection:
+            return ServerConnection(
                 handler,
                 limits or self._limits,
                 self._connections,
                 self._body_budget,
                 repeated_field=repeated_field,
-            ),
-            host,
-            int(port),
-            backlog=_BACKLOG,
-        )
-        self._servers.append(server)
+            )
+
+        def listen() -> Awaitable[asyncio.Server]:
+            return self._loop.create_server(connection, host, int(port), backlog=_BACKLOG)
+
+        self._servers.append(await open_when_free(address, listen, self.log.event, self._rng))
 
     def _limits(self) -> ServerLimits:
         config = self._view.config
@@ -242,8 +256,8 @@
             "upstreams_unreached": float(by_health[UpstreamHealth.UNREACHABLE_FROM_HERE]),
             "resident_memory_bytes": resident_memory_bytes(),
             "log_lines_suppressed_total": float(self.log.suppressed_total),
-            "tasks_failing": float(self._supervisor.failing_count()),
             "loop_errors_total": float(self._loop_errors.total),
+            **self._supervisor.gauges(),
         }
         for part, refused in (
             ("config", self._sync.refused_configs),
@@ -251,15 +265,14 @@
         ):
             gauges[f'store_entries_refused{{part="{part}"}}'] = float(refused.present)
             gauges[f'store_entries_refused_total{{part="{part}"}}'] = float(refused.total)
-        for task, count in self._supervisor.restart_counts().items():
-            gauges[f'task_restarts_total{{task="{task}"}}'] = float(count)
         for kind, size_bytes in self._peers.cross_zone_bytes.items():
             gauges[f'peer_bytes_across_zones_total{{kind="{kind}"}}'] = float(size_bytes)
         gauges.update(self._sync.progress.gauges())
         known_share = self._view.known_share()
         for service, use in self._view.retry_budget.usage(self._loop.time(), known_share).items():
-            gauges[f'repeats_in_window{{service="{service}"}}'] = float(use.retries)
-            gauges[f'repeats_allowed{{service="{service}"}}'] = use.allowed
+            labels = f'{{service="{label_value(service)}"}}'
+            gauges[f"repeats_in_window{labels}"] = float(use.retries)
+            gauges[f"repeats_allowed{labels}"] = use.allowed
         gauges.update(self._view.overload.metrics(self._loop.time()))
         return Response(200, self._metrics.render(gauges), [(b"Content-Type", b"text/plain")])
 
@@ -331,7 +344,11 @@
         self._stopping_since_s = self._loop.time()
         self.log.event("stopping", connections=len(self._connections))
         self._view.leaving = True
-        self._peers.leave()
+        try:
+            self._peers.leave()
+        except Exception as error:
+            # Peers notice the silence; what remains to be served comes first.
+            self._loop_errors.handle(self._loop, {"exception": error})
         for connection in self._connections:
             connection.close_after_responses()
         directory_cache_s = DIRECTORY_TTL_S * _DIRECTORY_CACHE_TTLS
