Leave positions that the store has not reached

One well-formed answer of the store with a revision 2^30 ahead, or of another era, hid all later changes of upstreams from the reader and, since instances learn the position from each other, from the whole fleet; the processes lived.

Three rules, each for the case that the one before misses: * A position more than 10,000 ahead of the known one is taken only after another call of the store confirms it (ConfirmedStore). * A watch that states an earlier position than the watched one, or a stale read that does so after 2 s and the linearizable call that follows it, refutes the position: the store is read again in full, and no peer's state far ahead is taken. What was listed stays in use meanwhile; stale reads alone prove nothing; configurations still only rise by version. * An instance that does not read gives up a position that is more than 10,000 ahead of all peers' reports for 2 s.

A position that is less than 10,000 ahead is refuted at the reader; the others then wait until the store passes it.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -15,7 +15,14 @@
 from egretrail.gateway._reader_role import ReaderRole
 from egretrail.gateway._slices import run_in_slices
 from egretrail.gateway._view import FleetView
-from egretrail.store import Entry, HistoryLost, PlatformFailure, Store, StoreUnavailable
+from egretrail.store import (
+    ConfirmedStore,
+    Entry,
+    HistoryLost,
+    PlatformFailure,
+    Store,
+    StoreUnavailable,
+)
 from egretrail.traffic import UpstreamRecord, UpstreamState, revision_era
 
 _FollowTask = asyncio.Task[PlatformFailure | None]
@@ -62,7 +69,7 @@
     ) -> None:
         self._settings = settings
         self._view = view
-        self._store = store
+        self._store: Store = ConfirmedStore(store)
         self._layout = layout
         self._peers = peers
         self._log = log
@@ -109,7 +116,7 @@
         A watch that is pending at the old address may never be answered. It would delay the changes
         of the next seconds for all instances that learn them from here.
         """
-        self._store = store
+        self._store = ConfirmedStore(store)
         self._listing.use_store(store)
         self._restart_reads()
 
@@ -185,10 +192,9 @@
     async def _read_stale(self) -> PlatformFailure | None:
         path = self._layout.instances_prefix + self._settings.availability_zone
         read = await self._store.snapshot(path, stale=True)
-        if isinstance(read, Err):
-            return read.err_value
-        self._check_era(read.ok_value.revision)
-        return None
+        if isinstance(read, Ok):
+            self._check_era(read.ok_value.revision)
+        return read.err()
 
     async def _confirm_config(self) -> PlatformFailure | None:
         """Confirm the configuration as current by a watch for changes up to now."""
@@ -197,10 +203,10 @@
         sent_s = self._view.config_freshness.clock()
         path = self._layout.config_path
         watched = await self._store.watch(path, self._config_revision, _CONFIRM_WAIT_S)
-        if isinstance(watched, Err):
-            return watched.err_value
-        await self._apply_config_answer(watched.ok_value.entries, watched.ok_value.revision, sent_s)
-        return None
+        if isinstance(watched, Ok):
+            answer = watched.ok_value
+            await self._apply_config_answer(answer.entries, answer.revision, sent_s)
+        return watched.err()
 
     async def _with_liveness_timeout(
         self, call: Coroutine[Any, Any, PlatformFailure | None]
@@ -285,7 +291,8 @@
         self._record_success()
         revision = max(after, watched.ok_value.revision)
         await self._apply_config_answer(watched.ok_value.entries, revision, sent_s)
-        await self._batch_changes(watched.ok_value.entries)
+        if watched.ok_value.entries:
+            await asyncio.sleep(_BATCH_S)
         return Ok(revision)
 
     async def _apply_config_answer(
@@ -328,8 +335,7 @@
         stored = {self._name(entry) for entry in read.ok_value.entries}
         for record in self._view.upstreams:
             if record.name not in stored and record.revision <= read.ok_value.revision:
-                until_s = self._outage.expiry_until_s
-                self._vanished.setdefault(record.id, (until_s, record.revision))
+                self._vanished.setdefault(record.id, (self._outage.expiry_until_s, record.revision))
         return None
 
     async def _read_upstreams(self) -> Result[int, PlatformFailure]:
@@ -359,6 +365,8 @@
         """Apply the changes after a revision; return the one up to which they are known then."""
         watched = await self._store.watch(self._layout.upstreams_prefix, after, wait_s)
         if isinstance(watched, Err):
+            if isinstance(watched.err_value, HistoryLost) and watched.err_value.is_refuted:
+                self._view.upstreams.refute(after)
             return watched
         self._record_success()
         changes = watched.ok_value
@@ -371,13 +379,8 @@
                 entries=len(changes.entries),
             )
             self._apply_changes(changes.entries, changes.revision)
-        await self._batch_changes(changes.entries)
-        return Ok(max(after, changes.revision))
-
-    async def _batch_changes(self, entries: Sequence[Entry]) -> None:
-        """Wait after changes, so that the next watch returns several at once."""
-        if entries:
             await asyncio.sleep(_BATCH_S)
+        return Ok(max(after, changes.revision))
 
     async def _apply_config(self, entries: Sequence[Entry]) -> None:
         """Put the last valid version among some entries in force; it replaces those before it."""
@@ -455,11 +458,10 @@
         """Drop upstreams that did not list themselves again in time after an outage."""
         while True:
             await asyncio.sleep(READER_CHECK_S)
-            now_s = self._loop.time()
             due = [
                 (upstream_id, revision)
                 for upstream_id, (until_s, revision) in self._vanished.items()
-                if until_s <= now_s
+                if until_s <= self._loop.time()
             ]
             for upstream_id, _ in due:
                 del self._vanished[upstream_id]
@@ -478,9 +480,8 @@
             if isinstance(decoded, Err):
                 self._log.event("upstream_refused", cause=decoded.err_value)
                 continue
-            record = decoded.ok_value
-            self._vanished.pop(record.id, None)
-            records.append(record)
+            self._vanished.pop(decoded.ok_value.id, None)
+            records.append(decoded.ok_value)
         return records
 
     def _check_era(self, revision: int) -> None:
@@ -499,11 +500,10 @@
         self._restart_reads()
 
     def _record_success(self) -> None:
-        now_s = self._loop.time()
-        away_s = self._outage.record_contact(now_s)
+        self._last_success_s = self._loop.time()
+        away_s = self._outage.record_contact(self._last_success_s)
         if not self._view.store_contact:
             self._log.event("store_contact", away_s=away_s)
-        self._last_success_s = now_s
         self._view.set_store_contact(True)
 
     def _record_failure(self, name: str, failure: PlatformFailure) -> None:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -314,6 +314,7 @@
     def record_peer_revision(self, revision: int, peer: str) -> None:
         """Record a peer's revision of the upstreams; log once if this instance stays behind it."""
         if revision <= self.upstreams.revision:
+            self._awaited.record_lower(self.upstreams, revision, self._clock())
             return
         behind_s = self._awaited.record_advertised(revision, self._clock())
         if behind_s is not None:
@@ -576,8 +577,7 @@
 
     def record_advertised_limit(self, upstream_id: str, limit_per_s: float | None) -> None:
         """Record the rate limit in an upstream's answer, and report a change to the others."""
-        now_s = self._clock()
-        if self.limit_exchange.record_own(upstream_id, limit_per_s, now_s):
+        if self.limit_exchange.record_own(upstream_id, limit_per_s, self._clock()):
             self.on_update(True)
 
     def record_request_start(self, upstream_id: str, *, trial: bool) -> None:
--- a/src/egretrail/store/__init__.py
+++ b/src/egretrail/store/__init__.py
@@ -1,5 +1,6 @@
 """Abstract interfaces of the settings store and of the platform's instance list."""
 
+from egretrail.store._confirmed_store import ConfirmedStore, needs_confirmation
 from egretrail.store._errors import (
     HistoryLost,
     PlatformFailure,
@@ -17,6 +18,7 @@
 from egretrail.store._store import Entry, Snapshot, Store, WatchEvents
 
 __all__ = [
+    "ConfirmedStore",
     "Endpoint",
     "Entry",
     "HistoryLost",
@@ -31,4 +33,5 @@
     "StoreUnavailable",
     "WatchEvents",
     "WriteUnknown",
+    "needs_confirmation",
 ]
--- a/src/egretrail/store/_errors.py
+++ b/src/egretrail/store/_errors.py
@@ -68,6 +68,8 @@
     prefix: str
     #: The revision after which changes were requested.
     after_revision: int
+    #: Whether the store stated that it has not reached this revision.
+    is_refuted: bool = False
 
     def __str__(self) -> str:
         return f"the store holds no changes of {self.prefix} after revision {self.after_revision}"
--- a/src/egretrail/traffic/__init__.py
+++ b/src/egretrail/traffic/__init__.py
@@ -14,6 +14,7 @@
 from egretrail.traffic._routing import RouteTable, choose_service
 from egretrail.traffic._slot_bounds import SLOTS_MULTIPLE, slot_bound
 from egretrail.traffic._upstreams import (
+    REFUTED_JUMP,
     UpstreamRecord,
     UpstreamState,
     UpstreamTable,
@@ -21,6 +22,7 @@
 )
 
 __all__ = [
+    "REFUTED_JUMP",
     "SLOTS_MULTIPLE",
     "AccountTable",
     "ClientAccount",
--- a/src/egretrail/traffic/_upstreams.py
+++ b/src/egretrail/traffic/_upstreams.py
@@ -75,6 +75,9 @@
 _REMEMBERED_MAX = 20_000
 
 
+#: A state that is further ahead than this of the known one is not taken if the store has refuted an
+#: earlier position than its.
+REFUTED_JUMP = 10_000
 #: Maximum number of changes kept for readers of an earlier revision, about 300 bytes each.
 _CHANGES_MAX = 400
 
@@ -115,6 +118,8 @@
     #: The latest changes, oldest first, and the revision since which they are complete.
     _changes: deque[_Change] = field(default_factory=deque)
     _changes_since: int = 0
+    #: The lowest position of which the store stated that it had not reached it; 0 for none.
+    _refuted: int = 0
     #: The maximum connections of each upstream, by service.
     _max_connections: dict[str, int] = field(default_factory=dict)
 
@@ -161,7 +166,7 @@
 
     def replace(self, records: Iterable[UpstreamRecord], revision: int) -> bool:
         """Replace the list by a complete state of the store; return False if it is an older one."""
-        if revision < self.revision:
+        if revision < self.revision or self._is_refuted(revision):
             return False
         before, self._by_name = self._by_name, {}
         for record in records:
@@ -188,7 +193,7 @@
         later lifetime of a listed name is applied even then. The complete list of the known
         revision may hold a late record of the previous lifetime in its place.
         """
-        if revision <= self.revision:
+        if revision <= self.revision or self._is_refuted(revision):
             self._apply_later_lifetimes(changes)
             return
         for name, record in changes.items():
@@ -200,6 +205,28 @@
         self.revision = revision
         self._record_changes(changes, revision)
 
+    def refute(self, revision: int) -> None:
+        """Forget a position that the store has not reached; the listed upstreams stay in use.
+
+        The next state of the store is taken, and no peer's that claims the position. What was
+        absent then is listed again only by a later write.
+        """
+        if revision < self.revision:
+            return
+        self._refuted = min(self._refuted or revision, revision)
+        self.revision = 1
+        self.edition += 1
+        self._changes.clear()
+        self._changes_since = 1
+        known = max((record.revision for record in self._by_name.values()), default=0)
+        self._absent_revisions = {
+            name: min(absent, known) for name, absent in self._absent_revisions.items()
+        }
+
+    def _is_refuted(self, revision: int) -> bool:
+        is_claimed = 0 < self._refuted <= revision
+        return is_claimed and revision - self.revision > REFUTED_JUMP
+
     def remove(self, names: Iterable[str]) -> None:
         """Remove records that the store has not confirmed since the known revision."""
         for name in names:
