Refuse numbers in place of bytes in peers' messages

A number where bytes are due was decoded to as many zeros: one datagram with a large number in it could take more than the 300 MiB of a process. Seen with 10^7 in the acknowledgements of a section on the code before: the message is taken. The memory of larger ones was not measured.

Sections, manifests, chunks, accounts and relayed requests take bytes only.

Measured: the case of a section of test_a_number_in_place_of_bytes_takes_no_memory fails before, all three cases pass after (the other two were refused before, too); all of src/egretrail/cluster, test_relay_codec.py and test_odd_messages.py pass.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -40,6 +40,7 @@
     encode_referral,
     encode_upstreams,
 )
+from egretrail.cluster._fields import decode_bytes
 from egretrail.cluster._heartbeat import (
     DropReport,
     Heartbeat,
@@ -128,6 +129,7 @@
     "UpstreamsReply",
     "ZonePeers",
     "choose_relay",
+    "decode_bytes",
     "decode_chunks",
     "decode_datagram",
     "decode_fetch",
--- a/src/egretrail/cluster/_config_codec.py
+++ b/src/egretrail/cluster/_config_codec.py
@@ -7,6 +7,7 @@
 
 import msgpack
 
+from egretrail.cluster._fields import decode_bytes
 from egretrail.traffic import (
     ClientAccount,
     ClientLimits,
@@ -142,7 +143,7 @@
     name, digests, priority, rate_per_s, burst = row
     return ClientAccount(
         name=str(name),
-        key_digests=tuple(bytes(digest) for digest in digests),
+        key_digests=tuple(decode_bytes(digest) for digest in digests),
         priority=None if priority is None else int(priority),
         rate_per_s=float(rate_per_s),
         burst=float(burst),
--- a/src/egretrail/cluster/_fetch_codec.py
+++ b/src/egretrail/cluster/_fetch_codec.py
@@ -9,7 +9,13 @@
 from result import Err, Ok, Result
 
 from egretrail.cluster._config_chunks import CHUNK_COUNT, ConfigChunk, ConfigManifest
-from egretrail.cluster._fields import decode_address, decode_count, decode_seconds, decode_text
+from egretrail.cluster._fields import (
+    decode_address,
+    decode_bytes,
+    decode_count,
+    decode_seconds,
+    decode_text,
+)
 from egretrail.cluster._malformed import MALFORMED, MalformedMessage
 from egretrail.dispatch import SuspicionRecord
 from egretrail.traffic import UpstreamRecord, UpstreamState
@@ -156,7 +162,7 @@
         head, digest, base_digest, changed = rest
         return Ok(
             ConfigManifest(
-                _decode_bytes(head),
+                decode_bytes(head),
                 decode_count(digest, _DIGEST_MAX),
                 decode_count(base_digest, _DIGEST_MAX),
                 _decode_digests(changed),
@@ -188,7 +194,7 @@
         version, packed_chunks = msgpack.unpackb(unpacked)
         if version != _VERSION:
             return Err(MalformedMessage(f"unsupported version {version!r}"))
-        return Ok([ConfigChunk.unpack(packed) for packed in packed_chunks])
+        return Ok([ConfigChunk.unpack(decode_bytes(packed)) for packed in packed_chunks])
     except MALFORMED as error:
         return Err(MalformedMessage(repr(error)))
 
@@ -257,13 +263,6 @@
     return name
 
 
-def _decode_bytes(value: Any) -> bytes:
-    # ``bytes`` of a number would be as many zeros.
-    if not isinstance(value, bytes):
-        raise TypeError("no bytes")
-    return value
-
-
 def _upstream_row(record: UpstreamRecord) -> list[Any]:
     return [
         record.name,
--- a/src/egretrail/cluster/_fields.py
+++ b/src/egretrail/cluster/_fields.py
@@ -32,6 +32,13 @@
     return value
 
 
+def decode_bytes(value: Any) -> bytes:
+    """Return bytes; ``bytes`` of a number would be as many zeros."""
+    if type(value) is not bytes:
+        raise ValueError("no bytes")
+    return value
+
+
 def decode_seconds(value: Any, factor: float = 1.0) -> float:
     """Return a duration in seconds, from a number in units of a factor; a longer one is cut off."""
     if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
--- a/src/egretrail/cluster/_section_codec.py
+++ b/src/egretrail/cluster/_section_codec.py
@@ -11,7 +11,13 @@
 
 from egretrail.cluster._config_freshness import SectionEcho
 from egretrail.cluster._demand_codec import decode_demand, encode_demand
-from egretrail.cluster._fields import decode_count, decode_ratio, decode_seconds, decode_text
+from egretrail.cluster._fields import (
+    decode_bytes,
+    decode_count,
+    decode_ratio,
+    decode_seconds,
+    decode_text,
+)
 from egretrail.cluster._heartbeat import DropReport, LimitReport, LossReport, OutcomeReport
 from egretrail.cluster._hub_terms import HubTerm
 from egretrail.cluster._instance import Instance, InstanceState
@@ -146,7 +152,7 @@
         upstreams_revision=decode_count(row[6]),
         store_readers=decode_count(row[7]),
         instances=decode_count(row[8]),
-        acknowledged=bytes(row[9]),
+        acknowledged=decode_bytes(row[9]),
         changed=_decode_changed(row[10]),
         loads=_decode_slice(row[11]),
         refusals=_unpack_words(row[12]),
@@ -296,7 +302,7 @@
 
 
 def _decode_loads(fields: Sequence[bytes]) -> LoadRows:
-    keys, counts = _unpack_words(fields[0]), bytes(fields[1])
+    keys, counts = _unpack_words(fields[0]), decode_bytes(fields[1])
     if len(keys) != len(counts):
         raise ValueError("loads have unequal numbers of keys and counts")
     return LoadRows(keys, counts)
@@ -339,7 +345,7 @@
 
 
 def _decode_changed(fields: Sequence[bytes]) -> ChangedRows:
-    keys, counts = _unpack_words(fields[0]), bytes(fields[1])
+    keys, counts = _unpack_words(fields[0]), decode_bytes(fields[1])
     durations_s = [_DURATIONS_S[byte] for byte in fields[2]]
     if not len(keys) == len(counts) == len(durations_s):
         raise ValueError("changed rows have columns of unequal length")
--- a/src/egretrail/cluster/tests/test_malformed.py
+++ b/src/egretrail/cluster/tests/test_malformed.py
@@ -1,5 +1,6 @@
 """Messages of peers with any contents: each is decoded to checked values, or refused."""
 
+import tracemalloc
 import zlib
 from collections.abc import Callable
 from typing import Any
@@ -26,6 +27,7 @@
     encode_sections,
     encode_upstreams,
 )
+from egretrail.cluster._section_codec import encode_section
 from egretrail.cluster.tests.messages import heartbeat, mutations, pack_odd, section
 from egretrail.testing import EgretrailTestCase, cases
 from egretrail.traffic import UpstreamRecord, UpstreamState
@@ -49,6 +51,14 @@
 }
 
 
+def _section_of_zeros() -> bytes:
+    row = msgpack.unpackb(encode_section(section()))
+    return pack_odd([*row[:9], 10**7, *row[10:]])
+
+
+_SECTION_OF_ZEROS = _section_of_zeros()
+
+
 class DecoderTest(EgretrailTestCase):
     @cases(_DECODERS)
     def test_arbitrary_bytes_are_decoded_or_refused(self, case: tuple[Decode, bytes]) -> None:
@@ -119,3 +129,23 @@
         decoded = decode_upstreams(msgpack.packb([version, revision, [row], None, suspicions]))
         [record] = decoded.unwrap().upstreams or ()
         self.assertLess(record.warmup_s, 1e8)
+
+    @cases(
+        {
+            "a manifest's head": (decode_manifest, [6, 10**7, 0, 0, {}]),
+            "a section's acknowledgements": (decode_datagram, [6, 1, 0, [_SECTION_OF_ZEROS]]),
+            "a chunk": (decode_chunks, [6, [10**7]]),
+        }
+    )
+    def test_a_number_in_place_of_bytes_takes_no_memory(self, case: tuple[Decode, Any]) -> None:
+        """Guards against a number that is decoded to as many zeros, up to all memory."""
+        decode, document = case
+        data = msgpack.packb(document)
+        tracemalloc.start()
+        try:
+            decoded = decode(zlib.compress(data) if decode is decode_chunks else data)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertIsInstance(decoded.err(), MalformedMessage)
+        self.assertLess(peak_bytes, 1_000_000)
--- a/src/egretrail/gateway/_relay_codec.py
+++ b/src/egretrail/gateway/_relay_codec.py
@@ -6,7 +6,7 @@
 import msgpack
 from result import Err, Ok, Result
 
-from egretrail.cluster import MALFORMED, MalformedMessage
+from egretrail.cluster import MALFORMED, MalformedMessage, decode_bytes
 from egretrail.dispatch import PlacementQuery, Refusal, RefusalReason, RequestDigest
 from egretrail.gateway._pending_request import AttemptRequest, AttemptResult, Disposition
 from egretrail.http1 import ReceivedResponse, Request
@@ -61,8 +61,10 @@
 
 def _decode_attempt(row: list[Any], received_s: float) -> RelayedAttempt:
     _check_version(row)
-    headers = [(bytes(name), bytes(value)) for name, value in row[7]]
-    request = Request(bytes(row[5]), bytes(row[6]), headers, bytes(row[8]), received_s)
+    headers = [(decode_bytes(name), decode_bytes(value)) for name, value in row[7]]
+    request = Request(
+        decode_bytes(row[5]), decode_bytes(row[6]), headers, decode_bytes(row[8]), received_s
+    )
     query = PlacementQuery(
         service=str(row[2]),
         remaining_s=float(row[9]),
@@ -124,8 +126,8 @@
         refusal = Refusal(RefusalReason(reason), float(retry_after_s), float(wait_s))
     if row[5] is not None:
         status, reason, headers, body = row[5]
-        fields = [(bytes(name), bytes(value)) for name, value in headers]
-        received = ReceivedResponse(int(status), bytes(reason), fields, bytes(body))
+        fields = [(decode_bytes(name), decode_bytes(value)) for name, value in headers]
+        received = ReceivedResponse(int(status), decode_bytes(reason), fields, decode_bytes(body))
     return AttemptResult(Disposition(row[1]), received, str(row[2]), str(row[3]), refusal)
 
 
