Apply a configuration again that an instance put in force half-way

Callers got 404 for new routes from an instance that called its configuration current: an error in one of the steps of a new version (its routes, objectives, overload control) left the version in force without them, and no later read of the same version applied it again. Found by review.

A configuration and its tables now take effect together, and what was in force before is put back if a step that depends on them fails; the version then counts as one that has not arrived.

--- a/src/egretrail/gateway/_config_state.py
+++ b/src/egretrail/gateway/_config_state.py
@@ -1,6 +1,7 @@
 """The configuration in force on one instance, and the newer versions that peers report."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from egretrail.cluster import ChunkedConfig, ManifestHistory
 from egretrail.traffic import AccountTable, FleetConfig, ObjectiveTable, RouteTable
@@ -13,19 +14,31 @@
 _NEWEST_REPORT_S = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigInForce:
+    """A configuration with its tables, which take effect together."""
+
+    #: The configuration in chunks, as instances exchange it; None before one is known.
+    chunked: ChunkedConfig | None = None
+    #: The routes of the configuration.
+    routes: RouteTable | None = None
+    #: The latency objectives that rank its requests.
+    urgency: ObjectiveTable | None = None
+    #: The client accounts of the configuration; None if requests need no API key.
+    accounts: AccountTable | None = None
+
+    @property
+    def version(self) -> int:
+        """The version; 0 before a configuration is known."""
+        return self.chunked.config.version if self.chunked is not None else 0
+
+
 class ConfigState:
     """Holds the newest complete configuration; its version only increases."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        #: The configuration in chunks, as instances exchange it; None before one is known.
-        self.chunked: ChunkedConfig | None = None
-        #: The routes of the configuration.
-        self.routes: RouteTable | None = None
-        #: The latency objectives that rank its requests.
-        self.urgency: ObjectiveTable | None = None
-        #: The client accounts of the configuration; None if requests need no API key.
-        self.accounts: AccountTable | None = None
+        self._in_force = ConfigInForce()
         #: The chunk digests of recent configurations, for peers that still have those.
         self.manifests = ManifestHistory()
         #: Whether the last read of the configuration from the store succeeded.
@@ -40,6 +53,31 @@
         #: When a peer last reported its version.
         self._reported_s = float("-inf")
 
+    @property
+    def in_force(self) -> ConfigInForce:
+        """The configuration with its tables."""
+        return self._in_force
+
+    @property
+    def chunked(self) -> ChunkedConfig | None:
+        """The configuration in chunks, as instances exchange it; None before one is known."""
+        return self._in_force.chunked
+
+    @property
+    def routes(self) -> RouteTable | None:
+        """The routes of the configuration."""
+        return self._in_force.routes
+
+    @property
+    def urgency(self) -> ObjectiveTable | None:
+        """The latency objectives that rank its requests."""
+        return self._in_force.urgency
+
+    @property
+    def accounts(self) -> AccountTable | None:
+        """The client accounts of the configuration; None if requests need no API key."""
+        return self._in_force.accounts
+
     @property
     def config(self) -> FleetConfig | None:
         """The configuration in force; None before one is known."""
@@ -48,7 +86,7 @@
     @property
     def version(self) -> int:
         """The version in force; 0 before one is known."""
-        return self.chunked.config.version if self.chunked is not None else 0
+        return self._in_force.version
 
     @property
     def behind_s(self) -> float:
@@ -94,17 +132,28 @@
         """Put a configuration in force; return False if the one in force is as new or newer."""
         if chunked.config.version <= self.version:
             return False
-        self.chunked = chunked
-        self.routes = RouteTable(chunked.config)
-        self.urgency = ObjectiveTable(chunked.config)
         accounts = chunked.config.accounts
-        self.accounts = None if accounts is None else AccountTable(accounts)
+        self._in_force = ConfigInForce(
+            chunked,
+            RouteTable(chunked.config),
+            ObjectiveTable(chunked.config),
+            None if accounts is None else AccountTable(accounts),
+        )
         self.manifests.record(chunked)
         if chunked.config.version >= self._newest_version:
             self._newest_version, self._newest_s = chunked.config.version, self._clock()
             self._behind_since_s = None
         return True
 
+    def restore(self, before: ConfigInForce) -> None:
+        """Put back what was in force before an ``apply`` that others could not follow.
+
+        The version counts as one that has not arrived, so that it is applied again.
+        """
+        self._in_force = before
+        if self._behind_since_s is None:
+            self._behind_since_s = self._clock()
+
     def _expire_newest(self) -> None:
         is_stale = self._clock() - self._newest_s > _NEWEST_REPORT_S
         if self._newest_version > self.version and is_stale:
--- a/src/egretrail/gateway/_view.py
+++ b/src/egretrail/gateway/_view.py
@@ -329,16 +329,20 @@
 
     def apply_config(self, chunked: ChunkedConfig, source: str) -> bool:
         """Put a configuration in force; return False if the one in force is as new or newer."""
-        before, behind_s = self.config_version, self.configs.behind_s
+        before, behind_s = self.configs.in_force, self.configs.behind_s
         if not self.configs.apply(chunked):
             return False
-        self.quotas.set_accounts(chunked.config.accounts or (), self._clock())
-        self.upstreams.set_services(chunked.config.services.values())
-        self._configure_overload()
+        try:
+            self.quotas.set_accounts(chunked.config.accounts or (), self._clock())
+            self.upstreams.set_services(chunked.config.services.values())
+            self._configure_overload()
+        except Exception:
+            self.configs.restore(before)
+            raise
         self._log.event(
             "config_in_force",
             version=chunked.config.version,
-            before=before,
+            before=before.version,
             routes=len(chunked.config.routes),
             behind_s=behind_s,
             source=source,
