Page past a key that is no text

A reader failed each time it read the list: a page ended with a key that has a lone surrogate, and the next page's call could not be encoded (UnicodeEncodeError), so that no upstream was known after a start or an outage. Found by review. The new test failed before (both rows).

--- a/src/egretrail/platform/_store.py
+++ b/src/egretrail/platform/_store.py
@@ -146,7 +146,7 @@
         while True:
             target = f"/api/kv-range?prefix={quote(prefix, safe='')}"
             target += "&staleOk=1" if stale else ""
-            target += f"&after={quote(after, safe='')}" if after else ""
+            target += f"&after={_quote_key(after)}" if after else ""
             reply = await self._call("GET", target, call)
             if isinstance(reply, Err):
                 return reply
@@ -323,6 +323,15 @@
             connection.on_response_bytes = lambda: None
 
 
+def _quote_key(key: str) -> str:
+    """Return a key that the store has stated, as part of a query; it need not be UTF-8."""
+    try:
+        data = key.encode(errors="surrogateescape")
+    except UnicodeEncodeError:
+        data = key.encode(errors="surrogatepass")
+    return quote(data, safe="")
+
+
 def _refused(call: str, status: int) -> StoreRefused:
     return StoreRefused(call, status)
 
