Take only eras that messages between instances can state

An era of 2^22 or more was taken from the store and made peers drop each message of the reader, whose revisions have 62 bits there. Found by review, by reading and a script; no test of its own.

--- a/src/egretrail/platform/_store_codec.py
+++ b/src/egretrail/platform/_store_codec.py
@@ -8,8 +8,8 @@
 from egretrail.traffic import store_revision
 
 #: Bounds of what a response states: numbers of revisions have 40 bits, and revisions with their era
-#: fit into the 64 bits of messages between instances.
-_REVISION_MAX, _ERA_MAX = 2**40 - 1, 2**23 - 1
+#: fit into the 62 bits of messages between instances.
+_REVISION_MAX, _ERA_MAX = 2**40 - 1, 2**22 - 1
 #: Leases are numbers of 64 bits.
 LEASE_MAX = 2**64 - 1
 
