--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -286,6 +286,7 @@
     async def _watch_config(self, after: int, wait_s: float) -> Result[int, PlatformFailure]:
         """Apply the changes after a revision; return the one up to which they are known then."""
         sent_s = self._view.config_freshness.clock()
+        began_s = self._loop.time()
         watched = await self._store.watch(self._layout.config_path, after, wait_s)
         if isinstance(watched, Err):
             return watched
@@ -293,10 +294,17 @@
         self._record_answer("config", after, watched.ok_value.revision)
         revision = max(after, watched.ok_value.revision)
         await self._apply_config_answer(watched.ok_value.entries, revision, sent_s)
-        if watched.ok_value.entries:
-            await asyncio.sleep(_BATCH_S)
+        await self._pace_watches(watched.ok_value.entries, began_s + wait_s)
         return Ok(revision)
 
+    async def _pace_watches(self, entries: Sequence[Entry], due_s: float) -> None:
+        """Wait after changes, so that the next watch returns several, or an answer before its time.
+
+        Without a pause, a store that does not let watches wait would be queried without end.
+        """
+        if entries or due_s - self._loop.time() > _BATCH_S:
+            await asyncio.sleep(_BATCH_S)
+
     async def _apply_config_answer(
         self, entries: Sequence[Entry], revision: int, sent_s: float
     ) -> None:
@@ -371,6 +379,7 @@
 
     async def _watch_upstreams(self, after: int, wait_s: float) -> Result[int, PlatformFailure]:
         """Apply the changes after a revision; return the one up to which they are known then."""
+        began_s = self._loop.time()
         watched = await self._store.watch(self._layout.upstreams_prefix, after, wait_s)
         if isinstance(watched, Err):
             if isinstance(watched.err_value, HistoryLost) and watched.err_value.is_refuted:
@@ -388,7 +397,7 @@
                 entries=len(changes.entries),
             )
             await self._apply_changes(changes.entries, changes.revision)
-            await asyncio.sleep(_BATCH_S)
+        await self._pace_watches(changes.entries, began_s + wait_s)
         return Ok(max(after, changes.revision))
 
     async def _apply_config(self, entries: Sequence[Entry]) -> None:
--- a/src/egretrail/gateway/tests/test_large_changes.py
+++ b/src/egretrail/gateway/tests/test_large_changes.py
@@ -1,4 +1,4 @@
-"""Changes that do not fit into one reply of the store."""
+"""Replies to watches that are too large, or come too early."""
 
 import asyncio
 from typing import cast
@@ -44,3 +44,33 @@
             self.assertEqual(2, setup.view.config_version)
 
         readers.StoreSyncTest._run(cast("readers.StoreSyncTest", self), act, _LargeReplyStore())
+
+
+class _HastyStore(FakeStore):
+    """A store that lets no watch wait."""
+
+    watches = 0
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Result[WatchEvents, PlatformFailure]:
+        self.watches += 1
+        return await super().watch(prefix, after_revision, 0.0)
+
+
+class EarlyReplyTest(EgretrailTestCase):
+    def test_watches_that_end_at_once_are_paced(self) -> None:
+        """A reader made thousands of calls a second, and did nothing else."""
+        store = _HastyStore()
+
+        async def act(setup: readers._ReaderSetup) -> None:
+            before = store.watches
+            await asyncio.sleep(2.0)
+            self.assertLess(store.watches - before, 40)
+            setup.list("u1", "draining")
+            setup.configure(config(2, readers._ROUTES))
+            await asyncio.sleep(0.5)
+            self.assertEqual({"u2", "u3", "u4"}, setup.ready())
+            self.assertEqual(2, setup.view.config_version)
+
+        readers.StoreSyncTest._run(cast("readers.StoreSyncTest", self), act, store)
