Bound the settings file and the digits of its ports

A port of 5,000 digits or with 6,000 zeros in front raised an untyped ValueError, also when the file changes while the process runs; digits that are not ASCII and a file of 20 MB were taken.

Ports have five ASCII digits at most; a file has 1 MiB at most.

--- a/src/egretrail/platform/_node_file.py
+++ b/src/egretrail/platform/_node_file.py
@@ -14,7 +14,9 @@
 
 #: The environment variable that holds the file's path.
 SETTINGS_VARIABLE = "EGRETRAIL_NODE_FILE"
-_PORT_MAX = 65_535
+_PORT_MAX, _PORT_DIGITS_MAX = 65_535, 5
+#: The platform fills in a template of less than 64 KiB.
+_FILE_BYTES_MAX = 1024 * 1024
 #: The name of the contract under which services are watched for overload, and client accounts share
 #: their capacity fairly.
 _PRESSURE = "pressure"
@@ -42,7 +44,11 @@
 def read_node_file(path: Path) -> Result[GatewaySettings, InvalidDocument]:
     """Read the settings file; ignores unknown fields and reports all faults at once."""
     try:
-        document = tomllib.loads(path.read_text())
+        with path.open("rb") as file:
+            data = file.read(_FILE_BYTES_MAX + 1)
+        if len(data) > _FILE_BYTES_MAX:
+            raise ValueError(f"more than {_FILE_BYTES_MAX} bytes")
+        document = tomllib.loads(data.decode())
     except (OSError, ValueError, RecursionError) as error:
         return Err(InvalidDocument(str(path), [repr(error)]))
     faults: list[str] = []
@@ -122,7 +128,8 @@
 
 def _is_ip_port(text: str) -> bool:
     host, _, port = text.rpartition(":")
-    return _is_ip(host) and port.isdecimal() and 0 < int(port) <= _PORT_MAX
+    is_number = port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS_MAX
+    return _is_ip(host) and is_number and 0 < int(port) <= _PORT_MAX
 
 
 def _is_ip(text: str) -> bool:
