Bound the values of relayed requests

An attempt with a digest beyond 64 bits or a time of 1e300 was decoded, and raised an OverflowError where its result was logged or packed; a time that is no number made a deadline that never passes.

--- a/src/egretrail/cluster/__init__.py
+++ b/src/egretrail/cluster/__init__.py
@@ -40,7 +40,7 @@
     encode_referral,
     encode_upstreams,
 )
-from egretrail.cluster._fields import decode_bytes
+from egretrail.cluster._fields import decode_bytes, decode_count, decode_ratio, decode_text
 from egretrail.cluster._heartbeat import (
     DropReport,
     Heartbeat,
@@ -131,9 +131,12 @@
     "choose_relay",
     "decode_bytes",
     "decode_chunks",
+    "decode_count",
     "decode_datagram",
     "decode_fetch",
     "decode_manifest",
+    "decode_ratio",
+    "decode_text",
     "decode_upstreams",
     "encode_chunks",
     "encode_fetch",
--- a/src/egretrail/gateway/_relay_codec.py
+++ b/src/egretrail/gateway/_relay_codec.py
@@ -1,18 +1,30 @@
 """Messages between an instance that reaches no upstream and one that sends its requests on."""
 
+import math
 from dataclasses import dataclass
 from typing import Any
 
 import msgpack
 from result import Err, Ok, Result
 
-from egretrail.cluster import MALFORMED, MalformedMessage, decode_bytes
+from egretrail.cluster import (
+    MALFORMED,
+    MalformedMessage,
+    decode_bytes,
+    decode_count,
+    decode_ratio,
+    decode_text,
+)
 from egretrail.dispatch import PlacementQuery, Refusal, RefusalReason, RequestDigest
 from egretrail.gateway._pending_request import AttemptRequest, AttemptResult, Disposition
 from egretrail.http1 import ReceivedResponse, Request
 
 #: Version of both messages; each side rejects others.
 _VERSION = 1
+#: Bounds of what a message states.
+_TIME_MAX_S, _RESPONSE_BYTES_MAX, _DIGEST_MAX = 86_400.0, 1e12, 2**64 - 1
+#: The id of a client's attempt is as long as the client's header.
+_ID_MAX = 2**20
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +71,13 @@
         return Err(MalformedMessage(repr(error)))
 
 
+def _seconds(value: Any) -> float:
+    """Return a time that may have passed already, from what can be no more than a day."""
+    if not isinstance(value, int | float) or math.isnan(value):
+        raise ValueError("no time")
+    return min(max(float(value), -_TIME_MAX_S), _TIME_MAX_S)
+
+
 def _decode_attempt(row: list[Any], received_s: float) -> RelayedAttempt:
     _check_version(row)
     headers = [(decode_bytes(name), decode_bytes(value)) for name, value in row[7]]
@@ -66,21 +85,21 @@
         decode_bytes(row[5]), decode_bytes(row[6]), headers, decode_bytes(row[8]), received_s
     )
     query = PlacementQuery(
-        service=str(row[2]),
-        remaining_s=float(row[9]),
-        objective_remaining_s=float(row[10]),
+        service=decode_text(row[2]),
+        remaining_s=_seconds(row[9]),
+        objective_remaining_s=_seconds(row[10]),
         is_retryable=bool(row[11]),
-        urgent_objective_s=None if row[12] is None else float(row[12]),
-        response_bytes=float(row[13]),
+        urgent_objective_s=None if row[12] is None else _seconds(row[12]),
+        response_bytes=decode_ratio(row[13], _RESPONSE_BYTES_MAX),
         spare_only=bool(row[14]),
-        excluded=[str(upstream_id) for upstream_id in row[15]],
+        excluded=[decode_text(upstream_id) for upstream_id in row[15]],
     )
     attempt = AttemptRequest(
         request=request,
-        attempt_id=str(row[1]),
+        attempt_id=decode_text(row[1], _ID_MAX),
         service=query.service,
-        account=None if row[3] is None else str(row[3]),
-        digest=RequestDigest(int(row[4])),
+        account=None if row[3] is None else decode_text(row[3]),
+        digest=RequestDigest(decode_count(row[4], _DIGEST_MAX)),
         deadline_s=received_s + query.remaining_s,
     )
     return RelayedAttempt(attempt, query)
@@ -123,11 +142,13 @@
     refusal = received = None
     if row[4] is not None:
         reason, retry_after_s, wait_s = row[4]
-        refusal = Refusal(RefusalReason(reason), float(retry_after_s), float(wait_s))
+        refusal = Refusal(RefusalReason(reason), _seconds(retry_after_s), _seconds(wait_s))
     if row[5] is not None:
         status, reason, headers, body = row[5]
         fields = [(decode_bytes(name), decode_bytes(value)) for name, value in headers]
-        received = ReceivedResponse(int(status), decode_bytes(reason), fields, decode_bytes(body))
+        received = ReceivedResponse(
+            decode_count(status, 999), decode_bytes(reason), fields, decode_bytes(body)
+        )
     return AttemptResult(Disposition(row[1]), received, str(row[2]), str(row[3]), refusal)
 
 
--- a/src/egretrail/gateway/tests/test_relay_codec.py
+++ b/src/egretrail/gateway/tests/test_relay_codec.py
@@ -2,8 +2,10 @@
 
 import random
 
+import msgpack
 from result import Err, Ok
 
+from egretrail.cluster.tests.messages import mutations, pack_odd
 from egretrail.dispatch import PlacementQuery, Refusal, RefusalReason, RequestDigest
 from egretrail.gateway._pending_request import AttemptRequest, AttemptResult, Disposition
 from egretrail.gateway._relay_codec import (
@@ -59,3 +61,14 @@
                 del changed[rng.randrange(len(changed)) :: rng.choice([1, 10_000])]
                 for decoded in (decode_attempt(bytes(changed), 0.0), decode_result(bytes(changed))):
                     self.assertIsInstance(decoded, (Ok, Err))
+
+    def test_odd_values_are_bounded_or_refused(self) -> None:
+        """Guards against a deadline that is no number, and sums and waits that overflow."""
+        for document in mutations(msgpack.unpackb(encode_attempt(_relayed("acme", 0.2)))):
+            decoded = decode_attempt(pack_odd(document), _RECEIVED_S)
+            if isinstance(decoded, Ok):
+                attempt, query = decoded.ok_value.attempt, decoded.ok_value.query
+                times_s = [attempt.deadline_s, query.objective_remaining_s, query.response_bytes]
+                self.assertTrue(all(abs(each) < 1e13 for each in times_s), document)
+                self.assertEqual(Ok(decoded.ok_value), decode_attempt(pack_odd(document), 50.0))
+                encode_attempt(decoded.ok_value)
