--- a/scaffolding/platform/fleet.py
+++ b/scaffolding/platform/fleet.py
@@ -131,6 +131,8 @@
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         #: All processes, with their gateways.
         self._started: list[tuple[int, asyncio.subprocess.Process]] = []
+        #: Descriptors of all processes, by process id.
+        self._descriptors: dict[int, int] = {}
         #: Ids of the processes that were told to end.
         self._told_to_end: set[int] = set()
         #: Gateways that start with the settings file that is there, instead of a whole new one.
@@ -230,6 +232,8 @@
             sys.executable, "-m", module, env=environment, stdout=log, stderr=log
         )
         self._started.append((number, self._processes[number]))
+        process_id = self._processes[number].pid
+        self._descriptors[process_id] = os.pidfd_open(process_id)
         log.close()
 
     async def add_backends(self, service: str, count: int, **fields: object) -> None:
@@ -284,7 +288,8 @@
         """Send a signal to a gateway's process."""
         if signal_number in (signal.SIGKILL, signal.SIGTERM):
             self._told_to_end.add(self._processes[number].pid)
-        self._processes[number].send_signal(signal_number)
+        # The process object would reap a process that has just ended, and lose its exit code.
+        signal.pidfd_send_signal(self._descriptors[self._processes[number].pid], signal_number)
 
     def ended_by_themselves(self) -> list[str]:
         """Return which processes have ended though they were not told to, or with an error."""
@@ -311,6 +316,9 @@
                 process.kill()
         for _, process in self._started:
             await process.wait()
+        for descriptor in self._descriptors.values():
+            os.close(descriptor)
+        self._descriptors.clear()
         for backend in self.backends:
             await backend.stop()
         for link in self.store_links:
