Refuse upstreams' entries that start in the future

Callers saw an upstream that was alive get no work, or get work while it drained: an odd entry with a start ten years ahead, written over its own, hid all that the upstream wrote from then on, its drain too, and after a removal its next lifetime.

Cause: the table remembers the newest start of each name, so that records of an older lifetime that are stored late have no effect. A start that is yet to come passes for the newest one until its time, and nothing that the upstream writes gets past it.

Clocks of instances and upstreams differ by seconds.

Evidence: with the clock parameter alone the four new cases of refusals failed (two decoded the start; in changes and in complete lists the upstream stayed ready on its own draining report).

--- a/src/egretrail/gateway/tests/test_refused_entries.py
+++ b/src/egretrail/gateway/tests/test_refused_entries.py
@@ -22,7 +22,9 @@
 from scaffolding.platform.fleet import config, route
 
 _ENTRY = {**StandInBackend("s", "zone-a").store_entry(), "address": "10.0.0.1:1"}
-_LAYOUT = PlatformLayout()
+#: The start of an upstream and the readers' wall clock, in milliseconds of Unix time.
+_STARTED_MS, _NOW_MS = 1_790_000_000_000, 1_790_000_100_000
+_LAYOUT = PlatformLayout(clock=lambda: _NOW_MS / 1_000)
 _ROUTES = [route("read", "/read/", "s")]
 
 
@@ -205,6 +207,35 @@
 
         self._run(act)
 
+    @cases({"in changes": False, "in complete lists": True})
+    def test_an_entry_with_a_start_in_the_future_outlasts_nothing(self, is_complete: bool) -> None:
+        """Its start was remembered as the newest one and hid all that the upstream wrote."""
+
+        async def act(setup: _Setup) -> None:
+            async def write(started_ms: int, state: str = "ready") -> None:
+                setup.list("u1", born=started_ms, state=state)
+                await asyncio.sleep(1.0)
+                if is_complete:
+                    await self._read_anew(setup)
+
+            odd_ms = _NOW_MS + 10 * 365 * 86_400_000
+            await write(_STARTED_MS)
+            await write(odd_ms)
+            await write(_STARTED_MS)
+            self.assertEqual({"u1", "u2", "u3"}, setup.ready())
+            await write(odd_ms)
+            await write(_STARTED_MS, "draining")
+            self.assertEqual({"u2", "u3"}, setup.ready())
+            drained = setup.view.upstreams.find_by_name("u1")
+            assert drained is not None
+            self.assertEqual(_STARTED_MS, drained.started_ms)
+            setup.unlist("u1")
+            await asyncio.sleep(1.0)
+            await write(_STARTED_MS + 60_000)
+            self.assertEqual({"u1", "u2", "u3"}, setup.ready())
+
+        self._run(act)
+
     @cases({"in a change": False, "in a complete list": True})
     def test_other_tasks_run_while_many_entries_are_decoded(self, is_complete: bool) -> None:
         """Hundreds of large odd entries would keep a hub from its reports for seconds."""
@@ -228,6 +259,7 @@
     """Counts how many entries are decoded while another task waits for its turn."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.delays: list[int] = []
         self._decoded = 0
 
--- a/src/egretrail/platform/_layout.py
+++ b/src/egretrail/platform/_layout.py
@@ -1,7 +1,8 @@
 """Paths of the platform's store, and decoding of the values stored under them."""
 
 import sys
-from collections.abc import Generator, Sequence, Set
+import time
+from collections.abc import Callable, Generator, Sequence, Set
 
 from result import Err, Ok, Result
 
@@ -32,6 +33,10 @@
     upstreams_prefix = store_fields.UPSTREAMS_PREFIX
     instances_prefix = "egretrail/instances/"
 
+    def __init__(self, clock: Callable[[], float] = time.time) -> None:
+        """Create a layout; the clock returns the Unix time in seconds."""
+        self._clock = clock
+
     def decode_config_in_slices(
         self, value: bytes
     ) -> Generator[None, None, Result[FleetConfig, InvalidDocument]]:
@@ -54,7 +59,13 @@
         except ValueError as error:
             return Err(InvalidDocument(path, [str(error)]))
         faults: list[str] = []
-        record = _decode_upstream_record(TableReader(document, "entry", faults), entry)
+        fields = TableReader(document, "entry", faults)
+        record = _decode_upstream_record(fields, entry)
+        latest_start_ms = (self._clock() + store_fields.CLOCKS_APART_MAX_S) * 1_000
+        # A start that is yet to come would pass for that of the newest lifetime until then, and
+        # hide all that the upstream itself writes.
+        is_past = record.started_ms <= latest_start_ms
+        fields.check("born", is_past, f"{record.started_ms} is in the future")
         if faults:
             return Err(InvalidDocument(path, faults))
         return Ok(record)
--- a/src/egretrail/platform/_store_fields.py
+++ b/src/egretrail/platform/_store_fields.py
@@ -58,6 +58,9 @@
 WARMUP_LEFT = Duration(0.0, _DURATION_MAX_S)
 #: Unix time in milliseconds.
 START_TIME_MS = Integer(0, _TIME_MAX_MS)
+#: How far an upstream's wall clock may be ahead of the reader's. Clocks differ by seconds; an
+#: upstream that is refused gets no work.
+CLOCKS_APART_MAX_S = 24 * 60 * 60
 
 #: Eight digits; 0 is older than any that is in force.
 CONFIG_VERSION = HexInteger(max_digits=8)
--- a/src/egretrail/platform/tests/test_odd_documents.py
+++ b/src/egretrail/platform/tests/test_odd_documents.py
@@ -35,7 +35,9 @@
     choose_service,
 )
 
-_LAYOUT = PlatformLayout()
+#: The reader's wall clock, Unix time in seconds; the upstream started 100 s before.
+_NOW_S = 1_790_000_100
+_LAYOUT = PlatformLayout(clock=lambda: _NOW_S)
 #: A refusal fits into a few log lines, whatever the document holds.
 _REFUSAL_CHARACTERS_MAX = 4_000
 _PATH = "servers/i-1"
@@ -184,6 +186,18 @@
         """An entry that int() or the log can't take ended all processes; large ones hung them."""
         self._assert_refused(_LAYOUT.decode_upstream(Entry(_PATH, value, 9)))
 
+    @cases({"more than a day": 86_400_001, "ten years": 315_360_000_000})
+    def test_a_start_in_the_future_is_refused(self, ahead_ms: int) -> None:
+        """Such an entry hid the upstream's own ones, its drain and its next lifetime."""
+        value = _entry(born=_NOW_S * 1_000 + ahead_ms)
+        self._assert_refused(_LAYOUT.decode_upstream(Entry(_PATH, value, 9)))
+
+    @cases({"now": 0, "some seconds": 5_000, "a day": 86_400_000})
+    def test_a_start_by_a_clock_that_is_ahead_is_used(self, ahead_ms: int) -> None:
+        """Clocks differ; a refused entry would take an upstream that is alive out of use."""
+        value = _entry(born=_NOW_S * 1_000 + ahead_ms)
+        self._assert_usable_upstream(_LAYOUT.decode_upstream(Entry(_PATH, value, 9)).unwrap())
+
     @cases(
         {
             "empty": "",
--- a/src/egretrail/platform/tests/test_platform.py
+++ b/src/egretrail/platform/tests/test_platform.py
@@ -304,7 +304,8 @@
 
 
 def _upstream(**changes: Any) -> Any:
-    return PlatformLayout().decode_upstream(Entry("servers/i-1", _entry(**changes), 9))
+    layout = PlatformLayout(clock=lambda: 1_790_000_100.0)
+    return layout.decode_upstream(Entry("servers/i-1", _entry(**changes), 9))
 
 
 class LayoutTest(EgretrailTestCase):
