Keep a lifetime draining through later changes in one answer

Callers' requests reached an upstream that had reported its drain, if the store's answer held a later ready entry of the same lifetime, too, directly or behind an odd entry or a removal: a watch that was late or a reader that took over.

Cause: of the changes in one answer only the last of each name reaches the table, which remembers drained lifetimes; a draining entry before it was lost.

Change: a ready entry of a lifetime that drained earlier in the answer is taken as draining. A later start of the name is not affected.

Evidence: before the change five of the seven new cases failed (ready; odd, ready; odd, ready twice; removed, ready; late ready of the old start), and the two with a next start passed.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Iterable, Sequence, Set
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -445,15 +446,21 @@
         """Return the record that holds for each name after changes; None if removed or invalid.
 
         An invalid entry replaces the valid one before it. A valid entry of an older lifetime does
-        not, since it was stored late. Also returns the names of which no valid entry came after an
-        invalid one: what was there before has not expired.
+        not, since it was stored late. A lifetime that drained in between stays draining. Also
+        returns the names of which no valid entry came after an invalid one: what was there before
+        has not expired.
         """
         latest: dict[str, UpstreamRecord | None] = {}
         refused: set[str] = set()
+        drained: set[str] = set()
         for entry, record in decoded:
             name = self._name(entry)
             if record is not None:
                 refused.discard(name)
+                if record.state is UpstreamState.DRAINING:
+                    drained.add(record.id)
+                elif record.id in drained:
+                    record = replace(record, state=UpstreamState.DRAINING)
             elif entry.value is not None:
                 refused.add(name)
             before = latest.get(name)
--- a/src/egretrail/gateway/tests/test_store_sync.py
+++ b/src/egretrail/gateway/tests/test_store_sync.py
@@ -264,6 +264,41 @@
 
         self._run(act)
 
+    @cases(
+        {
+            "ready": ([("draining", 5), ("ready", 5)], False),
+            "odd, ready": ([("draining", 5), None, ("ready", 5)], False),
+            "removed, ready": ([("draining", 5), "", ("ready", 5)], False),
+            "odd, ready twice": ([("draining", 5), None, ("ready", 5), ("ready", 5)], False),
+            "late ready of the old start": ([("draining", 9), ("ready", 5), ("ready", 9)], False),
+            "its next start": ([("draining", 5), ("ready", 9)], True),
+            "its next start, a late drain": (
+                [("draining", 5), ("ready", 9), ("draining", 5)],
+                True,
+            ),
+        }
+    )
+    def test_a_drain_holds_against_later_changes_in_one_answer(
+        self, case: tuple[Sequence[tuple[str, int] | str | None], bool]
+    ) -> None:
+        """A drained upstream got work again if a later entry of it came in the same answer."""
+        changes, is_ready = case
+
+        async def act(setup: _ReaderSetup) -> None:
+            setup.list("u1", born=5)
+            await asyncio.sleep(1.0)
+            for change in changes:
+                if change is None:
+                    setup.write("u1", "garbage")
+                elif isinstance(change, str):
+                    setup.unlist("u1")
+                else:
+                    setup.list("u1", change[0], born=change[1])
+            await asyncio.sleep(1.0)
+            self.assertEqual(is_ready, "u1" in setup.ready())
+
+        self._run(act)
+
     def test_changes_in_quick_succession_cost_few_calls(self) -> None:
         async def act(setup: _ReaderSetup) -> None:
             before = setup.store.calls["watch"]
