Count only broken connections as crashes of upstreams

A request is recorded as lost where the connection broke, no longer where bytes came that are no response.

--- a/src/egretrail/gateway/_attempts.py
+++ b/src/egretrail/gateway/_attempts.py
@@ -119,9 +119,12 @@
                 without_body=request.method == b"HEAD",
             )
         except ExchangeFailed as error:
-            path_failed = isinstance(error, ExchangeBroken) and error.path_failed
-            outcome = Outcome.SILENT if path_failed else Outcome.BROKEN
-            self._record_outcome(upstream_id, outcome, started_s, attempt.digest)
+            outcome, digest = Outcome.BROKEN, None
+            if isinstance(error, ExchangeBroken):
+                outcome = Outcome.SILENT if error.path_failed else Outcome.BROKEN
+                # An upstream that sent bytes which are no response was not crashed by the request.
+                digest = attempt.digest
+            self._record_outcome(upstream_id, outcome, started_s, digest)
             return AttemptResult(Disposition.FAILED, cause=str(error), trace=connection.trace())
         finally:
             overdue.cancel()
