Trust no clock that was not set, and list no start that peers drop

An instance whose wall clock was not set since its boot would have refused every upstream for a start in the future; the new test failed before. A start beyond 2^43 ms was listed by readers and dropped by their peers (found by review, by reading): both bounds are the same now.

--- a/src/egretrail/platform/_layout.py
+++ b/src/egretrail/platform/_layout.py
@@ -61,10 +61,11 @@
         faults: list[str] = []
         fields = TableReader(document, "entry", faults)
         record = _decode_upstream_record(fields, entry)
-        latest_start_ms = (self._clock() + store_fields.CLOCKS_APART_MAX_S) * 1_000
+        now_s = self._clock()
+        latest_start_ms = (now_s + store_fields.CLOCKS_APART_MAX_S) * 1_000
         # A start that is yet to come would pass for that of the newest lifetime until then, and
         # hide all that the upstream itself writes.
-        is_past = record.started_ms <= latest_start_ms
+        is_past = record.started_ms <= latest_start_ms or now_s < store_fields.CLOCK_SET_S
         fields.check("born", is_past, f"{record.started_ms} is in the future")
         if faults:
             return Err(InvalidDocument(path, faults))
--- a/src/egretrail/platform/_store_fields.py
+++ b/src/egretrail/platform/_store_fields.py
@@ -28,8 +28,8 @@
 _SHORT_MAX, _WORD_MAX = 2**16 - 1, 2**32 - 1
 #: Up to here a float holds every integer, and sums and products of a few numbers are finite.
 _NUMBER_MAX = 2.0**53
-#: The start of the year 10000, with which dates of the common formats end.
-_TIME_MAX_MS = 253_402_300_800_000
+#: The latest start that messages between instances can state, in the year 2248.
+_TIME_MAX_MS = 2**43 - 1
 #: The number of milliseconds that 32 bits hold, about 50 days.
 _DURATION_MAX_S = _WORD_MAX // 1000
 #: In less time, no client at a distance sends a head or its next request.
@@ -61,6 +61,8 @@
 #: How far an upstream's wall clock may be ahead of the reader's. Clocks differ by seconds; an
 #: upstream that is refused gets no work.
 CLOCKS_APART_MAX_S = 24 * 60 * 60
+#: The start of 2024 in Unix time. A clock that shows an earlier time was not set since the boot.
+CLOCK_SET_S = 1_704_067_200
 
 #: Eight digits; 0 is older than any that is in force.
 CONFIG_VERSION = HexInteger(max_digits=8)
--- a/src/egretrail/platform/tests/test_odd_documents.py
+++ b/src/egretrail/platform/tests/test_odd_documents.py
@@ -267,6 +267,11 @@
     def test_an_entry_within_the_bounds_is_used(self, value: str) -> None:
         self._assert_usable_upstream(_LAYOUT.decode_upstream(Entry(_PATH, value, 9)).unwrap())
 
+    def test_a_clock_that_was_not_set_refuses_no_start(self) -> None:
+        """An instance whose clock shows 1970 would use no upstream at all."""
+        layout = PlatformLayout(clock=lambda: 60.0)
+        self.assertIsInstance(layout.decode_upstream(Entry(_PATH, _entry(), 9)), Ok)
+
     @cases(
         {
             "all fields": _config(),
