Refuse settings that a process cannot use

Operators saw a process end by ValueError (a traffic address with the port "abc") or OverflowError (internal ports from 65534 on, relay port 65536), or wait for ever (an IP "foo"), though the file had been accepted. A store port of 5,000 digits raised out of the reader, so that a reload failed without a reason. A file without an end was read whole, a pipe blocked the process, and a file that is no text stood whole in the log line.

Cause: addresses were read as any text, amounts had only lower bounds, and the port check converted any number of digits.

Fields are read by the kinds that the store's documents have, with a kind for the instance's own IP: IPv4, which rosters hold.

--- a/src/egretrail/platform/_field_kinds.py
+++ b/src/egretrail/platform/_field_kinds.py
@@ -211,6 +211,17 @@
         return address
 
 
+class InstanceIP(FieldKind[str]):
+    """The IP address of an instance; rosters of peers hold IPv4 addresses."""
+
+    empty = ""
+    _TEXT = HeaderText(_ADDRESS_BYTES_MAX)
+
+    def decode(self, value: object) -> str:
+        """Return the IP address; raises ValueError for any other value."""
+        return str(ipaddress.IPv4Address(self._TEXT.decode(value)))
+
+
 class Rows(FieldKind[Sequence[Any]]):
     """A list of a bounded length, whose rows are decoded by other kinds."""
 
--- a/src/egretrail/platform/_table_reader.py
+++ b/src/egretrail/platform/_table_reader.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, TypeVar
 
-from egretrail.platform._field_kinds import Duration, FieldKind, Flag, Integer, Number, Rows, Text
+from egretrail.platform._field_kinds import FieldKind, Flag, Rows, Text
 
 T = TypeVar("T")
 
@@ -14,9 +14,6 @@
 
 #: Fields of settings files.
 _TEXT = Text(max_bytes=8_000)
-_INTEGER = Integer(-(2**63), 2**63 - 1)
-_NUMBER = Number(-1e308, 1e308)
-_DURATION = Duration(0.0, 2**32)
 _FLAG = Flag()
 _ROWS = Rows(max_rows=2**16)
 
@@ -67,18 +64,6 @@
         """Return printable text."""
         return self.read(name, _TEXT, default)
 
-    def integer(self, name: str, default: int | None = None) -> int:
-        """Return a signed 64-bit integer."""
-        return self.read(name, _INTEGER, default)
-
-    def number(self, name: str, default: float | None = None) -> float:
-        """Return a finite number."""
-        return self.read(name, _NUMBER, default)
-
-    def duration_s(self, name: str, default: str | None = None) -> float:
-        """Return a duration in seconds."""
-        return self.read(name, _DURATION, None if default is None else _DURATION.decode(default))
-
     def boolean(self, name: str) -> bool:
         """Return a boolean; a missing field is False."""
         return self.read(name, _FLAG, False)
