--- a/scaffolding/tests/test_gateway_starts.py
+++ b/scaffolding/tests/test_gateway_starts.py
@@ -101,6 +101,19 @@
 
         self._run(scenario)
 
+    def test_a_process_that_can_never_listen_ends_with_a_reason(self) -> None:
+        # It waited for ever, and an operator saw a process that runs.
+        async def scenario(harness: FleetHarness) -> None:
+            fleet = harness.fleet
+            own = fleet.traffic_address(0)
+            _write_settings(fleet, fleet.settings_text(0).replace(own, "fe80::1%nosuch:8000"))
+            await fleet.start()
+            async with asyncio.timeout(20.0):
+                self.assertEqual(1, await fleet.exit_code(0))
+            self.assertIn("event=listen_refused", fleet.log(0))
+
+        self._run(scenario)
+
     def _run(self, scenario: Callable[[FleetHarness], Awaitable[None]]) -> None:
         async def run() -> None:
             fleet = GatewayFleet(2)
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -153,7 +153,11 @@
         if not opening.done():
             opening.cancel()
             return False
-        await opening
+        try:
+            await opening
+        finally:
+            # An error ends the process; its reason must not stay in the buffer.
+            self.log.flush()
         return True
 
     async def _open(self) -> None:
