Answer requests when a start is stopped before it is complete

Callers got no answer to requests on a port that was open already, if a termination signal came while the process still waited for another port.

Cause: the end of the running requests was left out for a process whose listeners were not all open. It is never left out now. Such an instance is in no directory yet, so it ends as soon as no request is left.

test_a_signal_lets_requests_finish_while_a_port_is_waited_for failed before and passes: the request waits for the configuration and gets 503, and the process ends with 0. The other start conditions and test_process_faults.py pass (-n 2).

--- a/scaffolding/tests/test_gateway_starts.py
+++ b/scaffolding/tests/test_gateway_starts.py
@@ -70,6 +70,30 @@
 
         self._run(scenario)
 
+    def test_a_signal_lets_requests_finish_while_a_port_is_waited_for(self) -> None:
+        # Their connections were reset, though another port was the one that was taken.
+        async def scenario(harness: FleetHarness) -> None:
+            fleet = harness.fleet
+            host, _, port = fleet.directory_address(0).rpartition(":")
+            with socket.create_server((host, int(port))):
+                await fleet.start()
+                await asyncio.sleep(_CONDITION_S)
+                reader, writer = await asyncio.open_connection(
+                    *fleet.traffic_address(0).rsplit(":", 1)
+                )
+                writer.write(b"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+                await asyncio.sleep(0.2)
+                fleet.signal_gateway(0, signal.SIGTERM)
+                async with asyncio.timeout(3.0):
+                    response = await reader.read()
+                    self.assertEqual(0, await fleet.exit_code(0))
+                writer.close()
+            self.assertEqual(b"HTTP/1.1 503", response[:12])
+            self.assertIn("event=stopping", fleet.log(0))
+            self.assertNotIn("loop_error", fleet.log(0))
+
+        self._run(scenario)
+
     @cases({"missing": None, "half_written": 0.5, "empty": 0.0})
     def test_a_process_waits_for_its_settings(self, share: float | None) -> None:
         # A start beside a deployment that was writing the file ended with an error.
--- a/src/egretrail/gateway/_process.py
+++ b/src/egretrail/gateway/_process.py
@@ -117,14 +117,15 @@
             self._supervise("housekeeping", self._run_housekeeping),
             self._loop.create_task(self._listen(metrics_address, self._handle_metrics)),
         ]
-        if await self._has_opened():
+        has_opened = await self._has_opened()
+        if has_opened:
             # Objects created so far live as long as the process; scanning them costs time.
             gc.collect()
             gc.freeze()
             tasks.append(self._supervise("peers", self._peers.run))
             tasks.append(self._supervise("store", self._sync.run))
             await self._stop_requested.wait()
-            await self._shut_down()
+        await self._shut_down(is_known=has_opened)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -343,8 +344,11 @@
             old.close()
         self._settings = settings
 
-    async def _shut_down(self) -> None:
-        """Leave the directory at once, serve remaining requests, then close all connections."""
+    async def _shut_down(self, *, is_known: bool = True) -> None:
+        """Leave the directory at once, serve remaining requests, then close all connections.
+
+        An instance that peers do not know yet is in no directory that clients may still hold.
+        """
         self._stopping_since_s = self._loop.time()
         self.log.event("stopping", connections=len(self._connections))
         self._view.leaving = True
@@ -355,7 +359,7 @@
             self._loop_errors.handle(self._loop, {"exception": error})
         for connection in self._connections:
             connection.close_after_responses()
-        directory_cache_s = DIRECTORY_TTL_S * _DIRECTORY_CACHE_TTLS
+        directory_cache_s = DIRECTORY_TTL_S * _DIRECTORY_CACHE_TTLS if is_known else 0.0
         earliest_end_s = self._stopping_since_s + min(
             directory_cache_s, self._settings.stop_grace_s / 2
         )
