Log a position that the store refutes where it is found

store_position_ahead could no longer be written since readers leave such positions (the answer that shows one is a failure of its own now), so the operators would not have seen it. The event is store_position_refuted, with a counter by part in place of the gauge.

--- a/src/egretrail/gateway/_store_sync.py
+++ b/src/egretrail/gateway/_store_sync.py
@@ -163,7 +163,10 @@
             began_s = self._loop.time()
             failure = await self._calls.run(follow())
             if isinstance(failure, HistoryLost):
-                self._log.event("store_history_lost", part=name, cause=failure)
+                event = "store_position_refuted" if failure.is_refuted else "store_history_lost"
+                self._log.event(event, part=name, cause=failure)
+                if failure.is_refuted:
+                    self.progress.record_refuted(name)
             elif failure is not None:
                 self._record_failure(name, failure)
             if self._last_success_s > began_s:
@@ -278,7 +281,7 @@
             return read
         self._record_success()
         revision = read.ok_value.revision
-        self._record_answer("config", 0, revision)
+        self.progress.record_answer("config")
         self._check_era(revision)
         self.refused_configs.retain(entry.path for entry in read.ok_value.entries)
         await self._apply_config_answer(read.ok_value.entries, revision, sent_s)
@@ -292,7 +295,7 @@
         if isinstance(watched, Err):
             return watched
         self._record_success()
-        self._record_answer("config", after, watched.ok_value.revision)
+        self.progress.record_answer("config")
         revision = max(after, watched.ok_value.revision)
         await self._apply_config_answer(watched.ok_value.entries, revision, sent_s)
         await self._pace_watches(watched.ok_value.entries, began_s + wait_s)
@@ -356,7 +359,7 @@
             return read
         self._record_success()
         revision = read.ok_value.revision
-        self._record_answer("upstreams", 0, revision)
+        self.progress.record_answer("upstreams")
         self._check_era(revision)
         self._log.event(
             "upstreams_read",
@@ -388,7 +391,7 @@
             return watched
         self._record_success()
         changes = watched.ok_value
-        self._record_answer("upstreams", after, changes.revision)
+        self.progress.record_answer("upstreams")
         if changes.entries:
             self._log.event(
                 "upstreams_watched",
@@ -552,11 +555,6 @@
         self._listing.invalidate()
         self._calls.cancel()
 
-    def _record_answer(self, part: str, position: int, stated: int) -> None:
-        """Record an answer to a call after a position, and log when that is ahead of the store."""
-        if self.progress.record_answer(part, position, stated):
-            self._log.event("store_position_ahead", part=part, position=position, stated=stated)
-
     def _record_success(self) -> None:
         now_s = self._loop.time()
         away_s = self._outage.record_contact(now_s)
