--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,6 +20,7 @@
     Record,
     configuration,
     connect,
+    count_broken_off,
     encode_request,
     main,
     new_attempt,
@@ -102,12 +103,12 @@
             await asyncio.sleep(COMES_EVERY_S)
         times = sorted(backend.crashed_s for backend in crashes if backend.crashed_s is not None)
         late = [at_s for at_s in times[3:] if at_s > times[2] + STABLE_S]
-        broken_off = sum(sent.status not in (200, None) for one in clients for sent in one.sent)
+        broken_off = count_broken_off(clients, fleet.backends)
         record.write(f"{len(times)} crashes, at {[round(at_s - times[0], 1) for at_s in times]}")
         record.write(
             f"{len(late)} retries over {STABLE_S} s after the third; at most {RETRIES_MAX}"
         )
-        record.write(f"{broken_off} requests of other clients were not served")
+        record.write(f"{broken_off} orders of other clients were lost at crashed backends")
         if not any(sent.status == 200 for client in clients for sent in client.sent):
             return NOT_RUN
         return BROKEN if len(late) > RETRIES_MAX else HELD
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -456,6 +456,8 @@
         self._folder = Path(tempfile.mkdtemp(prefix="review-2-"))
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._restarts = True
+        #: How often each gateway was started.
+        self.starts = dict.fromkeys(range(count), 0)
         #: Processes that ended though nobody told them to, with the reason.
         self.own_ends: list[str] = []
         self.memory_peak_kb = 0
@@ -547,6 +549,7 @@
         )
         log.close()
         self._processes[number] = process
+        self.starts[number] += 1
         self.record.write(f"gateway {number} started")
         self._tasks.append(asyncio.create_task(self._restart(number, process)))
 
@@ -760,6 +763,16 @@
     )
 
 
+def count_broken_off(clients: Iterable[KeptClient], backends: Iterable[Backend]) -> int:
+    """Return how many requests ran at a backend and were answered with a failure."""
+    ran = {run.attempt for backend in backends for run in backend.runs}
+    return sum(
+        sent.status in (0, 502, 504) and sent.attempt in ran
+        for client in clients
+        for sent in client.sent
+    )
+
+
 def main(folder: Path, case: Callable[[Record], Awaitable[int]], limit_s: float = 110.0) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(folder / "record.txt")
